--- /dev/null
+++ b/config/folder.go
@@ -0,0 +1,117 @@
+package config
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	maxFileBytes   = 256 << 10
+	maxFolderBytes = 1 << 20
+	fileSuffix     = ".yaml"
+)
+
+// Files maps the name of each declaration file to its text.
+type Files map[string]string
+
+// Names returns the names of the files in the order in which they merge: by
+// ascending bytes.
+func (f Files) Names() []string {
+	names := make([]string, 0, len(f))
+	for name := range f {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// ReadFolder reads the declaration files of a folder. Names that start with a
+// dot are passed over. Everything else that is not a UTF-8 file of bounded
+// size with the suffix .yaml is a Problem.
+func ReadFolder(dir string) (Files, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the declarations")
+	}
+	files := make(Files)
+	var problems Problems
+	total := 0
+	for _, entry := range entries {
+		if strings.HasPrefix(entry.Name(), ".") {
+			continue
+		}
+		text, err := readFile(filepath.Join(dir, entry.Name()), &problems)
+		if err != nil {
+			return nil, err
+		}
+		files[entry.Name()] = text
+		total += len(text)
+	}
+	start := Position{File: dir, Line: 1, Column: 1}
+	if len(files) == 0 && len(problems) == 0 {
+		problems.add(start, "add at least one file that ends in "+fileSuffix, "the folder holds no declaration files")
+	}
+	if total > maxFolderBytes {
+		problems.add(start, "split the fleet or drop what repeats defaults", "the folder holds %d bytes; at most %d are allowed", total, maxFolderBytes)
+	}
+	return files, problems.err()
+}
+
+func readFile(path string, problems *Problems) (string, error) {
+	name := filepath.Base(path)
+	start := Position{File: name, Line: 1, Column: 1}
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", errors.Wrap(err, "reading the declarations")
+	}
+	switch {
+	case !info.Mode().IsRegular():
+		problems.add(start, "move it out of the folder", "not a regular file")
+		return "", nil
+	case !strings.HasSuffix(name, fileSuffix):
+		problems.add(start, "rename it, or start its name with a dot to have it passed over", "the name does not end in %s", fileSuffix)
+		return "", nil
+	case info.Size() > maxFileBytes:
+		problems.add(start, "split it into smaller files", "the file has %d bytes; at most %d are allowed", info.Size(), maxFileBytes)
+		return "", nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Wrap(err, "reading the declarations")
+	}
+	return string(data), nil
+}
+
+// encodingProblem reports the first byte of text that is not UTF-8.
+func encodingProblem(name, text string, problems *Problems) bool {
+	at := Position{File: name, Line: 1, Column: 1}
+	if strings.HasPrefix(text, "\xff\xfe") || strings.HasPrefix(text, "\xfe\xff") {
+		problems.add(at, "save it as UTF-8", "the file is encoded as UTF-16")
+		return true
+	}
+	for i, r := range text {
+		if r != utf8.RuneError {
+			continue
+		}
+		if _, size := utf8.DecodeRuneInString(text[i:]); size != 1 {
+			continue
+		}
+		before := text[:i]
+		at.Line = 1 + strings.Count(before, "\n")
+		at.Column = 1 + utf8.RuneCountInString(before[strings.LastIndex(before, "\n")+1:])
+		problems.add(at, "save it as UTF-8", "byte 0x%02x is not UTF-8", text[i])
+		return true
+	}
+	if i := bytes.IndexByte([]byte(text), 0); i >= 0 {
+		at.Line = 1 + strings.Count(text[:i], "\n")
+		problems.add(at, "save it as plain text", "the file holds a zero byte")
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/config/schema.go
@@ -0,0 +1,101 @@
+package config
+
+// Config is the merged configuration of a fleet.
+type Config struct {
+	HostShape   HostShape          `help:"The size of every worker host."`
+	Racks       map[string]Rack    `help:"The racks, by name." required:"true"`
+	Pools       map[string]Pool    `help:"The pools of hosts, by name." required:"true"`
+	Services    map[string]Service `help:"The services, by name." required:"true"`
+	Teams       map[string]Team    `help:"The teams that own services, by name."`
+	Maintenance Maintenance        `help:"How hosts are maintained."`
+	Weights     Weights            `help:"How much each of the four measures counts in a plan."`
+}
+
+// HostShape is the size of a worker host.
+type HostShape struct {
+	Cores       int   `help:"Processor cores of a host." default:"32"`
+	Memory      Bytes `help:"Memory of a host." default:"128GB"`
+	Slots       int   `help:"Requests that a host runs at once, over all entry nodes." default:"8"`
+	Connections int   `help:"Connections that a host accepts, over all entry nodes." default:"64"`
+}
+
+// Rack is a group of hosts that fail together.
+type Rack struct {
+	DataCentre string   `help:"The data centre that the rack stands in." required:"true"`
+	Hosts      []string `help:"The hosts of the rack, by name." required:"true"`
+}
+
+// Pool is a set of hosts that serve the same services.
+type Pool struct {
+	Hosts []string `help:"The hosts of the pool, by name; a host is in exactly one pool."`
+	Racks []string `help:"Racks all of whose hosts are in the pool."`
+	Spare bool     `help:"Whether the hosts of the pool wait for use elsewhere." default:"false"`
+}
+
+// Service is one application behind the entry nodes; callers reach it under
+// the path /NAME/.
+type Service struct {
+	Pool      string           `help:"The pool whose hosts run the service." required:"true"`
+	Team      string           `help:"The team that owns the service."`
+	Quota     Quota            `help:"What the service may use of its pool."`
+	Queue     Queue            `help:"How requests wait while every slot is taken."`
+	Deadline  Duration         `help:"The longest time that a request may take, waiting included." default:"30s"`
+	MaxBody   Bytes            `help:"The largest body of a request." default:"8MB"`
+	Attempts  int              `help:"How often a request may be sent in all; only an idempotent one, or one of which no byte was sent, is ever sent again." default:"2"`
+	Routes    map[string]Route `help:"The routes of the service, by name." required:"true"`
+	Budget    Budget           `help:"What must remain in service through failures and maintenance."`
+	Objective Objective        `help:"The service-level objective."`
+}
+
+// Quota bounds what a service uses.
+type Quota struct {
+	Slots       int `help:"Requests of the service that run at once over all entry nodes; 0 allows every slot of the pool." default:"0"`
+	Connections int `help:"Connections to upstream hosts over all entry nodes; 0 allows every connection of the pool." default:"0"`
+}
+
+// Queue bounds the requests that wait at an entry node.
+type Queue struct {
+	Limit int      `help:"Requests that wait at one entry node; one more is refused as not run." default:"64"`
+	Wait  Duration `help:"The longest wait; after it the request is refused as not run." default:"2s"`
+}
+
+// Route is a group of requests with one treatment.
+type Route struct {
+	Path       string `help:"The prefix of the path after the service's name; the longest match holds." required:"true"`
+	Class      Class  `help:"Interactive for short work that somebody waits for, Batch for long work." default:"Interactive"`
+	Idempotent bool   `help:"Whether a request may run twice without harm; others run at most once." default:"false"`
+}
+
+// Budget is the availability that a service keeps.
+type Budget struct {
+	MinReady           int     `help:"Hosts that must stay ready through every maintenance wave and the loss of the fullest rack." default:"1"`
+	MaxRackShare       Percent `help:"The largest share of the hosts that one rack may carry." default:"100%"`
+	MaxDataCentreShare Percent `help:"The largest share of the hosts that one data centre may carry." default:"100%"`
+}
+
+// Objective is a service-level objective.
+type Objective struct {
+	Availability Percent  `help:"The share of requests that get a whole answer in time." default:"99.9%"`
+	Latency      Duration `help:"The time within which an answer is in time." default:"1s"`
+	Window       Duration `help:"The span over which the objective is judged." default:"4w"`
+}
+
+// Team owns services and has a quota over all of them.
+type Team struct {
+	Slots int `help:"Slots that the services of the team may use together; 0 sets no bound." default:"0"`
+}
+
+// Maintenance is how hosts are taken out of service in turn.
+type Maintenance struct {
+	Every  Duration `help:"Every host is maintained once in this span." default:"5w"`
+	AtOnce int      `help:"Hosts that are in maintenance at once." default:"1"`
+	Drain  []string `help:"Hosts that get no new requests: an operator's drain."`
+}
+
+// Weights say how much each measure counts; only their ratios matter.
+type Weights struct {
+	BufferCost int `help:"Weight of the cost of spare hosts." default:"1"`
+	RollOut    int `help:"Weight of roll-out time." default:"1"`
+	HostMoves  int `help:"Weight of the number of host moves." default:"1"`
+	Blocking   int `help:"Weight of the time that short work waits behind long work." default:"1"`
+}
--- /dev/null
+++ b/config/units.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/pkg/errors"
+	str2duration "github.com/xhit/go-str2duration/v2"
+)
+
+// Duration is a span of time, written with units such as 15s, 36h or 5w.
+type Duration time.Duration
+
+// UnmarshalText parses a duration with units and fails on a bare number.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := str2duration.ParseDuration(string(text))
+	if err != nil || parsed < 0 {
+		return errors.Errorf("%q is not a duration; write a number and a unit, such as 15s, 2h or 5w", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText formats the duration with units.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(str2duration.String(time.Duration(d))), nil
+}
+
+// Bytes is an amount of memory or data, written with units such as 128MB.
+type Bytes uint64
+
+// UnmarshalText parses an amount with units and fails on a bare number.
+func (b *Bytes) UnmarshalText(text []byte) error {
+	parsed, err := humanize.ParseBytes(string(text))
+	if err != nil || !strings.HasSuffix(string(text), "B") {
+		return errors.Errorf("%q is not an amount of bytes; write a number and a unit, such as 64KB, 128MB or 256GB", text)
+	}
+	*b = Bytes(parsed)
+	return nil
+}
+
+// MarshalText formats the amount with units.
+func (b Bytes) MarshalText() ([]byte, error) {
+	return []byte(strings.ReplaceAll(humanize.Bytes(uint64(b)), " ", "")), nil
+}
+
+// Percent is a share, written such as 99.9%.
+type Percent float64
+
+// UnmarshalText parses a share between 0% and 100%.
+func (p *Percent) UnmarshalText(text []byte) error {
+	number, found := strings.CutSuffix(string(text), "%")
+	parsed, err := strconv.ParseFloat(number, 64)
+	if err != nil || !found || !(parsed >= 0 && parsed <= 100) {
+		return errors.Errorf("%q is not a share; write a number from 0 to 100 and %%, such as 99.9%%", text)
+	}
+	*p = Percent(parsed)
+	return nil
+}
+
+// MarshalText formats the share with its unit.
+func (p Percent) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatFloat(float64(p), 'f', -1, 64) + "%"), nil
+}
+
+// Share returns the fraction from 0 to 1.
+func (p Percent) Share() float64 { return float64(p) / 100 }
+
+// Class says how long the requests of a route are expected to run.
+type Class string
+
+// The classes of routes.
+const (
+	Interactive Class = "Interactive"
+	Batch       Class = "Batch"
+)
+
+// UnmarshalText accepts the name of a class.
+func (c *Class) UnmarshalText(text []byte) error {
+	switch Class(text) {
+	case Interactive, Batch:
+		*c = Class(text)
+		return nil
+	default:
+		return errors.Errorf("%q is not a class; use %s or %s", text, Interactive, Batch)
+	}
+}
