fold: state of the fleet from the platform's log

Cause: what is agreed must go through the platform's append-only log. Change: records folded into a state with rules judged by every reader,

and small stand-ins of the platform.

--- /dev/null
+++ b/fake/log.go
@@ -0,0 +1,165 @@
+package fake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanpath/core"
+)
+
+// Faults are what goes wrong with the log.
+type Faults struct {
+	// Down makes every call fail without effect.
+	Down bool
+	// LoseAnswers makes appends take effect and then fail.
+	LoseAnswers bool
+	// Delay slows every call.
+	Delay time.Duration
+	// Late hides a record from readers for that long after its append.
+	Late time.Duration
+}
+
+// ErrDown is what calls of a log that is down fail with.
+var ErrDown = errors.New("the log is down")
+
+// ErrLostAnswer is what an append fails with after it took effect.
+var ErrLostAnswer = errors.New("the answer was lost")
+
+type record struct {
+	data []byte
+	at   time.Time
+}
+
+// Log is an append-only log in memory.
+type Log struct {
+	mu      sync.Mutex
+	first   int64
+	records []record
+	// retention is the number of records kept; 0 keeps all.
+	retention int
+	faults    Faults
+	appended  chan struct{}
+}
+
+// NewLog returns an empty log that keeps the newest retention records, or all
+// if that is 0.
+func NewLog(retention int) *Log {
+	return &Log{retention: retention, appended: make(chan struct{})}
+}
+
+// SetFaults replaces the faults of the log.
+func (l *Log) SetFaults(faults Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = faults
+}
+
+// delay waits as the faults say and returns them.
+func (l *Log) delay(ctx context.Context) (Faults, error) {
+	l.mu.Lock()
+	faults := l.faults
+	l.mu.Unlock()
+	if faults.Down {
+		return faults, ErrDown
+	}
+	if faults.Delay == 0 {
+		return faults, nil
+	}
+	select {
+	case <-time.After(faults.Delay):
+		return faults, nil
+	case <-ctx.Done():
+		return faults, ctx.Err()
+	}
+}
+
+// Append adds one record and returns its offset.
+func (l *Log) Append(ctx context.Context, data []byte) (int64, error) {
+	faults, err := l.delay(ctx)
+	if err != nil {
+		return 0, err
+	}
+	offset := l.add(data)
+	if faults.LoseAnswers {
+		return 0, ErrLostAnswer
+	}
+	return offset, nil
+}
+
+func (l *Log) add(data []byte) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, record{data: data, at: time.Now()})
+	offset := l.first + int64(len(l.records)) - 1
+	if excess := len(l.records) - l.retention; l.retention > 0 && excess > 0 {
+		l.records = l.records[excess:]
+		l.first += int64(excess)
+	}
+	close(l.appended)
+	l.appended = make(chan struct{})
+	return offset
+}
+
+// Expire drops every record below an offset.
+func (l *Log) Expire(below int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	drop := min(max(0, below-l.first), int64(len(l.records)))
+	l.records = l.records[drop:]
+	l.first += drop
+}
+
+// Read returns at most limit records from an offset on and waits for up to
+// wait for the first.
+func (l *Log) Read(ctx context.Context, from int64, limit int, wait time.Duration) ([]core.Entry, error) {
+	if _, err := l.delay(ctx); err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		entries, appended, err := l.visible(from, limit)
+		if err != nil || len(entries) > 0 {
+			return entries, err
+		}
+		select {
+		case <-appended:
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (l *Log) visible(from int64, limit int) ([]core.Entry, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down {
+		return nil, nil, ErrDown
+	}
+	if from < l.first {
+		return nil, nil, &core.ExpiredError{From: from, First: l.first}
+	}
+	var entries []core.Entry
+	for i := from - l.first; i < int64(len(l.records)) && len(entries) < limit; i++ {
+		if time.Since(l.records[i].at) < l.faults.Late {
+			break
+		}
+		entries = append(entries, core.Entry{Offset: l.first + i, Data: l.records[i].data})
+	}
+	return entries, l.appended, nil
+}
+
+// Bounds returns the limits of what the log holds.
+func (l *Log) Bounds(ctx context.Context) (core.Bounds, error) {
+	if _, err := l.delay(ctx); err != nil {
+		return core.Bounds{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return core.Bounds{First: l.first, Next: l.first + int64(len(l.records))}, nil
+}
--- /dev/null
+++ b/fake/server.go
@@ -0,0 +1,213 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"rattanpath/core"
+	"rattanpath/plat"
+)
+
+// maxRecordBytes bounds one append.
+const maxRecordBytes = 8 << 20
+
+// Platform serves the stand-ins over HTTP in the form that package plat
+// expects, and takes orders for trials under /trial/.
+type Platform struct {
+	List      *List
+	Account   *Account
+	retention int
+	mu        sync.Mutex
+	logs      map[string]*Log
+	workers   map[string]*Worker
+}
+
+// NewPlatform returns a platform without hosts whose logs keep the newest
+// retention records each, or all if that is 0.
+func NewPlatform(retention int) *Platform {
+	return &Platform{
+		List:      NewList(),
+		Account:   NewAccount(),
+		retention: retention,
+		logs:      make(map[string]*Log),
+		workers:   make(map[string]*Worker),
+	}
+}
+
+// Log returns the stream of that name and creates it at its first use.
+func (p *Platform) Log(stream string) *Log {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.logs[stream] == nil {
+		p.logs[stream] = NewLog(p.retention)
+	}
+	return p.logs[stream]
+}
+
+// SetFaults replaces the faults of every stream.
+func (p *Platform) SetFaults(faults Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, log := range p.logs {
+		log.SetFaults(faults)
+	}
+}
+
+// AddWorker starts a worker on a free loopback port and lists it.
+func (p *Platform) AddWorker(name, dataCentre, rack string) (*Worker, error) {
+	worker, err := NewWorker(name, "127.0.0.1:0", p.Account)
+	if err != nil {
+		return nil, errors.Wrapf(err, "starting worker %s", name)
+	}
+	p.mu.Lock()
+	p.workers[name] = worker
+	p.mu.Unlock()
+	p.List.Put(worker.Host(dataCentre, rack))
+	return worker, nil
+}
+
+// Worker returns the worker of that name, or nil.
+func (p *Platform) Worker(name string) *Worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.workers[name]
+}
+
+// Close stops every worker.
+func (p *Platform) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, worker := range p.workers {
+		worker.Close()
+	}
+}
+
+// Handler returns the HTTP interface.
+func (p *Platform) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/streams/{Stream}", p.bounds).Methods(http.MethodGet)
+	router.HandleFunc("/streams/{Stream}/records", p.read).Methods(http.MethodGet)
+	router.HandleFunc("/streams/{Stream}/records", p.append).Methods(http.MethodPost)
+	router.HandleFunc("/hosts", p.hosts).Methods(http.MethodGet)
+	router.HandleFunc("/trial/hosts/{Name}", p.putHost).Methods(http.MethodPut)
+	router.HandleFunc("/trial/hosts/{Name}", p.removeHost).Methods(http.MethodDelete)
+	router.HandleFunc("/trial/faults", p.putFaults).Methods(http.MethodPut)
+	router.HandleFunc("/trial/workers/{Name}/mode/{Mode}", p.putMode).Methods(http.MethodPut)
+	router.HandleFunc("/trial/account", p.account).Methods(http.MethodGet)
+	return router
+}
+
+func (p *Platform) stream(r *http.Request) *Log {
+	return p.Log(mux.Vars(r)["Stream"])
+}
+
+func (p *Platform) bounds(w http.ResponseWriter, r *http.Request) {
+	bounds, err := p.stream(r).Bounds(r.Context())
+	reply(w, bounds, err)
+}
+
+func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, fromErr := strconv.ParseInt(query.Get(plat.FromParam), 10, 64)
+	limit, limitErr := strconv.Atoi(query.Get(plat.LimitParam))
+	wait, waitErr := time.ParseDuration(query.Get(plat.WaitParam))
+	if fromErr != nil || limitErr != nil || waitErr != nil {
+		http.Error(w, "bad parameters", http.StatusBadRequest)
+		return
+	}
+	entries, err := p.stream(r).Read(r.Context(), from, limit, wait)
+	reply(w, plat.Records{Entries: entries}, err)
+}
+
+func (p *Platform) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	offset, err := p.stream(r).Append(r.Context(), data)
+	reply(w, plat.Appended{Offset: offset}, err)
+}
+
+func (p *Platform) hosts(w http.ResponseWriter, r *http.Request) {
+	hosts, err := p.List.Hosts(r.Context())
+	reply(w, plat.Hosts{Hosts: hosts}, err)
+}
+
+func (p *Platform) putHost(w http.ResponseWriter, r *http.Request) {
+	var host core.Host
+	if err := json.NewDecoder(r.Body).Decode(&host); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	host.Name = mux.Vars(r)["Name"]
+	p.List.Put(host)
+	reply(w, host, nil)
+}
+
+func (p *Platform) removeHost(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["Name"]
+	p.List.Remove(name)
+	reply(w, name, nil)
+}
+
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(faults)
+	reply(w, faults, nil)
+}
+
+func (p *Platform) putMode(w http.ResponseWriter, r *http.Request) {
+	worker := p.Worker(mux.Vars(r)["Name"])
+	mode, known := modes[mux.Vars(r)["Mode"]]
+	if worker == nil || !known {
+		http.NotFound(w, r)
+		return
+	}
+	worker.SetMode(mode)
+	reply(w, worker.Name, nil)
+}
+
+var modes = map[string]Mode{
+	"Healthy": Healthy,
+	"FailAll": FailAll,
+	"Hang":    Hang,
+	"CutOff":  CutOff,
+	"Slow":    Slow,
+}
+
+// AccountReport is the account of all workers.
+type AccountReport struct {
+	Started   map[string]int
+	Overshoot int
+}
+
+func (p *Platform) account(w http.ResponseWriter, _ *http.Request) {
+	reply(w, AccountReport{Started: p.Account.Started(), Overshoot: p.Account.Overshoot()}, nil)
+}
+
+// reply writes a result as JSON, or the error with the status that package
+// plat expects.
+func reply(w http.ResponseWriter, result any, err error) {
+	var expired *core.ExpiredError
+	switch {
+	case errors.As(err, &expired):
+		w.WriteHeader(http.StatusGone)
+		result = plat.Expired{First: expired.First}
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(result)
+}
--- /dev/null
+++ b/follow/module.go
@@ -0,0 +1,25 @@
+package follow
+
+import (
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"rattanpath/core"
+)
+
+func init() {
+	core.Modules.Register("follow", fx.Module("follow",
+		fx.Provide(newFromSettings),
+		fx.Invoke(start),
+	))
+}
+
+func newFromSettings(settings core.Settings, streams Streams, logger logr.Logger) *Follower {
+	return New(streams, settings.LogWait, logger)
+}
+
+func start(loops *core.Loops, follower *Follower, settings core.Settings, logger logr.Logger) {
+	snapshotter := NewSnapshotter(follower, settings.SnapshotRecords, settings.SnapshotEvery, logger)
+	loops.Go(follower.run)
+	loops.Go(snapshotter.run)
+}
--- /dev/null
+++ b/roster/module.go
@@ -0,0 +1,23 @@
+package roster
+
+import (
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"rattanpath/core"
+)
+
+func init() {
+	core.Modules.Register("roster", fx.Module("roster",
+		fx.Provide(newFromSettings),
+		fx.Invoke(start),
+	))
+}
+
+func newFromSettings(settings core.Settings, lister Lister, logger logr.Logger) *Watcher {
+	return New(lister, settings.RosterPoll, logger)
+}
+
+func start(loops *core.Loops, watcher *Watcher) {
+	loops.Go(watcher.run)
+}
--- /dev/null
+++ b/roster/watch.go
@@ -0,0 +1,144 @@
+package roster
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rattanpath/core"
+)
+
+// hold is the time for which a host that is missing from the list counts as
+// live; a list that flaps must not move work about, and a host that is gone
+// must not get new work for more than a few seconds.
+const hold = 2 * time.Second
+
+// Lister is the platform's list of hosts.
+type Lister interface {
+	Hosts(ctx context.Context) ([]core.Host, error)
+}
+
+// Roster is what was last known of the hosts. It is never changed once it can
+// be seen.
+type Roster struct {
+	Hosts map[string]core.Host
+	// At is the time of the last successful read; zero if there was none.
+	At time.Time
+	// Err is the error of the last read, or nil.
+	Err error
+}
+
+// Entries returns the live entry nodes.
+func (r *Roster) Entries() []core.Host {
+	var entries []core.Host
+	for _, host := range r.Hosts {
+		if host.Role == core.RoleEntry && host.State == core.HostLive {
+			entries = append(entries, host)
+		}
+	}
+	return entries
+}
+
+// Watcher reads the list again and again.
+type Watcher struct {
+	lister Lister
+	every  time.Duration
+	logger logr.Logger
+
+	roster atomic.Pointer[Roster]
+	// missing holds since when a host of the roster is not on the list.
+	missing map[string]time.Time
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// New returns a watcher that reads the list at the given interval.
+func New(lister Lister, every time.Duration, logger logr.Logger) *Watcher {
+	w := &Watcher{
+		lister:  lister,
+		every:   every,
+		logger:  logger.WithName("roster"),
+		missing: make(map[string]time.Time),
+		changed: make(chan struct{}),
+	}
+	w.roster.Store(&Roster{})
+	return w
+}
+
+// Roster returns what was last known.
+func (w *Watcher) Roster() *Roster { return w.roster.Load() }
+
+// Changed returns a channel that is closed at the next read.
+func (w *Watcher) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// run reads the list until the context ends.
+func (w *Watcher) run(ctx context.Context) {
+	ticker := time.NewTicker(w.every)
+	defer ticker.Stop()
+	for {
+		w.step(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *Watcher) step(ctx context.Context) {
+	listed, err := w.lister.Hosts(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	before := w.Roster()
+	if err != nil {
+		if before.Err == nil {
+			w.logger.Error(err, "the host list fails")
+		}
+		w.publish(&Roster{Hosts: before.Hosts, At: before.At, Err: err})
+		return
+	}
+	w.publish(&Roster{Hosts: w.bridge(before.Hosts, listed), At: time.Now()})
+}
+
+// bridge adds to the listed hosts those that went missing a moment ago.
+func (w *Watcher) bridge(before map[string]core.Host, listed []core.Host) map[string]core.Host {
+	hosts := make(map[string]core.Host, len(listed))
+	for _, host := range listed {
+		hosts[host.Name] = host
+		delete(w.missing, host.Name)
+	}
+	for name, host := range before {
+		if _, found := hosts[name]; found {
+			continue
+		}
+		since, known := w.missing[name]
+		if !known {
+			since = time.Now()
+			w.missing[name] = since
+		}
+		if time.Since(since) < hold {
+			hosts[name] = host
+			continue
+		}
+		delete(w.missing, name)
+		w.logger.Info("host is gone from the list", "host", name)
+	}
+	return hosts
+}
+
+func (w *Watcher) publish(roster *Roster) {
+	w.roster.Store(roster)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
