cmd/rattanpath: the whole path as separate processes

Cause: a request has to be served from end to end before anything is refined. Change: routing table, slots and queue, proxy with verdicts, exchange with peers over net/rpc, admin address, publishing against a base revision, and the commands; a script starts stand-ins, three nodes, an operator and callers.

--- /dev/null
+++ b/admin/doc.go
@@ -0,0 +1,3 @@
+// Package admin answers operators over HTTP: health, status, outcomes of
+// publishing, and metrics.
+package admin
--- /dev/null
+++ b/cmd/rattanpath/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the rattanpath binary.
+package cmds
--- /dev/null
+++ b/cmd/rattanpath/cmds/fake.go
@@ -0,0 +1,76 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanpath/config"
+	"rattanpath/core"
+	"rattanpath/fake"
+)
+
+// Ports of one entry node, in this order from its first one on.
+const portsPerNode = 3
+
+// fakeCommand runs the stand-ins of the platform.
+type fakeCommand struct {
+	Dir       string `arg:"" help:"Folder of declaration files; a worker is started for each of its hosts."`
+	Listen    string `help:"Address of the log and the host list." default:"127.0.0.1:7100"`
+	Nodes     int    `help:"Entry nodes to list, named node-0 and so on." default:"3"`
+	NodePort  int    `help:"First port of the entry nodes; each has three in a row, for callers, peers and operators." default:"7200"`
+	Retention int    `help:"Records that each stream keeps; 0 keeps all." default:"0"`
+}
+
+// Run serves the stand-ins until a signal stops them.
+func (c *fakeCommand) Run(e *env) error {
+	declaration, err := loadFolder(c.Dir)
+	if err != nil {
+		return err
+	}
+	platform := fake.NewPlatform(c.Retention)
+	defer platform.Close()
+	if err := startWorkers(platform, declaration); err != nil {
+		return err
+	}
+	for i := range c.Nodes {
+		platform.List.Put(entryHost(i, c.NodePort))
+	}
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listening for the platform's users")
+	}
+	server := &http.Server{Handler: platform.Handler(), ReadHeaderTimeout: time.Minute}
+	stop := context.AfterFunc(e.ctx, func() { _ = server.Close() })
+	defer stop()
+	_, _ = fmt.Fprintf(e.out, "stand-ins at %s: %d workers, %d entry nodes listed\n", listener.Addr(), len(declaration.Hosts), c.Nodes)
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serving the stand-ins")
+	}
+	return nil
+}
+
+func startWorkers(platform *fake.Platform, declaration *config.Declaration) error {
+	for name, place := range declaration.Hosts {
+		if _, err := platform.AddWorker(name, place.DataCentre, place.Rack); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func entryHost(i, firstPort int) core.Host {
+	port := firstPort + i*portsPerNode
+	return core.Host{
+		Name:         fmt.Sprintf("node-%d", i),
+		Role:         core.RoleEntry,
+		State:        core.HostLive,
+		Address:      fmt.Sprintf("127.0.0.1:%d", port),
+		PeerAddress:  fmt.Sprintf("127.0.0.1:%d", port+1),
+		AdminAddress: fmt.Sprintf("127.0.0.1:%d", port+2),
+	}
+}
--- /dev/null
+++ b/cmd/rattanpath/cmds/serve.go
@@ -0,0 +1,28 @@
+package cmds
+
+import (
+	"context"
+
+	"rattanpath/core"
+	"rattanpath/node"
+)
+
+// serveCommand runs an entry node until a signal stops it.
+type serveCommand struct {
+	core.Settings
+}
+
+// Run starts the node, waits for a signal and stops it gracefully.
+func (c *serveCommand) Run(e *env) error {
+	logger := core.NewLogger(e.errOut, c.Name)
+	app := node.New(c.Settings, node.Connect(c.Settings), logger)
+	startCtx, cancel := context.WithTimeout(e.ctx, app.StartTimeout())
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		return err
+	}
+	<-e.ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return app.Stop(stopCtx)
+}
--- /dev/null
+++ b/cmd/rattanpath/cmds/status.go
@@ -0,0 +1,95 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"rattanpath/core"
+	"rattanpath/plat"
+	"rattanpath/query"
+	"rattanpath/views"
+)
+
+// nodes asks the entry nodes that the platform lists.
+type nodes struct {
+	*plat.List
+	client *query.Client
+}
+
+func newNodes(platform string, timeout time.Duration) *nodes {
+	return &nodes{List: plat.NewList(platform, timeout), client: query.New(timeout)}
+}
+
+// Revision returns the revision in force at a node.
+func (n *nodes) Revision(ctx context.Context, host core.Host) (int64, error) {
+	status, err := n.client.Status(ctx, host.AdminAddress)
+	return status.Revision, err
+}
+
+// statusCommand shows the state of every entry node.
+type statusCommand struct {
+	Platform string        `help:"URL of the platform's host list." env:"RATTANPATH_PLATFORM" default:"http://127.0.0.1:7100"`
+	Timeout  time.Duration `help:"Time after which a node counts as unreachable." default:"2s"`
+}
+
+// nodeStatus is the state of one node, or why it could not be asked.
+type nodeStatus struct {
+	Node   string
+	Status *views.Status `json:",omitempty"`
+	Reason string        `json:",omitempty"`
+}
+
+// Run asks each listed entry node and prints the answers.
+func (c *statusCommand) Run(e *env) error {
+	nodes := newNodes(c.Platform, c.Timeout)
+	hosts, err := nodes.Hosts(e.ctx)
+	if err != nil {
+		return err
+	}
+	var all []nodeStatus
+	for _, host := range hosts {
+		if host.Role != core.RoleEntry {
+			continue
+		}
+		status, err := nodes.client.Status(e.ctx, host.AdminAddress)
+		if err != nil {
+			all = append(all, nodeStatus{Node: host.Name, Reason: err.Error()})
+			continue
+		}
+		all = append(all, nodeStatus{Node: host.Name, Status: &status})
+	}
+	return e.print(all, statusTable(all))
+}
+
+func statusTable(all []nodeStatus) string {
+	var text strings.Builder
+	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "NODE\tREADY\tREVISION\tLOG\tLOG AGE\tLIST AGE\tIN FLIGHT\tPEERS")
+	for _, node := range all {
+		if node.Status == nil {
+			_, _ = fmt.Fprintf(table, "%s\tnot asked: %s\n", node.Node, node.Reason)
+			continue
+		}
+		s := node.Status
+		_, _ = fmt.Fprintf(table, "%s\t%t\t%d\t%s\t%s\t%s\t%d\t%d\n", s.Node, s.Ready, s.Revision, freshness(s.Log), age(s.Log), age(s.Roster), s.InFlight, len(s.Peers))
+	}
+	_ = table.Flush()
+	return text.String()
+}
+
+func freshness(source views.Source) string {
+	if source.Fresh {
+		return "fresh"
+	}
+	return "failing"
+}
+
+func age(source views.Source) string {
+	if source.Age < 0 {
+		return "never"
+	}
+	return source.Age.Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/cmd/rattanpath/script_test.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"rattanpath/cmd/rattanpath/cmds"
+)
+
+// awaitTimeout bounds how long a script waits for an answer.
+const awaitTimeout = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"rattanpath": func() { os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestConfig runs the scripts on declarations, which start no process but the
+// command itself.
+func TestConfig(t *testing.T) {
+	runScripts(t, "_fixtures/config")
+}
+
+// TestFleet runs the scripts in which stand-ins and entry nodes are processes
+// of their own.
+func TestFleet(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	runScripts(t, "_fixtures/fleet")
+}
+
+func runScripts(t *testing.T, dir string) {
+	t.Helper()
+	examples, err := filepath.Abs("../../examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:             dir,
+		ContinueOnError: false,
+		UpdateScripts:   os.Getenv("UPDATE_GOLDEN") != "",
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("EXAMPLES", examples)
+			return setupPorts(e)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"await":  awaitCommand,
+			"put":    putCommand,
+			"signal": signalCommand,
+			"write":  writeCommand,
+		},
+	})
+}
+
+// Nodes that a script can start, and the ports that each takes.
+const (
+	scriptNodes  = 4
+	portsPerNode = 3
+)
+
+// setupPorts sets PLATFORM to a free address, NODEPORT to the first of the
+// ports for nodes, and for each node its addresses and flags.
+func setupPorts(e *testscript.Env) error {
+	base, err := freePorts(1 + scriptNodes*portsPerNode)
+	if err != nil {
+		return err
+	}
+	address := func(port int) string { return "127.0.0.1:" + strconv.Itoa(port) }
+	e.Setenv("PLATFORM_ADDRESS", address(base))
+	e.Setenv("PLATFORM", "http://"+address(base))
+	e.Setenv("RATTANPATH_PLATFORM", "http://"+address(base))
+	e.Setenv("RATTANPATH_LINGER", "200ms")
+	e.Setenv("NODEPORT", strconv.Itoa(base+1))
+	for i := range scriptNodes {
+		port := base + 1 + i*portsPerNode
+		e.Setenv(fmt.Sprintf("LISTEN%d", i), address(port))
+		e.Setenv(fmt.Sprintf("PEER%d", i), address(port+1))
+		e.Setenv(fmt.Sprintf("ADMIN%d", i), address(port+2))
+	}
+	return nil
+}
+
+// freePorts returns the first of count free ports in a row.
+func freePorts(count int) (int, error) {
+	for range 100 {
+		probe, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, err
+		}
+		base := probe.Addr().(*net.TCPAddr).Port
+		_ = probe.Close()
+		if allFree(base, count) {
+			return base, nil
+		}
+	}
+	return 0, fmt.Errorf("no %d free ports in a row", count)
+}
+
+func allFree(base, count int) bool {
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(base+i))
+		if err != nil {
+			return false
+		}
+		defer func() { _ = listener.Close() }()
+	}
+	return true
+}
+
+// awaitCommand waits until the answer of a URL contains every given text:
+// await URL TEXT...
+func awaitCommand(ts *testscript.TestScript, negated bool, args []string) {
+	deadline := time.Now().Add(awaitTimeout)
+	var body string
+	for time.Now().Before(deadline) {
+		body = get(args[0])
+		if containsAll(body, args[1:]) != negated {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("%s gave %q; want %q (negated: %t)", args[0], body, args[1:], negated)
+}
+
+func containsAll(body string, texts []string) bool {
+	for _, text := range texts {
+		if !strings.Contains(body, text) {
+			return false
+		}
+	}
+	return true
+}
+
+func get(url string) string {
+	client := http.Client{Timeout: 2 * time.Second}
+	response, err := client.Get(url)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(response.Body)
+	return response.Status + " " + string(body)
+}
+
+// putCommand sends a body to a URL: put URL BODY.
+func putCommand(ts *testscript.TestScript, _ bool, args []string) {
+	request, err := http.NewRequest(http.MethodPut, args[0], strings.NewReader(args[1]))
+	ts.Check(err)
+	response, err := http.DefaultClient.Do(request)
+	ts.Check(err)
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		ts.Fatalf("%s answered %s", args[0], response.Status)
+	}
+}
+
+// signalCommand signals the background commands with an argument:
+// signal TERM|STOP|CONT|KILL ARGUMENT.
+func signalCommand(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]os.Signal{
+		"TERM": syscall.SIGTERM,
+		"STOP": syscall.SIGSTOP,
+		"CONT": syscall.SIGCONT,
+		"KILL": syscall.SIGKILL,
+	}
+	for _, cmd := range ts.BackgroundCmds() {
+		if strings.Contains(strings.Join(cmd.Args, " ")+" ", args[1]+" ") {
+			ts.Check(cmd.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no background command has the argument %s", args[1])
+}
+
+// writeCommand writes a file of an awkward kind: write FILE utf16|latin1|big.
+func writeCommand(ts *testscript.TestScript, _ bool, args []string) {
+	contents := map[string]string{
+		"utf16":  "\xff\xfeP\x00o\x00o\x00l\x00s\x00",
+		"latin1": "Pools:\n  A:\n    Hosts: [caf\xe9]\n",
+		"big":    strings.Repeat("# padding\n", 1<<20),
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(contents[args[1]]), 0o600))
+}
--- /dev/null
+++ b/node/doc.go
@@ -0,0 +1,3 @@
+// Package node puts an entry node together from the modules that register
+// themselves with the kernel.
+package node
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	// The modules of an entry node register themselves.
+	_ "rattanpath/admin"
+	"rattanpath/core"
+	"rattanpath/follow"
+	_ "rattanpath/peer"
+	"rattanpath/plat"
+	_ "rattanpath/proxy"
+	"rattanpath/roster"
+	_ "rattanpath/route"
+)
+
+// stopSlack is the time beyond linger and grace that a stop may take.
+const stopSlack = 5 * time.Second
+
+// Platform is what a node uses of the platform.
+type Platform struct {
+	Streams follow.Streams
+	Lister  roster.Lister
+}
+
+// Connect returns the platform that the settings name, over HTTP.
+func Connect(settings core.Settings) Platform {
+	return Platform{
+		Streams: ConnectStreams(settings.Platform, settings.Stream, settings.LogTimeout),
+		Lister:  plat.NewList(settings.Platform, settings.LogTimeout),
+	}
+}
+
+// ConnectStreams returns the two streams of a fleet over HTTP.
+func ConnectStreams(platform, stream string, timeout time.Duration) follow.Streams {
+	return follow.Streams{
+		Records:   plat.NewLog(platform, stream, timeout),
+		Snapshots: plat.NewLog(platform, stream+follow.SnapshotSuffix, timeout),
+	}
+}
+
+// New returns an entry node that runs between Start and Stop.
+func New(settings core.Settings, platform Platform, logger logr.Logger, extra ...fx.Option) *fx.App {
+	options := []fx.Option{
+		fx.NopLogger,
+		fx.StopTimeout(settings.Linger + settings.ShutdownGrace + stopSlack),
+		fx.Supply(settings, platform.Streams, metrics.NewSet()),
+		fx.Provide(
+			func() logr.Logger { return logger },
+			func() roster.Lister { return platform.Lister },
+			core.NewLoops,
+		),
+	}
+	options = append(options, core.Modules.All()...)
+	options = append(options, extra...)
+	return fx.New(options...)
+}
--- /dev/null
+++ b/peer/exchange.go
@@ -0,0 +1,278 @@
+package peer
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"rattanpath/core"
+	"rattanpath/fold"
+	"rattanpath/roster"
+)
+
+const (
+	exchangeTimeout = time.Second
+	// startFanout is the number of peers asked in one round by a node that has
+	// no state yet.
+	startFanout = 16
+	// startPatience is how long a node without a state waits for peers that
+	// don't answer.
+	startPatience = 3 * time.Second
+	// forgetAfter is how long a peer's last word is kept.
+	forgetAfter = 30 * time.Second
+)
+
+// Rosters gives the platform's hosts.
+type Rosters interface {
+	Roster() *roster.Roster
+}
+
+// Exchanger asks a few peers, chosen anew at random, in every round. News
+// reach all of n nodes in about log(n) rounds, and what a node sends does not
+// grow with n.
+type Exchanger struct {
+	node     string
+	self     string
+	fixed    []string
+	states   States
+	rosters  Rosters
+	load     func() Load
+	every    time.Duration
+	fanout   int
+	logger   logr.Logger
+	started  time.Time
+	links    map[string]*link
+	mu       sync.Mutex
+	known    map[string]Known
+	diverged string
+}
+
+// Options are the settings of an exchanger.
+type Options struct {
+	Node string
+	// Self is the node's own peer address.
+	Self string
+	// Fixed are peer addresses to use besides the host list.
+	Fixed  []string
+	Every  time.Duration
+	Fanout int
+}
+
+// New returns an exchanger for the node that options name.
+func New(options Options, states States, rosters Rosters, load func() Load, logger logr.Logger) *Exchanger {
+	return &Exchanger{
+		node:    options.Node,
+		self:    options.Self,
+		fixed:   options.Fixed,
+		states:  states,
+		rosters: rosters,
+		load:    load,
+		every:   options.Every,
+		fanout:  options.Fanout,
+		logger:  logger.WithName("peer"),
+		started: time.Now(),
+		links:   make(map[string]*link),
+		known:   make(map[string]Known),
+	}
+}
+
+// Service returns the answering side.
+func (e *Exchanger) Service() *Service {
+	return &Service{node: e.node, states: e.states, load: e.load, heard: e.hear}
+}
+
+// Known returns what was last heard of each peer.
+func (e *Exchanger) Known() map[string]Known {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.known)
+}
+
+// Diverged names a peer that folded the same records into another state, or
+// is empty.
+func (e *Exchanger) Diverged() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.diverged
+}
+
+func (e *Exchanger) hear(node string, known Known) {
+	known.At = time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if before, ok := e.known[node]; ok && known.Revision == 0 {
+		known.Revision = before.Revision
+		known.Ready = before.Ready
+	}
+	e.known[node] = known
+	maps.DeleteFunc(e.known, func(_ string, k Known) bool { return time.Since(k.At) > forgetAfter })
+}
+
+// run exchanges with peers until the context ends.
+func (e *Exchanger) run(ctx context.Context) {
+	defer e.closeLinks()
+	for ctx.Err() == nil {
+		e.round(ctx)
+		timer := time.NewTimer(e.every/2 + rand.N(e.every))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+func (e *Exchanger) closeLinks() {
+	for _, link := range e.links {
+		link.close()
+	}
+}
+
+// round asks some peers at once. A node that is not ready asks as many as it
+// may.
+func (e *Exchanger) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	starting := !e.states.Ready()
+	fanout := e.fanout
+	if starting {
+		fanout = startFanout
+	}
+	questions := e.askAll(ctx, e.pick(fanout))
+	if starting && e.mayStartFrom(questions) {
+		e.states.SetReady()
+	}
+}
+
+// mayStartFrom reports whether a node without a state may serve from what its
+// peers showed. The log goes first; while it fails, every peer must have
+// answered, or patience must have run out, since a peer that is cut off may
+// show an old state.
+func (e *Exchanger) mayStartFrom(questions []*question) bool {
+	if !e.states.LogFailing() {
+		return false
+	}
+	silent := 0
+	shown := int64(0)
+	for _, q := range questions {
+		switch {
+		case q.answer == nil:
+			silent++
+		case q.answer.Ready:
+			shown = max(shown, q.answer.Next)
+		}
+	}
+	if silent > 0 && time.Since(e.started) < startPatience {
+		return false
+	}
+	return shown > 0 && e.states.State().Next >= shown
+}
+
+// question is one exchange with a peer.
+type question struct {
+	exchanger *Exchanger
+	ctx       context.Context
+	peer      *link
+	// answer is nil if the peer can't be asked.
+	answer *Answer
+}
+
+// run asks the question.
+func (q *question) run() { q.answer = q.exchanger.ask(q.ctx, q.peer) }
+
+// askAll asks each address at once and waits for the answers.
+func (e *Exchanger) askAll(ctx context.Context, addresses []string) []*question {
+	var wg sync.WaitGroup
+	questions := make([]*question, len(addresses))
+	for i, address := range addresses {
+		questions[i] = &question{exchanger: e, ctx: ctx, peer: e.link(address)}
+		wg.Go(questions[i].run)
+	}
+	wg.Wait()
+	return questions
+}
+
+func (e *Exchanger) link(address string) *link {
+	if e.links[address] == nil {
+		e.links[address] = &link{address: address}
+	}
+	return e.links[address]
+}
+
+// ask exchanges once with a peer and takes what it has to give. It returns
+// nil if the peer can't be asked.
+func (e *Exchanger) ask(ctx context.Context, peer *link) *Answer {
+	before := e.states.State()
+	answer, err := peer.exchange(ctx, Request{Node: e.node, Next: before.Next, Digest: before.Digest, Load: e.load()})
+	if err != nil {
+		e.logger.V(1).Info("peer can't be asked", "address", peer.address, "reason", err.Error())
+		return nil
+	}
+	e.hear(answer.Node, Known{Next: answer.Next, Revision: answer.Revision, Ready: answer.Ready, Load: answer.Load})
+	e.compare(before, answer)
+	if err := e.take(answer); err != nil {
+		e.logger.Error(err, "what a peer gave can't be used", "peer", answer.Node)
+	}
+	return answer
+}
+
+// compare raises an alarm if the peer folded the same records differently.
+func (e *Exchanger) compare(state *fold.State, answer *Answer) {
+	if answer.Next != state.Next || answer.Digest == state.Digest {
+		return
+	}
+	e.mu.Lock()
+	e.diverged = answer.Node
+	e.mu.Unlock()
+	e.logger.Error(errors.New("states diverged"), "a peer has other records", "peer", answer.Node, "next", answer.Next)
+}
+
+func (e *Exchanger) take(answer *Answer) error {
+	if len(answer.Entries) > 0 {
+		return e.states.Offer(answer.Entries)
+	}
+	if len(answer.State) == 0 {
+		return nil
+	}
+	state, err := fold.Decode(answer.State, answer.Hash)
+	if err != nil {
+		return err
+	}
+	e.states.Adopt(state)
+	return nil
+}
+
+// pick returns at most n addresses of peers, chosen at random.
+func (e *Exchanger) pick(n int) []string {
+	addresses := e.addresses()
+	rand.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
+	return addresses[:min(n, len(addresses))]
+}
+
+// addresses returns every peer's address and closes links to those that are
+// gone.
+func (e *Exchanger) addresses() []string {
+	all := slices.Clone(e.fixed)
+	for _, host := range e.rosters.Roster().Hosts {
+		if host.Role == core.RoleEntry && host.Name != e.node && host.PeerAddress != "" {
+			all = append(all, host.PeerAddress)
+		}
+	}
+	slices.Sort(all)
+	all = slices.DeleteFunc(slices.Compact(all), func(address string) bool { return address == e.self })
+	for address, link := range e.links {
+		if _, found := slices.BinarySearch(all, address); !found {
+			link.close()
+			delete(e.links, address)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/peer/service.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"rattanpath/core"
+	"rattanpath/fold"
+)
+
+// States is this node's copy of the fleet's state.
+type States interface {
+	State() *fold.State
+	Ready() bool
+	SetReady()
+	// LogFailing reports whether the last call of the log failed.
+	LogFailing() bool
+	// Since returns the records from an offset on if all are still kept.
+	Since(next int64) ([]core.Entry, bool)
+	// Offer folds records and Adopt takes a whole state, if they are newer.
+	Offer(entries []core.Entry) error
+	Adopt(state *fold.State)
+}
+
+// maxAnswerRecords bounds the records of one answer.
+const maxAnswerRecords = 256
+
+// Service answers peers over net/rpc.
+type Service struct {
+	node   string
+	states States
+	load   func() Load
+	heard  func(node string, known Known)
+}
+
+// Exchange answers one request; net/rpc gives it its shape.
+func (s *Service) Exchange(request Request, answer *Answer) error {
+	s.heard(request.Node, Known{Next: request.Next, Load: request.Load})
+	state := s.states.State()
+	answer.Node = s.node
+	answer.Next = state.Next
+	answer.Digest = state.Digest
+	answer.Revision = state.Revision
+	answer.Ready = s.states.Ready()
+	answer.Load = s.load()
+	if request.Next >= state.Next {
+		return nil
+	}
+	entries, kept := s.states.Since(request.Next)
+	if kept {
+		answer.Entries = entries[:min(len(entries), maxAnswerRecords)]
+		return nil
+	}
+	data, err := state.Encode()
+	if err != nil {
+		return err
+	}
+	answer.State = data
+	answer.Hash = fold.Hash(data)
+	return nil
+}
--- /dev/null
+++ b/query/doc.go
@@ -0,0 +1,2 @@
+// Package query asks entry nodes over their admin addresses.
+package query
--- /dev/null
+++ b/route/doc.go
@@ -0,0 +1,3 @@
+// Package route builds the routing table of an entry node from the
+// configuration in force and the host list, and chooses the host of a request.
+package route
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,152 @@
+package route
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"rattanpath/config"
+	"rattanpath/core"
+	"rattanpath/limit"
+)
+
+// Table is what a node needs to serve requests. It is never changed once it
+// can be seen.
+type Table struct {
+	// Revision is the configuration that the table was built from.
+	Revision int64
+	Services map[string]*Service
+}
+
+// Service is a service as one entry node serves it.
+type Service struct {
+	Name   string
+	Config config.Service
+	// Upstreams are the hosts that may get new requests.
+	Upstreams []*Upstream
+	// HostShare is the number of slots of each host that this node may use.
+	HostShare int64
+	// QuotaShare is the number of requests that this node may run at once.
+	QuotaShare int64
+	// Routes are sorted by descending length of their paths.
+	Routes []Route
+
+	router *Router
+	gate   *gate
+	// neighbours are the gates of the services that share the pool, the own
+	// one included; a slot given back may serve any of them.
+	neighbours []*gate
+}
+
+// gate holds what outlives the tables: who runs and who waits.
+type gate struct {
+	slots limit.Slots
+	queue limit.Queue
+}
+
+// Route is one route of a service.
+type Route struct {
+	Name string
+	config.Route
+}
+
+// Match returns the route of a path below the service, or false.
+func (s *Service) Match(path string) (Route, bool) {
+	for _, route := range s.Routes {
+		if strings.HasPrefix(path, route.Path) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+func sortRoutes(routes map[string]config.Route) []Route {
+	sorted := make([]Route, 0, len(routes))
+	for name, route := range routes {
+		sorted = append(sorted, Route{Name: name, Route: route})
+	}
+	slices.SortFunc(sorted, func(a, b Route) int {
+		return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(a.Name, b.Name))
+	})
+	return sorted
+}
+
+// Lease is one slot at a host, held for a request. Release gives it back.
+type Lease struct {
+	Upstream *Upstream
+	service  *Service
+}
+
+// Release gives the slot back and lets those who wait for it try.
+func (l *Lease) Release() {
+	l.Upstream.Slots.Release()
+	l.service.gate.slots.Release()
+	for _, gate := range l.service.neighbours {
+		gate.queue.Wake()
+	}
+}
+
+// Admit waits for a slot at a host other than exclude. Its error is a
+// core.Failure with the verdict NotRun.
+func (s *Service) Admit(ctx context.Context, exclude *Upstream) (*Lease, error) {
+	if len(s.Upstreams) == 0 {
+		return nil, core.Refuse(core.CauseNoHost, retryAfter)
+	}
+	if len(s.Upstreams) == 1 {
+		exclude = nil
+	}
+	var upstream *Upstream
+	try := func() bool {
+		upstream = s.newest().take(exclude)
+		return upstream != nil
+	}
+	queue := s.Config.Queue
+	err := s.gate.queue.Wait(ctx, queue.Limit, timeOf(queue.Wait), try)
+	if err != nil {
+		return nil, refusal(err)
+	}
+	return &Lease{Upstream: upstream, service: s}, nil
+}
+
+// newest returns the service in the newest table, so that a request that has
+// waited goes by what holds now. A service that is gone has no hosts.
+func (s *Service) newest() *Service {
+	if service := s.router.Table().Services[s.Name]; service != nil {
+		return service
+	}
+	return &Service{Name: s.Name, router: s.router, gate: s.gate}
+}
+
+func (s *Service) take(exclude *Upstream) *Upstream {
+	if !s.gate.slots.TryTake(s.QuotaShare) {
+		return nil
+	}
+	upstream := s.router.chooser.Choose(s.Upstreams, s.HostShare, exclude)
+	if upstream == nil {
+		s.gate.slots.Release()
+	}
+	return upstream
+}
+
+// Running returns the requests of the service that this node runs.
+func (s *Service) Running() int64 { return s.gate.slots.Used() }
+
+// Waiting returns the requests of the service that wait at this node.
+func (s *Service) Waiting() int64 { return s.gate.queue.Len() }
+
+// refusal turns an error of waiting into what the caller is told.
+func refusal(err error) *core.Failure {
+	switch {
+	case errors.Is(err, limit.ErrFull):
+		return core.Refuse(core.CauseQueueFull, retryAfter)
+	case errors.Is(err, limit.ErrTimeout):
+		return core.Refuse(core.CauseQueueTimeout, retryAfter)
+	case errors.Is(err, context.DeadlineExceeded):
+		return core.Refuse(core.CauseDeadline, retryAfter)
+	default:
+		return core.Refuse(core.CauseCancelled, 0)
+	}
+}
