proxy: keep the caller's connection in step when a body is left unread

Cause: the demo's server log showed 'invalid concurrent Body.Read call' 19 times. With full duplex switched on for every request, net/http reads the rest of an unread body after it has ended its background read, and both then read the same connection. Ruled out: the transport reading on (the panics also came for requests that were refused before any attempt). Change: full duplex only while an upstream answers before it has the whole body, which is then drained before the handler returns. Also adds the demo and the in-process fleet.

--- a/cmd/rattanpath/cmds/demo.go
+++ b/cmd/rattanpath/cmds/demo.go
@@ -1,9 +1,71 @@
 package cmds
 
-import "errors"
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rattanpath"
+	"rattanpath/config"
+	"rattanpath/core"
+	"rattanpath/demo"
+	"rattanpath/load"
+)
+
+// demoTimeout bounds a demo that hangs.
+const demoTimeout = 2 * time.Minute
 
 // demoCommand runs a whole fleet in this process.
-type demoCommand struct{}
+type demoCommand struct {
+	Nodes   int  `help:"Entry nodes." default:"8"`
+	Callers int  `help:"Callers that send at once." default:"48"`
+	Logs    bool `help:"Write the nodes' logs to standard error."`
+}
+
+// Run plays the demo on the archive's folder.
+func (c *demoCommand) Run(e *env) error {
+	example, err := rattanpath.Example("archive")
+	if err != nil {
+		return err
+	}
+	files, err := config.ReadFS(example, "archive")
+	if err != nil {
+		return err
+	}
+	logger := logr.Discard()
+	if c.Logs {
+		logger = core.NewLogger(e.errOut, "demo")
+	}
+	progress := e.out
+	if e.json {
+		progress = io.Discard
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, demoTimeout)
+	defer cancel()
+	report, err := demo.Run(ctx, demo.Options{
+		Nodes:   c.Nodes,
+		Callers: c.Callers,
+		Files:   files,
+		Shapes:  demoShapes,
+		Logger:  logger,
+	}, progress)
+	if e.json && report != nil {
+		if err := e.print(report, ""); err != nil {
+			return err
+		}
+	}
+	return err
+}
 
-// Run is not written yet.
-func (c *demoCommand) Run(*env) error { return errors.New("not written yet") }
+// demoShapes are the archive's requests: lookups, entries that must not run
+// twice, and long ones.
+var demoShapes = []load.Shape{
+	{Service: "ReadingRoom", Path: "/lookup", Idempotent: true, Work: 5 * time.Millisecond, Size: 2000},
+	{Service: "ReadingRoom", Path: "/request", Work: 5 * time.Millisecond, Size: 200, Body: 300},
+	{Service: "Catalogue", Path: "/query", Idempotent: true, Work: 10 * time.Millisecond, Size: 200_000},
+	{Service: "Accession", Path: "/entry", Work: 10 * time.Millisecond, Size: 100, Body: 5000},
+	{Service: "BoxList", Path: "/list", Idempotent: true, Work: 20 * time.Millisecond, Size: 20_000},
+	{Service: "Reindex", Path: "/series", Idempotent: true, Work: 300 * time.Millisecond, Size: 1000},
+}
--- a/cmd/rattanpath/script_test.go
+++ b/cmd/rattanpath/script_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,6 +15,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"rattanpath/cmd/rattanpath/cmds"
+	"rattanpath/fake"
 )
 
 // awaitTimeout bounds how long a script waits for an answer.
@@ -74,52 +74,25 @@
 // setupPorts sets PLATFORM to a free address, NODEPORT to the first of the
 // ports for nodes, and for each node its addresses and flags.
 func setupPorts(e *testscript.Env) error {
-	base, err := freePorts(1 + scriptNodes*portsPerNode)
+	base, err := fake.FreePort(1 + scriptNodes*portsPerNode)
 	if err != nil {
 		return err
 	}
-	address := func(port int) string { return "127.0.0.1:" + strconv.Itoa(port) }
-	e.Setenv("PLATFORM_ADDRESS", address(base))
-	e.Setenv("PLATFORM", "http://"+address(base))
-	e.Setenv("RATTANPATH_PLATFORM", "http://"+address(base))
+	platform := fake.LoopbackAddress(base)
+	e.Setenv("PLATFORM_ADDRESS", platform)
+	e.Setenv("PLATFORM", "http://"+platform)
+	e.Setenv("RATTANPATH_PLATFORM", "http://"+platform)
 	e.Setenv("RATTANPATH_LINGER", "200ms")
 	e.Setenv("NODEPORT", strconv.Itoa(base+1))
 	for i := range scriptNodes {
 		port := base + 1 + i*portsPerNode
-		e.Setenv(fmt.Sprintf("LISTEN%d", i), address(port))
-		e.Setenv(fmt.Sprintf("PEER%d", i), address(port+1))
-		e.Setenv(fmt.Sprintf("ADMIN%d", i), address(port+2))
+		e.Setenv(fmt.Sprintf("LISTEN%d", i), fake.LoopbackAddress(port))
+		e.Setenv(fmt.Sprintf("PEER%d", i), fake.LoopbackAddress(port+1))
+		e.Setenv(fmt.Sprintf("ADMIN%d", i), fake.LoopbackAddress(port+2))
 	}
 	return nil
 }
 
-// freePorts returns the first of count free ports in a row.
-func freePorts(count int) (int, error) {
-	for range 100 {
-		probe, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		base := probe.Addr().(*net.TCPAddr).Port
-		_ = probe.Close()
-		if allFree(base, count) {
-			return base, nil
-		}
-	}
-	return 0, fmt.Errorf("no %d free ports in a row", count)
-}
-
-func allFree(base, count int) bool {
-	for i := range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(base+i))
-		if err != nil {
-			return false
-		}
-		defer func() { _ = listener.Close() }()
-	}
-	return true
-}
-
 // awaitCommand waits until the answer of a URL contains every given text:
 // await URL TEXT...
 func awaitCommand(ts *testscript.TestScript, negated bool, args []string) {
--- a/config/folder.go
+++ b/config/folder.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
+	"io/fs"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"unicode/utf8"
@@ -35,9 +35,15 @@
 // dot are passed over. Everything else that is not a UTF-8 file of bounded
 // size with the suffix .yaml is a Problem.
 func ReadFolder(dir string) (Files, error) {
-	entries, err := os.ReadDir(dir)
+	return ReadFS(os.DirFS(dir), dir)
+}
+
+// ReadFS reads the declaration files at the root of a file system as
+// ReadFolder does; name stands for the folder in problems.
+func ReadFS(fsys fs.FS, name string) (Files, error) {
+	entries, err := fs.ReadDir(fsys, ".")
 	if err != nil {
-		return nil, errors.Wrap(err, "reading the declarations")
+		return nil, errors.Wrapf(err, "reading the declarations in %s", name)
 	}
 	files := make(Files)
 	var problems Problems
@@ -46,14 +52,14 @@
 		if strings.HasPrefix(entry.Name(), ".") {
 			continue
 		}
-		text, err := readFile(filepath.Join(dir, entry.Name()), &problems)
+		text, err := readFile(fsys, entry.Name(), &problems)
 		if err != nil {
 			return nil, err
 		}
 		files[entry.Name()] = text
 		total += len(text)
 	}
-	start := Position{File: dir, Line: 1, Column: 1}
+	start := Position{File: name, Line: 1, Column: 1}
 	if len(files) == 0 && len(problems) == 0 {
 		problems.add(start, "add at least one file that ends in "+fileSuffix, "the folder holds no declaration files")
 	}
@@ -63,10 +69,9 @@
 	return files, problems.err()
 }
 
-func readFile(path string, problems *Problems) (string, error) {
-	name := filepath.Base(path)
+func readFile(fsys fs.FS, name string, problems *Problems) (string, error) {
 	start := Position{File: name, Line: 1, Column: 1}
-	info, err := os.Stat(path)
+	info, err := fs.Stat(fsys, name)
 	if err != nil {
 		return "", errors.Wrap(err, "reading the declarations")
 	}
@@ -81,7 +86,7 @@
 		problems.add(start, "split it into smaller files", "the file has %d bytes; at most %d are allowed", info.Size(), maxFileBytes)
 		return "", nil
 	}
-	data, err := os.ReadFile(path)
+	data, err := fs.ReadFile(fsys, name)
 	if err != nil {
 		return "", errors.Wrap(err, "reading the declarations")
 	}
--- a/load/caller.go
+++ b/load/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"rattanpath/core"
 	"rattanpath/fake"
@@ -92,21 +94,58 @@
 	cause  string
 }
 
+// Tries of one request: a connection that can't be made is no try of the
+// request, and an idempotent one whose connection broke is sent again.
+const (
+	maxConnects = 10
+	maxBreaks   = 3
+	breakPause  = 100 * time.Millisecond
+)
+
 // Send sends one request to a target chosen at random and enters what came of
 // it.
 func (c *Caller) Send(shape Shape) Result {
 	id := uuid.NewString()
-	addresses := c.Targets.Addresses()
 	started := time.Now()
-	outcome := c.exchange(id, addresses[rand.IntN(len(addresses))], shape)
+	outcome := c.sendAgain(id, shape)
 	c.Ledger.add(id, shape.Idempotent, outcome, time.Since(started))
 	return outcome.result
 }
 
+func (c *Caller) sendAgain(id string, shape Shape) outcome {
+	var last outcome
+	connects, breaks := 0, 0
+	for connects < maxConnects && breaks < maxBreaks {
+		addresses := c.Targets.Addresses()
+		last = c.exchange(id, addresses[rand.IntN(len(addresses))], shape)
+		switch {
+		case last.cause == causeDial:
+			connects++
+		case last.result == Broken && shape.Idempotent:
+			breaks++
+		default:
+			return last
+		}
+		time.Sleep(breakPause)
+	}
+	return last
+}
+
+// causeDial says that no connection could be made.
+const causeDial = "Dial"
+
+func brokenCause(err error) string {
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return causeDial
+	}
+	return "Connection"
+}
+
 func (c *Caller) exchange(id, address string, shape Shape) outcome {
 	response, err := c.Client.Do(request(id, address, shape))
 	if err != nil {
-		return outcome{result: Broken, cause: "Connection"}
+		return outcome{result: Broken, cause: brokenCause(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
--- a/load/ledger.go
+++ b/load/ledger.go
@@ -136,3 +136,17 @@
 	}
 	return findings
 }
+
+// BrokenIdempotent returns how many idempotent requests broke off at every
+// try.
+func (l *Ledger) BrokenIdempotent() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	broken := 0
+	for _, call := range l.calls {
+		if call.idempotent && call.result == Broken {
+			broken++
+		}
+	}
+	return broken
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -31,6 +31,8 @@
 // Rosters gives the platform's hosts.
 type Rosters interface {
 	Roster() *roster.Roster
+	// Adopt takes a list that a peer read at the given time.
+	Adopt(hosts []core.Host, at time.Time)
 }
 
 // Exchanger asks a few peers, chosen anew at random, in every round. News
@@ -84,7 +86,7 @@
 
 // Service returns the answering side.
 func (e *Exchanger) Service() *Service {
-	return &Service{node: e.node, states: e.states, load: e.load, heard: e.hear}
+	return &Service{node: e.node, states: e.states, rosters: e.rosters, load: e.load, heard: e.hear}
 }
 
 // Known returns what was last heard of each peer.
@@ -209,7 +211,13 @@
 // nil if the peer can't be asked.
 func (e *Exchanger) ask(ctx context.Context, peer *link) *Answer {
 	before := e.states.State()
-	answer, err := peer.exchange(ctx, Request{Node: e.node, Next: before.Next, Digest: before.Digest, Load: e.load()})
+	answer, err := peer.exchange(ctx, Request{
+		Node:      e.node,
+		Next:      before.Next,
+		Digest:    before.Digest,
+		Load:      e.load(),
+		WantHosts: e.rosters.Roster().Err != nil,
+	})
 	if err != nil {
 		e.logger.V(1).Info("peer can't be asked", "address", peer.address, "reason", err.Error())
 		return nil
@@ -234,6 +242,9 @@
 }
 
 func (e *Exchanger) take(answer *Answer) error {
+	if len(answer.Hosts) > 0 {
+		e.rosters.Adopt(answer.Hosts, time.Now().Add(-answer.HostsAge))
+	}
 	if len(answer.Entries) > 0 {
 		return e.states.Offer(answer.Entries)
 	}
--- a/peer/service.go
+++ b/peer/service.go
@@ -1,6 +1,10 @@
 package peer
 
 import (
+	"maps"
+	"slices"
+	"time"
+
 	"rattanpath/core"
 	"rattanpath/fold"
 )
@@ -24,10 +28,11 @@
 
 // Service answers peers over net/rpc.
 type Service struct {
-	node   string
-	states States
-	load   func() Load
-	heard  func(node string, known Known)
+	node    string
+	states  States
+	rosters Rosters
+	load    func() Load
+	heard   func(node string, known Known)
 }
 
 // Exchange answers one request; net/rpc gives it its shape.
@@ -40,6 +45,9 @@
 	answer.Revision = state.Revision
 	answer.Ready = s.states.Ready()
 	answer.Load = s.load()
+	if request.WantHosts {
+		s.giveHosts(answer)
+	}
 	if request.Next >= state.Next {
 		return nil
 	}
@@ -56,3 +64,13 @@
 	answer.Hash = fold.Hash(data)
 	return nil
 }
+
+// giveHosts adds the host list if this node has read it itself.
+func (s *Service) giveHosts(answer *Answer) {
+	known := s.rosters.Roster()
+	if known.At.IsZero() {
+		return
+	}
+	answer.Hosts = slices.Collect(maps.Values(known.Hosts))
+	answer.HostsAge = time.Since(known.At)
+}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -23,6 +23,8 @@
 	Next   int64
 	Digest uint64
 	Load   Load
+	// WantHosts asks for the host list, since the node can't read it.
+	WantHosts bool
 }
 
 // Answer tells where the asked node stands, and carries what the asking node
@@ -38,6 +40,10 @@
 	// State is an encoded state and Hash its hash.
 	State []byte
 	Hash  string
+	// Hosts is the host list as the asked node read it HostsAge ago, if it was
+	// asked for.
+	Hosts    []core.Host
+	HostsAge time.Duration
 }
 
 // Known is what a node last heard of a peer.
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -102,7 +102,11 @@
 		return lease.Upstream, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	return lease.Upstream, c.answer(sendCtx, response)
+	err = c.answer(sendCtx, response)
+	if err == nil && c.request.ContentLength != 0 {
+		c.body.drain()
+	}
+	return lease.Upstream, err
 }
 
 // sendContext returns the context of a request once it is sent. A request that
@@ -204,6 +208,10 @@
 	header.Set(core.VerdictHeader, core.Ran.String())
 	header.Set(core.NodeHeader, c.handler.node)
 	c.answered = true
+	if c.request.ContentLength != 0 && !c.body.ended.Load() {
+		// The upstream answers before it has taken the whole body.
+		_ = http.NewResponseController(c.writer).EnableFullDuplex()
+	}
 	c.writer.WriteHeader(response.StatusCode)
 }
 
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -59,8 +59,6 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	// An upstream may answer before it has taken the whole body.
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	h.router.ServeHTTP(w, r)
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,6 +34,7 @@
 	handler  *Handler
 	server   *http.Server
 	logger   logr.Logger
+	killed   atomic.Bool
 }
 
 // NewServer returns a server that listens once it is started.
@@ -71,12 +73,21 @@
 	}
 }
 
+// Kill cuts off every caller, as the loss of the host does; for trials.
+func (s *Server) Kill() {
+	s.killed.Store(true)
+	_ = s.server.Close()
+}
+
 // Stopping reports whether a stop has begun.
 func (s *Server) Stopping() bool { return s.handler.stopping.Load() }
 
 // stop turns the node unready, goes on for a while so that the balancer
 // notices, and then waits for the requests in flight.
 func (s *Server) stop(ctx context.Context) error {
+	if s.killed.Load() {
+		return nil
+	}
 	s.handler.SetStopping()
 	s.logger.Info("stopping", "inFlight", s.handler.InFlight())
 	timer := time.NewTimer(s.settings.Linger)
--- a/roster/watch.go
+++ b/roster/watch.go
@@ -49,10 +49,12 @@
 	logger logr.Logger
 
 	roster atomic.Pointer[Roster]
+
+	// mu orders those who change the roster.
+	mu sync.Mutex
 	// missing holds since when a host of the roster is not on the list.
 	missing map[string]time.Time
-
-	mu      sync.Mutex
+	// changed is closed and replaced at each read.
 	changed chan struct{}
 }
 
@@ -98,6 +100,8 @@
 	if ctx.Err() != nil {
 		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	before := w.Roster()
 	if err != nil {
 		if before.Err == nil {
@@ -109,7 +113,20 @@
 	w.publish(&Roster{Hosts: w.bridge(before.Hosts, listed), At: time.Now()})
 }
 
-// bridge adds to the listed hosts those that went missing a moment ago.
+// Adopt takes a list that a peer read at the given time, if this node can't
+// read the list itself and the peer's is newer.
+func (w *Watcher) Adopt(hosts []core.Host, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.Roster()
+	if before.Err == nil || !at.After(before.At) {
+		return
+	}
+	w.publish(&Roster{Hosts: w.bridge(before.Hosts, hosts), At: at, Err: before.Err})
+}
+
+// bridge adds to the listed hosts those that went missing a moment ago; the
+// caller holds mu.
 func (w *Watcher) bridge(before map[string]core.Host, listed []core.Host) map[string]core.Host {
 	hosts := make(map[string]core.Host, len(listed))
 	for _, host := range listed {
@@ -135,10 +152,9 @@
 	return hosts
 }
 
+// publish makes a roster visible; the caller holds mu.
 func (w *Watcher) publish(roster *Roster) {
 	w.roster.Store(roster)
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
--- a/route/module.go
+++ b/route/module.go
@@ -25,5 +25,5 @@
 }
 
 func start(loops *core.Loops, router *Router) {
-	loops.Go(router.run)
+	loops.Go(router.Run)
 }
--- a/route/router.go
+++ b/route/router.go
@@ -63,8 +63,8 @@
 // Table returns the newest table, or nil while the node can't serve.
 func (r *Router) Table() *Table { return r.table.Load() }
 
-// run keeps the table up to date until the context ends.
-func (r *Router) run(ctx context.Context) {
+// Run keeps the table up to date until the context ends.
+func (r *Router) Run(ctx context.Context) {
 	for {
 		stateChanged := r.states.Changed()
 		rosterChanged := r.rosters.Changed()
