--- a/cmd/rattanpath/script_test.go
+++ b/cmd/rattanpath/script_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"rattanpath/cmd/rattanpath/cmds"
@@ -58,6 +60,7 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"await":  awaitCommand,
+			"exits":  exitsCommand,
 			"put":    putCommand,
 			"signal": signalCommand,
 			"write":  writeCommand,
@@ -128,6 +131,22 @@
 	return response.Status + " " + string(body)
 }
 
+// exitsCommand runs a command that must end with an exit code:
+// exits CODE COMMAND ARGUMENT...
+func exitsCommand(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	got := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if want := args[0]; strconv.Itoa(got) != want {
+		ts.Fatalf("got exit code %d, want %s", got, want)
+	}
+}
+
 // putCommand sends a body to a URL: put URL BODY.
 func putCommand(ts *testscript.TestScript, _ bool, args []string) {
 	request, err := http.NewRequest(http.MethodPut, args[0], strings.NewReader(args[1]))
--- a/config/decode.go
+++ b/config/decode.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"reflect"
 	"strconv"
+	"strings"
 
 	"github.com/agnivade/levenshtein"
 )
@@ -55,16 +56,22 @@
 		return
 	}
 	if err := target.UnmarshalText([]byte(setting.Text)); err != nil {
-		d.problems.add(setting.Position, "mend the value", "%s: %v", path, err)
+		d.valueProblem(setting, path, err)
 	}
 }
 
+// valueProblem reports a value whose error has the form "fault; mend".
+func (d *decoder) valueProblem(setting *Setting, path string, err error) {
+	fault, mend, _ := strings.Cut(err.Error(), "; ")
+	d.problems.add(setting.Position, mend, "%s: %s", path, fault)
+}
+
 func (d *decoder) scalar(setting *Setting, target reflect.Value, path string) {
 	if !d.expect(setting, Scalar, path) {
 		return
 	}
 	if err := setScalar(target, setting.Text); err != nil {
-		d.problems.add(setting.Position, "mend the value", "%s: %v", path, err)
+		d.valueProblem(setting, path, err)
 	}
 }
 
@@ -74,13 +81,13 @@
 		target.SetString(text)
 	case reflect.Bool:
 		if text != "true" && text != "false" {
-			return fmt.Errorf("%q is not true or false", text)
+			return fmt.Errorf("%q is no truth value; write true or false", text)
 		}
 		target.SetBool(text == "true")
 	case reflect.Int:
 		number, err := strconv.ParseInt(text, 10, 32)
 		if err != nil || number < 0 {
-			return fmt.Errorf("%q is not a whole number from 0 up", text)
+			return fmt.Errorf("%q is not a whole number from 0 up; write one such as 8", text)
 		}
 		target.SetInt(number)
 	default:
@@ -177,5 +184,8 @@
 	if best != "" {
 		return "did you mean " + best + "?"
 	}
-	return fmt.Sprintf("use one of %v", known)
+	if len(known) == 0 {
+		return "there is none yet; declare it"
+	}
+	return "use one of " + strings.Join(known, ", ")
 }
--- a/config/units.go
+++ b/config/units.go
@@ -41,9 +41,25 @@
 	return nil
 }
 
-// MarshalText formats the amount with units.
+// byteUnits are the units of Bytes, the largest first.
+var byteUnits = []struct {
+	name string
+	size Bytes
+}{
+	{"TB", 1e12},
+	{"GB", 1e9},
+	{"MB", 1e6},
+	{"KB", 1e3},
+}
+
+// MarshalText formats the amount exactly, in the largest unit that fits.
 func (b Bytes) MarshalText() ([]byte, error) {
-	return []byte(strings.ReplaceAll(humanize.Bytes(uint64(b)), " ", "")), nil
+	for _, unit := range byteUnits {
+		if b >= unit.size && b%unit.size == 0 {
+			return []byte(strconv.FormatUint(uint64(b/unit.size), 10) + unit.name), nil
+		}
+	}
+	return []byte(strconv.FormatUint(uint64(b), 10) + "B"), nil
 }
 
 // Percent is a share, written such as 99.9%.
@@ -84,6 +100,6 @@
 		*c = Class(text)
 		return nil
 	default:
-		return errors.Errorf("%q is not a class; use %s or %s", text, Interactive, Batch)
+		return errors.Errorf("%q is not a class; write %s or %s", text, Interactive, Batch)
 	}
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net/http"
 	"sync"
 	"time"
 
@@ -86,6 +85,9 @@
 		Pause:   10 * time.Millisecond,
 		Client:  load.NewClient(time.Minute),
 	}
+	if err := r.fleet.AwaitBalanced(ctx, r.options.Nodes); err != nil {
+		return err
+	}
 	loadCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var wg sync.WaitGroup
@@ -132,17 +134,3 @@
 	r.report.InForce = append(r.report.InForce, took)
 	return took, nil
 }
-
-// get asks a URL once and returns the status code.
-func get(ctx context.Context, url string) (int, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	_ = response.Body.Close()
-	return response.StatusCode, nil
-}
--- a/demo/steps.go
+++ b/demo/steps.go
@@ -212,7 +212,7 @@
 	}
 	for time.Since(started) < outage {
 		revision, err := r.fleet.Revision(ctx, r.fleet.Host(name))
-		if err == nil && revision == r.revision && r.healthy(ctx, name) {
+		if err == nil && revision == r.revision && r.fleet.Balanced(name) {
 			took := time.Since(started).Round(time.Millisecond)
 			return fmt.Sprintf("ready with revision %d from peers after %s", revision, took), nil
 		}
@@ -223,11 +223,6 @@
 	return "", errors.Errorf("%s is not ready with revision %d after %s", name, r.revision, outage)
 }
 
-func (r *run) healthy(ctx context.Context, name string) bool {
-	status, err := get(ctx, "http://"+r.fleet.Host(name).AdminAddress+"/health")
-	return err == nil && status == 200
-}
-
 func (r *run) killNode(ctx context.Context) (string, error) {
 	name := fleet.NodeName(2)
 	before := r.ledger.Count(load.Broken)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	"rattanpath/node"
 	"rattanpath/proxy"
 	"rattanpath/query"
+	"rattanpath/views"
 )
 
 // Stream is the name of the stream that a fleet uses.
@@ -32,6 +34,9 @@
 // that is no longer ready.
 const balancerLag = 200 * time.Millisecond
 
+// healthPause is the time between two health checks of a new node.
+const healthPause = 20 * time.Millisecond
+
 // Fleet is a platform, its workers and the entry nodes.
 type Fleet struct {
 	Platform *fake.Platform
@@ -101,7 +106,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.nodes[name] = m
-	f.balanced[name] = m.host.Address
+	check := &healthCheck{fleet: f, member: m}
+	go check.run()
 	return nil
 }
 
@@ -234,6 +240,67 @@
 	f.Platform.Close()
 }
 
+// healthCheck is what the balancer does for a new node.
+type healthCheck struct {
+	fleet  *Fleet
+	member *member
+}
+
+// run waits until the node takes requests and then sends it some.
+func (h *healthCheck) run() {
+	for h.fleet.running(h.member) {
+		if h.healthy() {
+			h.fleet.balance(h.member)
+			return
+		}
+		time.Sleep(healthPause)
+	}
+}
+
+func (h *healthCheck) healthy() bool {
+	response, err := http.Get("http://" + h.member.host.AdminAddress + views.HealthPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *Fleet) running(m *member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[m.host.Name] == m
+}
+
+// balance adds a node to those that the balancer sends requests to, unless it
+// was stopped meanwhile.
+func (f *Fleet) balance(m *member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.nodes[m.host.Name] == m {
+		f.balanced[m.host.Name] = m.host.Address
+	}
+}
+
+// Balanced reports whether the balancer sends requests to a node.
+func (f *Fleet) Balanced(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balanced[name] != ""
+}
+
+// AwaitBalanced waits until the balancer sends requests to so many nodes.
+func (f *Fleet) AwaitBalanced(ctx context.Context, nodes int) error {
+	for len(f.Addresses()) < nodes {
+		select {
+		case <-time.After(healthPause):
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d nodes of %d take requests", len(f.Addresses()), nodes)
+		}
+	}
+	return nil
+}
+
 // Hosts implements change.Nodes.
 func (f *Fleet) Hosts(ctx context.Context) ([]core.Host, error) {
 	return f.Platform.List.Hosts(ctx)
@@ -245,12 +312,6 @@
 	return status.Revision, err
 }
 
-// AwaitReady waits until every listed node takes requests.
-func (f *Fleet) AwaitReady(ctx context.Context) error {
-	_, err := change.Await(ctx, f, 1)
-	return err
-}
-
 // Publish brings files in force against a base and waits until every live node
 // has them. It returns the revision and the time from the call to the last
 // node.
