--- /dev/null
+++ b/fold/fold_test.go
@@ -0,0 +1,275 @@
+package fold
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"rattanpath/config"
+	"rattanpath/core"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// The verdict must be the same on every run.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// base is a whole fleet; moveHost puts host h in one of its pools.
+const base = `
+Racks: {R: {DataCentre: D, Hosts: [a, b, c, h]}}
+Pools: {P: {Hosts: [a]}, Q: {Hosts: [b]}, S: {Hosts: [c]}}
+Services: {V: {Pool: P, Budget: {MinReady: 0}, Routes: {A: {Path: /}}}}
+`
+
+var variants = map[string]string{
+	"to P":    "Pools: {P: {Hosts: [a, h]}}\n",
+	"to Q":    "Pools: {Q: {Hosts: [b, h]}}\n",
+	"to both": "Pools: {P: {Hosts: [a, h]}, Q: {Hosts: [b, h]}}\n",
+	"broken":  "Pools: [\n",
+}
+
+// naiveFold is what the fold must come to, from the whole history, without
+// any thought of cost.
+type naiveFold struct {
+	revision int64
+	files    config.Files
+	accepted map[string]bool
+}
+
+func foldNaively(history []Record) naiveFold {
+	n := naiveFold{files: config.Files{}, accepted: make(map[string]bool)}
+	for offset, record := range history {
+		if _, seen := n.accepted[record.RequestID]; seen || record.Publish == nil {
+			continue
+		}
+		files := maps.Clone(n.files)
+		for name, text := range record.Publish.Set {
+			files[name] = text
+		}
+		for _, name := range record.Publish.Removed {
+			delete(files, name)
+		}
+		_, err := config.Load(files)
+		accept := record.Publish.Base == n.revision && err == nil
+		n.accepted[record.RequestID] = accept
+		if accept {
+			n.revision = int64(offset) + 1
+			n.files = files
+		}
+	}
+	return n
+}
+
+// drawHistory returns records of racing operators: right and stale bases,
+// copies of earlier records, and folders that are invalid.
+func drawHistory(t *rapid.T) []Record {
+	var history []Record
+	revision := int64(0)
+	for i := range rapid.IntRange(1, 12).Draw(t, "records") {
+		if i > 0 && rapid.IntRange(0, 3).Draw(t, "copy") == 0 {
+			history = append(history, history[rapid.IntRange(0, i-1).Draw(t, "of")])
+			continue
+		}
+		change := &Publish{Base: revision, Set: map[string]string{"a.yaml": base}}
+		if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+			change.Base = int64(rapid.IntRange(0, i).Draw(t, "base"))
+		}
+		variant := rapid.SampledFrom([]string{"to P", "to Q", "to both", "broken", "none", "remove"}).Draw(t, "variant")
+		switch variant {
+		case "none":
+		case "remove":
+			change.Removed = []string{"b.yaml"}
+		default:
+			change.Set["b.yaml"] = variants[variant]
+		}
+		record := Record{Format: Format, RequestID: fmt.Sprintf("r%d", i), Writer: "w", Publish: change}
+		history = append(history, record)
+		revision = foldNaively(history).revision
+	}
+	return history
+}
+
+// TestFoldAgainstNaive folds generated histories, through snapshots at
+// arbitrary places, and compares each state with the naive fold's.
+func TestFoldAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		state, reader := New(), New()
+		for offset, record := range history {
+			entry := encode(t, int64(offset), record)
+			before := state
+			state = apply(t, state, entry)
+			reader = apply(t, reader, entry)
+			if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+				reader = throughSnapshot(t, reader)
+			}
+			compare(t, state, foldNaively(history[:offset+1]))
+			compareReaders(t, state, reader)
+			checkOnePool(t, state)
+			if state.Revision < before.Revision {
+				t.Fatalf("got revision %d after %d; want none that goes back", state.Revision, before.Revision)
+			}
+		}
+	})
+}
+
+// fataler is a test or a rapid check.
+type fataler interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+func encode(t fataler, offset int64, record Record) core.Entry {
+	t.Helper()
+	data, err := EncodeRecord(record)
+	if err != nil {
+		t.Fatalf("encoding: %v", err)
+	}
+	return core.Entry{Offset: offset, Data: data}
+}
+
+func apply(t fataler, state *State, entry core.Entry) *State {
+	t.Helper()
+	after, err := state.Apply(entry)
+	if err != nil {
+		t.Fatalf("applying %d: %v", entry.Offset, err)
+	}
+	return after
+}
+
+func throughSnapshot(t fataler, state *State) *State {
+	t.Helper()
+	data, err := state.Encode()
+	if err != nil {
+		t.Fatalf("encoding a snapshot: %v", err)
+	}
+	decoded, err := Decode(data, Hash(data))
+	if err != nil {
+		t.Fatalf("decoding a snapshot: %v", err)
+	}
+	return decoded
+}
+
+func compare(t fataler, state *State, want naiveFold) {
+	t.Helper()
+	if state.Revision != want.revision {
+		t.Fatalf("got revision %d, want %d", state.Revision, want.revision)
+	}
+	if !maps.Equal(state.Files, want.files) {
+		t.Fatalf("got files %v, want %v", state.Files, want.files)
+	}
+	got := make(map[string]bool)
+	for _, outcome := range state.Outcomes {
+		got[outcome.RequestID] = outcome.Accepted
+	}
+	if !maps.Equal(got, want.accepted) {
+		t.Fatalf("got outcomes %v, want %v", got, want.accepted)
+	}
+}
+
+func compareReaders(t fataler, a, b *State) {
+	t.Helper()
+	if a.Digest != b.Digest || a.Revision != b.Revision || !reflect.DeepEqual(a.Outcomes, b.Outcomes) {
+		t.Fatalf("got readers %+v and %+v, want the same", a, b)
+	}
+}
+
+// checkOnePool fails if the configuration in force holds a host in two pools.
+func checkOnePool(t fataler, state *State) {
+	t.Helper()
+	if state.Declaration() == nil {
+		return
+	}
+	pools := make(map[string]string)
+	for name, pool := range state.Declaration().Config.Pools {
+		for _, host := range pool.Hosts {
+			if other, twice := pools[host]; twice {
+				t.Fatalf("got host %s in pools %s and %s, want one", host, other, name)
+			}
+			pools[host] = name
+		}
+	}
+}
+
+// TestApplyRefusesGapsAndNewerFormats checks the two errors that stop a
+// reader.
+func TestApplyRefusesGapsAndNewerFormats(t *testing.T) {
+	if _, err := New().Apply(core.Entry{Offset: 1, Data: []byte("{}")}); err == nil {
+		t.Error("got no error for a gap, want one")
+	}
+	_, err := New().Apply(core.Entry{Data: []byte(`{"Format":2,"RequestID":"r"}`)})
+	if _, ok := err.(*FormatError); !ok {
+		t.Errorf("got %v for a newer format, want a FormatError", err)
+	}
+}
+
+// TestAssemblerTakesChunksInAnyOrder mixes the chunks of two snapshots, one
+// damaged, one incomplete and one repeated.
+func TestAssemblerTakesChunksInAnyOrder(t *testing.T) {
+	older, newer := stateWithPadding(t, 3), stateWithPadding(t, 5)
+	assembler := NewAssembler()
+	olderChunks, newerChunks := jsonChunks(t, older), jsonChunks(t, newer)
+	if len(newerChunks) < 2 {
+		t.Fatalf("got %d chunks, want several", len(newerChunks))
+	}
+	assembler.Add([]byte("damaged"))
+	assembler.Add(newerChunks[1])
+	for _, chunk := range olderChunks {
+		assembler.Add(chunk)
+	}
+	if got, want := assembler.Newest.Next, older.Next; got != want {
+		t.Errorf("got the snapshot to %d, want %d, the only whole one", got, want)
+	}
+	assembler.Add(newerChunks[1])
+	for _, chunk := range newerChunks {
+		assembler.Add(chunk)
+	}
+	if got, want := assembler.Newest.Digest, newer.Digest; got != want {
+		t.Errorf("got digest %d, want %d", got, want)
+	}
+	for _, chunk := range olderChunks {
+		assembler.Add(chunk)
+	}
+	if got, want := assembler.Newest.Next, newer.Next; got != want {
+		t.Errorf("got the snapshot to %d after an older one, want %d", got, want)
+	}
+}
+
+// FuzzApply checks that no record makes the fold panic or go back.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"Format":1,"RequestID":"r","Publish":{"Base":1,"Set":{"a.yaml":"x"}}}`))
+	f.Add([]byte(`{"Format":1,"RequestID":"r","Publish":{"Base":1,"Removed":["a.yaml"]}}`))
+	f.Add([]byte(`null`))
+	start := apply(f, New(), encode(f, 0, Record{Format: Format, RequestID: "first", Publish: &Publish{Set: map[string]string{"a.yaml": base}}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		after, err := start.Apply(core.Entry{Offset: 1, Data: data})
+		if err != nil {
+			return
+		}
+		if after.Next != 2 || after.Revision < start.Revision || after.Declaration() == nil {
+			t.Errorf("got next %d and revision %d, want 2 and at least %d", after.Next, after.Revision, start.Revision)
+		}
+		checkOnePool(t, after)
+	})
+}
+
+// FuzzAssembler checks that no chunk makes the assembler panic.
+func FuzzAssembler(f *testing.F) {
+	f.Add([]byte(`{"Format":1,"Next":1,"Hash":"x","Index":0,"Count":1,"Data":"e30="}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		assembler := NewAssembler()
+		assembler.Add(data)
+		if assembler.Newest != nil && assembler.Newest.Next == 0 {
+			t.Errorf("got a snapshot to 0, want none")
+		}
+	})
+}
