change: append again only when the log lacks the record

Cause: with records delivered 3 s late, an operator was told that the outcome is unknown although the change was in force. Each pause appended another copy, so that the end of the log, to which the publisher reads before it looks, moved on for ever. Ruled out: the fold (the first copy was accepted). Change: a publisher looks at whatever it could read, and appends again only after a failed append when the log was read to its end without the record.

--- a/change/publish.go
+++ b/change/publish.go
@@ -66,14 +66,12 @@
 	return &Publisher{streams: streams, state: fold.New()}
 }
 
-// Current returns the newest state.
+// Current returns the newest state. After an error the publisher keeps what it
+// could read.
 func (p *Publisher) Current(ctx context.Context) (*fold.State, error) {
 	state, err := follow.CatchUp(ctx, p.streams, p.state)
-	if err != nil {
-		return nil, err
-	}
 	p.state = state
-	return state, nil
+	return state, err
 }
 
 // Publish brings the files in force and returns their revision, which is the
@@ -84,7 +82,7 @@
 // Its error is a ConflictError if the fold refused the change, an UnknownError
 // if the record may be in the log, and any other if it is not.
 func (p *Publisher) Publish(ctx context.Context, request Request) (int64, error) {
-	state, err := p.Current(ctx)
+	state, err := p.awaitCurrent(ctx)
 	if err != nil {
 		return 0, errors.Wrap(err, "not published: the log can't be read")
 	}
@@ -108,35 +106,51 @@
 	return p.appendUntilSeen(ctx, request.ID, data)
 }
 
-// appendUntilSeen appends the record, again if need be, until its outcome is
-// read.
+// awaitCurrent returns the newest state, and tries again until ctx ends.
+func (p *Publisher) awaitCurrent(ctx context.Context) (*fold.State, error) {
+	for {
+		state, err := p.Current(ctx)
+		if err == nil {
+			return state, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// appendUntilSeen appends the record until its outcome is read. It appends
+// again only when an append failed and the log, read to its end, does not hold
+// the record.
 func (p *Publisher) appendUntilSeen(ctx context.Context, id string, data []byte) (int64, error) {
+	appendNeeded := true
+	var appendErr error
 	for {
-		_, appendErr := p.streams.Records.Append(ctx, data)
-		outcome, found, readErr := p.find(ctx, id)
-		if found {
-			return p.result(outcome)
+		if appendNeeded {
+			_, appendErr = p.streams.Records.Append(ctx, data)
 		}
-		err := appendErr
-		if err == nil {
-			err = readErr
+		_, readErr := p.Current(ctx)
+		if outcome, found := p.state.Outcome(id); found {
+			return p.result(outcome)
 		}
+		appendNeeded = appendErr != nil && readErr == nil
 		select {
 		case <-ctx.Done():
-			return 0, &UnknownError{RequestID: id, Err: err}
+			return 0, &UnknownError{RequestID: id, Err: firstError(appendErr, readErr, ctx.Err())}
 		case <-time.After(retryPause):
 		}
 	}
 }
 
-// find reads to the end of the log and returns the outcome if it is there.
-func (p *Publisher) find(ctx context.Context, id string) (fold.Outcome, bool, error) {
-	state, err := p.Current(ctx)
-	if err != nil {
-		return fold.Outcome{}, false, err
+func firstError(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
 	}
-	outcome, found := state.Outcome(id)
-	return outcome, found, nil
+	return nil
 }
 
 func (p *Publisher) result(outcome fold.Outcome) (int64, error) {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -158,8 +158,8 @@
 	return append([]core.Entry(nil), f.recent[next-f.recent[0].Offset:]...), true
 }
 
-// run follows the log until the context ends.
-func (f *Follower) run(ctx context.Context) {
+// Run follows the log until the context ends.
+func (f *Follower) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := f.step(ctx)
@@ -195,10 +195,10 @@
 // start brings the state to the end of the log, from a snapshot if need be.
 func (f *Follower) start(ctx context.Context) error {
 	state, err := CatchUp(ctx, f.streams, f.State())
+	f.Adopt(state)
 	if err != nil {
 		return err
 	}
-	f.Adopt(state)
 	f.SetReady()
 	return nil
 }
--- a/follow/module.go
+++ b/follow/module.go
@@ -20,6 +20,6 @@
 
 func start(loops *core.Loops, follower *Follower, settings core.Settings, logger logr.Logger) {
 	snapshotter := NewSnapshotter(follower, settings.SnapshotRecords, settings.SnapshotEvery, logger)
-	loops.Go(follower.run)
-	loops.Go(snapshotter.run)
+	loops.Go(follower.Run)
+	loops.Go(snapshotter.Run)
 }
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -73,32 +73,38 @@
 }
 
 // CatchUp returns the state after every record that the log held at the time
-// of the call, starting from an earlier state or the newest snapshot.
+// of the call, starting from an earlier state or the newest snapshot. With an
+// error it returns the state as far as it came.
 func CatchUp(ctx context.Context, streams Streams, state *fold.State) (*fold.State, error) {
 	bounds, err := streams.Records.Bounds(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "reading the log's bounds")
+		return state, errors.Wrap(err, "reading the log's bounds")
 	}
 	if state.Next > bounds.Next {
-		return nil, errors.Errorf("the log ends at %d and the state at %d: the log has lost records", bounds.Next, state.Next)
+		return state, errors.Errorf("the log ends at %d and the state at %d: the log has lost records", bounds.Next, state.Next)
 	}
 	if state.Next < bounds.First || state.Next == 0 {
 		state, err = newer(ctx, streams.Snapshots, state)
 		if err != nil {
-			return nil, err
+			return state, err
 		}
 	}
-	for state.Next < bounds.Next {
-		entries, err := streams.Records.Read(ctx, state.Next, readLimit, 0)
+	return readTo(ctx, streams.Records, state, bounds.Next)
+}
+
+// readTo folds the records below an offset.
+func readTo(ctx context.Context, log Log, state *fold.State, end int64) (*fold.State, error) {
+	for state.Next < end {
+		entries, err := log.Read(ctx, state.Next, readLimit, 0)
 		if err != nil {
-			return nil, errors.Wrap(err, "reading the log")
+			return state, errors.Wrap(err, "reading the log")
 		}
 		if len(entries) == 0 {
-			return nil, errors.Errorf("the log holds records back from offset %d on", state.Next)
+			return state, errors.Errorf("the log holds records back from offset %d on", state.Next)
 		}
 		state, err = applyAll(state, entries)
 		if err != nil {
-			return nil, err
+			return state, err
 		}
 	}
 	return state, nil
@@ -108,7 +114,7 @@
 func newer(ctx context.Context, snapshots Log, state *fold.State) (*fold.State, error) {
 	snapshot, err := ReadSnapshot(ctx, snapshots)
 	if err != nil {
-		return nil, err
+		return state, err
 	}
 	if snapshot != nil && snapshot.Next > state.Next {
 		return snapshot, nil
--- a/follow/snap.go
+++ b/follow/snap.go
@@ -34,8 +34,8 @@
 // maxTurn bounds the random wait before a snapshot is written.
 const maxTurn = 2 * time.Second
 
-// run writes snapshots when they are due until the context ends.
-func (s *Snapshotter) run(ctx context.Context) {
+// Run writes snapshots when they are due until the context ends.
+func (s *Snapshotter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.awaitDue(ctx)
 		sleep(ctx, jitter(min(maxTurn, s.every/4)))
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -47,9 +47,10 @@
 	load     func() Load
 	every    time.Duration
 	fanout   int
+	dial     func(address string) Link
 	logger   logr.Logger
 	started  time.Time
-	links    map[string]*link
+	links    map[string]Link
 	mu       sync.Mutex
 	known    map[string]Known
 	diverged string
@@ -64,11 +65,18 @@
 	Fixed  []string
 	Every  time.Duration
 	Fanout int
+	// Dial makes the link to a peer; nil means NewLink.
+	Dial func(address string) Link
 }
 
 // New returns an exchanger for the node that options name.
 func New(options Options, states States, rosters Rosters, load func() Load, logger logr.Logger) *Exchanger {
+	dial := options.Dial
+	if dial == nil {
+		dial = NewLink
+	}
 	return &Exchanger{
+		dial:    dial,
 		node:    options.Node,
 		self:    options.Self,
 		fixed:   options.Fixed,
@@ -79,7 +87,7 @@
 		fanout:  options.Fanout,
 		logger:  logger.WithName("peer"),
 		started: time.Now(),
-		links:   make(map[string]*link),
+		links:   make(map[string]Link),
 		known:   make(map[string]Known),
 	}
 }
@@ -116,8 +124,8 @@
 	maps.DeleteFunc(e.known, func(_ string, k Known) bool { return time.Since(k.At) > forgetAfter })
 }
 
-// run exchanges with peers until the context ends.
-func (e *Exchanger) run(ctx context.Context) {
+// Run exchanges with peers until the context ends.
+func (e *Exchanger) Run(ctx context.Context) {
 	defer e.closeLinks()
 	for ctx.Err() == nil {
 		e.round(ctx)
@@ -132,7 +140,7 @@
 
 func (e *Exchanger) closeLinks() {
 	for _, link := range e.links {
-		link.close()
+		link.Close()
 	}
 }
 
@@ -180,7 +188,7 @@
 type question struct {
 	exchanger *Exchanger
 	ctx       context.Context
-	peer      *link
+	peer      Link
 	// answer is nil if the peer can't be asked.
 	answer *Answer
 }
@@ -200,18 +208,18 @@
 	return questions
 }
 
-func (e *Exchanger) link(address string) *link {
+func (e *Exchanger) link(address string) Link {
 	if e.links[address] == nil {
-		e.links[address] = &link{address: address}
+		e.links[address] = e.dial(address)
 	}
 	return e.links[address]
 }
 
 // ask exchanges once with a peer and takes what it has to give. It returns
 // nil if the peer can't be asked.
-func (e *Exchanger) ask(ctx context.Context, peer *link) *Answer {
+func (e *Exchanger) ask(ctx context.Context, peer Link) *Answer {
 	before := e.states.State()
-	answer, err := peer.exchange(ctx, Request{
+	answer, err := peer.Exchange(ctx, Request{
 		Node:      e.node,
 		Next:      before.Next,
 		Digest:    before.Digest,
@@ -219,7 +227,7 @@
 		WantHosts: e.rosters.Roster().Err != nil,
 	})
 	if err != nil {
-		e.logger.V(1).Info("peer can't be asked", "address", peer.address, "reason", err.Error())
+		e.logger.V(1).Info("peer can't be asked", "reason", err.Error())
 		return nil
 	}
 	e.hear(answer.Node, Known{Next: answer.Next, Revision: answer.Revision, Ready: answer.Ready, Load: answer.Load})
@@ -281,7 +289,7 @@
 	all = slices.DeleteFunc(slices.Compact(all), func(address string) bool { return address == e.self })
 	for address, link := range e.links {
 		if _, found := slices.BinarySearch(all, address); !found {
-			link.close()
+			link.Close()
 			delete(e.links, address)
 		}
 	}
--- a/peer/link.go
+++ b/peer/link.go
@@ -9,16 +9,29 @@
 	"github.com/pkg/errors"
 )
 
-// link is a connection to one peer, made when it is needed.
-type link struct {
+// Link asks one peer.
+type Link interface {
+	// Exchange asks the peer once.
+	Exchange(ctx context.Context, request Request) (*Answer, error)
+	// Close gives up the connection.
+	Close()
+}
+
+// rpcLink is a connection over net/rpc, made when it is needed.
+type rpcLink struct {
 	address string
 	mu      sync.Mutex
 	client  *rpc.Client
 }
 
-// exchange asks the peer once. A call that fails or takes longer than ctx
+// NewLink returns a link over net/rpc to the peer at an address.
+func NewLink(address string) Link {
+	return &rpcLink{address: address}
+}
+
+// Exchange implements Link. A call that fails or takes longer than ctx
 // closes the connection.
-func (l *link) exchange(ctx context.Context, request Request) (*Answer, error) {
+func (l *rpcLink) Exchange(ctx context.Context, request Request) (*Answer, error) {
 	client, err := l.connect(ctx)
 	if err != nil {
 		return nil, err
@@ -32,13 +45,13 @@
 		err = ctx.Err()
 	}
 	if err != nil {
-		l.close()
+		l.Close()
 		return nil, errors.Wrapf(err, "asking the peer at %s", l.address)
 	}
 	return answer, nil
 }
 
-func (l *link) connect(ctx context.Context) (*rpc.Client, error) {
+func (l *rpcLink) connect(ctx context.Context) (*rpc.Client, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client != nil {
@@ -53,7 +66,8 @@
 	return l.client, nil
 }
 
-func (l *link) close() {
+// Close implements Link.
+func (l *rpcLink) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -55,7 +55,7 @@
 		return err
 	}
 	lifecycle.Append(fx.Hook{OnStart: server.start, OnStop: server.stop})
-	loops.Go(exchanger.run)
+	loops.Go(exchanger.Run)
 	return nil
 }
 
--- a/roster/module.go
+++ b/roster/module.go
@@ -19,5 +19,5 @@
 }
 
 func start(loops *core.Loops, watcher *Watcher) {
-	loops.Go(watcher.run)
+	loops.Go(watcher.Run)
 }
--- a/roster/watch.go
+++ b/roster/watch.go
@@ -81,8 +81,8 @@
 	return w.changed
 }
 
-// run reads the list until the context ends.
-func (w *Watcher) run(ctx context.Context) {
+// Run reads the list until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
 	ticker := time.NewTicker(w.every)
 	defer ticker.Stop()
 	for {
