plat: ask for the host list only when it has changed; count control bytes

Cause: at 730 hosts the list has some 110 KB, and reading it twice a second would take over 200 KB/s of the 18 KB/s that a node may spend. Change: a conditional request with the list's entity tag; counters of the bytes of log, list and peers in the metrics.

--- a/admin/server.go
+++ b/admin/server.go
@@ -52,7 +52,7 @@
 }
 
 // New returns a server that listens once it is started.
-func New(parts *Parts, set *metrics.Set, logger logr.Logger) *Server {
+func New(parts *Parts, set *metrics.Set, traffic *core.Traffic, logger logr.Logger) *Server {
 	s := &Server{parts: parts, metrics: set, logger: logger.WithName("admin")}
 	router := mux.NewRouter()
 	router.HandleFunc(views.HealthPath, s.health).Methods(http.MethodGet)
@@ -60,6 +60,8 @@
 	router.HandleFunc(views.OutcomePath+"{RequestID}", s.outcome).Methods(http.MethodGet)
 	router.HandleFunc(views.MetricsPath, s.writeMetrics).Methods(http.MethodGet)
 	s.server = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	set.NewGauge("rattanpath_control_received_bytes", func() float64 { return float64(traffic.Received()) })
+	set.NewGauge("rattanpath_control_sent_bytes", func() float64 { return float64(traffic.Sent()) })
 	set.NewGauge("rattanpath_revision", func() float64 { return float64(parts.Status().Revision) })
 	set.NewGauge("rattanpath_log_age_seconds", func() float64 { return parts.Status().Log.Age.Seconds() })
 	return s
--- a/cmd/rattanpath/cmds/config.go
+++ b/cmd/rattanpath/cmds/config.go
@@ -115,7 +115,7 @@
 }
 
 func (p *platformFlags) publisher() *change.Publisher {
-	return change.NewPublisher(node.ConnectStreams(p.Platform, p.Stream, p.LogTimeout))
+	return change.NewPublisher(node.ConnectStreams(p.Platform, p.Stream, p.LogTimeout, nil))
 }
 
 // diffCommand compares a folder with what is in force.
--- a/cmd/rattanpath/cmds/status.go
+++ b/cmd/rattanpath/cmds/status.go
@@ -20,7 +20,7 @@
 }
 
 func newNodes(platform string, timeout time.Duration) *nodes {
-	return &nodes{List: plat.NewList(platform, timeout), client: query.New(timeout)}
+	return &nodes{List: plat.NewList(platform, timeout, nil), client: query.New(timeout)}
 }
 
 // Revision returns the revision in force at a node.
--- a/fake/server.go
+++ b/fake/server.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
@@ -138,7 +140,18 @@
 
 func (p *Platform) hosts(w http.ResponseWriter, r *http.Request) {
 	hosts, err := p.List.Hosts(r.Context())
-	reply(w, plat.Hosts{Hosts: hosts}, err)
+	data, encodeErr := json.Marshal(plat.Hosts{Hosts: hosts})
+	if err != nil || encodeErr != nil {
+		http.Error(w, "the host list is down", http.StatusServiceUnavailable)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(data)
 }
 
 func (p *Platform) putHost(w http.ResponseWriter, r *http.Request) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,7 +90,7 @@
 
 // Streams returns the fleet's streams over HTTP.
 func (f *Fleet) Streams() follow.Streams {
-	return node.ConnectStreams(f.server.URL, Stream, time.Second)
+	return node.ConnectStreams(f.server.URL, Stream, time.Second, nil)
 }
 
 // Start lists and starts an entry node with empty memory.
--- a/node/node.go
+++ b/node/node.go
@@ -25,21 +25,26 @@
 type Platform struct {
 	Streams follow.Streams
 	Lister  roster.Lister
+	// Traffic counts the node's bytes for control.
+	Traffic *core.Traffic
 }
 
 // Connect returns the platform that the settings name, over HTTP.
 func Connect(settings core.Settings) Platform {
+	traffic := &core.Traffic{}
 	return Platform{
-		Streams: ConnectStreams(settings.Platform, settings.Stream, settings.LogTimeout),
-		Lister:  plat.NewList(settings.Platform, settings.LogTimeout),
+		Streams: ConnectStreams(settings.Platform, settings.Stream, settings.LogTimeout, traffic),
+		Lister:  plat.NewList(settings.Platform, settings.LogTimeout, traffic),
+		Traffic: traffic,
 	}
 }
 
-// ConnectStreams returns the two streams of a fleet over HTTP.
-func ConnectStreams(platform, stream string, timeout time.Duration) follow.Streams {
+// ConnectStreams returns the two streams of a fleet over HTTP; traffic may be
+// nil.
+func ConnectStreams(platform, stream string, timeout time.Duration, traffic *core.Traffic) follow.Streams {
 	return follow.Streams{
-		Records:   plat.NewLog(platform, stream, timeout),
-		Snapshots: plat.NewLog(platform, stream+follow.SnapshotSuffix, timeout),
+		Records:   plat.NewLog(platform, stream, timeout, traffic),
+		Snapshots: plat.NewLog(platform, stream+follow.SnapshotSuffix, timeout, traffic),
 	}
 }
 
@@ -48,7 +53,7 @@
 	options := []fx.Option{
 		fx.NopLogger,
 		fx.StopTimeout(settings.Linger + settings.ShutdownGrace + stopSlack),
-		fx.Supply(settings, platform.Streams, metrics.NewSet()),
+		fx.Supply(settings, platform.Streams, platform.Traffic, metrics.NewSet()),
 		fx.Provide(
 			func() logr.Logger { return logger },
 			func() roster.Lister { return platform.Lister },
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -65,18 +65,14 @@
 	Fixed  []string
 	Every  time.Duration
 	Fanout int
-	// Dial makes the link to a peer; nil means NewLink.
+	// Dial makes the link to a peer.
 	Dial func(address string) Link
 }
 
 // New returns an exchanger for the node that options name.
 func New(options Options, states States, rosters Rosters, load func() Load, logger logr.Logger) *Exchanger {
-	dial := options.Dial
-	if dial == nil {
-		dial = NewLink
-	}
 	return &Exchanger{
-		dial:    dial,
+		dial:    options.Dial,
 		node:    options.Node,
 		self:    options.Self,
 		fixed:   options.Fixed,
--- a/peer/link.go
+++ b/peer/link.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"net/rpc"
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"rattanpath/core"
 )
 
 // Link asks one peer.
@@ -20,13 +21,15 @@
 // rpcLink is a connection over net/rpc, made when it is needed.
 type rpcLink struct {
 	address string
+	traffic *core.Traffic
 	mu      sync.Mutex
 	client  *rpc.Client
 }
 
-// NewLink returns a link over net/rpc to the peer at an address.
-func NewLink(address string) Link {
-	return &rpcLink{address: address}
+// NewLink returns a link over net/rpc to the peer at an address, whose bytes
+// are counted in traffic.
+func NewLink(address string, traffic *core.Traffic) Link {
+	return &rpcLink{address: address, traffic: traffic}
 }
 
 // Exchange implements Link. A call that fails or takes longer than ctx
@@ -57,8 +60,7 @@
 	if l.client != nil {
 		return l.client, nil
 	}
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", l.address)
+	conn, err := l.traffic.Dial(ctx, "tcp", l.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connecting to a peer")
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -26,13 +26,14 @@
 // maxInbound bounds the connections that peers hold open to a node.
 const maxInbound = 256
 
-func newFromSettings(settings core.Settings, follower *follow.Follower, watcher *roster.Watcher, router *route.Router, logger logr.Logger) *Exchanger {
+func newFromSettings(settings core.Settings, follower *follow.Follower, watcher *roster.Watcher, router *route.Router, traffic *core.Traffic, logger logr.Logger) *Exchanger {
 	options := Options{
 		Node:   settings.Name,
 		Self:   settings.PeerListen,
 		Fixed:  settings.Peers,
 		Every:  settings.ExchangeEvery,
 		Fanout: settings.Fanout,
+		Dial:   func(address string) Link { return NewLink(address, traffic) },
 	}
 	return New(options, follower, watcher, func() Load { return loadOf(router.Table()) }, logger)
 }
@@ -49,8 +50,8 @@
 	return load
 }
 
-func start(lifecycle fx.Lifecycle, loops *core.Loops, exchanger *Exchanger, settings core.Settings, logger logr.Logger) error {
-	server, err := newServer(settings.PeerListen, exchanger.Service(), logger)
+func start(lifecycle fx.Lifecycle, loops *core.Loops, exchanger *Exchanger, settings core.Settings, traffic *core.Traffic, logger logr.Logger) error {
+	server, err := newServer(settings.PeerListen, exchanger.Service(), traffic, logger)
 	if err != nil {
 		return err
 	}
@@ -63,18 +64,19 @@
 type server struct {
 	address  string
 	rpc      *rpc.Server
+	traffic  *core.Traffic
 	logger   logr.Logger
 	listener net.Listener
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
 }
 
-func newServer(address string, service *Service, logger logr.Logger) (*server, error) {
+func newServer(address string, service *Service, traffic *core.Traffic, logger logr.Logger) (*server, error) {
 	rpcServer := rpc.NewServer()
 	if err := rpcServer.RegisterName(serviceName, service); err != nil {
 		return nil, errors.Wrap(err, "registering the peer service")
 	}
-	return &server{address: address, rpc: rpcServer, logger: logger.WithName("peer"), conns: make(map[net.Conn]bool)}, nil
+	return &server{address: address, rpc: rpcServer, traffic: traffic, logger: logger.WithName("peer"), conns: make(map[net.Conn]bool)}, nil
 }
 
 func (s *server) start(ctx context.Context) error {
@@ -96,11 +98,11 @@
 		if err != nil {
 			return
 		}
-		if !s.add(conn) {
+		session := &session{server: s, conn: s.traffic.Conn(conn)}
+		if !s.add(session.conn) {
 			_ = conn.Close()
 			continue
 		}
-		session := &session{server: s, conn: conn}
 		go session.run()
 	}
 }
--- a/plat/client.go
+++ b/plat/client.go
@@ -25,8 +25,8 @@
 	timeout time.Duration
 }
 
-func newClient(base string, timeout time.Duration) client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+func newClient(base string, timeout time.Duration, traffic *core.Traffic) client {
+	transport := &http.Transport{DialContext: traffic.Dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
 	return client{base: base, http: &http.Client{Transport: transport}, timeout: timeout}
 }
 
@@ -39,14 +39,9 @@
 	if err != nil {
 		return errors.Wrap(err, "calling the platform")
 	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return errors.Wrap(err, "calling the platform")
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	response, data, err := c.do(request)
 	if err != nil {
-		return errors.Wrap(err, "reading the platform's answer")
+		return err
 	}
 	switch response.StatusCode {
 	case http.StatusOK:
@@ -62,6 +57,17 @@
 	}
 }
 
+// do sends one request and returns the answer with its whole body.
+func (c client) do(request *http.Request) (*http.Response, []byte, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "calling the platform")
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	return response, data, errors.Wrap(err, "reading the platform's answer")
+}
+
 // Log is one stream of the platform's append-only log.
 type Log struct {
 	client client
@@ -69,9 +75,10 @@
 }
 
 // NewLog returns the stream of that name. Each call fails after timeout, to
-// which the wait of a read is added.
-func NewLog(base, stream string, timeout time.Duration) *Log {
-	return &Log{client: newClient(base, timeout), path: "/streams/" + url.PathEscape(stream)}
+// which the wait of a read is added; its bytes are counted in traffic, which
+// may be nil.
+func NewLog(base, stream string, timeout time.Duration, traffic *core.Traffic) *Log {
+	return &Log{client: newClient(base, timeout, traffic), path: "/streams/" + url.PathEscape(stream)}
 }
 
 // Append adds one record and returns its offset. After an error the record may
@@ -107,20 +114,3 @@
 	err := l.client.call(ctx, http.MethodGet, l.path, nil, 0, &bounds)
 	return bounds, err
 }
-
-// List is the platform's list of hosts.
-type List struct {
-	client client
-}
-
-// NewList returns the list; each call fails after timeout.
-func NewList(base string, timeout time.Duration) *List {
-	return &List{client: newClient(base, timeout)}
-}
-
-// Hosts returns the hosts that the platform knows, as of some seconds ago.
-func (l *List) Hosts(ctx context.Context) ([]core.Host, error) {
-	var hosts Hosts
-	err := l.client.call(ctx, http.MethodGet, "/hosts", nil, 0, &hosts)
-	return hosts.Hosts, err
-}
