--- a/cmd/rattanpath/cmds/cmds.go
+++ b/cmd/rattanpath/cmds/cmds.go
@@ -34,6 +34,8 @@
 	Demo   demoCommand   `cmd:"" help:"Run a whole fleet on loopback in this process and show what held."`
 	Fake   fakeCommand   `cmd:"" help:"Run stand-ins of the platform; for trials only."`
 	Load   loadCommand   `cmd:"" help:"Send requests to entry nodes and audit the answers; for trials only."`
+
+	Measure measureCommand `cmd:"" help:"Measure costs on this machine; for trials only."`
 }
 
 // env is what a command works with.
--- a/core/settings.go
+++ b/core/settings.go
@@ -23,7 +23,7 @@
 	ExchangeEvery time.Duration `help:"Time between two rounds of exchange with peers." env:"RATTANPATH_EXCHANGE_EVERY" default:"500ms"`
 	Fanout        int           `help:"Peers asked in one round of exchange." env:"RATTANPATH_FANOUT" default:"2"`
 
-	SnapshotRecords int64         `help:"Records after which a snapshot is due." env:"RATTANPATH_SNAPSHOT_RECORDS" default:"256"`
+	SnapshotRecords int64         `help:"Records after which a snapshot is due." env:"RATTANPATH_SNAPSHOT_RECORDS" default:"64"`
 	SnapshotEvery   time.Duration `help:"Time after which a snapshot is due if any record came; keep it under a quarter of the log's retention." env:"RATTANPATH_SNAPSHOT_EVERY" default:"10m"`
 
 	Chooser string `help:"Plug-in that chooses the host of a request." env:"RATTANPATH_CHOOSER" default:"LeastOfTwo"`
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -21,6 +22,7 @@
 	"rattanpath/node"
 	"rattanpath/proxy"
 	"rattanpath/query"
+	"rattanpath/route"
 	"rattanpath/views"
 )
 
@@ -59,6 +61,8 @@
 	settings core.Settings
 	app      *fx.App
 	proxy    *proxy.Server
+	router   *route.Router
+	traffic  *core.Traffic
 }
 
 // New returns a fleet without hosts whose streams keep the newest retention
@@ -100,7 +104,7 @@
 		return err
 	}
 	f.Platform.List.Put(m.host)
-	m.app = node.New(m.settings, node.Connect(m.settings), f.logger.WithValues("node", name), fx.Populate(&m.proxy))
+	m.app = node.New(m.settings, node.Connect(m.settings), f.logger.WithValues("node", name), fx.Populate(&m.proxy, &m.router, &m.traffic))
 	if err := m.app.Start(ctx); err != nil {
 		return errors.Wrapf(err, "starting %s", name)
 	}
@@ -150,7 +154,7 @@
 		LogTimeout:      time.Second,
 		ExchangeEvery:   500 * time.Millisecond,
 		Fanout:          2,
-		SnapshotRecords: 256,
+		SnapshotRecords: 64,
 		SnapshotEvery:   10 * time.Minute,
 		Chooser:         "LeastOfTwo",
 		MaxHeaderBytes:  32 << 10,
@@ -217,6 +221,34 @@
 	return addresses
 }
 
+// LowestRevision returns the oldest configuration that a running node serves
+// by; 0 if one serves none.
+func (f *Fleet) LowestRevision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lowest := int64(math.MaxInt64)
+	for _, m := range f.nodes {
+		table := m.router.Table()
+		if table == nil {
+			return 0
+		}
+		lowest = min(lowest, table.Revision)
+	}
+	return lowest
+}
+
+// ControlBytes returns the bytes that the running nodes have received and sent
+// for control, all together.
+func (f *Fleet) ControlBytes() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := int64(0)
+	for _, m := range f.nodes {
+		total += m.traffic.Received() + m.traffic.Sent()
+	}
+	return total
+}
+
 // Host returns the host of a running node.
 func (f *Fleet) Host(name string) core.Host {
 	f.mu.Lock()
