node: scenes for drains and for what a restarted node may start from

Cause: five mutations of the code survived the tests: an ignored drain, an older state adopted, a silent peer not waited for, a stale peer taken while the log answers, and a second record with the same request id.

--- /dev/null
+++ b/follow/follower_test.go
@@ -0,0 +1,135 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rattanpath/core"
+	"rattanpath/fake"
+	"rattanpath/fold"
+)
+
+// stateAfter returns the state after so many records that mean nothing.
+func stateAfter(t *testing.T, records int) *fold.State {
+	t.Helper()
+	state := fold.New()
+	for i := range records {
+		after, err := state.Apply(core.Entry{Offset: int64(i), Data: []byte("noise")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		state = after
+	}
+	return state
+}
+
+func newFollower(records, snapshots *fake.Log) *Follower {
+	return New(Streams{Records: records, Snapshots: snapshots}, time.Second, logr.Discard())
+}
+
+// TestFollowerNeverGoesBack offers an older state, an older record and a gap.
+func TestFollowerNeverGoesBack(t *testing.T) {
+	follower := newFollower(fake.NewLog(0), fake.NewLog(0))
+	follower.Adopt(stateAfter(t, 5))
+	follower.Adopt(stateAfter(t, 3))
+	if got, want := follower.State().Next, int64(5); got != want {
+		t.Errorf("got next %d after an older state, want %d", got, want)
+	}
+	if err := follower.Offer([]core.Entry{{Offset: 2, Data: []byte("other")}}); err != nil {
+		t.Errorf("got %v for an older record, want it passed over", err)
+	}
+	if err := follower.Offer([]core.Entry{{Offset: 7, Data: []byte("x")}}); err == nil {
+		t.Error("got no error for a gap, want one")
+	}
+	if got, want := follower.State().Digest, stateAfter(t, 5).Digest; got != want {
+		t.Errorf("got digest %d, want %d", got, want)
+	}
+}
+
+// TestSinceGivesWhatIsKept asks for records within and beyond what is kept.
+func TestSinceGivesWhatIsKept(t *testing.T) {
+	follower := newFollower(fake.NewLog(0), fake.NewLog(0))
+	var entries []core.Entry
+	const total = recentEntries + 10
+	for i := range total {
+		entries = append(entries, core.Entry{Offset: int64(i), Data: []byte("x")})
+	}
+	if err := follower.Offer(entries); err != nil {
+		t.Fatal(err)
+	}
+	if _, kept := follower.Since(5); kept {
+		t.Error("got records that should be dropped, want none")
+	}
+	got, kept := follower.Since(total - 3)
+	if !kept || len(got) != 3 || got[0].Offset != total-3 {
+		t.Errorf("got %d records, kept %t; want the last 3", len(got), kept)
+	}
+	if got, kept := follower.Since(total); !kept || len(got) != 0 {
+		t.Errorf("got %d records, kept %t; want none to be missing", len(got), kept)
+	}
+}
+
+// TestLogThatLostRecords lets a log come back shorter than what was read.
+func TestLogThatLostRecords(t *testing.T) {
+	state := stateAfter(t, 5)
+	streams := Streams{Records: fake.NewLog(0), Snapshots: fake.NewLog(0)}
+	after, err := CatchUp(t.Context(), streams, state)
+	if err == nil || after.Next != 5 {
+		t.Errorf("got next %d and %v, want 5 and an error", after.Next, err)
+	}
+}
+
+// TestGapWithoutSnapshot lets records expire that no snapshot covers.
+func TestGapWithoutSnapshot(t *testing.T) {
+	records := fake.NewLog(0)
+	for range 5 {
+		_, _ = records.Append(t.Context(), []byte("x"))
+	}
+	records.Expire(3)
+	after, err := CatchUp(t.Context(), Streams{Records: records, Snapshots: fake.NewLog(0)}, fold.New())
+	if err == nil || after.Next != 0 {
+		t.Errorf("got next %d and %v, want 0 and an error", after.Next, err)
+	}
+}
+
+// TestSnapshotsStayAheadOfRetention appends records to a log that keeps few, at
+// several paces; a fresh node must be able to start at any time.
+func TestSnapshotsStayAheadOfRetention(t *testing.T) {
+	for _, pause := range []time.Duration{100 * time.Millisecond, time.Second, time.Minute} {
+		t.Run(fmt.Sprint(pause), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playRetention(t, pause) })
+		})
+	}
+}
+
+func playRetention(t *testing.T, pause time.Duration) {
+	records, snapshots := fake.NewLog(100), fake.NewLog(20)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	follower := newFollower(records, snapshots)
+	for range 2 {
+		snapshotter := NewSnapshotter(follower, 32, 10*time.Minute, logr.Discard())
+		go snapshotter.Run(ctx)
+	}
+	go follower.Run(ctx)
+	for i := range 400 {
+		if _, err := records.Append(ctx, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(pause)
+		state, err := CatchUp(ctx, follower.streams, fold.New())
+		if err != nil || state.Next != int64(i+1) {
+			t.Fatalf("got next %d and %v after %d records, want all", state.Next, err, i+1)
+		}
+	}
+	bounds, _ := snapshots.Bounds(ctx)
+	due := int64(400/32) + int64(400*pause/(10*time.Minute))
+	if bounds.Next > 2*due {
+		t.Errorf("got %d snapshots of two writers, want at most %d, one each whenever due", bounds.Next, 2*due)
+	}
+}
--- a/node/scene_test.go
+++ b/node/scene_test.go
@@ -107,6 +107,7 @@
 		"list":    func(args []string) { s.list.SetDown(args[0] == "down") },
 		"host":    s.playHost,
 		"publish": s.playPublish,
+		"drain":   s.playDrain,
 		"race":    s.playRace,
 		"told":    s.playTold,
 		"wait":    func(args []string) { s.wait(s.duration(args[0])) },
@@ -243,6 +244,12 @@
 	s.playTold([]string{args[0], args[2]})
 }
 
+// playDrain publishes the drain of a host: drain ID HOST.
+func (s *scene) playDrain(args []string) {
+	s.publish(args[0], s.accepted, "Maintenance: {Drain: ["+args[1]+"]}\n")
+	s.playTold([]string{args[0], "published"})
+}
+
 // fileOf returns a file whose text differs by publisher, so that two of them
 // never publish the same.
 func fileOf(id string) string { return "# " + id + "\nMaintenance: {AtOnce: 2}\n" }
