--- a/follow/reader.go
+++ b/follow/reader.go
@@ -36,7 +36,7 @@
 const (
 	readLimit = 256
 	// snapshotWindow is the number of chunks first looked at from the end.
-	snapshotWindow = 64
+	snapshotWindow = 4
 )
 
 // ReadSnapshot returns the newest whole snapshot, or nil if there is none.
--- a/node/scenenode_test.go
+++ b/node/scenenode_test.go
@@ -109,7 +109,7 @@
 
 var errCut = errors.New("cut off")
 
-// cutLog is a node's way to the log.
+// cutLog is a node's way to the log; a cut breaks reads under way as well.
 type cutLog struct {
 	scene *scene
 	node  string
@@ -129,7 +129,11 @@
 	if c.cut() {
 		return nil, errCut
 	}
-	return c.log.Read(ctx, from, limit, wait)
+	entries, err := c.log.Read(ctx, from, limit, wait)
+	if c.cut() {
+		return nil, errCut
+	}
+	return entries, err
 }
 
 func (c *cutLog) Bounds(ctx context.Context) (core.Bounds, error) {
