--- a/cmd/rattanpath/cmds/measure.go
+++ b/cmd/rattanpath/cmds/measure.go
@@ -67,9 +67,10 @@
 
 // measureControl measures the cost of control.
 type measureControl struct {
-	Nodes []int `help:"Numbers of entry nodes." default:"8,32,64"`
-	Hosts int   `help:"Worker hosts." default:"730"`
-	Pools int   `help:"Pools." default:"22"`
+	Nodes  []int         `help:"Numbers of entry nodes." default:"8,32,64"`
+	Hosts  int           `help:"Worker hosts." default:"730"`
+	Pools  int           `help:"Pools." default:"22"`
+	Settle time.Duration `help:"Time before the measurement begins." default:"60s"`
 }
 
 // Run prints a row for each number of nodes.
@@ -77,7 +78,7 @@
 	rows := []string{"NODES\tHOSTS\tBYTES/S A NODE\tCPU % OF A CORE\tMEMORY A NODE"}
 	var all []*gauge.Control
 	for _, nodes := range c.Nodes {
-		m, err := gauge.MeasureControl(e.ctx, nodes, c.Hosts, c.Pools)
+		m, err := gauge.MeasureControl(e.ctx, nodes, c.Hosts, c.Pools, c.Settle)
 		if err != nil {
 			return err
 		}
--- a/gauge/control.go
+++ b/gauge/control.go
@@ -18,13 +18,12 @@
 	MemoryBytes int64
 }
 
-const (
-	controlSettle = 2 * time.Second
-	controlWatch  = 10 * time.Second
-)
+const controlWatch = 10 * time.Second
 
-// MeasureControl measures an idle fleet of so many nodes and hosts.
-func MeasureControl(ctx context.Context, nodes, hosts, pools int) (*Control, error) {
+// MeasureControl measures an idle fleet of so many nodes and hosts, after it
+// has had time to settle: until a node has asked each peer once, the types that
+// net/rpc sends first on a connection take up most of the bytes.
+func MeasureControl(ctx context.Context, nodes, hosts, pools int, settle time.Duration) (*Control, error) {
 	before := memoryInUse()
 	f, err := startFleet(ctx, Synthesize(hosts, pools, pools), nodes, false)
 	if f != nil {
@@ -33,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(controlSettle)
+	time.Sleep(settle)
 	bytes, processor, started := f.ControlBytes(), processorTime(), time.Now()
 	time.Sleep(controlWatch)
 	took := time.Since(started)
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -27,7 +26,7 @@
 type Handler struct {
 	node      string
 	tables    Tables
-	metrics   *metrics.Set
+	meters    meters
 	transport *http.Transport
 	router    *mux.Router
 	// stopping says that the node is about to stop.
@@ -37,7 +36,7 @@
 
 // New returns a handler for the node of that name.
 func New(node string, tables Tables, set *metrics.Set) *Handler {
-	h := &Handler{node: node, tables: tables, metrics: set, transport: newTransport()}
+	h := &Handler{node: node, tables: tables, meters: meters{set: set}, transport: newTransport()}
 	h.router = mux.NewRouter().SkipClean(true).UseEncodedPath()
 	h.router.HandleFunc("/{Service}", h.serve)
 	h.router.HandleFunc("/{Service}/{Path:.*}", h.serve)
@@ -79,14 +78,15 @@
 		return
 	}
 	err = c.run()
-	h.observe(name, started)
+	h.meters.observe(name, started)
 	switch {
 	case err == nil:
-		h.count(name, core.Ran, "")
+		h.meters.count(name, core.Ran, "")
 	case c.answered:
 		// The answer can't be taken back, so the caller is made to see that it
 		// broke off.
-		h.countFailure(name, err)
+		failure := asFailure(err)
+		h.meters.count(name, failure.Verdict, failure.Cause)
 		panic(http.ErrAbortHandler)
 	default:
 		h.fail(w, name, err)
@@ -147,7 +147,7 @@
 // have run.
 func (h *Handler) fail(w http.ResponseWriter, service string, err error) {
 	failure := asFailure(err)
-	h.count(service, failure.Verdict, failure.Cause)
+	h.meters.count(service, failure.Verdict, failure.Cause)
 	header := w.Header()
 	header.Set(core.VerdictHeader, failure.Verdict.String())
 	header.Set(core.CauseHeader, string(failure.Cause))
@@ -169,18 +169,3 @@
 	}
 	return &core.Failure{Verdict: core.MayHaveRun, Cause: core.CauseUpstreamFailed, Status: http.StatusBadGateway, Err: err}
 }
-
-func (h *Handler) countFailure(service string, err error) {
-	failure := asFailure(err)
-	h.count(service, failure.Verdict, failure.Cause)
-}
-
-func (h *Handler) count(service string, verdict core.Verdict, cause core.Cause) {
-	name := fmt.Sprintf("rattanpath_requests_total{service=%q,verdict=%q,cause=%q}", service, verdict, cause)
-	h.metrics.GetOrCreateCounter(name).Inc()
-}
-
-func (h *Handler) observe(service string, started time.Time) {
-	name := fmt.Sprintf("rattanpath_request_seconds{service=%q}", service)
-	h.metrics.GetOrCreateHistogram(name).UpdateDuration(started)
-}
