route: admit without allocation; tests and a benchmark of the decision

Cause: the decision on a request should cost under 1 us and no allocation. Change: a lease is a value, and the closure of the queue is made only for those who wait. Tests of shares, choosers and waiting through a change.

--- /dev/null
+++ b/route/choose_test.go
@@ -0,0 +1,163 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rattanpath/config"
+	"rattanpath/core"
+	"rattanpath/fold"
+	"rattanpath/roster"
+)
+
+// world is a state and a roster that tests change.
+type world struct {
+	state *fold.State
+	hosts map[string]core.Host
+}
+
+func (w *world) State() *fold.State       { return w.state }
+func (w *world) Ready() bool              { return true }
+func (w *world) Changed() <-chan struct{} { return nil }
+func (w *world) Roster() *roster.Roster   { return &roster.Roster{Hosts: w.hosts} }
+
+// newRouter returns a router for one service on so many hosts.
+func newRouter(tb testing.TB, hosts, nodes int) (*Router, *world) {
+	tb.Helper()
+	names := ""
+	w := &world{hosts: make(map[string]core.Host)}
+	for i := range hosts {
+		name := fmt.Sprintf("h%d", i)
+		names += name + ", "
+		w.hosts[name] = core.Host{Name: name, Role: core.RoleWorker, State: core.HostLive, Address: name}
+	}
+	for i := range nodes {
+		name := fmt.Sprintf("node-%d", i)
+		w.hosts[name] = core.Host{Name: name, Role: core.RoleEntry, State: core.HostLive}
+	}
+	text := "Racks: {R: {DataCentre: D, Hosts: [" + names + "]}}\nPools: {P: {Racks: [R]}}\n" +
+		"Services: {S: {Pool: P, Budget: {MinReady: 0}, Queue: {Wait: 10ms}, Routes: {A: {Path: /}, B: {Path: /long/}}}}\n"
+	data, err := fold.EncodeRecord(fold.Record{Format: fold.Format, RequestID: "r", Publish: &fold.Publish{Set: config.Files{"a.yaml": text}}})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	w.state, err = fold.New().Apply(core.Entry{Data: data})
+	if err != nil || w.state.Revision == 0 {
+		tb.Fatalf("got %+v, %v; want the folder in force", w.state, err)
+	}
+	router := New(w, w, LeastOfTwo{}, logr.Discard())
+	router.step()
+	return router, w
+}
+
+// TestSharesOfNodes checks the part of each host that a node may use.
+func TestSharesOfNodes(t *testing.T) {
+	for nodes, want := range map[int]int64{0: 8, 1: 8, 3: 2, 8: 1, 9: 1} {
+		router, _ := newRouter(t, 4, nodes)
+		if got := router.Table().Services["S"].HostShare; got != want {
+			t.Errorf("got share %d of 8 slots for %d nodes, want %d", got, nodes, want)
+		}
+	}
+}
+
+// TestChoosersRespectShares takes every slot of every host with each chooser
+// and finds the next request refused.
+func TestChoosersRespectShares(t *testing.T) {
+	for _, name := range Choosers.Names() {
+		newChooser, err := Choosers.Lookup(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		router, _ := newRouter(t, 5, 2)
+		router.chooser = newChooser()
+		service := router.Table().Services["S"]
+		for range 5 * 4 {
+			if _, err := service.Admit(t.Context(), nil); err != nil {
+				t.Fatalf("%s: got %v, want a slot", name, err)
+			}
+		}
+		for _, upstream := range service.Upstreams {
+			if got := upstream.Slots.Used(); got != 4 {
+				t.Errorf("%s: got %d slots used at %s, want 4", name, got, upstream.Name)
+			}
+		}
+		_, err = service.Admit(t.Context(), nil)
+		failure, ok := err.(*core.Failure)
+		if !ok || failure.Verdict != core.NotRun || failure.Cause != core.CauseQueueTimeout {
+			t.Errorf("%s: got %v, want NotRun QueueTimeout", name, err)
+		}
+	}
+}
+
+// TestWaitingRequestGoesByNewestTable lets a host leave while a request waits;
+// the request must not get its slot.
+func TestWaitingRequestGoesByNewestTable(t *testing.T) {
+	router, w := newRouter(t, 2, 8)
+	service := router.Table().Services["S"]
+	leases := make(map[string]Lease)
+	for range 2 {
+		lease, err := service.Admit(t.Context(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leases[lease.Upstream.Name] = lease
+	}
+	service.Config.Queue.Wait = config.Duration(time.Minute)
+	got := make(chan string, 1)
+	go func() {
+		lease, err := service.Admit(t.Context(), nil)
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		got <- lease.Upstream.Name
+	}()
+	for service.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leaving := w.hosts["h0"]
+	leaving.State = core.HostLeaving
+	w.hosts = map[string]core.Host{"h0": leaving, "h1": w.hosts["h1"], "n": {Role: core.RoleEntry}}
+	for i := range 7 {
+		w.hosts[fmt.Sprint("n", i)] = core.Host{Role: core.RoleEntry}
+	}
+	router.step()
+	leases["h0"].Release()
+	leases["h1"].Release()
+	if name := <-got; name != "h1" {
+		t.Errorf("got %s, want h1, the host that stays", name)
+	}
+}
+
+// TestLongestRouteMatches checks which route a path belongs to.
+func TestLongestRouteMatches(t *testing.T) {
+	router, _ := newRouter(t, 1, 1)
+	for path, want := range map[string]string{"/": "A", "/long": "A", "/long/x": "B"} {
+		if got, ok := router.Table().Services["S"].Match(path); !ok || got.Name != want {
+			t.Errorf("got route %q for %s, want %s", got.Name, path, want)
+		}
+	}
+}
+
+// BenchmarkAdmit measures admission and the choice of a host.
+func BenchmarkAdmit(b *testing.B) {
+	for _, hosts := range []int{50, 730} {
+		router, _ := newRouter(b, hosts, 8)
+		service := router.Table().Services["S"]
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			b.ReportAllocs()
+			ctx := context.Background()
+			for b.Loop() {
+				lease, err := service.Admit(ctx, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				lease.Release()
+			}
+		})
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -81,7 +81,7 @@
 }
 
 // Release gives the slot back and lets those who wait for it try.
-func (l *Lease) Release() {
+func (l Lease) Release() {
 	l.Upstream.Slots.Release()
 	l.service.gate.slots.Release()
 	for _, gate := range l.service.neighbours {
@@ -91,13 +91,23 @@
 
 // Admit waits for a slot at a host other than exclude. Its error is a
 // core.Failure with the verdict NotRun.
-func (s *Service) Admit(ctx context.Context, exclude *Upstream) (*Lease, error) {
+func (s *Service) Admit(ctx context.Context, exclude *Upstream) (Lease, error) {
 	if len(s.Upstreams) == 0 {
-		return nil, core.Refuse(core.CauseNoHost, retryAfter)
+		return Lease{}, core.Refuse(core.CauseNoHost, retryAfter)
 	}
 	if len(s.Upstreams) == 1 {
 		exclude = nil
 	}
+	if s.Waiting() == 0 {
+		if upstream := s.newest().take(exclude); upstream != nil {
+			return Lease{Upstream: upstream, service: s}, nil
+		}
+	}
+	return s.admitFromQueue(ctx, exclude)
+}
+
+// admitFromQueue waits for a slot behind those who came before.
+func (s *Service) admitFromQueue(ctx context.Context, exclude *Upstream) (Lease, error) {
 	var upstream *Upstream
 	try := func() bool {
 		upstream = s.newest().take(exclude)
@@ -106,9 +116,9 @@
 	queue := s.Config.Queue
 	err := s.gate.queue.Wait(ctx, queue.Limit, timeOf(queue.Wait), try)
 	if err != nil {
-		return nil, refusal(err)
+		return Lease{}, refusal(err)
 	}
-	return &Lease{Upstream: upstream, service: s}, nil
+	return Lease{Upstream: upstream, service: s}, nil
 }
 
 // newest returns the service in the newest table, so that a request that has
