route: deal a host's slots out to the nodes so that shares add up

Cause: with equal shares of at least 1, 9 nodes send a worker of 8 slots more than it holds, and a node that starts counts itself before the others do: 5 requests too many under load. Ruled out: the count of slots within a node. Change: what does not divide goes by rendezvous hashing; peers count a node as soon as they hear of it, and a node takes requests only when every peer has (1 s of patience); one that is gone counts for 10 s more.

--- a/admin/status.go
+++ b/admin/status.go
@@ -85,7 +85,7 @@
 			Name:    service.Name,
 			Running: service.Running(),
 			Waiting: service.Waiting(),
-			Hosts:   len(service.Upstreams),
+			Hosts:   len(service.Targets),
 		})
 	}
 	slices.SortFunc(shown, func(a, b views.Service) int { return cmp.Compare(a.Name, b.Name) })
--- a/fleet/chaos_test.go
+++ b/fleet/chaos_test.go
@@ -219,3 +219,29 @@
 		t.Errorf("got %d requests at the worker 3 s after it left, want 0", late)
 	}
 }
+
+// TestSlotsHoldOverNodes lets callers ask for more than a pool holds, at as
+// many nodes as the users have at most; no worker may get more than its slots.
+func TestSlotsHoldOverNodes(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes seconds of real time")
+	}
+	f := startFleet(t, 9)
+	ledger := load.NewLedger()
+	caller := &load.Caller{
+		Targets: f,
+		Shapes:  []load.Shape{{Service: "Accession", Path: "/entry", Work: 200 * time.Millisecond, Size: 10}},
+		Ledger:  ledger,
+		Client:  load.NewClient(20 * time.Second),
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	caller.Run(ctx, 200)
+	if got := f.Platform.Account.Overshoot(); got != 0 {
+		t.Errorf("got %d requests beyond its slots at a worker, want 0", got)
+	}
+	const slots, rounds = 8 * 8, 15
+	if got, want := ledger.Count(load.Whole), slots*rounds/2; got < want {
+		t.Errorf("got %d whole answers, want at least %d, half of what the slots hold", got, want)
+	}
+}
--- a/node/scenenode_test.go
+++ b/node/scenenode_test.go
@@ -35,7 +35,7 @@
 // hosts returns the number of hosts that may get new requests.
 func (n *sceneNode) hosts() int {
 	if table := n.router.Table(); table != nil {
-		return len(table.Services["S"].Upstreams)
+		return len(table.Services["S"].Targets)
 	}
 	return 0
 }
@@ -51,7 +51,8 @@
 	n.follower = follow.New(streams, time.Second, logger)
 	snapshotter := follow.NewSnapshotter(n.follower, 16, 10*time.Minute, logger)
 	watcher := roster.New(&cutList{scene: s, node: name}, 500*time.Millisecond, logger)
-	n.router = route.New(n.follower, watcher, route.LeastOfTwo{}, logger)
+	members := roster.NewMembers(name)
+	n.router = route.New(name, n.follower, watcher, members, route.LeastOfTwo{}, logger)
 	options := peer.Options{
 		Node:   name,
 		Self:   name,
@@ -60,7 +61,7 @@
 		Fanout: 2,
 		Dial:   func(address string) peer.Link { return &cutLink{scene: s, from: name, to: address} },
 	}
-	exchanger := peer.New(options, n.follower, watcher, func() peer.Load { return peer.Load{} }, logger)
+	exchanger := peer.New(options, n.follower, watcher, members, func() peer.Load { return peer.Load{} }, logger)
 	s.network.setService(name, exchanger.Service())
 	s.list.Put(core.Host{Name: name, Role: core.RoleEntry, State: core.HostLive, PeerAddress: name})
 	s.nodes[name] = n
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -19,11 +19,16 @@
 const (
 	exchangeTimeout = time.Second
 	// startFanout is the number of peers asked in one round by a node that has
-	// no state yet.
-	startFanout = 16
+	// no state yet or that the others may not have heard of.
+	startFanout = 64
+	// startPause is the time between the rounds of such a node.
+	startPause = 100 * time.Millisecond
 	// startPatience is how long a node without a state waits for peers that
 	// don't answer.
 	startPatience = 3 * time.Second
+	// joinPatience is how long a node waits for every peer to have heard of it
+	// before it takes requests; a peer that is gone is still listed for a while.
+	joinPatience = time.Second
 	// forgetAfter is how long a peer's last word is kept.
 	forgetAfter = 30 * time.Second
 )
@@ -44,6 +49,7 @@
 	fixed    []string
 	states   States
 	rosters  Rosters
+	members  *roster.Members
 	load     func() Load
 	every    time.Duration
 	fanout   int
@@ -70,7 +76,7 @@
 }
 
 // New returns an exchanger for the node that options name.
-func New(options Options, states States, rosters Rosters, load func() Load, logger logr.Logger) *Exchanger {
+func New(options Options, states States, rosters Rosters, members *roster.Members, load func() Load, logger logr.Logger) *Exchanger {
 	return &Exchanger{
 		dial:    options.Dial,
 		node:    options.Node,
@@ -78,6 +84,7 @@
 		fixed:   options.Fixed,
 		states:  states,
 		rosters: rosters,
+		members: members,
 		load:    load,
 		every:   options.Every,
 		fanout:  options.Fanout,
@@ -110,6 +117,7 @@
 
 func (e *Exchanger) hear(node string, known Known) {
 	known.At = time.Now()
+	e.members.Hear(node)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if before, ok := e.known[node]; ok && known.Revision == 0 {
@@ -125,7 +133,7 @@
 	defer e.closeLinks()
 	for ctx.Err() == nil {
 		e.round(ctx)
-		timer := time.NewTimer(e.every/2 + rand.N(e.every))
+		timer := time.NewTimer(e.pause())
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -134,26 +142,47 @@
 	}
 }
 
+// pause returns the time until the next round.
+func (e *Exchanger) pause() time.Duration {
+	if !e.members.Joined() {
+		return startPause
+	}
+	return e.every/2 + rand.N(e.every)
+}
+
 func (e *Exchanger) closeLinks() {
 	for _, link := range e.links {
 		link.Close()
 	}
 }
 
-// round asks some peers at once. A node that is not ready asks as many as it
-// may.
+// round asks some peers at once. A node that is not ready, or that the others
+// may not have heard of, asks as many as it may.
 func (e *Exchanger) round(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	starting := !e.states.Ready()
 	fanout := e.fanout
-	if starting {
+	if starting || !e.members.Joined() {
 		fanout = startFanout
 	}
 	questions := e.askAll(ctx, e.pick(fanout))
 	if starting && e.mayStartFrom(questions) {
 		e.states.SetReady()
 	}
+	if e.heardByAll(questions) {
+		e.members.SetJoined()
+	}
+}
+
+// heardByAll reports whether every peer has heard of this node, so that they
+// leave it its share of the hosts, or patience has run out.
+func (e *Exchanger) heardByAll(questions []*question) bool {
+	if time.Since(e.started) >= joinPatience {
+		return true
+	}
+	unanswered := func(q *question) bool { return q.answer == nil }
+	return !e.rosters.Roster().At.IsZero() && !slices.ContainsFunc(questions, unanswered)
 }
 
 // mayStartFrom reports whether a node without a state may serve from what its
--- a/peer/server.go
+++ b/peer/server.go
@@ -26,7 +26,7 @@
 // maxInbound bounds the connections that peers hold open to a node.
 const maxInbound = 256
 
-func newFromSettings(settings core.Settings, follower *follow.Follower, watcher *roster.Watcher, router *route.Router, traffic *core.Traffic, logger logr.Logger) *Exchanger {
+func newFromSettings(settings core.Settings, follower *follow.Follower, watcher *roster.Watcher, members *roster.Members, router *route.Router, traffic *core.Traffic, logger logr.Logger) *Exchanger {
 	options := Options{
 		Node:   settings.Name,
 		Self:   settings.PeerListen,
@@ -35,7 +35,7 @@
 		Fanout: settings.Fanout,
 		Dial:   func(address string) Link { return NewLink(address, traffic) },
 	}
-	return New(options, follower, watcher, func() Load { return loadOf(router.Table()) }, logger)
+	return New(options, follower, watcher, members, func() Load { return loadOf(router.Table()) }, logger)
 }
 
 func loadOf(table *route.Table) Load {
--- a/proxy/fixture_test.go
+++ b/proxy/fixture_test.go
@@ -70,7 +70,9 @@
 		name := []string{"up-0", "up-1", "up-2"}[i]
 		hosts[name] = core.Host{Name: name, Role: core.RoleWorker, State: core.HostLive, Address: address}
 	}
-	router := route.New(fixedStates{state}, fixedRosters{&roster.Roster{Hosts: hosts}}, route.LeastOfTwo{}, logr.Discard())
+	members := roster.NewMembers("node")
+	members.SetJoined()
+	router := route.New("node", fixedStates{state}, fixedRosters{&roster.Roster{Hosts: hosts}}, members, route.LeastOfTwo{}, logr.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go router.Run(ctx)
--- a/roster/module.go
+++ b/roster/module.go
@@ -9,7 +9,7 @@
 
 func init() {
 	core.Modules.Register("roster", fx.Module("roster",
-		fx.Provide(newFromSettings),
+		fx.Provide(newFromSettings, newMembers),
 		fx.Invoke(start),
 	))
 }
@@ -18,6 +18,10 @@
 	return New(lister, settings.RosterPoll, logger)
 }
 
+func newMembers(settings core.Settings) *Members {
+	return NewMembers(settings.Name)
+}
+
 func start(loops *core.Loops, watcher *Watcher) {
 	loops.Go(watcher.Run)
 }
--- a/route/choose.go
+++ b/route/choose.go
@@ -21,30 +21,30 @@
 type LeastOfTwo struct{}
 
 // Choose implements Chooser.
-func (LeastOfTwo) Choose(upstreams []*Upstream, share int64, exclude *Upstream) *Upstream {
-	if len(upstreams) == 0 {
+func (LeastOfTwo) Choose(targets []Target, exclude *Upstream) *Upstream {
+	if len(targets) == 0 {
 		return nil
 	}
-	start := rand.IntN(len(upstreams))
-	first, second := upstreams[start], upstreams[rand.IntN(len(upstreams))]
-	if second.Slots.Used() < first.Slots.Used() {
+	start := rand.IntN(len(targets))
+	first, second := targets[start], targets[rand.IntN(len(targets))]
+	if second.lessBusy(first) {
 		first, second = second, first
 	}
-	if first.tryTake(share, exclude) {
-		return first
+	if first.tryTake(exclude) {
+		return first.Upstream
 	}
-	if second.tryTake(share, exclude) {
-		return second
+	if second.tryTake(exclude) {
+		return second.Upstream
 	}
-	return scan(upstreams, start, share, exclude)
+	return scan(targets, start, exclude)
 }
 
 // scan returns the first host with room from a position on.
-func scan(upstreams []*Upstream, start int, share int64, exclude *Upstream) *Upstream {
-	for i := range upstreams {
-		upstream := upstreams[(start+i)%len(upstreams)]
-		if upstream.tryTake(share, exclude) {
-			return upstream
+func scan(targets []Target, start int, exclude *Upstream) *Upstream {
+	for i := range targets {
+		target := targets[(start+i)%len(targets)]
+		if target.tryTake(exclude) {
+			return target.Upstream
 		}
 	}
 	return nil
@@ -57,10 +57,10 @@
 }
 
 // Choose implements Chooser.
-func (r *RoundRobin) Choose(upstreams []*Upstream, share int64, exclude *Upstream) *Upstream {
-	if len(upstreams) == 0 {
+func (r *RoundRobin) Choose(targets []Target, exclude *Upstream) *Upstream {
+	if len(targets) == 0 {
 		return nil
 	}
-	start := int(r.next.Add(1) % uint64(len(upstreams)))
-	return scan(upstreams, start, share, exclude)
+	start := int(r.next.Add(1) % uint64(len(targets)))
+	return scan(targets, start, exclude)
 }
--- a/route/choose_test.go
+++ b/route/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 func (w *world) State() *fold.State       { return w.state }
 func (w *world) Ready() bool              { return true }
 func (w *world) Changed() <-chan struct{} { return nil }
+func (w *world) Names() []string          { return []string{"node-0"} }
+func (w *world) Joined() bool             { return true }
 func (w *world) Roster() *roster.Roster   { return &roster.Roster{Hosts: w.hosts} }
 
 // newRouter returns a router for one service on so many hosts.
@@ -49,21 +52,53 @@
 	if err != nil || w.state.Revision == 0 {
 		tb.Fatalf("got %+v, %v; want the folder in force", w.state, err)
 	}
-	router := New(w, w, LeastOfTwo{}, logr.Discard())
+	router := New("node-0", w, w, w, LeastOfTwo{}, logr.Discard())
 	router.step()
 	return router, w
 }
 
-// TestSharesOfNodes checks the part of each host that a node may use.
-func TestSharesOfNodes(t *testing.T) {
-	for nodes, want := range map[int]int64{0: 8, 1: 8, 3: 2, 8: 1, 9: 1} {
-		router, _ := newRouter(t, 4, nodes)
-		if got := router.Table().Services["S"].HostShare; got != want {
-			t.Errorf("got share %d of 8 slots for %d nodes, want %d", got, nodes, want)
+// fewNodes is the number of nodes up to which each must have a slot of some
+// host of a usual pool.
+const fewNodes = 16
+
+// TestSharesAddUp checks that the shares of all nodes of a host add up to its
+// slots, and that none of a few nodes is left without any.
+func TestSharesAddUp(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 7, 8, 9, 16, 64} {
+		var nodes []string
+		for i := range count {
+			nodes = append(nodes, fmt.Sprintf("node-%d", i))
+		}
+		total := make(map[string]int64)
+		for host := range 40 {
+			sum := int64(0)
+			for _, node := range nodes {
+				share := slotShare(8, fmt.Sprintf("h%d", host), node, nodes)
+				sum += share
+				total[node] += share
+			}
+			if sum != 8 {
+				t.Errorf("got %d slots of h%d shared by %d nodes, want 8", sum, host, count)
+			}
+		}
+		for node, share := range total {
+			if share == 0 && count <= fewNodes {
+				t.Errorf("got no slot of 40 hosts for %s of %d nodes, want some", node, count)
+			}
 		}
 	}
 }
 
+// TestNodeWithoutShare checks that a node that ranks too low for the only host
+// may still send it one request at a time.
+func TestNodeWithoutShare(t *testing.T) {
+	router, _ := newRouter(t, 1, 200)
+	targets := router.Table().Services["S"].Targets
+	if len(targets) != 1 || targets[0].Share != 1 {
+		t.Errorf("got targets %+v, want one slot of the host", targets)
+	}
+}
+
 // TestChoosersRespectShares takes every slot of every host with each chooser
 // and finds the next request refused.
 func TestChoosersRespectShares(t *testing.T) {
@@ -80,7 +115,7 @@
 				t.Fatalf("%s: got %v, want a slot", name, err)
 			}
 		}
-		for _, upstream := range service.Upstreams {
+		for _, upstream := range service.Targets {
 			if got := upstream.Slots.Used(); got != 4 {
 				t.Errorf("%s: got %d slots used at %s, want 4", name, got, upstream.Name)
 			}
@@ -121,10 +156,8 @@
 	}
 	leaving := w.hosts["h0"]
 	leaving.State = core.HostLeaving
-	w.hosts = map[string]core.Host{"h0": leaving, "h1": w.hosts["h1"], "n": {Role: core.RoleEntry}}
-	for i := range 7 {
-		w.hosts[fmt.Sprint("n", i)] = core.Host{Role: core.RoleEntry}
-	}
+	w.hosts = maps.Clone(w.hosts)
+	w.hosts["h0"] = leaving
 	router.step()
 	leases["h0"].Release()
 	leases["h1"].Release()
--- a/route/module.go
+++ b/route/module.go
@@ -16,12 +16,12 @@
 	))
 }
 
-func newFromSettings(settings core.Settings, follower *follow.Follower, watcher *roster.Watcher, logger logr.Logger) (*Router, error) {
+func newFromSettings(settings core.Settings, follower *follow.Follower, watcher *roster.Watcher, members *roster.Members, logger logr.Logger) (*Router, error) {
 	newChooser, err := Choosers.Lookup(settings.Chooser)
 	if err != nil {
 		return nil, err
 	}
-	return New(follower, watcher, newChooser(), logger), nil
+	return New(settings.Name, follower, watcher, members, newChooser(), logger), nil
 }
 
 func start(loops *core.Loops, router *Router) {
--- a/route/router.go
+++ b/route/router.go
@@ -33,10 +33,21 @@
 	Changed() <-chan struct{}
 }
 
-// Router builds a table whenever the state or the roster changes.
+// Members gives the entry nodes that were heard of directly.
+type Members interface {
+	// Names returns the node itself and those heard of lately.
+	Names() []string
+	// Joined reports whether the others have heard of this node.
+	Joined() bool
+	Changed() <-chan struct{}
+}
+
+// Router builds a table whenever the state, the roster or the members change.
 type Router struct {
+	self    string
 	states  States
 	rosters Rosters
+	members Members
 	chooser Chooser
 	logger  logr.Logger
 
@@ -46,13 +57,18 @@
 	upstreams map[string]*Upstream
 	gates     map[string]*gate
 	hosts     map[string]core.Host
+	// nodes are the names of those who share the hosts, in ascending order.
+	nodes []string
 }
 
-// New returns a router that has no table until its loop has built one.
-func New(states States, rosters Rosters, chooser Chooser, logger logr.Logger) *Router {
+// New returns a router for the node named self, that has no table until its
+// loop has built one.
+func New(self string, states States, rosters Rosters, members Members, chooser Chooser, logger logr.Logger) *Router {
 	return &Router{
+		self:      self,
 		states:    states,
 		rosters:   rosters,
+		members:   members,
 		chooser:   chooser,
 		logger:    logger.WithName("route"),
 		upstreams: make(map[string]*Upstream),
@@ -68,10 +84,12 @@
 	for {
 		stateChanged := r.states.Changed()
 		rosterChanged := r.rosters.Changed()
+		membersChanged := r.members.Changed()
 		r.step()
 		select {
 		case <-stateChanged:
 		case <-rosterChanged:
+		case <-membersChanged:
 		case <-ctx.Done():
 			return
 		}
@@ -83,14 +101,15 @@
 	state := r.states.State()
 	declaration := state.Declaration()
 	hosts := r.rosters.Roster().Hosts
-	if !r.states.Ready() || declaration == nil {
+	if !r.states.Ready() || !r.members.Joined() || declaration == nil {
 		return
 	}
+	nodes := r.sharers(hosts)
 	before := r.Table()
-	if before != nil && before.Revision == state.Revision && maps.Equal(hosts, r.hosts) {
+	if before != nil && before.Revision == state.Revision && maps.Equal(hosts, r.hosts) && slices.Equal(nodes, r.nodes) {
 		return
 	}
-	r.hosts = hosts
+	r.hosts, r.nodes = hosts, nodes
 	r.table.Store(r.build(state.Revision, declaration))
 	r.wakeAll()
 	r.forget()
@@ -98,16 +117,14 @@
 
 func (r *Router) build(revision int64, declaration *config.Declaration) *Table {
 	table := &Table{Revision: revision, Services: make(map[string]*Service)}
-	nodes := r.countNodes()
 	pools := r.usableHosts(declaration)
 	for name, service := range declaration.Config.Services {
 		quota := min(declaration.SlotQuota(name), declaration.ConnectionQuota(name))
 		table.Services[name] = &Service{
 			Name:       name,
 			Config:     service,
-			Upstreams:  pools[service.Pool],
-			HostShare:  share(declaration.Config.HostShape.Slots, nodes),
-			QuotaShare: share(quota, nodes),
+			Targets:    r.targets(pools[service.Pool], declaration.Config.HostShape.Slots),
+			QuotaShare: quotaShare(quota, len(r.nodes)),
 			Routes:     sortRoutes(service.Routes),
 			router:     r,
 			gate:       r.gate(name),
@@ -127,21 +144,37 @@
 	}
 }
 
-// countNodes returns the number of entry nodes that share the hosts.
-func (r *Router) countNodes() int {
-	nodes := 0
-	for _, host := range r.hosts {
+// sharers returns the names of the entry nodes that share the hosts: those on
+// the list, leaving ones included, and those heard of directly.
+func (r *Router) sharers(hosts map[string]core.Host) []string {
+	names := r.members.Names()
+	for name, host := range hosts {
 		if host.Role == core.RoleEntry {
-			nodes++
+			names = append(names, name)
 		}
 	}
-	return max(1, nodes)
+	slices.Sort(names)
+	return slices.Compact(names)
 }
 
-// share returns this node's part of a limit that all nodes keep together, and
-// at least 1.
-func share(limit, nodes int) int64 {
-	return int64(max(1, limit/nodes))
+// targets returns the hosts of a pool with this node's shares. Where it has
+// none at any, it takes one slot of the host for which it ranks best, since it
+// can't hand a request over to another node.
+func (r *Router) targets(upstreams []*Upstream, slots int) []Target {
+	var targets []Target
+	best := -1
+	for i, upstream := range upstreams {
+		if share := slotShare(slots, upstream.Name, r.self, r.nodes); share > 0 {
+			targets = append(targets, Target{Upstream: upstream, Share: share})
+		}
+		if best < 0 || rank(upstream.Name, r.self, r.nodes) < rank(upstreams[best].Name, r.self, r.nodes) {
+			best = i
+		}
+	}
+	if len(targets) == 0 && best >= 0 {
+		targets = append(targets, Target{Upstream: upstreams[best], Share: 1})
+	}
+	return targets
 }
 
 // usableHosts returns, for each pool, the hosts that may get new requests.
--- a/route/table.go
+++ b/route/table.go
@@ -25,10 +25,8 @@
 type Service struct {
 	Name   string
 	Config config.Service
-	// Upstreams are the hosts that may get new requests.
-	Upstreams []*Upstream
-	// HostShare is the number of slots of each host that this node may use.
-	HostShare int64
+	// Targets are the hosts that may get new requests.
+	Targets []Target
 	// QuotaShare is the number of requests that this node may run at once.
 	QuotaShare int64
 	// Routes are sorted by descending length of their paths.
@@ -92,10 +90,10 @@
 // Admit waits for a slot at a host other than exclude. Its error is a
 // core.Failure with the verdict NotRun.
 func (s *Service) Admit(ctx context.Context, exclude *Upstream) (Lease, error) {
-	if len(s.Upstreams) == 0 {
+	if len(s.Targets) == 0 {
 		return Lease{}, core.Refuse(core.CauseNoHost, retryAfter)
 	}
-	if len(s.Upstreams) == 1 {
+	if len(s.Targets) == 1 {
 		exclude = nil
 	}
 	if s.Waiting() == 0 {
@@ -134,7 +132,7 @@
 	if !s.gate.slots.TryTake(s.QuotaShare) {
 		return nil
 	}
-	upstream := s.router.chooser.Choose(s.Upstreams, s.HostShare, exclude)
+	upstream := s.router.chooser.Choose(s.Targets, exclude)
 	if upstream == nil {
 		s.gate.slots.Release()
 	}
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -15,13 +15,25 @@
 	Slots limit.Slots
 }
 
+// Target is an upstream with the number of its slots that this node may use.
+type Target struct {
+	*Upstream
+	Share int64
+}
+
 // Chooser chooses the host of a request and takes a slot there.
 type Chooser interface {
-	// Choose returns a host other than exclude at which it took one of share
-	// slots, or nil if none has room.
-	Choose(upstreams []*Upstream, share int64, exclude *Upstream) *Upstream
+	// Choose returns a host other than exclude at which it took a slot, or nil
+	// if none has room.
+	Choose(targets []Target, exclude *Upstream) *Upstream
+}
+
+func (t Target) tryTake(exclude *Upstream) bool {
+	return t.Upstream != exclude && t.Slots.TryTake(t.Share)
 }
 
-func (u *Upstream) tryTake(share int64, exclude *Upstream) bool {
-	return u != exclude && u.Slots.TryTake(share)
+// lessBusy reports whether a smaller part of this node's share is in use than
+// of the other's.
+func (t Target) lessBusy(other Target) bool {
+	return t.Slots.Used()*other.Share < other.Slots.Used()*t.Share
 }
