config: parse only the files that differ from what is in force

Cause: folding a change merged and checked the whole folder anew: 10.2 ms at 730 hosts, 60% of it parsing and 12% listing the hosts of pools again and again. Change: a merge that changes none of its inputs, so that parsed files are kept from one declaration to the next; the hosts of a pool are listed once.

--- a/config/check.go
+++ b/config/check.go
@@ -52,6 +52,7 @@
 // hosts places every host in its rack.
 func (c *checker) hosts() {
 	c.declaration.Hosts = make(map[string]Place)
+	c.declaration.pools = make(map[string][]string)
 	if c.config.HostShape.Slots < 1 || c.config.HostShape.Connections < 1 {
 		c.problems.add(c.at("HostShape"), "allow at least one of each", "HostShape leaves a host without slots or connections")
 	}
@@ -92,6 +93,7 @@
 				c.join(name, host, at)
 			}
 		}
+		slices.Sort(c.declaration.pools[name])
 	}
 }
 
@@ -107,6 +109,7 @@
 	default:
 		place.Pool = pool
 		c.declaration.Hosts[host] = place
+		c.declaration.pools[pool] = append(c.declaration.pools[pool], host)
 	}
 }
 
--- a/config/merge.go
+++ b/config/merge.go
@@ -1,35 +1,43 @@
 package config
 
+import (
+	"maps"
+	"slices"
+)
+
 // merge lays the later tree over the earlier one: maps merge key by key,
-// scalars and lists replace, and a removal takes an earlier value away.
+// scalars and lists replace, and a removal takes an earlier value away. It
+// changes neither tree.
 func merge(earlier, later *Setting, path string, problems *Problems) *Setting {
 	if earlier.Kind != Map || later.Kind != Map {
 		return replace(earlier, later)
 	}
+	merged := &Setting{Kind: Map, Position: earlier.Position, Children: maps.Clone(earlier.Children)}
 	for _, key := range later.Keys() {
 		child := later.Children[key]
 		childPath := join(path, key)
-		before, exists := earlier.Children[key]
+		before, exists := merged.Children[key]
 		switch {
 		case child.Kind == removal && !exists:
 			problems.add(child.Position, "drop the line, or mend the name", "%s removes %s, which no earlier file sets", removeTag, childPath)
 		case child.Kind == removal:
-			delete(earlier.Children, key)
+			delete(merged.Children, key)
 		case !exists:
-			earlier.Children[key] = withoutRemovals(child, childPath, problems)
+			merged.Children[key] = withoutRemovals(child, childPath, problems)
 		case before.Kind != child.Kind:
 			problems.add(child.Position, "give it the same shape", "%s is %s here and %s at %s", childPath, child.Kind, before.Kind, before.Position)
 		default:
-			earlier.Children[key] = merge(before, child, childPath, problems)
+			merged.Children[key] = merge(before, child, childPath, problems)
 		}
 	}
-	return earlier
+	return merged
 }
 
 func replace(earlier, later *Setting) *Setting {
 	old := Override{Position: earlier.Position, Text: earlier.String()}
-	later.Overrode = append(earlier.Overrode, old)
-	return later
+	replacement := *later
+	replacement.Overrode = append(slices.Clone(earlier.Overrode), old)
+	return &replacement
 }
 
 // withoutRemovals reports the removals within a tree that nothing precedes.
--- a/config/merge_test.go
+++ b/config/merge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -102,10 +103,14 @@
 			naive = naiveMerge(naive, decoded)
 		}
 		var problems Problems
-		tree := mergeFiles(files, &problems)
+		trees := (*Declaration)(nil).parse(files, &problems)
+		tree := mergeTrees(files, trees, &problems)
 		if len(problems) > 0 {
 			t.Fatalf("got problems %v, want none", problems)
 		}
+		if again := mergeTrees(files, trees, &problems); !reflect.DeepEqual(again, tree) {
+			t.Fatalf("got another tree from the same files, want the merge to change none of them")
+		}
 		if got, want := fmt.Sprint(plain(tree)), fmt.Sprint(naive); got != want {
 			t.Fatalf("got %s, want %s", got, want)
 		}
@@ -135,7 +140,8 @@
 		t.Errorf("got order %v, want %v", got, want)
 	}
 	var problems Problems
-	if got, want := mergeFiles(files, &problems).Children["v"].Text, "2"; got != want {
+	trees := (*Declaration)(nil).parse(files, &problems)
+	if got, want := mergeTrees(files, trees, &problems).Children["v"].Text, "2"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
--- a/fold/state.go
+++ b/fold/state.go
@@ -114,7 +114,7 @@
 		return fmt.Sprintf("made against revision %d; %s published revision %d first", change.Base, s.Writer, s.Revision)
 	}
 	files := ApplyChange(s.Files, *change)
-	declaration, err := config.Load(files)
+	declaration, err := s.declaration.Reload(files)
 	if err != nil {
 		return "invalid: " + err.Error()
 	}
