route: eject hosts that fail in a row

Cause: a worker of 12 that failed everything at once got 1,394 of 9,709 requests, 14% instead of its 8%: its slots are free sooner than others'. Change: after 5 failures in a row a node sends a host only probes, at most a third of a pool at once; what callers bring about does not count.

--- a/admin/status.go
+++ b/admin/status.go
@@ -86,6 +86,7 @@
 			Running: service.Running(),
 			Waiting: service.Waiting(),
 			Hosts:   len(service.Targets),
+			Ejected: service.Ejected(),
 		})
 	}
 	slices.SortFunc(shown, func(a, b views.Service) int { return cmp.Compare(a.Name, b.Name) })
--- a/fleet/chaos_test.go
+++ b/fleet/chaos_test.go
@@ -245,3 +245,52 @@
 		t.Errorf("got %d whole answers, want at least %d, half of what the slots hold", got, want)
 	}
 }
+
+// TestFailingWorkerGetsLittle lets one of 12 workers fail everything at once,
+// which frees its slots sooner than work does. It must not attract work, and
+// must get its part again once it is well.
+func TestFailingWorkerGetsLittle(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes seconds of real time")
+	}
+	f := startFleet(t, 3)
+	workers := hostsOf(t, f, "Reading")
+	shape := load.Shape{Service: "ReadingRoom", Path: "/request", Work: 10 * time.Millisecond, Size: 10}
+	const requests = 6000
+	run := func() (bad, total int64) {
+		before, badBefore := served(workers), workers[0].Served()
+		caller := &load.Caller{Targets: f, Shapes: []load.Shape{shape}, Ledger: load.NewLedger(), Client: load.NewClient(20 * time.Second)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var callers sync.WaitGroup
+		callers.Go(func() { caller.Run(ctx, 48) })
+		for served(workers)-before < requests {
+			time.Sleep(10 * time.Millisecond)
+		}
+		cancel()
+		callers.Wait()
+		bad, total = workers[0].Served()-badBefore, served(workers)-before
+		t.Logf("%d of %d requests at one of %d workers", bad, total, len(workers))
+		return bad, total
+	}
+	workers[0].SetMode(fake.FailAll)
+	bad, total := run()
+	if fair := total / int64(len(workers)); bad > fair/4 {
+		t.Errorf("got %d of %d requests at the failing worker, want at most a quarter of its part, %d", bad, total, fair/4)
+	}
+	workers[0].SetMode(fake.Healthy)
+	time.Sleep(8 * time.Second)
+	run()
+	bad, total = run()
+	if fair := total / int64(len(workers)); bad < fair/2 {
+		t.Errorf("got %d of %d requests at the worker that is well again, want at least half of its part, %d", bad, total, fair/2)
+	}
+}
+
+func served(workers []*fake.Worker) int64 {
+	total := int64(0)
+	for _, worker := range workers {
+		total += worker.Served()
+	}
+	return total
+}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -118,16 +118,40 @@
 	defer cancel()
 	response, err := c.send(sendCtx, lease.Upstream)
 	if err != nil {
+		c.judge(lease, 0, err)
 		return lease.Upstream, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	err = c.answer(sendCtx, response)
+	c.judge(lease, response.StatusCode, err)
 	if err == nil && c.request.ContentLength != 0 {
 		c.body.drain()
 	}
 	return lease.Upstream, err
 }
 
+// judge tells the host's health how an attempt ended. What a caller brought
+// about, by leaving, by its body or by a deadline of its own, says nothing of
+// the host.
+func (c *call) judge(lease route.Lease, status int, err error) {
+	if err == nil {
+		if status >= http.StatusInternalServerError {
+			lease.Failed()
+		} else {
+			lease.Succeeded()
+		}
+		return
+	}
+	switch asFailure(err).Cause {
+	case core.CauseConnect, core.CauseUpstreamFailed, core.CauseTruncated, core.CauseUnboundedAnswer:
+		lease.Failed()
+	case core.CauseDeadline:
+		if c.request.Header.Get(core.TimeoutHeader) == "" {
+			lease.Failed()
+		}
+	}
+}
+
 // sendContext returns the context of a request once it is sent. A request that
 // is not idempotent is left to finish when its caller goes away, so that its
 // verdict can be known.
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -12,7 +12,8 @@
 	Rack       string
 	DataCentre string
 	// Slots counts this node's requests in flight at the host.
-	Slots limit.Slots
+	Slots  limit.Slots
+	health health
 }
 
 // Target is an upstream with the number of its slots that this node may use.
@@ -29,7 +30,14 @@
 }
 
 func (t Target) tryTake(exclude *Upstream) bool {
-	return t.Upstream != exclude && t.Slots.TryTake(t.Share)
+	if t.Upstream == exclude || !t.Slots.TryTake(t.Share) {
+		return false
+	}
+	if !t.health.admits() {
+		t.Slots.Release()
+		return false
+	}
+	return true
 }
 
 // lessBusy reports whether a smaller part of this node's share is in use than
--- a/views/status.go
+++ b/views/status.go
@@ -57,6 +57,8 @@
 	Name    string
 	Running int64
 	Waiting int64
-	// Hosts is the number of hosts that may get new requests.
-	Hosts int
+	// Hosts is the number of hosts that may get new requests, and Ejected that
+	// of those among them that get only probes because they failed.
+	Hosts   int
+	Ejected int
 }
