--- a/change/publish.go
+++ b/change/publish.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	readWait   = 250 * time.Millisecond
+	// retryPause is the time between two tries to find out an outcome.
 	retryPause = 250 * time.Millisecond
+	// awaitPause is the time between two rounds of asking every node.
+	awaitPause = 50 * time.Millisecond
 )
 
 // Request is a configuration to publish.
@@ -113,10 +115,8 @@
 		if err == nil {
 			return state, nil
 		}
-		select {
-		case <-ctx.Done():
+		if core.Sleep(ctx, retryPause) != nil {
 			return nil, err
-		case <-time.After(retryPause):
 		}
 	}
 }
@@ -136,10 +136,8 @@
 			return p.result(outcome)
 		}
 		appendNeeded = appendErr != nil && readErr == nil
-		select {
-		case <-ctx.Done():
-			return 0, &UnknownError{RequestID: id, Err: firstError(appendErr, readErr, ctx.Err())}
-		case <-time.After(retryPause):
+		if err := core.Sleep(ctx, retryPause); err != nil {
+			return 0, &UnknownError{RequestID: id, Err: firstError(appendErr, readErr, err)}
 		}
 	}
 }
@@ -182,10 +180,8 @@
 		if err == nil && len(spread.Missing) == 0 {
 			return spread, nil
 		}
-		select {
-		case <-ctx.Done():
-			return spread, errors.Wrap(ctx.Err(), "waiting for every node")
-		case <-time.After(readWait / 5):
+		if err := core.Sleep(ctx, awaitPause); err != nil {
+			return spread, errors.Wrap(err, "waiting for every node")
 		}
 	}
 }
--- a/demo/steps.go
+++ b/demo/steps.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"rattanpath/change"
 	"rattanpath/config"
+	"rattanpath/core"
 	"rattanpath/fake"
 	"rattanpath/fleet"
 	"rattanpath/load"
@@ -76,38 +78,34 @@
 }
 
 func (r *run) warm(ctx context.Context) (string, error) {
-	err := pause(ctx, warmUp)
+	err := core.Sleep(ctx, warmUp)
 	return fmt.Sprintf("%d answered", r.ledger.Total()), err
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // race lets two operators publish against the same revision.
 func (r *run) race(ctx context.Context) (string, error) {
 	mine, theirs := maps.Clone(r.files), maps.Clone(r.files)
 	mine[tuningFile] = "Maintenance:\n  AtOnce: 7\n"
 	theirs[tuningFile] = "Maintenance:\n  AtOnce: 8\n"
-	results := make(chan error, 2)
-	go r.publishOne(ctx, "racer-1", mine, results)
-	go r.publishOne(ctx, "racer-2", theirs, results)
+	racers := []*racer{
+		{demo: r, id: "racer-1", files: mine},
+		{demo: r, id: "racer-2", files: theirs},
+	}
+	var wg sync.WaitGroup
+	for _, racer := range racers {
+		wg.Go(func() { racer.run(ctx) })
+	}
+	wg.Wait()
 	won, lost := 0, 0
-	for range 2 {
-		err := <-results
+	for _, racer := range racers {
 		var conflict *change.ConflictError
 		switch {
-		case err == nil:
+		case racer.err == nil:
 			won++
-		case errors.As(err, &conflict):
+		case errors.As(racer.err, &conflict):
 			lost++
 		default:
-			return "", err
+			return "", racer.err
 		}
 	}
 	if won != 1 || lost != 1 {
@@ -116,10 +114,19 @@
 	return "one won, the other was told", r.refresh(ctx)
 }
 
-func (r *run) publishOne(ctx context.Context, id string, files config.Files, results chan<- error) {
-	publisher := change.NewPublisher(r.fleet.Streams())
-	_, err := publisher.Publish(ctx, change.Request{ID: id, Writer: id, Base: r.revision, Files: files})
-	results <- err
+// racer is one of several operators who publish at once.
+type racer struct {
+	demo  *run
+	id    string
+	files config.Files
+	// err is what the operator is told.
+	err error
+}
+
+// run publishes against the revision in force when the race began.
+func (r *racer) run(ctx context.Context) {
+	publisher := change.NewPublisher(r.demo.fleet.Streams())
+	_, r.err = publisher.Publish(ctx, change.Request{ID: r.id, Writer: r.id, Base: r.demo.revision, Files: r.files})
 }
 
 // refresh takes over what is in force.
@@ -172,11 +179,11 @@
 // watchIdle waits until a host must have stopped getting work and counts what
 // it gets after that.
 func (r *run) watchIdle(ctx context.Context, worker *fake.Worker) (int64, error) {
-	if err := pause(ctx, settle); err != nil {
+	if err := core.Sleep(ctx, settle); err != nil {
 		return 0, err
 	}
 	before := worker.Served()
-	if err := pause(ctx, watch); err != nil {
+	if err := core.Sleep(ctx, watch); err != nil {
 		return 0, err
 	}
 	after := worker.Served() - before
@@ -216,7 +223,7 @@
 			took := time.Since(started).Round(time.Millisecond)
 			return fmt.Sprintf("ready with revision %d from peers after %s", revision, took), nil
 		}
-		if err := pause(ctx, 20*time.Millisecond); err != nil {
+		if err := core.Sleep(ctx, 20*time.Millisecond); err != nil {
 			return "", err
 		}
 	}
@@ -232,7 +239,7 @@
 	if err := r.fleet.Start(ctx, name); err != nil {
 		return "", err
 	}
-	if err := pause(ctx, warmUp); err != nil {
+	if err := core.Sleep(ctx, warmUp); err != nil {
 		return "", err
 	}
 	broken := r.ledger.Count(load.Broken) - before
--- a/fake/log.go
+++ b/fake/log.go
@@ -41,13 +41,13 @@
 	// retention is the number of records kept; 0 keeps all.
 	retention int
 	faults    Faults
-	appended  chan struct{}
+	appended  core.Signal
 }
 
 // NewLog returns an empty log that keeps the newest retention records, or all
 // if that is 0.
 func NewLog(retention int) *Log {
-	return &Log{retention: retention, appended: make(chan struct{})}
+	return &Log{retention: retention}
 }
 
 // SetFaults replaces the faults of the log.
@@ -65,15 +65,7 @@
 	if faults.Down {
 		return faults, ErrDown
 	}
-	if faults.Delay == 0 {
-		return faults, nil
-	}
-	select {
-	case <-time.After(faults.Delay):
-		return faults, nil
-	case <-ctx.Done():
-		return faults, ctx.Err()
-	}
+	return faults, core.Sleep(ctx, faults.Delay)
 }
 
 // Append adds one record and returns its offset.
@@ -98,8 +90,7 @@
 		l.records = l.records[excess:]
 		l.first += int64(excess)
 	}
-	close(l.appended)
-	l.appended = make(chan struct{})
+	l.appended.Notify()
 	return offset
 }
 
@@ -121,7 +112,8 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		entries, appended, err := l.visible(from, limit)
+		appended := l.appended.Changed()
+		entries, err := l.visible(from, limit)
 		if err != nil || len(entries) > 0 {
 			return entries, err
 		}
@@ -135,14 +127,14 @@
 	}
 }
 
-func (l *Log) visible(from int64, limit int) ([]core.Entry, chan struct{}, error) {
+func (l *Log) visible(from int64, limit int) ([]core.Entry, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
-		return nil, nil, ErrDown
+		return nil, ErrDown
 	}
 	if from < l.first {
-		return nil, nil, &core.ExpiredError{From: from, First: l.first}
+		return nil, &core.ExpiredError{From: from, First: l.first}
 	}
 	var entries []core.Entry
 	for i := from - l.first; i < int64(len(l.records)) && len(entries) < limit; i++ {
@@ -151,7 +143,7 @@
 		}
 		entries = append(entries, core.Entry{Offset: l.first + i, Data: l.records[i].data})
 	}
-	return entries, l.appended, nil
+	return entries, nil
 }
 
 // Bounds returns the limits of what the log holds.
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -46,8 +46,8 @@
 	mu     sync.Mutex
 	recent []core.Entry
 	bytes  int
-	// changed is closed and replaced at each change.
-	changed chan struct{}
+
+	changed core.Signal
 }
 
 // New returns a follower without any state. A read at the end of the log waits
@@ -57,7 +57,6 @@
 		streams: streams,
 		wait:    wait,
 		logger:  logger.WithName("follow"),
-		changed: make(chan struct{}),
 	}
 	f.state.Store(fold.New())
 	f.contact.Store(&Contact{})
@@ -85,11 +84,7 @@
 }
 
 // Changed returns a channel that is closed at the next change of the state.
-func (f *Follower) Changed() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.changed
-}
+func (f *Follower) Changed() <-chan struct{} { return f.changed.Changed() }
 
 // Offer folds records that came from the log or a peer; those already folded
 // are passed over.
@@ -121,8 +116,7 @@
 		return
 	}
 	f.state.Store(after)
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.changed.Notify()
 	if after.Revision != before.Revision {
 		f.logger.Info("configuration in force", "revision", after.Revision, "writer", after.Writer, "next", after.Next)
 	}
@@ -171,7 +165,7 @@
 			backoff = minBackoff
 			continue
 		}
-		sleep(ctx, jitter(backoff))
+		_ = core.Sleep(ctx, jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -222,13 +216,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
 }
-
-// sleep waits for d or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/follow/snap.go
+++ b/follow/snap.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"rattanpath/core"
 	"rattanpath/fold"
 )
 
@@ -38,13 +39,12 @@
 func (s *Snapshotter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.awaitDue(ctx)
-		sleep(ctx, jitter(min(maxTurn, s.every/4)))
-		if ctx.Err() != nil {
+		if core.Sleep(ctx, jitter(min(maxTurn, s.every/4))) != nil {
 			return
 		}
 		if err := s.step(ctx); err != nil && ctx.Err() == nil {
 			s.logger.Error(err, "no snapshot written")
-			sleep(ctx, jitter(maxBackoff))
+			_ = core.Sleep(ctx, jitter(maxBackoff))
 		}
 	}
 }
--- a/load/caller.go
+++ b/load/caller.go
@@ -81,10 +81,7 @@
 		if c.Pause == 0 {
 			continue
 		}
-		select {
-		case <-time.After(rand.N(2 * c.Pause)):
-		case <-ctx.Done():
-		}
+		_ = core.Sleep(ctx, rand.N(2*c.Pause))
 	}
 }
 
--- a/roster/members.go
+++ b/roster/members.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"rattanpath/core"
 )
 
 // remember is how long a node counts as a member after it was last heard of.
@@ -15,15 +17,16 @@
 // that joins before the host list shows it.
 type Members struct {
 	self    string
-	mu      sync.Mutex
-	heard   map[string]time.Time
-	joined  bool
-	changed chan struct{}
+	changed core.Signal
+
+	mu     sync.Mutex
+	heard  map[string]time.Time
+	joined bool
 }
 
 // NewMembers returns members that hold only the node itself.
 func NewMembers(self string) *Members {
-	return &Members{self: self, heard: make(map[string]time.Time), changed: make(chan struct{})}
+	return &Members{self: self, heard: make(map[string]time.Time)}
 }
 
 // Hear notes that a node was heard of now.
@@ -33,7 +36,7 @@
 	_, known := m.heard[node]
 	m.heard[node] = time.Now()
 	if !known {
-		m.notify()
+		m.changed.Notify()
 	}
 }
 
@@ -43,7 +46,7 @@
 	defer m.mu.Unlock()
 	if !m.joined {
 		m.joined = true
-		m.notify()
+		m.changed.Notify()
 	}
 }
 
@@ -66,14 +69,4 @@
 
 // Changed returns a channel that is closed when a node is heard of for the
 // first time or this one has joined.
-func (m *Members) Changed() <-chan struct{} {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.changed
-}
-
-// notify tells of a change; the caller holds mu.
-func (m *Members) notify() {
-	close(m.changed)
-	m.changed = make(chan struct{})
-}
+func (m *Members) Changed() <-chan struct{} { return m.changed.Changed() }
--- a/roster/watch.go
+++ b/roster/watch.go
@@ -54,8 +54,8 @@
 	mu sync.Mutex
 	// missing holds since when a host of the roster is not on the list.
 	missing map[string]time.Time
-	// changed is closed and replaced at each read.
-	changed chan struct{}
+
+	changed core.Signal
 }
 
 // New returns a watcher that reads the list at the given interval.
@@ -65,7 +65,6 @@
 		every:   every,
 		logger:  logger.WithName("roster"),
 		missing: make(map[string]time.Time),
-		changed: make(chan struct{}),
 	}
 	w.roster.Store(&Roster{})
 	return w
@@ -75,11 +74,7 @@
 func (w *Watcher) Roster() *Roster { return w.roster.Load() }
 
 // Changed returns a channel that is closed at the next read.
-func (w *Watcher) Changed() <-chan struct{} {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.changed
-}
+func (w *Watcher) Changed() <-chan struct{} { return w.changed.Changed() }
 
 // Run reads the list until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
@@ -155,6 +150,5 @@
 // publish makes a roster visible; the caller holds mu.
 func (w *Watcher) publish(roster *Roster) {
 	w.roster.Store(roster)
-	close(w.changed)
-	w.changed = make(chan struct{})
+	w.changed.Notify()
 }
--- a/route/health_test.go
+++ b/route/health_test.go
@@ -25,8 +25,9 @@
 				t.Fatalf("got a request admitted before %s, want none", span)
 			}
 			time.Sleep(time.Millisecond)
-			if !h.admits() || h.admits() {
-				t.Fatalf("got none or two requests admitted after %s, want one probe", span)
+			first, second := h.admits(), h.admits()
+			if !first || second {
+				t.Fatalf("got requests admitted %t and %t after %s, want one probe", first, second, span)
 			}
 			h.failed()
 		}
@@ -35,7 +36,8 @@
 			t.Fatal("got no probe, want one")
 		}
 		h.succeeded()
-		if !h.admits() || !h.admits() || h.ejected() {
+		first, second := h.admits(), h.admits()
+		if !first || !second || h.ejected() {
 			t.Error("got a host that is still ejected after a success, want it back")
 		}
 	})
