proxy: a caller's fault is none of its host's

Cause: reading the code showed that a caller who leaves within an answer, or whose connection breaks within a body, was counted against the host: 30 such callers ejected a host of a sound pool. Change: both end as Cancelled, which judges no host. A node that becomes ready tells its router at once, and a slot given back by a service that has gone wakes the others of its pool.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -80,10 +80,12 @@
 func (f *Follower) SetReady() {
 	if f.ready.CompareAndSwap(false, true) {
 		f.logger.Info("ready", "next", f.State().Next, "revision", f.State().Revision)
+		f.changed.Notify()
 	}
 }
 
-// Changed returns a channel that is closed at the next change of the state.
+// Changed returns a channel that is closed at the next change of the state, or
+// when it becomes good to serve from.
 func (f *Follower) Changed() <-chan struct{} { return f.changed.Changed() }
 
 // Offer folds records that came from the log or a peer; those already folded
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -17,6 +17,8 @@
 	// started says that bytes were asked for, and ended that the last one came.
 	started atomic.Bool
 	ended   atomic.Bool
+	// failed says that the caller's connection broke within the body.
+	failed atomic.Bool
 	// stopped says that no byte may be read any more.
 	stopped atomic.Bool
 }
@@ -30,8 +32,11 @@
 		return 0, errSealed
 	}
 	n, err := b.reader.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.ended.Store(true)
+	case err != nil:
+		b.failed.Store(true)
 	}
 	return n, err
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -265,9 +265,12 @@
 		Status:  http.StatusBadGateway,
 		Err:     err,
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		failure.Cause = core.CauseDeadline
 		failure.Status = http.StatusGatewayTimeout
+	case ctx.Err() != nil:
+		failure.Cause = core.CauseCancelled
 	}
 	return failure
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -68,7 +68,11 @@
 	var track exchange
 	response, err := c.handler.transport.RoundTrip(c.outgoing(track.withTrace(ctx), upstream))
 	if err != nil {
-		return nil, sendFailure(ctx, err, track.seal())
+		failure := sendFailure(ctx, err, track.seal())
+		if failure.Cause == core.CauseUpstreamFailed && c.body.failed.Load() {
+			failure.Cause = core.CauseCancelled
+		}
+		return nil, failure
 	}
 	if !track.seal() {
 		_ = response.Body.Close()
--- a/proxy/verdict_test.go
+++ b/proxy/verdict_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"rattanpath/core"
 )
 
@@ -415,3 +417,44 @@
 		}
 	}
 }
+
+// TestCallersFaultsEjectNoHost lets callers leave within an answer and break
+// off within a body, often enough to eject every host that would be blamed.
+func TestCallersFaultsEjectNoHost(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", 100_000))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	tables := tableTo(t, address, address, address)
+	handler := New("node", tables, metrics.NewSet())
+	node := httptest.NewServer(handler)
+	defer node.Close()
+	for range 30 {
+		ctx, cancel := context.WithCancel(t.Context())
+		request, _ := http.NewRequestWithContext(ctx, "GET", node.URL+"/Service/get", nil)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		_ = response.Body.Close()
+		conn, err := net.Dial("tcp", node.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, "POST /Service/post HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf")
+		_ = conn.Close()
+	}
+	for deadline := time.Now().Add(10 * time.Second); handler.InFlight() > 0 && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := tables.Table().Services["Service"].Ejected(); got != 0 {
+		t.Errorf("got %d hosts ejected for their callers' faults, want 0", got)
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -82,7 +82,7 @@
 func (l Lease) Release() {
 	l.Upstream.Slots.Release()
 	l.service.gate.slots.Release()
-	for _, gate := range l.service.neighbours {
+	for _, gate := range l.service.newest().neighbours {
 		gate.queue.Wake()
 	}
 }
@@ -125,7 +125,7 @@
 	if service := s.router.Table().Services[s.Name]; service != nil {
 		return service
 	}
-	return &Service{Name: s.Name, router: s.router, gate: s.gate}
+	return &Service{Name: s.Name, router: s.router, gate: s.gate, neighbours: s.neighbours}
 }
 
 func (s *Service) take(exclude *Upstream) *Upstream {
