--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -109,10 +109,6 @@
 	e.members.Hear(node)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if before, ok := e.known[node]; ok && known.Revision == 0 {
-		known.Revision = before.Revision
-		known.Ready = before.Ready
-	}
 	e.known[node] = known
 	maps.DeleteFunc(e.known, func(_ string, k Known) bool { return time.Since(k.At) > forgetAfter })
 }
@@ -122,12 +118,7 @@
 	defer e.closeLinks()
 	for ctx.Err() == nil {
 		e.round(ctx)
-		timer := time.NewTimer(e.pause())
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		_ = core.Sleep(ctx, e.pause())
 	}
 }
 
@@ -203,6 +194,8 @@
 		Node:      e.node,
 		Next:      before.Next,
 		Digest:    before.Digest,
+		Revision:  before.Revision,
+		Ready:     e.states.Ready(),
 		Load:      e.load(),
 		WantHosts: e.rosters.Roster().Err != nil,
 	})
--- a/peer/service.go
+++ b/peer/service.go
@@ -37,7 +37,7 @@
 
 // Exchange answers one request; net/rpc gives it its shape.
 func (s *Service) Exchange(request Request, answer *Answer) error {
-	s.heard(request.Node, Known{Next: request.Next, Load: request.Load})
+	s.heard(request.Node, Known{Next: request.Next, Revision: request.Revision, Ready: request.Ready, Load: request.Load})
 	state := s.states.State()
 	answer.Node = s.node
 	answer.Next = state.Next
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -20,9 +20,11 @@
 	Node string
 	// Next is the offset of the first record that the node has not folded, and
 	// Digest the digest of those before.
-	Next   int64
-	Digest uint64
-	Load   Load
+	Next     int64
+	Digest   uint64
+	Revision int64
+	Ready    bool
+	Load     Load
 	// WantHosts asks for the host list, since the node can't read it.
 	WantHosts bool
 }
