--- a/admin/server.go
+++ b/admin/server.go
@@ -59,7 +59,7 @@
 	router.HandleFunc(views.StatusPath, s.status).Methods(http.MethodGet)
 	router.HandleFunc(views.OutcomePath+"{RequestID}", s.outcome).Methods(http.MethodGet)
 	router.HandleFunc(views.MetricsPath, s.writeMetrics).Methods(http.MethodGet)
-	s.server = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	s.server = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: core.StandardLog(logger.WithName("http"))}
 	set.NewGauge("rattanpath_control_received_bytes", func() float64 { return float64(traffic.Received()) })
 	set.NewGauge("rattanpath_control_sent_bytes", func() float64 { return float64(traffic.Sent()) })
 	set.NewGauge("rattanpath_revision", func() float64 { return float64(parts.Status().Revision) })
--- a/cmd/rattanpath/cmds/serve.go
+++ b/cmd/rattanpath/cmds/serve.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"log/slog"
+
+	"github.com/go-logr/logr"
 
 	"rattanpath/core"
 	"rattanpath/node"
@@ -15,6 +18,8 @@
 // Run starts the node, waits for a signal and stops it gracefully.
 func (c *serveCommand) Run(e *env) error {
 	logger := core.NewLogger(e.errOut, c.Name)
+	// What libraries write to the standard log becomes events as well.
+	slog.SetDefault(slog.New(logr.ToSlogHandler(logger)))
 	app := node.New(c.Settings, node.Connect(c.Settings), logger)
 	startCtx, cancel := context.WithTimeout(e.ctx, app.StartTimeout())
 	defer cancel()
--- a/config/decode.go
+++ b/config/decode.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding"
-	"fmt"
 	"reflect"
 	"strconv"
 	"strings"
 
 	"github.com/agnivade/levenshtein"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -81,13 +81,13 @@
 		target.SetString(text)
 	case reflect.Bool:
 		if text != "true" && text != "false" {
-			return fmt.Errorf("%q is no truth value; write true or false", text)
+			return errors.Errorf("%q is no truth value; write true or false", text)
 		}
 		target.SetBool(text == "true")
 	case reflect.Int:
 		number, err := strconv.ParseInt(text, 10, 32)
 		if err != nil || number < 0 {
-			return fmt.Errorf("%q is not a whole number from 0 up; write one such as 8", text)
+			return errors.Errorf("%q is not a whole number from 0 up; write one such as 8", text)
 		}
 		target.SetInt(number)
 	default:
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -48,6 +48,7 @@
 			ReadHeaderTimeout: settings.HeaderTimeout,
 			IdleTimeout:       settings.IdleTimeout,
 			MaxHeaderBytes:    settings.MaxHeaderBytes,
+			ErrorLog:          core.StandardLog(logger.WithName("http")),
 		},
 	}
 }
