route: queues of their own for short and long work, and slots kept for short

Cause: long work of a pool held every slot and stood first in the one queue: short work of 10 ms took 500 ms at the median and 966 ms at p99. Change: requests wait by the class of their route, and Batch routes hold at most a declared part of a pool's slots at a node (75%). 'measure blocking' plays both ways in turn; one queue is the baseline.

--- a/cmd/rattanpath/cmds/measure.go
+++ b/cmd/rattanpath/cmds/measure.go
@@ -11,10 +11,11 @@
 
 // measureCommand groups the measurements.
 type measureCommand struct {
-	Path    measurePath    `cmd:"" help:"Cost of the request path against calling a worker directly."`
-	Spread  measureSpread  `cmd:"" help:"Time from the append of a change until every node has it in force."`
-	Control measureControl `cmd:"" help:"What control costs a node of an idle fleet."`
-	Size    measureSize    `cmd:"" help:"How state and its handling grow with the fleet."`
+	Path     measurePath     `cmd:"" help:"Cost of the request path against calling a worker directly."`
+	Blocking measureBlocking `cmd:"" help:"How short work fares beside more long work than a pool holds."`
+	Spread   measureSpread   `cmd:"" help:"Time from the append of a change until every node has it in force."`
+	Control  measureControl  `cmd:"" help:"What control costs a node of an idle fleet."`
+	Size     measureSize     `cmd:"" help:"How state and its handling grow with the fleet."`
 }
 
 // table returns aligned text of rows whose cells are separated by tabs.
@@ -47,6 +48,22 @@
 	return e.print(p, text)
 }
 
+// measureBlocking measures short work beside long work.
+type measureBlocking struct{}
+
+// Run prints a row for each class of the long work's route.
+func (c *measureBlocking) Run(e *env) error {
+	results, err := gauge.MeasureBlocking(e.ctx)
+	if err != nil {
+		return err
+	}
+	rows := []string{"CLASS OF LONG WORK\tSHORT P50 ALONE\tP50\tP99\tSHORT ANSWERED\tREFUSED\tLONG ANSWERED"}
+	for _, b := range results {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%d", b.Class, b.Alone, b.P50, b.P99, b.Short, b.NotRun, b.Long))
+	}
+	return e.print(results, table(rows...))
+}
+
 // measureSpread measures the spread of changes.
 type measureSpread struct {
 	Nodes   int `help:"Entry nodes." default:"8"`
--- a/config/schema.go
+++ b/config/schema.go
@@ -30,6 +30,7 @@
 	Hosts []string `help:"The hosts of the pool, by name; a host is in exactly one pool."`
 	Racks []string `help:"Racks all of whose hosts are in the pool."`
 	Spare bool     `help:"Whether the hosts of the pool wait for use elsewhere." default:"false"`
+	Batch Percent  `help:"The share of the pool's slots that requests of Batch routes may hold at once; the rest is kept for Interactive ones." default:"75%"`
 }
 
 // Service is one application behind the entry nodes; callers reach it under
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -109,7 +109,7 @@
 // attempt sends the request to one host other than exclude and passes the
 // answer on. It returns the host that was tried.
 func (c *call) attempt(ctx context.Context, exclude *route.Upstream) (*route.Upstream, error) {
-	lease, err := c.service.Admit(ctx, exclude)
+	lease, err := c.service.Admit(ctx, c.route.Class, exclude)
 	if err != nil {
 		return exclude, err
 	}
--- a/route/choose_test.go
+++ b/route/choose_test.go
@@ -111,7 +111,7 @@
 		router.chooser = newChooser()
 		service := router.Table().Services["S"]
 		for range 5 * 4 {
-			if _, err := service.Admit(t.Context(), nil); err != nil {
+			if _, err := service.Admit(t.Context(), config.Interactive, nil); err != nil {
 				t.Fatalf("%s: got %v, want a slot", name, err)
 			}
 		}
@@ -120,7 +120,7 @@
 				t.Errorf("%s: got %d slots used at %s, want 4", name, got, upstream.Name)
 			}
 		}
-		_, err = service.Admit(t.Context(), nil)
+		_, err = service.Admit(t.Context(), config.Interactive, nil)
 		failure, ok := err.(*core.Failure)
 		if !ok || failure.Verdict != core.NotRun || failure.Cause != core.CauseQueueTimeout {
 			t.Errorf("%s: got %v, want NotRun QueueTimeout", name, err)
@@ -135,7 +135,7 @@
 	service := router.Table().Services["S"]
 	leases := make(map[string]Lease)
 	for range 2 {
-		lease, err := service.Admit(t.Context(), nil)
+		lease, err := service.Admit(t.Context(), config.Interactive, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -144,7 +144,7 @@
 	service.Config.Queue.Wait = config.Duration(time.Minute)
 	got := make(chan string, 1)
 	go func() {
-		lease, err := service.Admit(t.Context(), nil)
+		lease, err := service.Admit(t.Context(), config.Interactive, nil)
 		if err != nil {
 			got <- err.Error()
 			return
@@ -185,7 +185,7 @@
 			b.ReportAllocs()
 			ctx := context.Background()
 			for b.Loop() {
-				lease, err := service.Admit(ctx, nil)
+				lease, err := service.Admit(ctx, config.Interactive, nil)
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -194,3 +194,41 @@
 		})
 	}
 }
+
+// TestBatchLeavesSlotsAndQueue fills what Batch routes may hold; a request of a
+// Batch route then waits, and Interactive ones get a slot without waiting
+// behind it.
+func TestBatchLeavesSlotsAndQueue(t *testing.T) {
+	router, _ := newRouter(t, 4, 1)
+	service := router.Table().Services["S"]
+	const batch, interactive = 24, 8
+	var leases []Lease
+	for range batch {
+		lease, err := service.Admit(t.Context(), config.Batch, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leases = append(leases, lease)
+	}
+	service.Config.Queue.Wait = config.Duration(time.Minute)
+	admitted := make(chan error, 1)
+	go func() {
+		_, err := service.Admit(t.Context(), config.Batch, nil)
+		admitted <- err
+	}()
+	for service.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for range interactive {
+		if _, err := service.Admit(t.Context(), config.Interactive, nil); err != nil {
+			t.Fatalf("got %v for a request of an Interactive route, want a slot", err)
+		}
+	}
+	if got := service.Waiting(); got != 1 {
+		t.Errorf("got %d waiting, want the one of the Batch route", got)
+	}
+	leases[0].Release()
+	if err := <-admitted; err != nil {
+		t.Errorf("got %v for the request that waited, want a slot", err)
+	}
+}
--- a/route/health_test.go
+++ b/route/health_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"rattanpath/config"
 )
 
 // TestEjectionAndProbes fails a host until it is ejected, fails its probes, and
@@ -55,7 +57,7 @@
 	if got, want := service.Ejected(), 9/maxEjectedPart; got != want {
 		t.Errorf("got %d of 9 hosts ejected, want %d", got, want)
 	}
-	if _, err := service.Admit(t.Context(), nil); err != nil {
+	if _, err := service.Admit(t.Context(), config.Interactive, nil); err != nil {
 		t.Errorf("got %v, want a slot at a host that is not ejected", err)
 	}
 }
--- a/route/router.go
+++ b/route/router.go
@@ -12,6 +12,7 @@
 	"rattanpath/config"
 	"rattanpath/core"
 	"rattanpath/fold"
+	"rattanpath/limit"
 	"rattanpath/roster"
 )
 
@@ -56,6 +57,7 @@
 	// The rest belongs to the loop.
 	upstreams map[string]*Upstream
 	gates     map[string]*gate
+	batches   map[string]*limit.Slots
 	hosts     map[string]core.Host
 	// nodes are the names of those who share the hosts, in ascending order.
 	nodes []string
@@ -73,6 +75,7 @@
 		logger:    logger.WithName("route"),
 		upstreams: make(map[string]*Upstream),
 		gates:     make(map[string]*gate),
+		batches:   make(map[string]*limit.Slots),
 	}
 }
 
@@ -120,14 +123,17 @@
 	pools := r.usableHosts(declaration)
 	for name, service := range declaration.Config.Services {
 		quota := min(declaration.SlotQuota(name), declaration.ConnectionQuota(name))
+		targets := r.targets(pools[service.Pool], declaration.Config.HostShape.Slots)
 		table.Services[name] = &Service{
 			Name:       name,
 			Config:     service,
-			Targets:    r.targets(pools[service.Pool], declaration.Config.HostShape.Slots),
+			Targets:    targets,
+			BatchShare: batchShare(targets, declaration.Config.Pools[service.Pool].Batch),
 			QuotaShare: quotaShare(quota, len(r.nodes)),
 			Routes:     sortRoutes(service.Routes),
 			router:     r,
 			gate:       r.gate(name),
+			batch:      r.batch(service.Pool),
 		}
 	}
 	joinNeighbours(table)
@@ -211,10 +217,18 @@
 	return r.gates[service]
 }
 
+// batch returns the count of the slots of a pool that Batch routes hold.
+func (r *Router) batch(pool string) *limit.Slots {
+	if r.batches[pool] == nil {
+		r.batches[pool] = &limit.Slots{}
+	}
+	return r.batches[pool]
+}
+
 // wakeAll lets those who wait try the new table.
 func (r *Router) wakeAll() {
 	for _, gate := range r.gates {
-		gate.queue.Wake()
+		gate.wake()
 	}
 }
 
--- a/route/share.go
+++ b/route/share.go
@@ -4,6 +4,8 @@
 	"cmp"
 
 	"github.com/cespare/xxhash/v2"
+
+	"rattanpath/config"
 )
 
 // slotShare returns how many of a host's slots belong to a node, so that the
@@ -39,3 +41,13 @@
 func quotaShare(limit, nodes int) int64 {
 	return int64(max(1, limit/nodes))
 }
+
+// batchShare returns how many of a node's slots in a pool Batch routes may hold
+// at once, and at least 1, so that long work goes on.
+func batchShare(targets []Target, part config.Percent) int64 {
+	slots := int64(0)
+	for _, target := range targets {
+		slots += target.Share
+	}
+	return max(1, int64(part.Share()*float64(slots)))
+}
--- a/route/table.go
+++ b/route/table.go
@@ -29,20 +29,41 @@
 	Targets []Target
 	// QuotaShare is the number of requests that this node may run at once.
 	QuotaShare int64
+	// BatchShare is the number of the pool's slots that Batch routes of all its
+	// services may hold at this node.
+	BatchShare int64
 	// Routes are sorted by descending length of their paths.
 	Routes []Route
 
 	router *Router
 	gate   *gate
+	// batch counts the slots of the pool that Batch routes hold.
+	batch *limit.Slots
 	// neighbours are the gates of the services that share the pool, the own
 	// one included; a slot given back may serve any of them.
 	neighbours []*gate
 }
 
-// gate holds what outlives the tables: who runs and who waits.
+// gate holds what outlives the tables: who runs, and who waits by class, so
+// that short work never waits behind long work.
 type gate struct {
-	slots limit.Slots
-	queue limit.Queue
+	slots       limit.Slots
+	interactive limit.Queue
+	batch       limit.Queue
+}
+
+// queue returns the queue of a class.
+func (g *gate) queue(class config.Class) *limit.Queue {
+	if class == config.Batch {
+		return &g.batch
+	}
+	return &g.interactive
+}
+
+// wake lets the first of each class try for a slot.
+func (g *gate) wake() {
+	g.interactive.Wake()
+	g.batch.Wake()
 }
 
 // Route is one route of a service.
@@ -76,47 +97,51 @@
 type Lease struct {
 	Upstream *Upstream
 	service  *Service
+	class    config.Class
 }
 
 // Release gives the slot back and lets those who wait for it try.
 func (l Lease) Release() {
 	l.Upstream.Slots.Release()
 	l.service.gate.slots.Release()
+	if l.class == config.Batch {
+		l.service.batch.Release()
+	}
 	for _, gate := range l.service.newest().neighbours {
-		gate.queue.Wake()
+		gate.wake()
 	}
 }
 
-// Admit waits for a slot at a host other than exclude. Its error is a
-// core.Failure with the verdict NotRun.
-func (s *Service) Admit(ctx context.Context, exclude *Upstream) (Lease, error) {
+// Admit waits for a slot at a host other than exclude, for a request of a
+// class. Its error is a core.Failure with the verdict NotRun.
+func (s *Service) Admit(ctx context.Context, class config.Class, exclude *Upstream) (Lease, error) {
 	if len(s.Targets) == 0 {
 		return Lease{}, core.Refuse(core.CauseNoHost, retryAfter)
 	}
 	if len(s.Targets) == 1 {
 		exclude = nil
 	}
-	if s.Waiting() == 0 {
-		if upstream := s.newest().take(exclude); upstream != nil {
-			return Lease{Upstream: upstream, service: s}, nil
+	if s.gate.queue(class).Len() == 0 {
+		if upstream := s.newest().take(class, exclude); upstream != nil {
+			return Lease{Upstream: upstream, service: s, class: class}, nil
 		}
 	}
-	return s.admitFromQueue(ctx, exclude)
+	return s.admitFromQueue(ctx, class, exclude)
 }
 
 // admitFromQueue waits for a slot behind those who came before.
-func (s *Service) admitFromQueue(ctx context.Context, exclude *Upstream) (Lease, error) {
+func (s *Service) admitFromQueue(ctx context.Context, class config.Class, exclude *Upstream) (Lease, error) {
 	var upstream *Upstream
 	try := func() bool {
-		upstream = s.newest().take(exclude)
+		upstream = s.newest().take(class, exclude)
 		return upstream != nil
 	}
 	queue := s.Config.Queue
-	err := s.gate.queue.Wait(ctx, queue.Limit, timeOf(queue.Wait), try)
+	err := s.gate.queue(class).Wait(ctx, queue.Limit, timeOf(queue.Wait), try)
 	if err != nil {
 		return Lease{}, refusal(err)
 	}
-	return Lease{Upstream: upstream, service: s}, nil
+	return Lease{Upstream: upstream, service: s, class: class}, nil
 }
 
 // newest returns the service in the newest table, so that a request that has
@@ -125,16 +150,25 @@
 	if service := s.router.Table().Services[s.Name]; service != nil {
 		return service
 	}
-	return &Service{Name: s.Name, router: s.router, gate: s.gate, neighbours: s.neighbours}
+	return &Service{Name: s.Name, router: s.router, gate: s.gate, batch: s.batch, neighbours: s.neighbours}
 }
 
-func (s *Service) take(exclude *Upstream) *Upstream {
+// take takes a slot of the quota, one for the class, and one at a host, or none
+// of them.
+func (s *Service) take(class config.Class, exclude *Upstream) *Upstream {
 	if !s.gate.slots.TryTake(s.QuotaShare) {
 		return nil
 	}
+	if class == config.Batch && !s.batch.TryTake(s.BatchShare) {
+		s.gate.slots.Release()
+		return nil
+	}
 	upstream := s.router.chooser.Choose(s.Targets, exclude)
 	if upstream == nil {
 		s.gate.slots.Release()
+		if class == config.Batch {
+			s.batch.Release()
+		}
 	}
 	return upstream
 }
@@ -143,7 +177,7 @@
 func (s *Service) Running() int64 { return s.gate.slots.Used() }
 
 // Waiting returns the requests of the service that wait at this node.
-func (s *Service) Waiting() int64 { return s.gate.queue.Len() }
+func (s *Service) Waiting() int64 { return s.gate.interactive.Len() + s.gate.batch.Len() }
 
 // refusal turns an error of waiting into what the caller is told.
 func refusal(err error) *core.Failure {
