--- a/fake/list.go
+++ b/fake/list.go
@@ -3,47 +3,77 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"rattanpath/core"
 )
 
-// List is a list of hosts in memory.
+// List is a list of hosts in memory that shows what was so some time ago.
 type List struct {
-	mu    sync.Mutex
+	mu   sync.Mutex
+	down bool
+	lag  time.Duration
+	// versions are the lists since the one shown last, the oldest first.
+	versions []version
+}
+
+// version is the list from a time on.
+type version struct {
+	at    time.Time
 	hosts map[string]core.Host
-	down  bool
 }
 
-// NewList returns an empty list.
+// NewList returns an empty list without lag.
 func NewList() *List {
-	return &List{hosts: make(map[string]core.Host)}
+	return &List{versions: []version{{hosts: make(map[string]core.Host)}}}
 }
 
-// Put adds or replaces a host.
-func (l *List) Put(host core.Host) {
+// SetLag makes the list show what was so that long ago.
+func (l *List) SetLag(lag time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts[host.Name] = host
+	l.lag = lag
 }
 
-// Leave marks a host as leaving.
-func (l *List) Leave(name string) {
+// change adds a version that differs from the newest.
+func (l *List) change(edit func(hosts map[string]core.Host)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	host := l.hosts[name]
-	host.State = core.HostLeaving
-	l.hosts[name] = host
+	hosts := maps.Clone(l.versions[len(l.versions)-1].hosts)
+	edit(hosts)
+	l.versions = append(l.versions, version{at: time.Now(), hosts: hosts})
+	l.forget()
+}
+
+// forget drops the versions that are shown no longer; the caller holds mu.
+func (l *List) forget() {
+	for len(l.versions) > 1 && time.Since(l.versions[1].at) >= l.lag {
+		l.versions = l.versions[1:]
+	}
+}
+
+// Put adds or replaces a host.
+func (l *List) Put(host core.Host) {
+	l.change(func(hosts map[string]core.Host) { hosts[host.Name] = host })
+}
+
+// Leave marks a host as leaving.
+func (l *List) Leave(name string) {
+	l.change(func(hosts map[string]core.Host) {
+		host := hosts[name]
+		host.State = core.HostLeaving
+		hosts[name] = host
+	})
 }
 
 // Remove takes a host off the list.
 func (l *List) Remove(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.hosts, name)
+	l.change(func(hosts map[string]core.Host) { delete(hosts, name) })
 }
 
 // SetDown makes every read fail, or ends that.
@@ -60,10 +90,8 @@
 	if l.down {
 		return nil, errors.New("the host list is down")
 	}
-	hosts := make([]core.Host, 0, len(l.hosts))
-	for _, host := range l.hosts {
-		hosts = append(hosts, host)
-	}
+	l.forget()
+	hosts := slices.Collect(maps.Values(l.versions[0].hosts))
 	slices.SortFunc(hosts, func(a, b core.Host) int { return cmp.Compare(a.Name, b.Name) })
 	return hosts, nil
 }
--- a/fake/server.go
+++ b/fake/server.go
@@ -100,6 +100,7 @@
 	router.HandleFunc("/hosts", p.hosts).Methods(http.MethodGet)
 	router.HandleFunc("/trial/hosts/{Name}", p.putHost).Methods(http.MethodPut)
 	router.HandleFunc("/trial/hosts/{Name}", p.removeHost).Methods(http.MethodDelete)
+	router.HandleFunc("/trial/lag/{Lag}", p.putLag).Methods(http.MethodPut)
 	router.HandleFunc("/trial/faults", p.putFaults).Methods(http.MethodPut)
 	router.HandleFunc("/trial/workers/{Name}/mode/{Mode}", p.putMode).Methods(http.MethodPut)
 	router.HandleFunc("/trial/account", p.account).Methods(http.MethodGet)
@@ -181,6 +182,16 @@
 	reply(w, faults, nil)
 }
 
+func (p *Platform) putLag(w http.ResponseWriter, r *http.Request) {
+	lag, err := time.ParseDuration(mux.Vars(r)["Lag"])
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.List.SetLag(lag)
+	reply(w, lag, nil)
+}
+
 func (p *Platform) putMode(w http.ResponseWriter, r *http.Request) {
 	worker := p.Worker(mux.Vars(r)["Name"])
 	mode, known := modes[mux.Vars(r)["Mode"]]
--- a/node/scene_test.go
+++ b/node/scene_test.go
@@ -104,7 +104,7 @@
 		"cut":     func(args []string) { s.setCut(args[0], args[1], true) },
 		"heal":    func(args []string) { s.setCut(args[0], args[1], false) },
 		"log":     s.playLog,
-		"list":    func(args []string) { s.list.SetDown(args[0] == "down") },
+		"list":    s.playList,
 		"host":    s.playHost,
 		"publish": s.playPublish,
 		"drain":   s.playDrain,
@@ -187,6 +187,15 @@
 	s.snaps.SetFaults(faults)
 }
 
+// playList changes the faults of the host list: list up, down, lag TIME.
+func (s *scene) playList(args []string) {
+	if args[0] == "lag" {
+		s.list.SetLag(s.duration(args[1]))
+		return
+	}
+	s.list.SetDown(args[0] == "down")
+}
+
 // playHost changes the host list: host NAME leave|remove|back.
 func (s *scene) playHost(args []string) {
 	switch args[1] {
