--- a/demo/steps.go
+++ b/demo/steps.go
@@ -18,7 +18,9 @@
 )
 
 const (
-	warmUp = 2 * time.Second
+	// listLag is how far the host list is behind.
+	listLag = time.Second
+	warmUp  = 2 * time.Second
 	// settle is the time within which a leaving host must stop getting work.
 	settle = 3 * time.Second
 	// watch is the time for which a host that left is watched.
@@ -63,6 +65,10 @@
 	if err := r.fleet.StartAll(ctx, r.options.Nodes); err != nil {
 		return "", err
 	}
+	if err := core.Sleep(ctx, listLag); err != nil {
+		return "", err
+	}
+	r.fleet.Platform.List.SetLag(listLag)
 	return fmt.Sprintf("%d workers, %d nodes", len(declaration.Hosts), r.options.Nodes), nil
 }
 
