route: a team's slots bound its services together

Cause: Teams.NAME.Slots could be declared and had no effect. Change: what limits a request is a list of bounds: quota, team and, for Batch routes, their part of the pool; a lease gives back what it took, also when the service has changed meanwhile. 'explain' names the settings that have no effect yet.

--- a/config/schema.go
+++ b/config/schema.go
@@ -8,13 +8,13 @@
 	Services    map[string]Service `help:"The services, by name." required:"true"`
 	Teams       map[string]Team    `help:"The teams that own services, by name."`
 	Maintenance Maintenance        `help:"How hosts are maintained."`
-	Weights     Weights            `help:"How much each of the four measures counts in a plan."`
+	Weights     Weights            `help:"How much each of the four measures counts in a plan; not used yet."`
 }
 
 // HostShape is the size of a worker host.
 type HostShape struct {
-	Cores       int   `help:"Processor cores of a host." default:"32"`
-	Memory      Bytes `help:"Memory of a host." default:"128GB"`
+	Cores       int   `help:"Processor cores of a host; not used yet." default:"32"`
+	Memory      Bytes `help:"Memory of a host; not used yet." default:"128GB"`
 	Slots       int   `help:"Requests that a host runs at once, over all entry nodes." default:"8"`
 	Connections int   `help:"Connections that a host accepts, over all entry nodes." default:"64"`
 }
@@ -29,7 +29,7 @@
 type Pool struct {
 	Hosts []string `help:"The hosts of the pool, by name; a host is in exactly one pool."`
 	Racks []string `help:"Racks all of whose hosts are in the pool."`
-	Spare bool     `help:"Whether the hosts of the pool wait for use elsewhere." default:"false"`
+	Spare bool     `help:"Whether the hosts of the pool wait for use elsewhere; no service may use them." default:"false"`
 	Batch Percent  `help:"The share of the pool's slots that requests of Batch routes may hold at once; the rest is kept for Interactive ones." default:"75%"`
 }
 
@@ -45,7 +45,7 @@
 	Attempts  int              `help:"How often a request may be sent in all; only an idempotent one, or one of which no byte was sent, is ever sent again." default:"2"`
 	Routes    map[string]Route `help:"The routes of the service, by name." required:"true"`
 	Budget    Budget           `help:"What must remain in service through failures and maintenance."`
-	Objective Objective        `help:"The service-level objective."`
+	Objective Objective        `help:"The service-level objective; not used yet."`
 }
 
 // Quota bounds what a service uses.
@@ -76,9 +76,9 @@
 
 // Objective is a service-level objective.
 type Objective struct {
-	Availability Percent  `help:"The share of requests that get a whole answer in time." default:"99.9%"`
-	Latency      Duration `help:"The time within which an answer is in time." default:"1s"`
-	Window       Duration `help:"The span over which the objective is judged." default:"4w"`
+	Availability Percent  `help:"The share of requests that get a whole answer in time; not used yet." default:"99.9%"`
+	Latency      Duration `help:"The time within which an answer is in time; not used yet." default:"1s"`
+	Window       Duration `help:"The span over which the objective is judged; not used yet." default:"4w"`
 }
 
 // Team owns services and has a quota over all of them.
@@ -88,15 +88,15 @@
 
 // Maintenance is how hosts are taken out of service in turn.
 type Maintenance struct {
-	Every  Duration `help:"Every host is maintained once in this span." default:"5w"`
-	AtOnce int      `help:"Hosts that are in maintenance at once." default:"1"`
+	Every  Duration `help:"Every host is maintained once in this span; not used yet." default:"5w"`
+	AtOnce int      `help:"Hosts that are in maintenance at once; not used yet." default:"1"`
 	Drain  []string `help:"Hosts that get no new requests: an operator's drain."`
 }
 
 // Weights say how much each measure counts; only their ratios matter.
 type Weights struct {
-	BufferCost int `help:"Weight of the cost of spare hosts." default:"1"`
-	RollOut    int `help:"Weight of roll-out time." default:"1"`
-	HostMoves  int `help:"Weight of the number of host moves." default:"1"`
-	Blocking   int `help:"Weight of the time that short work waits behind long work." default:"1"`
+	BufferCost int `help:"Weight of the cost of spare hosts; not used yet." default:"1"`
+	RollOut    int `help:"Weight of roll-out time; not used yet." default:"1"`
+	HostMoves  int `help:"Weight of the number of host moves; not used yet." default:"1"`
+	Blocking   int `help:"Weight of the time that short work waits behind long work; not used yet." default:"1"`
 }
--- a/route/choose_test.go
+++ b/route/choose_test.go
@@ -32,18 +32,28 @@
 func newRouter(tb testing.TB, hosts, nodes int) (*Router, *world) {
 	tb.Helper()
 	names := ""
+	for i := range hosts {
+		names += fmt.Sprintf("h%d, ", i)
+	}
+	text := "Racks: {R: {DataCentre: D, Hosts: [" + names + "]}}\nPools: {P: {Racks: [R]}}\n" +
+		"Services: {S: {Pool: P, Budget: {MinReady: 0}, Queue: {Wait: 10ms}, Routes: {A: {Path: /}, B: {Path: /long/}}}}\n"
+	router := routerOf(tb, text, hosts, nodes)
+	return router, router.states.(*world)
+}
+
+// routerOf returns a router for a folder of one file, with so many hosts and
+// nodes on the list.
+func routerOf(tb testing.TB, text string, hosts, nodes int) *Router {
+	tb.Helper()
 	w := &world{hosts: make(map[string]core.Host)}
 	for i := range hosts {
 		name := fmt.Sprintf("h%d", i)
-		names += name + ", "
 		w.hosts[name] = core.Host{Name: name, Role: core.RoleWorker, State: core.HostLive, Address: name}
 	}
 	for i := range nodes {
 		name := fmt.Sprintf("node-%d", i)
 		w.hosts[name] = core.Host{Name: name, Role: core.RoleEntry, State: core.HostLive}
 	}
-	text := "Racks: {R: {DataCentre: D, Hosts: [" + names + "]}}\nPools: {P: {Racks: [R]}}\n" +
-		"Services: {S: {Pool: P, Budget: {MinReady: 0}, Queue: {Wait: 10ms}, Routes: {A: {Path: /}, B: {Path: /long/}}}}\n"
 	data, err := fold.EncodeRecord(fold.Record{Format: fold.Format, RequestID: "r", Publish: &fold.Publish{Set: config.Files{"a.yaml": text}}})
 	if err != nil {
 		tb.Fatal(err)
@@ -54,7 +64,7 @@
 	}
 	router := New("node-0", w, w, w, LeastOfTwo{}, logr.Discard())
 	router.step()
-	return router, w
+	return router
 }
 
 // fewNodes is the number of nodes up to which each must have a slot of some
@@ -232,3 +242,29 @@
 		t.Errorf("got %v for the request that waited, want a slot", err)
 	}
 }
+
+// TestTeamBound lets two services of a team run as many requests as it may, and
+// finds the next one refused until a slot of the other service comes back.
+func TestTeamBound(t *testing.T) {
+	text := "Racks: {R: {DataCentre: D, Hosts: [h0, h1]}}\nPools: {P: {Hosts: [h0]}, Q: {Hosts: [h1]}}\nTeams: {T: {Slots: 3}}\nServices:\n"
+	for service, pool := range map[string]string{"A": "P", "B": "Q"} {
+		text += fmt.Sprintf("  %s: {Pool: %s, Team: T, Budget: {MinReady: 0}, Queue: {Wait: 10ms}, Routes: {A: {Path: /}}}\n", service, pool)
+	}
+	router := routerOf(t, text, 2, 1)
+	services := router.Table().Services
+	var leases []Lease
+	for _, name := range []string{"A", "B", "A"} {
+		lease, err := services[name].Admit(t.Context(), config.Interactive, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leases = append(leases, lease)
+	}
+	if _, err := services["B"].Admit(t.Context(), config.Interactive, nil); err == nil {
+		t.Error("got a fourth slot of a team that may use 3, want none")
+	}
+	leases[0].Release()
+	if _, err := services["B"].Admit(t.Context(), config.Interactive, nil); err != nil {
+		t.Errorf("got %v after a slot came back, want a slot", err)
+	}
+}
--- a/route/router.go
+++ b/route/router.go
@@ -57,8 +57,11 @@
 	// The rest belongs to the loop.
 	upstreams map[string]*Upstream
 	gates     map[string]*gate
-	batches   map[string]*limit.Slots
-	hosts     map[string]core.Host
+	// batches counts by pool what Batch routes hold, and teams by team what its
+	// services hold.
+	batches map[string]*limit.Slots
+	teams   map[string]*limit.Slots
+	hosts   map[string]core.Host
 	// nodes are the names of those who share the hosts, in ascending order.
 	nodes []string
 }
@@ -76,6 +79,7 @@
 		upstreams: make(map[string]*Upstream),
 		gates:     make(map[string]*gate),
 		batches:   make(map[string]*limit.Slots),
+		teams:     make(map[string]*limit.Slots),
 	}
 }
 
@@ -122,31 +126,53 @@
 	table := &Table{Revision: revision, Services: make(map[string]*Service)}
 	pools := r.usableHosts(declaration)
 	for name, service := range declaration.Config.Services {
-		quota := min(declaration.SlotQuota(name), declaration.ConnectionQuota(name))
-		targets := r.targets(pools[service.Pool], declaration.Config.HostShape.Slots)
-		table.Services[name] = &Service{
-			Name:       name,
-			Config:     service,
-			Targets:    targets,
-			BatchShare: batchShare(targets, declaration.Config.Pools[service.Pool].Batch),
-			QuotaShare: quotaShare(quota, len(r.nodes)),
-			Routes:     sortRoutes(service.Routes),
-			router:     r,
-			gate:       r.gate(name),
-			batch:      r.batch(service.Pool),
+		built := &Service{
+			Name:    name,
+			Config:  service,
+			Targets: r.targets(pools[service.Pool], declaration.Config.HostShape.Slots),
+			Routes:  sortRoutes(service.Routes),
+			router:  r,
+			gate:    r.gate(name),
 		}
+		r.setBounds(built, declaration)
+		table.Services[name] = built
 	}
 	joinNeighbours(table)
 	return table
 }
 
-func joinNeighbours(table *Table) {
-	byPool := make(map[string][]*gate)
-	for _, service := range table.Services {
-		byPool[service.Config.Pool] = append(byPool[service.Config.Pool], service.gate)
+// setBounds gives a service the limits of its quota, its team, and the Batch
+// routes of its pool.
+func (r *Router) setBounds(service *Service, declaration *config.Declaration) {
+	nodes := len(r.nodes)
+	quota := min(declaration.SlotQuota(service.Name), declaration.ConnectionQuota(service.Name))
+	service.bounds = []bound{{slots: &service.gate.slots, share: quotaShare(quota, nodes)}}
+	if team := declaration.Config.Teams[service.Config.Team]; team.Slots > 0 {
+		service.bounds = append(service.bounds, bound{slots: counter(r.teams, service.Config.Team), share: quotaShare(team.Slots, nodes)})
+	}
+	pool := service.Config.Pool
+	batch := bound{slots: counter(r.batches, pool), share: batchShare(service.Targets, declaration.Config.Pools[pool].Batch)}
+	service.batchBounds = append(slices.Clone(service.bounds), batch)
+}
+
+// counter returns the slots counted under a name.
+func counter(counters map[string]*limit.Slots, name string) *limit.Slots {
+	if counters[name] == nil {
+		counters[name] = &limit.Slots{}
 	}
+	return counters[name]
+}
+
+// joinNeighbours tells each service which others wait for what it gives back.
+func joinNeighbours(table *Table) {
 	for _, service := range table.Services {
-		service.neighbours = byPool[service.Config.Pool]
+		for _, other := range table.Services {
+			samePool := other.Config.Pool == service.Config.Pool
+			sameTeam := other.Config.Team == service.Config.Team && service.Config.Team != ""
+			if samePool || sameTeam {
+				service.neighbours = append(service.neighbours, other.gate)
+			}
+		}
 	}
 }
 
@@ -217,14 +243,6 @@
 	return r.gates[service]
 }
 
-// batch returns the count of the slots of a pool that Batch routes hold.
-func (r *Router) batch(pool string) *limit.Slots {
-	if r.batches[pool] == nil {
-		r.batches[pool] = &limit.Slots{}
-	}
-	return r.batches[pool]
-}
-
 // wakeAll lets those who wait try the new table.
 func (r *Router) wakeAll() {
 	for _, gate := range r.gates {
--- a/route/table.go
+++ b/route/table.go
@@ -27,23 +27,52 @@
 	Config config.Service
 	// Targets are the hosts that may get new requests.
 	Targets []Target
-	// QuotaShare is the number of requests that this node may run at once.
-	QuotaShare int64
-	// BatchShare is the number of the pool's slots that Batch routes of all its
-	// services may hold at this node.
-	BatchShare int64
 	// Routes are sorted by descending length of their paths.
 	Routes []Route
 
 	router *Router
 	gate   *gate
-	// batch counts the slots of the pool that Batch routes hold.
-	batch *limit.Slots
-	// neighbours are the gates of the services that share the pool, the own
-	// one included; a slot given back may serve any of them.
+	// bounds limit every request of the service, and batchBounds besides those
+	// of Batch routes.
+	bounds      []bound
+	batchBounds []bound
+	// neighbours are the gates of the services that share the pool or the team,
+	// the own one included; a slot given back may serve any of them.
 	neighbours []*gate
 }
 
+// bound is a number of slots that this node may use together with what it
+// counts.
+type bound struct {
+	slots *limit.Slots
+	share int64
+}
+
+// takeAll takes a slot of each bound, or none.
+func takeAll(bounds []bound) bool {
+	for i, b := range bounds {
+		if !b.slots.TryTake(b.share) {
+			releaseAll(bounds[:i])
+			return false
+		}
+	}
+	return true
+}
+
+func releaseAll(bounds []bound) {
+	for _, b := range bounds {
+		b.slots.Release()
+	}
+}
+
+// boundsOf returns what limits requests of a class.
+func (s *Service) boundsOf(class config.Class) []bound {
+	if class == config.Batch {
+		return s.batchBounds
+	}
+	return s.bounds
+}
+
 // gate holds what outlives the tables: who runs, and who waits by class, so
 // that short work never waits behind long work.
 type gate struct {
@@ -103,10 +132,7 @@
 // Release gives the slot back and lets those who wait for it try.
 func (l Lease) Release() {
 	l.Upstream.Slots.Release()
-	l.service.gate.slots.Release()
-	if l.class == config.Batch {
-		l.service.batch.Release()
-	}
+	releaseAll(l.service.boundsOf(l.class))
 	for _, gate := range l.service.newest().neighbours {
 		gate.wake()
 	}
@@ -122,8 +148,8 @@
 		exclude = nil
 	}
 	if s.gate.queue(class).Len() == 0 {
-		if upstream := s.newest().take(class, exclude); upstream != nil {
-			return Lease{Upstream: upstream, service: s, class: class}, nil
+		if lease, ok := s.newest().take(class, exclude); ok {
+			return lease, nil
 		}
 	}
 	return s.admitFromQueue(ctx, class, exclude)
@@ -131,17 +157,18 @@
 
 // admitFromQueue waits for a slot behind those who came before.
 func (s *Service) admitFromQueue(ctx context.Context, class config.Class, exclude *Upstream) (Lease, error) {
-	var upstream *Upstream
+	var lease Lease
 	try := func() bool {
-		upstream = s.newest().take(class, exclude)
-		return upstream != nil
+		var ok bool
+		lease, ok = s.newest().take(class, exclude)
+		return ok
 	}
 	queue := s.Config.Queue
 	err := s.gate.queue(class).Wait(ctx, queue.Limit, timeOf(queue.Wait), try)
 	if err != nil {
 		return Lease{}, refusal(err)
 	}
-	return Lease{Upstream: upstream, service: s, class: class}, nil
+	return lease, nil
 }
 
 // newest returns the service in the newest table, so that a request that has
@@ -150,27 +177,21 @@
 	if service := s.router.Table().Services[s.Name]; service != nil {
 		return service
 	}
-	return &Service{Name: s.Name, router: s.router, gate: s.gate, batch: s.batch, neighbours: s.neighbours}
+	return &Service{Name: s.Name, router: s.router, gate: s.gate, neighbours: s.neighbours}
 }
 
-// take takes a slot of the quota, one for the class, and one at a host, or none
-// of them.
-func (s *Service) take(class config.Class, exclude *Upstream) *Upstream {
-	if !s.gate.slots.TryTake(s.QuotaShare) {
-		return nil
-	}
-	if class == config.Batch && !s.batch.TryTake(s.BatchShare) {
-		s.gate.slots.Release()
-		return nil
+// take takes a slot of every bound and one at a host, or none of them.
+func (s *Service) take(class config.Class, exclude *Upstream) (Lease, bool) {
+	bounds := s.boundsOf(class)
+	if !takeAll(bounds) {
+		return Lease{}, false
 	}
 	upstream := s.router.chooser.Choose(s.Targets, exclude)
 	if upstream == nil {
-		s.gate.slots.Release()
-		if class == config.Batch {
-			s.batch.Release()
-		}
+		releaseAll(bounds)
+		return Lease{}, false
 	}
-	return upstream
+	return Lease{Upstream: upstream, service: s, class: class}, true
 }
 
 // Running returns the requests of the service that this node runs.
