--- a/config/folder.go
+++ b/config/folder.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"io/fs"
 	"os"
 	"slices"
@@ -113,7 +112,7 @@
 		problems.add(at, "save it as UTF-8", "byte 0x%02x is not UTF-8", text[i])
 		return true
 	}
-	if i := bytes.IndexByte([]byte(text), 0); i >= 0 {
+	if i := strings.IndexByte(text, 0); i >= 0 {
 		at.Line = 1 + strings.Count(text[:i], "\n")
 		problems.add(at, "save it as plain text", "the file holds a zero byte")
 		return true
