proxy: pass trailers on

Cause: reading the code showed that trailers were dropped both ways, so that an answer in chunks that had one did not come whole. Change: the trailer of a request goes to the host, that of an answer to the caller. Result: TestTrailers got empty ones before and the host's and caller's after.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -236,6 +236,7 @@
 		}
 		switch {
 		case readErr == io.EOF:
+			copyTrailer(c.writer.Header(), response.Trailer)
 			return nil
 		case readErr != nil:
 			return truncated(ctx, readErr)
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -61,3 +61,10 @@
 		to[name] = values
 	}
 }
+
+// copyTrailer adds an upstream's trailer after the body of a caller's answer.
+func copyTrailer(to, trailer http.Header) {
+	for name, values := range trailer {
+		to[http.TrailerPrefix+name] = values
+	}
+}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -55,6 +55,7 @@
 		Header:        upstreamHeader(r, time.Until(deadline)),
 		Body:          c.body,
 		ContentLength: r.ContentLength,
+		Trailer:       r.Trailer,
 	}
 	if r.ContentLength == 0 && c.route.Idempotent {
 		out.Body = http.NoBody
--- a/proxy/verdict_test.go
+++ b/proxy/verdict_test.go
@@ -458,3 +458,33 @@
 		t.Errorf("got %d hosts ejected for their callers' faults, want 0", got)
 	}
 }
+
+// TestTrailers checks that what follows a body in chunks is passed on both
+// ways, since an answer without it is not whole.
+func TestTrailers(t *testing.T) {
+	seen := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		seen <- r.Trailer.Get("X-Sum")
+		w.Header().Set("Trailer", "X-Sum")
+		_, _ = io.WriteString(w, "whole")
+		_ = http.NewResponseController(w).Flush()
+		w.Header().Set("X-Sum", "of the answer")
+	}))
+	defer server.Close()
+	url := startNode(t, server.Listener.Addr().String())
+	request, _ := http.NewRequest("POST", url+"/Service/post", struct{ io.Reader }{strings.NewReader("entry")})
+	request.Trailer = http.Header{"X-Sum": {"of the request"}}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if got, want := <-seen, "of the request"; got != want {
+		t.Errorf("got trailer %q at the host, want %q", got, want)
+	}
+	if got, want := response.Trailer.Get("X-Sum"), "of the answer"; got != want {
+		t.Errorf("got trailer %q at the caller, want %q", got, want)
+	}
+}
