all: one piece of code where two or three did the same

Cause: reading the whole change: what an ended context means for a failure stood twice in proxy; where a node stands was written out three times in peer; workers of a declaration and the entry of a node in the host list were built twice and three times in trials; a node's best host was ranked for every table though it is needed only without any share; two metrics each built the whole status; and Roster.Entries, Fleet.URL and two fields of Upstream had no users. Change: blameContext, peer.Standing, Platform.AddWorkers and fake.EntryHost serve all of them; the best host is ranked only when needed; the metrics read what they show; the unused is gone. A constant whose name said 'refused' and whose value was 502 is written out.

--- a/admin/server.go
+++ b/admin/server.go
@@ -62,8 +62,8 @@
 	s.server = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: core.StandardLog(logger.WithName("http"))}
 	set.NewGauge("rattanpath_control_received_bytes", func() float64 { return float64(traffic.Received()) })
 	set.NewGauge("rattanpath_control_sent_bytes", func() float64 { return float64(traffic.Sent()) })
-	set.NewGauge("rattanpath_revision", func() float64 { return float64(parts.Status().Revision) })
-	set.NewGauge("rattanpath_log_age_seconds", func() float64 { return parts.Status().Log.Age.Seconds() })
+	set.NewGauge("rattanpath_revision", func() float64 { return float64(parts.revision()) })
+	set.NewGauge("rattanpath_log_age_seconds", func() float64 { return parts.log().Age.Seconds() })
 	return s
 }
 
--- a/admin/status.go
+++ b/admin/status.go
@@ -29,23 +29,34 @@
 func (p *Parts) Status() views.Status {
 	state := p.Follower.State()
 	table := p.Router.Table()
-	status := views.Status{
+	return views.Status{
 		Node:       p.Settings.Name,
 		DataCentre: p.Settings.DataCentre,
 		Ready:      table != nil && !p.Server.Stopping(),
 		Stopping:   p.Server.Stopping(),
+		Revision:   p.revision(),
 		Next:       state.Next,
-		Log:        source(p.Follower.Contact().LastRead, p.Follower.Contact().Err),
+		Log:        p.log(),
 		Roster:     source(p.Watcher.Roster().At, p.Watcher.Roster().Err),
 		Diverged:   p.Exchanger.Diverged(),
 		InFlight:   p.Handler.InFlight(),
 		Peers:      peers(p.Exchanger.Known()),
 		Services:   services(table),
 	}
-	if table != nil {
-		status.Revision = table.Revision
+}
+
+// revision returns the configuration that the node serves by; 0 is none.
+func (p *Parts) revision() int64 {
+	if table := p.Router.Table(); table != nil {
+		return table.Revision
 	}
-	return status
+	return 0
+}
+
+// log returns how old the knowledge from the log is.
+func (p *Parts) log() views.Source {
+	contact := p.Follower.Contact()
+	return source(contact.LastRead, contact.Err)
 }
 
 func source(last time.Time, err error) views.Source {
--- a/change/publish.go
+++ b/change/publish.go
@@ -77,9 +77,9 @@
 }
 
 // Publish brings the files in force and returns their revision, which is the
-// old one if nothing differs. It sends the
-// record again after a lost answer, since copies of a record count once, until
-// it reads the outcome in the log or ctx ends.
+// old one if nothing differs. It sends the record again after a lost answer,
+// since copies of a record count once, until it reads the outcome in the log or
+// ctx ends.
 //
 // Its error is a ConflictError if the fold refused the change, an UnknownError
 // if the record may be in the log, and any other if it is not.
--- a/cmd/rattanpath/cmds/fake.go
+++ b/cmd/rattanpath/cmds/fake.go
@@ -9,14 +9,10 @@
 
 	"github.com/pkg/errors"
 
-	"rattanpath/config"
-	"rattanpath/core"
 	"rattanpath/fake"
+	"rattanpath/fleet"
 )
 
-// Ports of one entry node, in this order from its first one on.
-const portsPerNode = 3
-
 // fakeCommand runs the stand-ins of the platform.
 type fakeCommand struct {
 	Dir       string `arg:"" help:"Folder of declaration files; a worker is started for each of its hosts."`
@@ -34,11 +30,11 @@
 	}
 	platform := fake.NewPlatform(c.Retention)
 	defer platform.Close()
-	if err := startWorkers(platform, declaration); err != nil {
+	if err := platform.AddWorkers(declaration); err != nil {
 		return err
 	}
 	for i := range c.Nodes {
-		platform.List.Put(entryHost(i, c.NodePort))
+		platform.List.Put(fake.EntryHost(fleet.NodeName(i), c.NodePort+i*fake.PortsPerNode))
 	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -53,24 +49,3 @@
 	}
 	return nil
 }
-
-func startWorkers(platform *fake.Platform, declaration *config.Declaration) error {
-	for name, place := range declaration.Hosts {
-		if _, err := platform.AddWorker(name, place.DataCentre, place.Rack); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func entryHost(i, firstPort int) core.Host {
-	port := firstPort + i*portsPerNode
-	return core.Host{
-		Name:         fmt.Sprintf("node-%d", i),
-		Role:         core.RoleEntry,
-		State:        core.HostLive,
-		Address:      fmt.Sprintf("127.0.0.1:%d", port),
-		PeerAddress:  fmt.Sprintf("127.0.0.1:%d", port+1),
-		AdminAddress: fmt.Sprintf("127.0.0.1:%d", port+2),
-	}
-}
--- a/cmd/rattanpath/script_test.go
+++ b/cmd/rattanpath/script_test.go
@@ -68,16 +68,13 @@
 	})
 }
 
-// Nodes that a script can start, and the ports that each takes.
-const (
-	scriptNodes  = 4
-	portsPerNode = 3
-)
+// scriptNodes is the number of nodes that a script can start.
+const scriptNodes = 4
 
 // setupPorts sets PLATFORM to a free address, NODEPORT to the first of the
 // ports for nodes, and for each node its addresses and flags.
 func setupPorts(e *testscript.Env) error {
-	base, err := fake.FreePort(1 + scriptNodes*portsPerNode)
+	base, err := fake.FreePort(1 + scriptNodes*fake.PortsPerNode)
 	if err != nil {
 		return err
 	}
@@ -88,10 +85,10 @@
 	e.Setenv("RATTANPATH_LINGER", "200ms")
 	e.Setenv("NODEPORT", strconv.Itoa(base+1))
 	for i := range scriptNodes {
-		port := base + 1 + i*portsPerNode
-		e.Setenv(fmt.Sprintf("LISTEN%d", i), fake.LoopbackAddress(port))
-		e.Setenv(fmt.Sprintf("PEER%d", i), fake.LoopbackAddress(port+1))
-		e.Setenv(fmt.Sprintf("ADMIN%d", i), fake.LoopbackAddress(port+2))
+		host := fake.EntryHost("", base+1+i*fake.PortsPerNode)
+		e.Setenv(fmt.Sprintf("LISTEN%d", i), host.Address)
+		e.Setenv(fmt.Sprintf("PEER%d", i), host.PeerAddress)
+		e.Setenv(fmt.Sprintf("ADMIN%d", i), host.AdminAddress)
 	}
 	return nil
 }
--- a/fake/ports.go
+++ b/fake/ports.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"rattanpath/core"
 )
 
 // The ports that trials listen on lie below those that systems give to
@@ -52,3 +54,20 @@
 func LoopbackAddress(port int) string {
 	return fmt.Sprintf("127.0.0.1:%d", port)
 }
+
+// PortsPerNode counts the ports of an entry node in a trial: for callers, peers
+// and operators, in this order.
+const PortsPerNode = 3
+
+// EntryHost returns the entry in the host list of an entry node whose ports
+// start at firstPort.
+func EntryHost(name string, firstPort int) core.Host {
+	return core.Host{
+		Name:         name,
+		Role:         core.RoleEntry,
+		State:        core.HostLive,
+		Address:      LoopbackAddress(firstPort),
+		PeerAddress:  LoopbackAddress(firstPort + 1),
+		AdminAddress: LoopbackAddress(firstPort + 2),
+	}
+}
--- a/fake/server.go
+++ b/fake/server.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"rattanpath/config"
 	"rattanpath/core"
 	"rattanpath/plat"
 )
@@ -75,6 +76,16 @@
 	return worker, nil
 }
 
+// AddWorkers starts a worker for every host of a declaration.
+func (p *Platform) AddWorkers(declaration *config.Declaration) error {
+	for name, place := range declaration.Hosts {
+		if _, err := p.AddWorker(name, place.DataCentre, place.Rack); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Worker returns the worker of that name, or nil.
 func (p *Platform) Worker(name string) *Worker {
 	p.mu.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,10 +27,6 @@
 // Stream is the name of the stream that a fleet uses.
 const Stream = "rattanpath"
 
-// portsPerNode counts the addresses of a node: for callers, peers and
-// operators.
-const portsPerNode = 3
-
 // Fleet is a platform, its workers and the entry nodes.
 type Fleet struct {
 	Platform *fake.Platform
@@ -72,17 +68,9 @@
 
 // AddWorkers starts a worker for every host of a declaration.
 func (f *Fleet) AddWorkers(declaration *config.Declaration) error {
-	for name, place := range declaration.Hosts {
-		if _, err := f.Platform.AddWorker(name, place.DataCentre, place.Rack); err != nil {
-			return err
-		}
-	}
-	return nil
+	return f.Platform.AddWorkers(declaration)
 }
 
-// URL returns the address of the platform.
-func (f *Fleet) URL() string { return f.server.URL }
-
 // Streams returns the fleet's streams over HTTP.
 func (f *Fleet) Streams() follow.Streams {
 	return node.ConnectStreams(f.server.URL, Stream, time.Second, nil)
@@ -121,18 +109,11 @@
 func NodeName(i int) string { return fmt.Sprintf("node-%d", i) }
 
 func (f *Fleet) newMember(name string) (*member, error) {
-	port, err := fake.FreePort(portsPerNode)
+	port, err := fake.FreePort(fake.PortsPerNode)
 	if err != nil {
 		return nil, err
 	}
-	host := core.Host{
-		Name:         name,
-		Role:         core.RoleEntry,
-		State:        core.HostLive,
-		Address:      fake.LoopbackAddress(port),
-		PeerAddress:  fake.LoopbackAddress(port + 1),
-		AdminAddress: fake.LoopbackAddress(port + 2),
-	}
+	host := fake.EntryHost(name, port)
 	settings := core.Settings{
 		Name:            name,
 		Listen:          host.Address,
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -39,7 +39,7 @@
 	states   States
 	rosters  Rosters
 	members  *roster.Members
-	load     func() Load
+	service  *Service
 	every    time.Duration
 	fanout   int
 	dial     func(address string) Link
@@ -66,7 +66,7 @@
 
 // New returns an exchanger for the node that options name.
 func New(options Options, states States, rosters Rosters, members *roster.Members, load func() Load, logger logr.Logger) *Exchanger {
-	return &Exchanger{
+	e := &Exchanger{
 		dial:    options.Dial,
 		node:    options.Node,
 		self:    options.Self,
@@ -74,7 +74,6 @@
 		states:  states,
 		rosters: rosters,
 		members: members,
-		load:    load,
 		every:   options.Every,
 		fanout:  options.Fanout,
 		logger:  logger.WithName("peer"),
@@ -82,12 +81,12 @@
 		links:   make(map[string]Link),
 		known:   make(map[string]Known),
 	}
+	e.service = &Service{node: e.node, states: e.states, rosters: e.rosters, load: load, heard: e.hear}
+	return e
 }
 
 // Service returns the answering side.
-func (e *Exchanger) Service() *Service {
-	return &Service{node: e.node, states: e.states, rosters: e.rosters, load: e.load, heard: e.hear}
-}
+func (e *Exchanger) Service() *Service { return e.service }
 
 // Known returns what was last heard of each peer.
 func (e *Exchanger) Known() map[string]Known {
@@ -104,12 +103,11 @@
 	return e.diverged
 }
 
-func (e *Exchanger) hear(node string, known Known) {
-	known.At = time.Now()
-	e.members.Hear(node)
+func (e *Exchanger) hear(standing Standing) {
+	e.members.Hear(standing.Node)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.known[node] = known
+	e.known[standing.Node] = Known{Standing: standing, At: time.Now()}
 	maps.DeleteFunc(e.known, func(_ string, k Known) bool { return time.Since(k.At) > forgetAfter })
 }
 
@@ -190,20 +188,13 @@
 // nil if the peer can't be asked.
 func (e *Exchanger) ask(ctx context.Context, peer Link) *Answer {
 	before := e.states.State()
-	answer, err := peer.Exchange(ctx, Request{
-		Node:      e.node,
-		Next:      before.Next,
-		Digest:    before.Digest,
-		Revision:  before.Revision,
-		Ready:     e.states.Ready(),
-		Load:      e.load(),
-		WantHosts: e.rosters.Roster().Err != nil,
-	})
+	request := Request{Standing: e.service.standing(before), WantHosts: e.rosters.Roster().Err != nil}
+	answer, err := peer.Exchange(ctx, request)
 	if err != nil {
 		e.logger.V(1).Info("peer can't be asked", "reason", err.Error())
 		return nil
 	}
-	e.hear(answer.Node, Known{Next: answer.Next, Revision: answer.Revision, Ready: answer.Ready, Load: answer.Load})
+	e.hear(answer.Standing)
 	e.compare(before, answer)
 	if err := e.take(answer); err != nil {
 		e.logger.Error(err, "what a peer gave can't be used", "peer", answer.Node)
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -50,7 +50,7 @@
 	link := NewLink(startPeer(t), nil)
 	defer link.Close()
 	for range 2 {
-		answer, err := link.Exchange(t.Context(), Request{Node: "asker"})
+		answer, err := link.Exchange(t.Context(), Request{Standing: Standing{Node: "asker"}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/peer/service.go
+++ b/peer/service.go
@@ -32,19 +32,26 @@
 	states  States
 	rosters Rosters
 	load    func() Load
-	heard   func(node string, known Known)
+	heard   func(Standing)
+}
+
+// standing returns where the node stands at a state.
+func (s *Service) standing(state *fold.State) Standing {
+	return Standing{
+		Node:     s.node,
+		Next:     state.Next,
+		Digest:   state.Digest,
+		Revision: state.Revision,
+		Ready:    s.states.Ready(),
+		Load:     s.load(),
+	}
 }
 
 // Exchange answers one request; net/rpc gives it its shape.
 func (s *Service) Exchange(request Request, answer *Answer) error {
-	s.heard(request.Node, Known{Next: request.Next, Revision: request.Revision, Ready: request.Ready, Load: request.Load})
+	s.heard(request.Standing)
 	state := s.states.State()
-	answer.Node = s.node
-	answer.Next = state.Next
-	answer.Digest = state.Digest
-	answer.Revision = state.Revision
-	answer.Ready = s.states.Ready()
-	answer.Load = s.load()
+	answer.Standing = s.standing(state)
 	if request.WantHosts {
 		s.giveHosts(answer)
 	}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -15,8 +15,8 @@
 	Waiting  int64
 }
 
-// Request tells a peer where the asking node stands.
-type Request struct {
+// Standing is where a node stands with the fleet's state.
+type Standing struct {
 	Node string
 	// Next is the offset of the first record that the node has not folded, and
 	// Digest the digest of those before.
@@ -25,6 +25,11 @@
 	Revision int64
 	Ready    bool
 	Load     Load
+}
+
+// Request tells a peer where the asking node stands.
+type Request struct {
+	Standing
 	// WantHosts asks for the host list, since the node can't read it.
 	WantHosts bool
 }
@@ -32,13 +37,8 @@
 // Answer tells where the asked node stands, and carries what the asking node
 // lacks: records, or else a whole state.
 type Answer struct {
-	Node     string
-	Next     int64
-	Digest   uint64
-	Revision int64
-	Ready    bool
-	Load     Load
-	Entries  []core.Entry
+	Standing
+	Entries []core.Entry
 	// State is an encoded state and Hash its hash.
 	State []byte
 	Hash  string
@@ -50,9 +50,6 @@
 
 // Known is what a node last heard of a peer.
 type Known struct {
-	Next     int64
-	Revision int64
-	Ready    bool
-	Load     Load
-	At       time.Time
+	Standing
+	At time.Time
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -266,13 +266,7 @@
 		Status:  http.StatusBadGateway,
 		Err:     err,
 	}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		failure.Cause = core.CauseDeadline
-		failure.Status = http.StatusGatewayTimeout
-	case ctx.Err() != nil:
-		failure.Cause = core.CauseCancelled
-	}
+	blameContext(ctx, failure)
 	return failure
 }
 
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -14,11 +14,10 @@
 )
 
 const (
-	dialTimeout       = time.Second
-	idleTimeout       = 30 * time.Second
-	maxIdlePerHost    = 4
-	maxAnswerHeader   = 64 << 10
-	connectionRefused = http.StatusBadGateway
+	dialTimeout     = time.Second
+	idleTimeout     = 30 * time.Second
+	maxIdlePerHost  = 4
+	maxAnswerHeader = 64 << 10
 )
 
 // newTransport returns the transport to upstream hosts. It does nothing on its
@@ -93,28 +92,36 @@
 
 // sendFailure judges an error of sending by whether any byte went out.
 func sendFailure(ctx context.Context, err error, sent bool) *core.Failure {
-	failure := &core.Failure{Verdict: core.NotRun, Cause: core.CauseConnect, Status: connectionRefused, Err: err}
+	failure := &core.Failure{Verdict: core.NotRun, Cause: core.CauseConnect, Status: http.StatusBadGateway, Err: err}
 	if sent {
 		failure.Verdict = core.MayHaveRun
 		failure.Cause = core.CauseUpstreamFailed
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		failure.Cause = core.CauseDeadline
-		failure.Status = http.StatusGatewayTimeout
 	case ctx.Err() != nil:
-		failure.Cause = core.CauseCancelled
+		blameContext(ctx, failure)
 	case errors.As(err, new(*http.MaxBytesError)):
 		failure.Cause = core.CauseBodyTooLarge
 		failure.Status = http.StatusRequestEntityTooLarge
-	}
-	if !sent && failure.Cause == core.CauseConnect {
+	case !sent:
 		failure.Status = http.StatusServiceUnavailable
 		failure.RetryAfter = time.Second
 	}
 	return failure
 }
 
+// blameContext gives a failure the cause for which its context ended, if it
+// did: the deadline, or a caller that went away.
+func blameContext(ctx context.Context, failure *core.Failure) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		failure.Cause = core.CauseDeadline
+		failure.Status = http.StatusGatewayTimeout
+	case ctx.Err() != nil:
+		failure.Cause = core.CauseCancelled
+	}
+}
+
 // bounded reports whether the end of an answer can be told from a connection
 // that broke.
 func bounded(method string, response *http.Response) bool {
--- a/roster/watch.go
+++ b/roster/watch.go
@@ -31,17 +31,6 @@
 	Err error
 }
 
-// Entries returns the live entry nodes.
-func (r *Roster) Entries() []core.Host {
-	var entries []core.Host
-	for _, host := range r.Hosts {
-		if host.Role == core.RoleEntry && host.State == core.HostLive {
-			entries = append(entries, host)
-		}
-	}
-	return entries
-}
-
 // Watcher reads the list again and again.
 type Watcher struct {
 	lister Lister
--- a/route/router.go
+++ b/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -194,19 +195,18 @@
 // can't hand a request over to another node.
 func (r *Router) targets(upstreams []*Upstream, slots int) []Target {
 	var targets []Target
-	best := -1
-	for i, upstream := range upstreams {
+	for _, upstream := range upstreams {
 		if share := slotShare(slots, upstream.Name, r.self, r.nodes); share > 0 {
 			targets = append(targets, Target{Upstream: upstream, Share: share})
 		}
-		if best < 0 || rank(upstream.Name, r.self, r.nodes) < rank(upstreams[best].Name, r.self, r.nodes) {
-			best = i
-		}
 	}
-	if len(targets) == 0 && best >= 0 {
-		targets = append(targets, Target{Upstream: upstreams[best], Share: 1})
+	if len(targets) > 0 || len(upstreams) == 0 {
+		return targets
 	}
-	return targets
+	best := slices.MinFunc(upstreams, func(a, b *Upstream) int {
+		return cmp.Compare(rank(a.Name, r.self, r.nodes), rank(b.Name, r.self, r.nodes))
+	})
+	return []Target{{Upstream: best, Share: 1}}
 }
 
 // usableHosts returns, for each pool, the hosts that may get new requests.
@@ -231,7 +231,7 @@
 	if known != nil && known.Address == host.Address {
 		return known
 	}
-	upstream := &Upstream{Name: host.Name, Address: host.Address, Rack: host.Rack, DataCentre: host.DataCentre}
+	upstream := &Upstream{Name: host.Name, Address: host.Address}
 	r.upstreams[host.Name] = upstream
 	return upstream
 }
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -7,10 +7,8 @@
 // Upstream is a host as one entry node sees it. It outlives the tables that
 // refer to it, so that its count of requests in flight stays right.
 type Upstream struct {
-	Name       string
-	Address    string
-	Rack       string
-	DataCentre string
+	Name    string
+	Address string
 	// Slots counts this node's requests in flight at the host.
 	Slots  limit.Slots
 	health health
