--- /dev/null
+++ b/cell/cell.go
@@ -0,0 +1,240 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"rattanpath/core"
+	"rattanpath/lease"
+	"rattanpath/pool"
+	"rattanpath/store"
+	"rattanpath/tasks"
+)
+
+// Times of a cell.
+const (
+	// ownTime is how long after its last confirmed write a cell that can't reach
+	// the store goes on extending leases.
+	ownTime = 8 * time.Second
+	// countTime is how long after its last confirmed write a cell vouches for
+	// counts.
+	countTime = 5 * time.Second
+	// idleWrite is the longest time between two writes; an empty one confirms that
+	// no other node has taken over.
+	idleWrite = time.Second
+	// downTime is how long writes must have failed before new jobs are refused.
+	downTime = 300 * time.Millisecond
+	// leaseShare is the part of the longest lease that is granted.
+	leaseShare = 0.7
+	// tickEvery is the time between two looks at leases, due times and stops.
+	tickEvery = 100 * time.Millisecond
+	// doubtSlack is added to the time after which nothing of an older owner can
+	// be at work.
+	doubtSlack = 500 * time.Millisecond
+	// keepSlack is how long an ended job is kept beyond its promised time.
+	keepSlack = 60 * time.Second
+)
+
+// Errors of a cell.
+var (
+	// ErrNotOwner means that this node doesn't have the cell.
+	ErrNotOwner = errors.New("this node does not have the cell of the service")
+	// ErrStoreAway means that nothing new can be kept, and nothing was done.
+	ErrStoreAway = errors.New("the store can't be reached")
+	// ErrUncertain means that the change may have been kept, or may be yet.
+	ErrUncertain = errors.New("the store did not confirm the change in time")
+	// ErrUnknownJob means that there is no such job.
+	ErrUnknownJob = errors.New("no such job")
+	// ErrTaken means that another queue of the service has a job of that ID.
+	ErrTaken = errors.New("another queue of the service has a job of that ID")
+)
+
+// Journal keeps the records of a cell.
+type Journal interface {
+	Append(ctx context.Context, write store.Write) (int64, error)
+	Newest(ctx context.Context, topic string) (store.Table, error)
+}
+
+// Options say what a cell is for and what it works with.
+type Options struct {
+	Service string
+	Node    string
+	Journal Journal
+	Hosts   lease.Hosts
+	Clock   core.Clock
+	// MaxLease is the longest lease that a host grants.
+	MaxLease time.Duration
+	// KeepEnded is how long an ended job must be known.
+	KeepEnded time.Duration
+	// Pace is the time after which a new pace is in force, and Harm how long a
+	// serving task may be over its target.
+	Pace time.Duration
+	Harm time.Duration
+	// BatchBytes bounds the records of one write.
+	BatchBytes int
+	Logger     logr.Logger
+	Meters     *Meters
+}
+
+// entry is a job and what is known of its records.
+type entry struct {
+	job *tasks.Job
+	// defined means that the definition is in the store.
+	defined bool
+	dirty   bool
+	// kept is closed by the first write that holds the job.
+	then []func()
+	// shown is the phase in the store: what callers may be told.
+	shown tasks.Phase
+	// notBefore is when a job whose tasks were refused is tried again.
+	notBefore time.Time
+}
+
+// Cell decides for one service.
+type Cell struct {
+	options Options
+	logger  logr.Logger
+	epoch   int64
+
+	mu    sync.Mutex
+	jobs  map[tasks.Key]*entry
+	byID  map[string]*entry
+	open  map[*entry]bool
+	dirty []*entry
+	hosts map[string]*host
+	// sequence numbers the writes of this epoch.
+	sequence int64
+	// claimed and confirmed are when the cell was claimed and when the last write
+	// that the store has confirmed was sent.
+	claimed   time.Duration
+	confirmed time.Duration
+	// failing is since when writes fail; zero if they don't.
+	failing time.Time
+	stopped bool
+	runtime *runtimes
+
+	writeKick chan struct{}
+	placeKick chan struct{}
+	lost      chan struct{}
+	lostOnce  sync.Once
+	ctx       context.Context
+	wg        sync.WaitGroup
+}
+
+// Topic returns the topic of a service's cell.
+func Topic(service string) string { return "cell." + service }
+
+func newCell(options Options) *Cell {
+	return &Cell{
+		options:   options,
+		logger:    options.Logger.WithName("cell").WithValues("service", options.Service),
+		jobs:      make(map[tasks.Key]*entry),
+		byID:      make(map[string]*entry),
+		open:      make(map[*entry]bool),
+		hosts:     make(map[string]*host),
+		runtime:   newRuntimes(),
+		writeKick: make(chan struct{}, 1),
+		placeKick: make(chan struct{}, 1),
+		lost:      make(chan struct{}),
+	}
+}
+
+// Epoch returns the epoch in which this node has the cell.
+func (c *Cell) Epoch() int64 { return c.epoch }
+
+// Run decides until ctx ends or the cell is lost to another node.
+func (c *Cell) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.ctx = ctx
+	c.mu.Lock()
+	for _, h := range c.hosts {
+		c.startHost(h)
+	}
+	c.mu.Unlock()
+	c.wg.Go(func() { c.loopWrites(ctx) })
+	c.wg.Go(func() { c.loopPlace(ctx) })
+	c.wg.Go(func() { c.loopTicks(ctx) })
+	select {
+	case <-ctx.Done():
+	case <-c.lost:
+	}
+	cancel()
+	c.mu.Lock()
+	c.stopped = true
+	c.mu.Unlock()
+	c.wg.Wait()
+}
+
+// Lost returns a channel that is closed when another node has the cell.
+func (c *Cell) Lost() <-chan struct{} { return c.lost }
+
+// lose gives the cell up.
+func (c *Cell) lose(why string) {
+	c.lostOnce.Do(func() {
+		c.logger.Info("cell lost", "epoch", c.epoch, "why", why)
+		c.options.Meters.Lost.Inc()
+		close(c.lost)
+	})
+}
+
+// isLost reports whether another node has the cell.
+func (c *Cell) isLost() bool {
+	select {
+	case <-c.lost:
+		return true
+	default:
+		return false
+	}
+}
+
+// goRun runs a call in the background for as long as the cell runs. It must be
+// called with the lock held.
+func (c *Cell) goRun(run func(context.Context)) {
+	if c.stopped || c.ctx == nil {
+		return
+	}
+	c.wg.Go(func() { run(c.ctx) })
+}
+
+// loopTicks looks at what only time changes.
+func (c *Cell) loopTicks(ctx context.Context) {
+	for core.Sleep(ctx, tickEvery) == nil {
+		c.mu.Lock()
+		c.expireLeases()
+		c.forgetEnded(time.Now())
+		c.mu.Unlock()
+		kick(c.placeKick)
+	}
+}
+
+// kick wakes the loop that waits on a channel.
+func kick(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
+// SetHosts takes in which hosts the pool has.
+func (c *Cell) SetHosts(view pool.View) {
+	if view.At.IsZero() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, info := range view.Hosts {
+		if info.Service == c.options.Service {
+			c.meet(id, info)
+		}
+	}
+	for id, h := range c.hosts {
+		info := view.Hosts[id]
+		h.present = info != nil && info.Service == c.options.Service
+	}
+	kick(c.placeKick)
+}
--- /dev/null
+++ b/cell/host.go
@@ -0,0 +1,424 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"rattanpath/core"
+	"rattanpath/lease"
+	"rattanpath/pool"
+	"rattanpath/tasks"
+)
+
+// Times of the calls of a host.
+const (
+	// holdWait is how long a hold waits for an end.
+	holdWait = time.Second
+	// holdPause is the time between holds while a host doesn't answer, and while
+	// the store keeps its ends from being noted.
+	holdPause = 300 * time.Millisecond
+	// noteWait is how long a hold waits for the store to note the last ends.
+	noteWait = 500 * time.Millisecond
+	// sickTime is how long a host that refuses orders gets no more.
+	sickTime = time.Second
+)
+
+// run is a run that takes room on a host.
+type run struct {
+	// entry is the job, or nil for a run that no job knows.
+	entry  *entry
+	name   tasks.Name
+	number int
+	born   int64
+	room   tasks.Room
+	// sent means that the start was or is being sent, and answered is when the
+	// host took it.
+	sent     bool
+	answered time.Duration
+	// doubt is when the answer to the start was given up on; zero if it wasn't.
+	doubt time.Duration
+	// stopping means that the run is being stopped.
+	stopping bool
+	// inherited means that an older owner may have started it.
+	inherited bool
+	// percent and load are what the host last showed.
+	percent int
+	load    float64
+	paced   int
+}
+
+// host is what a cell knows of a host.
+type host struct {
+	id    string
+	info  *pool.Host
+	clock lease.Clock
+	runs  map[tasks.Name]*run
+	// present means that the pool lists the host.
+	present bool
+	// fenced means that the host has shown its runs under this epoch.
+	fenced bool
+	// failed counts the holds without an answer since the last one with.
+	failed int
+	// born is the life that has answered.
+	born int64
+	// seen is the last end that is noted in the store, and listed the last one
+	// that the host has listed.
+	seen   int64
+	listed int64
+	// sickUntil is when the host gets orders again after it refused one.
+	sickUntil time.Time
+	// cordonedUntil is until when the host gets no new runs.
+	cordonedUntil time.Time
+	record        record
+
+	kick    chan struct{}
+	running bool
+}
+
+// host returns what is known of a host and begins with nothing.
+func (c *Cell) host(id string) *host {
+	h := c.hosts[id]
+	if h == nil {
+		h = &host{id: id, runs: make(map[tasks.Name]*run), kick: make(chan struct{}, 1)}
+		c.hosts[id] = h
+	}
+	return h
+}
+
+// meet takes in what a host says of itself.
+func (c *Cell) meet(id string, info *pool.Host) {
+	h := c.host(id)
+	if h.info != nil && h.info.Born != 0 && info.Born != 0 && info.Born != h.info.Born && h.born != info.Born {
+		c.reborn(h, info.Born)
+	}
+	h.info = info
+	h.present = true
+	c.startHost(h)
+}
+
+func (c *Cell) startHost(h *host) {
+	if h.running || h.info == nil || c.ctx == nil {
+		return
+	}
+	h.running = true
+	loop := &hostLoop{cell: c, host: h}
+	c.goRun(loop.run)
+}
+
+// used returns the capacity that the runs of a host take.
+func (h *host) used() tasks.Room {
+	var used tasks.Room
+	for _, r := range h.runs {
+		used = used.Add(r.room)
+	}
+	return used
+}
+
+// hostLoop keeps in touch with one host.
+type hostLoop struct {
+	cell *Cell
+	host *host
+}
+
+// run holds the host's lease while there are runs on it, until ctx ends or the
+// host is gone and empty.
+func (l *hostLoop) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		order, info, wanted := l.next()
+		switch {
+		case info == nil:
+			return
+		case !wanted:
+			l.idle(ctx)
+			continue
+		}
+		sent := l.cell.options.Clock()
+		listing, err := l.cell.options.Hosts.Hold(ctx, info, order)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil || listing.Reason != lease.Accepted {
+			l.cell.holdFailed(l.host, listing.Reason, err)
+			_ = core.Sleep(ctx, holdPause)
+			continue
+		}
+		noted := l.cell.listed(l.host, listing, sent)
+		l.waitNoted(ctx, noted)
+	}
+}
+
+// idle waits until there is something to ask the host.
+func (l *hostLoop) idle(ctx context.Context) {
+	select {
+	case <-l.host.kick:
+	case <-time.After(holdWait):
+	case <-ctx.Done():
+	}
+}
+
+// waitNoted waits until the listed ends are noted, so that the next hold need
+// not list them again.
+func (l *hostLoop) waitNoted(ctx context.Context, noted <-chan struct{}) {
+	if noted == nil {
+		return
+	}
+	select {
+	case <-noted:
+	case <-time.After(noteWait):
+	case <-ctx.Done():
+	}
+}
+
+// next returns the next hold. No host means that it is gone.
+func (l *hostLoop) next() (lease.Hold, *pool.Host, bool) {
+	c, h := l.cell, l.host
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !h.present && len(h.runs) == 0 {
+		h.running = false
+		delete(c.hosts, h.id)
+		return lease.Hold{}, nil, false
+	}
+	if h.fenced && len(h.runs) == 0 && h.seen == h.listed {
+		return lease.Hold{}, h.info, false
+	}
+	order := lease.Hold{Token: c.epoch, Seen: h.seen}
+	if h.fenced && h.failed == 0 {
+		order.Wait = holdWait
+	}
+	if h.seen < h.listed {
+		order.Wait = 0
+	}
+	if len(h.runs) > 0 && c.owns() {
+		order.Until = h.clock.Until(c.options.Clock(), c.leaseLength())
+	}
+	return order, h.info, true
+}
+
+// leaseLength is how long a lease is granted for.
+func (c *Cell) leaseLength() time.Duration {
+	return time.Duration(float64(c.options.MaxLease) * leaseShare)
+}
+
+// holdFailed notes that a host did not answer a hold, or refused it.
+func (c *Cell) holdFailed(h *host, reason lease.Reason, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h.failed++
+	if h.failed == 1 {
+		c.logger.Info("host lost touch", "host", h.id, "runs", len(h.runs), "refusal", reason.String(), "err", text(err))
+	}
+	switch reason {
+	case lease.RefusedFence:
+		c.lose("host " + h.id + " has seen a higher token")
+	case lease.RefusedOther:
+		// Another life has the address; this one is over, and with it its runs.
+		c.loseRuns(h, "the address belongs to another host")
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// listed takes in a host's runs and ends. The channel, if there is one, is
+// closed once the ends are noted in the store.
+func (c *Cell) listed(h *host, listing lease.Listing, sent time.Duration) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Clock()
+	if listing.Born != 0 && h.born != 0 && listing.Born != h.born {
+		c.reborn(h, listing.Born)
+	}
+	if h.failed > 0 {
+		c.logger.Info("host back in touch", "host", h.id, "runs", len(h.runs), "missed", h.failed)
+	}
+	h.failed = 0
+	if listing.Born != 0 {
+		h.born = listing.Born
+	}
+	h.clock.Learn(listing.Clock, now)
+	noted := c.takeEnds(h, listing.Ends)
+	c.takeRuns(h, listing.Runs, sent)
+	if !h.fenced {
+		h.fenced = true
+		c.settleInherited(h, listing.Runs)
+	}
+	kick(c.placeKick)
+	return noted
+}
+
+// reborn notes that a host has begun a new life: whatever ran on it is gone.
+func (c *Cell) reborn(h *host, born int64) {
+	c.logger.Info("host born again", "host", h.id, "before", h.born, "born", born, "runs", len(h.runs))
+	h.born = born
+	h.clock = lease.Clock{}
+	h.fenced = false
+	h.seen, h.listed = 0, 0
+	c.loseRuns(h, "host born again")
+}
+
+// loseRuns gives up all runs of a host that surely are not at work any more.
+func (c *Cell) loseRuns(h *host, why string) {
+	for _, r := range h.runs {
+		c.runOver(h, r, tasks.EndLost, "", why)
+	}
+}
+
+// runOver notes that a run is not at work any more.
+func (c *Cell) runOver(h *host, r *run, how tasks.How, saved, why string) {
+	if h.runs[r.name] == r {
+		delete(h.runs, r.name)
+	}
+	if r.entry == nil {
+		return
+	}
+	if r.entry.job.End(r.name, r.number, how, saved, time.Now()) {
+		c.logEnd(h, r, how, why)
+		c.stopRest(r.entry)
+		c.touch(r.entry, nil)
+	}
+	kick(c.placeKick)
+}
+
+func (c *Cell) logEnd(h *host, r *run, how tasks.How, why string) {
+	c.options.Meters.end(how)
+	if how == tasks.EndDone {
+		return
+	}
+	c.logger.Info("run ended", "job", r.name.Job, "round", r.name.Round, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "how", how.String(), "why", why)
+}
+
+// takeEnds takes in the ends that a host lists.
+func (c *Cell) takeEnds(h *host, ends []lease.End) <-chan struct{} {
+	if len(ends) == 0 {
+		return nil
+	}
+	highest := h.listed
+	last := c.last()
+	for _, end := range ends {
+		highest = max(highest, end.Number)
+		if r := h.runs[end.Name]; r != nil && r.number == end.Run {
+			c.judge(h, r, end.How)
+			c.runOver(h, r, end.How, end.Saved, "listed")
+			if r.entry != nil {
+				last = r.entry
+			}
+		}
+	}
+	h.listed = highest
+	noted := make(chan struct{})
+	note := func() {
+		h.seen = max(h.seen, highest)
+		close(noted)
+	}
+	if last == nil {
+		note()
+		return noted
+	}
+	c.touch(last, note)
+	return noted
+}
+
+// last returns the job that is written last of those that wait for it.
+func (c *Cell) last() *entry {
+	if len(c.dirty) == 0 {
+		return nil
+	}
+	return c.dirty[len(c.dirty)-1]
+}
+
+// takeRuns takes in the runs that a host lists as of a hold that was sent at a
+// local time.
+func (c *Cell) takeRuns(h *host, listed []lease.Run, sent time.Duration) {
+	shown := make(map[tasks.Name]int, len(listed))
+	for _, l := range listed {
+		shown[l.Name] = l.Run
+		r := h.runs[l.Name]
+		if r == nil || r.number != l.Run {
+			c.stopUnknown(h, l)
+			continue
+		}
+		r.percent, r.load = l.Percent, l.Load
+		r.doubt = 0
+		if r.answered == 0 {
+			r.answered = sent
+		}
+		if r.entry != nil {
+			r.entry.job.Shown(r.name, r.number)
+			r.entry.job.Save(r.name, r.number, l.Saved)
+		}
+	}
+	for _, r := range h.runs {
+		if shown[r.name] == r.number || r.inherited {
+			continue
+		}
+		switch {
+		case r.answered != 0 && r.answered < sent:
+			c.runOver(h, r, tasks.EndLost, "", "the host no longer has it")
+		case r.doubt != 0 && r.doubt < sent:
+			c.stopRun(h, r)
+		}
+	}
+}
+
+// settleInherited compares what an older owner may have started on a host with
+// what the host has, now that it refuses the older owner's orders.
+func (c *Cell) settleInherited(h *host, listed []lease.Run) {
+	shown := make(map[tasks.Name]int, len(listed))
+	for _, l := range listed {
+		shown[l.Name] = l.Run
+	}
+	for _, r := range h.runs {
+		if !r.inherited {
+			continue
+		}
+		r.inherited = false
+		r.sent = true
+		r.answered = c.options.Clock()
+		if shown[r.name] != r.number {
+			c.runOver(h, r, tasks.EndLost, "", "not on the host at the take-over")
+			continue
+		}
+		c.stopRest(r.entry)
+	}
+}
+
+// stopUnknown stops a run that should not be there.
+func (c *Cell) stopUnknown(h *host, listed lease.Run) {
+	c.logger.Info("host has a run that it should not have", "host", h.id, "job", listed.Name.Job, "step", listed.Name.Step, "index", listed.Name.Index, "run", listed.Run)
+	r := h.runs[listed.Name]
+	if r != nil && r.number > listed.Run {
+		return
+	}
+	r = &run{name: listed.Name, number: listed.Run, sent: true, answered: c.options.Clock()}
+	if e := c.byID[listed.Name.Job]; e != nil && listed.Name.Step < len(e.job.Plan.Steps) {
+		r.room = e.job.Step(listed.Name).Occupies()
+	}
+	h.runs[listed.Name] = r
+	c.stopRun(h, r)
+}
+
+// expireLeases gives up the runs of hosts whose every lease has ended.
+func (c *Cell) expireLeases() {
+	now := c.options.Clock()
+	// Whatever an older owner has ordered has lapsed by then.
+	inheritedUntil := c.claimed + ownTime + time.Duration(float64(c.options.MaxLease)/0.98) + doubtSlack
+	for id, h := range c.hosts {
+		over := h.clock.Over(now)
+		for _, r := range h.runs {
+			switch {
+			case r.inherited && now > inheritedUntil:
+				c.runOver(h, r, tasks.EndLost, "", "every lease of older owners has ended")
+			case !r.inherited && r.sent && over && h.failed > 0:
+				c.runOver(h, r, tasks.EndLost, "", "the lease has ended")
+			}
+		}
+		if h.info == nil && len(h.runs) == 0 {
+			delete(c.hosts, id)
+		}
+	}
+}
--- /dev/null
+++ b/cell/order.go
@@ -0,0 +1,163 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"rattanpath/core"
+	"rattanpath/lease"
+	"rattanpath/tasks"
+)
+
+const (
+	// sendTime is how long after its record was written a start may be sent.
+	sendTime = time.Second
+	// stopPause is the time between attempts to stop a run.
+	stopPause = 200 * time.Millisecond
+	// refusedPause is how long a job waits after a host refused its task.
+	refusedPause = 100 * time.Millisecond
+)
+
+// sendStart tells a host to start a run whose record is in the store. It is
+// called with the lock held.
+func (c *Cell) sendStart(h *host, r *run) {
+	written := c.options.Clock()
+	c.goRun(func(ctx context.Context) {
+		order, ok := c.startOrder(h, r, written)
+		if !ok {
+			return
+		}
+		begun := time.Now()
+		reply, err := c.options.Hosts.Start(ctx, h.info, order)
+		c.options.Meters.Start.UpdateDuration(begun)
+		c.started(h, r, reply, err)
+	})
+}
+
+// startOrder returns the order for a run, unless it is not to be started any
+// more.
+func (c *Cell) startOrder(h *host, r *run, written time.Duration) (lease.Start, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Clock()
+	task := r.entry.job.Task(r.name)
+	current := h.runs[r.name] == r && task != nil && task.Run == r.number
+	if !current {
+		return lease.Start{}, false
+	}
+	if r.entry.job.Phase != tasks.Open || now-written > sendTime || c.isLost() || !h.clock.Known() || r.stopping {
+		c.runOver(h, r, tasks.EndLost, "", "not sent")
+		return lease.Start{}, false
+	}
+	r.sent = true
+	return lease.Start{
+		Name:  r.name,
+		Run:   r.number,
+		Spec:  r.entry.job.Plan.Spec,
+		Saved: task.Saved,
+		Until: h.clock.Until(now, c.leaseLength()),
+		Token: c.epoch,
+	}, true
+}
+
+// started takes in a host's answer to a start.
+func (c *Cell) started(h *host, r *run, reply lease.Reply, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.runs[r.name] != r {
+		return
+	}
+	now := c.options.Clock()
+	kick(h.kick)
+	if err != nil {
+		r.doubt = now
+		c.logger.Info("start not answered", "job", r.name.Job, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "err", err.Error())
+		return
+	}
+	h.clock.Learn(reply.Clock, now)
+	if reply.Reason == lease.Accepted {
+		r.answered = now
+		r.entry.job.Shown(r.name, r.number)
+		c.stopRest(r.entry)
+		return
+	}
+	c.logger.Info("start refused", "job", r.name.Job, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "reason", reply.Reason.String())
+	r.entry.notBefore = time.Now().Add(refusedPause)
+	switch reply.Reason {
+	case lease.RefusedFence:
+		c.lose("host " + h.id + " has seen a higher token")
+		return
+	case lease.RefusedLate:
+		h.clock = lease.Clock{}
+		h.fenced = false
+	case lease.RefusedOther, lease.RefusedBusy, lease.RefusedRoom:
+		h.sickUntil = time.Now().Add(sickTime)
+	}
+	c.runOver(h, r, tasks.EndLost, "", "refused: "+reply.Reason.String())
+}
+
+// stopRest stops what still runs of a job that has ended. It is called with the
+// lock held.
+func (c *Cell) stopRest(e *entry) {
+	if e == nil || e.job.Phase == tasks.Open {
+		return
+	}
+	e.job.EachActive(func(name tasks.Name, task *tasks.Task) {
+		h := c.hosts[task.Host]
+		if h == nil {
+			return
+		}
+		if r := h.runs[name]; r != nil && r.number == task.Run {
+			c.stopRun(h, r)
+		}
+	})
+}
+
+// stopRun stops a run, over and over until the host has answered. Its room is
+// free once the host lists its end. It is called with the lock held.
+func (c *Cell) stopRun(h *host, r *run) {
+	if r.stopping || r.inherited || !r.sent || h.info == nil {
+		return
+	}
+	r.stopping = true
+	kick(h.kick)
+	order := lease.Stop{Name: r.name, Run: r.number, Token: c.epoch}
+	c.goRun(func(ctx context.Context) {
+		for {
+			reply, err := c.options.Hosts.Stop(ctx, h.info, order)
+			if ctx.Err() != nil || c.stopAnswered(h, r, reply, err) {
+				return
+			}
+			if core.Sleep(ctx, stopPause) != nil {
+				return
+			}
+		}
+	})
+}
+
+// stopAnswered takes in a host's answer to a stop and reports whether no other
+// attempt is due.
+func (c *Cell) stopAnswered(h *host, r *run, reply lease.Reply, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.runs[r.name] != r {
+		return true
+	}
+	if err != nil || reply.Reason == lease.RefusedBusy {
+		return false
+	}
+	h.clock.Learn(reply.Clock, c.options.Clock())
+	kick(h.kick)
+	switch reply.Reason {
+	case lease.RefusedFence:
+		c.lose("host " + h.id + " has seen a higher token")
+	case lease.RefusedOther:
+		c.runOver(h, r, tasks.EndLost, "", "another host answers at the address")
+	case lease.Accepted, lease.RefusedOld:
+		if r.doubt != 0 {
+			// It was not there; from now on the host refuses it.
+			c.runOver(h, r, tasks.EndLost, "", "stopped before its start arrived")
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/cell/write.go
@@ -0,0 +1,193 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"rattanpath/core"
+	"rattanpath/store"
+	"rattanpath/tasks"
+)
+
+// Pauses between attempts to write while the store is away.
+const (
+	minWritePause = 20 * time.Millisecond
+	maxWritePause = 250 * time.Millisecond
+)
+
+// touch notes that a job's records must be written. Then, which may be nil, is
+// called with the lock held once they are.
+func (c *Cell) touch(e *entry, then func()) {
+	if !e.dirty {
+		e.dirty = true
+		c.dirty = append(c.dirty, e)
+	}
+	if then != nil {
+		e.then = append(e.then, then)
+	}
+	if e.job.Phase != tasks.Open {
+		delete(c.open, e)
+	}
+	kick(c.writeKick)
+}
+
+// batch is what one write carries.
+type batch struct {
+	records []store.Record
+	done    []func()
+}
+
+// loopWrites writes what has changed, one write at a time.
+func (c *Cell) loopWrites(ctx context.Context) {
+	for {
+		select {
+		case <-c.writeKick:
+		case <-time.After(idleWrite):
+		case <-ctx.Done():
+			return
+		}
+		for {
+			b, more := c.collect()
+			if !c.write(ctx, b) {
+				return
+			}
+			if !more {
+				break
+			}
+		}
+	}
+}
+
+// collect takes the changes that fit into one write and reports whether others
+// are left.
+func (c *Cell) collect() (batch, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var b batch
+	size := 0
+	for len(c.dirty) > 0 && size < c.options.BatchBytes {
+		e := c.dirty[0]
+		c.dirty = c.dirty[1:]
+		e.dirty = false
+		records, err := c.records(e)
+		if err != nil {
+			// Only values that JSON can't hold get here; there are none in a job.
+			c.logger.Error(err, "a job can't be written", "job", e.job.Key.ID)
+			continue
+		}
+		for _, record := range records {
+			size += len(record.Value) + len(record.Key)
+		}
+		b.records = append(b.records, records...)
+		b.done = append(b.done, e.settle())
+	}
+	return b, len(c.dirty) > 0
+}
+
+// settle returns what happens once the job's present state is in the store.
+func (e *entry) settle() func() {
+	phase, then := e.job.Phase, e.then
+	e.then = nil
+	return func() {
+		e.shown = phase
+		for _, call := range then {
+			call()
+		}
+	}
+}
+
+// records returns the records of a job that must be written.
+func (c *Cell) records(e *entry) ([]store.Record, error) {
+	suffix := fmt.Sprintf("%016x/%s", xxhash.Sum64String(e.job.Key.Queue), e.job.Key.ID)
+	if c.jobs[e.job.Key] != e {
+		return []store.Record{{Key: definitionMark + suffix}, {Key: progressMark + suffix}}, nil
+	}
+	var records []store.Record
+	if !e.defined {
+		value, err := e.job.EncodeDefinition()
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, store.Record{Key: definitionMark + suffix, Value: value})
+		e.defined = true
+	}
+	value, err := e.job.EncodeProgress()
+	if err != nil {
+		return nil, err
+	}
+	return append(records, store.Record{Key: progressMark + suffix, Value: value}), nil
+}
+
+// write appends a batch, over and over until the store confirms it, and reports
+// whether the cell is still this node's.
+func (c *Cell) write(ctx context.Context, b batch) bool {
+	pause := minWritePause
+	for {
+		sent, begun := c.options.Clock(), time.Now()
+		_, err := c.options.Journal.Append(ctx, store.Write{
+			Topic:    Topic(c.options.Service),
+			Records:  b.records,
+			Writer:   writer,
+			Epoch:    c.epoch,
+			Sequence: c.sequence,
+		})
+		switch {
+		case err == nil:
+			c.options.Meters.Write.UpdateDuration(begun)
+			c.confirm(sent, b)
+			return true
+		case ctx.Err() != nil:
+			return false
+		case errors.Is(err, store.ErrFenced), errors.Is(err, store.ErrSequence):
+			c.lose(err.Error())
+			return false
+		}
+		c.noteFailure(err)
+		if core.Sleep(ctx, pause) != nil {
+			return false
+		}
+		pause = min(2*pause, maxWritePause)
+	}
+}
+
+func (c *Cell) confirm(sent time.Duration, b batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(b.records) > 0 {
+		// An empty write has no place in the sequence.
+		c.sequence++
+	}
+	c.confirmed = sent
+	if !c.failing.IsZero() {
+		c.logger.Info("the store takes writes again", "after", time.Since(c.failing).Round(time.Millisecond))
+		c.failing = time.Time{}
+	}
+	for _, done := range b.done {
+		done()
+	}
+	kick(c.placeKick)
+}
+
+func (c *Cell) noteFailure(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failing.IsZero() {
+		c.failing = time.Now()
+		c.logger.Info("a write failed and is tried again", "sequence", c.sequence, "err", err.Error())
+	}
+}
+
+// storeAway reports whether writes have failed for some time.
+func (c *Cell) storeAway() bool {
+	return !c.failing.IsZero() && time.Since(c.failing) > downTime
+}
+
+// owns reports whether no other node can have taken the cell over and waited
+// for this one's leases.
+func (c *Cell) owns() bool {
+	return !c.isLost() && c.options.Clock()-c.confirmed < ownTime
+}
--- a/cmd/rattanpath/cmds/cmds.go
+++ b/cmd/rattanpath/cmds/cmds.go
@@ -29,6 +29,7 @@
 	Format string `help:"Form of what is printed: ${enum}." enum:"text,json" default:"text" env:"RATTANPATH_FORMAT"`
 
 	Serve  serveCommand  `cmd:"" help:"Run an entry node."`
+	Manage manageCommand `cmd:"" help:"Run a node that takes jobs in and runs them on the fleet, with the settings file that RATTANPATH_SETTINGS names."`
 	Config configCommand `cmd:"" help:"Check, show, explain, compare and publish declarations."`
 	Status statusCommand `cmd:"" help:"Show what every entry node is doing."`
 	Demo   demoCommand   `cmd:"" help:"Run a whole fleet on loopback in this process and show what held."`
--- /dev/null
+++ b/cmd/rattanpath/cmds/manage.go
@@ -0,0 +1,59 @@
+package cmds
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+
+	"rattanpath/core"
+	"rattanpath/engine"
+	"rattanpath/platform"
+)
+
+// manageCommand runs a node that takes jobs in and runs them on the fleet.
+type manageCommand struct{}
+
+// Run starts the node, waits for a signal and stops it gracefully.
+func (c *manageCommand) Run(e *env) error {
+	settings, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	logger := core.NewLogger(e.out, settings.Name)
+	slog.SetDefault(slog.New(logr.ToSlogHandler(logger)))
+	app := engine.New(settings, platform.Connect(settings), logger)
+	startCtx, cancel := context.WithTimeout(e.ctx, app.StartTimeout())
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		return err
+	}
+	c.wait(e.ctx, settings, logger)
+	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return app.Stop(stopCtx)
+}
+
+// wait returns when the node is told to stop. At SIGHUP it reads the settings
+// file again and says whether a restart would change anything.
+func (c *manageCommand) wait(ctx context.Context, settings engine.Settings, logger logr.Logger) {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	for {
+		select {
+		case <-reload:
+			again, err := platform.ReadSettings()
+			if err != nil {
+				logger.Error(err, "the settings file can't be used; the settings stay")
+				continue
+			}
+			logger.Info("settings file read again", "changed", again != settings)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/lease/clock.go
@@ -0,0 +1,48 @@
+package lease
+
+import "time"
+
+// slowest is how much of real time a host's clock shows at least.
+const slowest = 0.98
+
+// Clock estimates a host's clock from its answers. Its own times are readings
+// of a clock that goes on while this machine is suspended.
+type Clock struct {
+	shown time.Duration
+	at    time.Duration
+	known bool
+	// granted is the latest end of a lease that any order has named.
+	granted time.Duration
+}
+
+// Learn takes in an answer that was received at a local time.
+func (c *Clock) Learn(shown, received time.Duration) {
+	if shown <= 0 || (c.known && c.atLeast(received) > shown) {
+		return
+	}
+	c.shown, c.at, c.known = shown, received, true
+}
+
+// Known reports whether the host has shown its clock.
+func (c *Clock) Known() bool { return c.known }
+
+// Until returns the end of a lease of the given length from now and notes that
+// it was granted.
+func (c *Clock) Until(now, length time.Duration) time.Duration {
+	if !c.known {
+		return 0
+	}
+	until := (c.shown + now - c.at + length).Truncate(time.Millisecond)
+	c.granted = max(c.granted, until)
+	return until
+}
+
+// atLeast returns what the host's clock shows at least.
+func (c *Clock) atLeast(now time.Duration) time.Duration {
+	return c.shown + time.Duration(float64(now-c.at)*slowest)
+}
+
+// Over reports whether every lease that was granted has surely ended.
+func (c *Clock) Over(now time.Duration) bool {
+	return c.known && c.atLeast(now) > c.granted
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,130 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+// Echo is a service for tests.
+type Echo struct{}
+
+// Say answers with what it was told, or an error for nothing.
+func (Echo) Say(word string, answer *string) error {
+	if word == "" {
+		return errors.New("nothing was said")
+	}
+	*answer = word
+	return nil
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, network, address)
+}
+
+func startServer(t *testing.T) string {
+	t.Helper()
+	server := NewServer("127.0.0.1:0", func(conn net.Conn) net.Conn { return conn }, logr.Discard())
+	if err := server.Register("Echo", Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Stop(context.Background()) })
+	return server.Address()
+}
+
+// TestCall calls a method twice on one connection, and one that fails without
+// losing the connection.
+func TestCall(t *testing.T) {
+	client := NewClient(startServer(t), dial)
+	defer client.Close()
+	var answer string
+	for range 2 {
+		if err := client.Call(t.Context(), "Echo.Say", "hello", &answer); err != nil || answer != "hello" {
+			t.Fatalf("got %q and %v, want hello", answer, err)
+		}
+	}
+	kept := client.client
+	err := client.Call(t.Context(), "Echo.Say", "", &answer)
+	var refused rpc.ServerError
+	if !errors.As(err, &refused) {
+		t.Errorf("got %v, want the method's own error", err)
+	}
+	if client.client != kept {
+		t.Error("got the connection dropped after a method's error, want it kept")
+	}
+}
+
+// TestSilentServer calls a process that takes connections and never answers,
+// and then one at the same address that does.
+func TestSilentServer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	client := NewClient(listener.Addr().String(), dial)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	var answer string
+	if err := client.Call(ctx, "Echo.Say", "hello", &answer); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got %v from a silent process, want %v", err, context.DeadlineExceeded)
+	}
+	if client.client != nil {
+		t.Error("got the connection kept, want it closed")
+	}
+	client.address = startServer(t)
+	if err := client.Call(t.Context(), "Echo.Say", "hello", &answer); err != nil {
+		t.Errorf("got %v after the process came back, want an answer", err)
+	}
+}
+
+// TestNotSent checks that a call without a connection says so.
+func TestNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	err = NewClient(address, dial).Call(t.Context(), "Echo.Say", "hello", new(string))
+	var connect *ConnectError
+	if !errors.As(err, &connect) || connect.Address != address {
+		t.Errorf("got %v, want a ConnectError for %s", err, address)
+	}
+}
+
+// TestConnectionsAreBounded opens more connections than a server takes.
+func TestConnectionsAreBounded(t *testing.T) {
+	address := startServer(t)
+	for range maxInbound {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := conn.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+		t.Errorf("got %v, want the connection closed", err)
+	}
+}
+
+func isTimeout(err error) bool {
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,110 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+// maxInbound bounds the connections that other processes hold open to this one.
+const maxInbound = 256
+
+// Server takes connections of other processes.
+type Server struct {
+	address  string
+	rpc      *rpc.Server
+	wrap     func(net.Conn) net.Conn
+	logger   logr.Logger
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+}
+
+// NewServer returns a server that listens at an address once it is started.
+// Each connection passes through wrap, which may count its bytes.
+func NewServer(address string, wrap func(net.Conn) net.Conn, logger logr.Logger) *Server {
+	return &Server{
+		address: address,
+		rpc:     rpc.NewServer(),
+		wrap:    wrap,
+		logger:  logger,
+		conns:   make(map[net.Conn]bool),
+	}
+}
+
+// Register offers the methods of a receiver under a name. It must be called
+// before Start.
+func (s *Server) Register(name string, receiver any) error {
+	return errors.Wrapf(s.rpc.RegisterName(name, receiver), "registering the service %s", name)
+}
+
+// Start listens and serves until Stop.
+func (s *Server) Start(ctx context.Context) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", s.address)
+	if err != nil {
+		return errors.Wrap(err, "listening for peers")
+	}
+	s.listener = listener
+	s.logger.Info("listening for peers", "address", listener.Addr().String())
+	go s.run()
+	return nil
+}
+
+// run serves connections until the listener closes.
+func (s *Server) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		session := &session{server: s, conn: s.wrap(conn)}
+		if !s.add(session.conn) {
+			_ = conn.Close()
+			continue
+		}
+		go session.run()
+	}
+}
+
+// session is one peer's connection.
+type session struct {
+	server *Server
+	conn   net.Conn
+}
+
+// run answers the peer until it or the server closes the connection.
+func (s *session) run() {
+	s.server.rpc.ServeConn(s.conn)
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	delete(s.server.conns, s.conn)
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= maxInbound {
+		return false
+	}
+	s.conns[conn] = true
+	return true
+}
+
+// Stop closes the listener and every connection.
+func (s *Server) Stop(context.Context) error {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	return nil
+}
+
+// Address returns where the server listens once it is started.
+func (s *Server) Address() string { return s.listener.Addr().String() }
--- /dev/null
+++ b/owner/finder.go
@@ -0,0 +1,192 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"rattanpath/core"
+	"rattanpath/link"
+	"rattanpath/store"
+)
+
+const (
+	// attemptTime bounds one call of an owner.
+	attemptTime = 700 * time.Millisecond
+	// retryPause is the time between two calls, in which another node may take
+	// over.
+	retryPause = 30 * time.Millisecond
+)
+
+// Method is a call that owners answer.
+type Method string
+
+// The calls that owners answer.
+const (
+	MethodSubmit  Method = "Submit"
+	MethodStatus  Method = "Status"
+	MethodCancel  Method = "Cancel"
+	MethodPending Method = "Pending"
+)
+
+// Finder finds the owners of cells and calls them.
+type Finder struct {
+	group      Group
+	tables     Tables
+	local      *Service
+	self       string
+	partitions int
+	dial       link.Dial
+	logger     logr.Logger
+
+	mu       sync.Mutex
+	holders  map[int]string
+	readAt   time.Time
+	clients  map[string]*link.Client
+	wantRead chan struct{}
+}
+
+// NewFinder returns a finder for a node that answers at the address self.
+func NewFinder(group Group, tables Tables, local *Service, self string, partitions int, dial link.Dial, logger logr.Logger) *Finder {
+	return &Finder{
+		group:      group,
+		tables:     tables,
+		local:      local,
+		self:       self,
+		partitions: partitions,
+		dial:       dial,
+		logger:     logger.WithName("finder"),
+		holders:    make(map[int]string),
+		clients:    make(map[string]*link.Client),
+		wantRead:   make(chan struct{}, 1),
+	}
+}
+
+// Run looks up who holds what, at times and when a call has failed.
+func (f *Finder) Run(ctx context.Context) {
+	for {
+		holdings, err := f.group.Holdings(ctx, groupName)
+		if err == nil {
+			f.note(holdings)
+		} else if ctx.Err() == nil {
+			f.logger.Info("the owners of cells could not be read", "err", err.Error())
+		}
+		if core.Sleep(ctx, holdingsPause) != nil {
+			return
+		}
+		select {
+		case <-f.wantRead:
+		case <-time.After(holdingsEvery):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Finder) note(holdings []store.Holding) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holders = make(map[int]string, len(holdings))
+	for _, holding := range holdings {
+		f.holders[holding.Partition] = memberAddress(holding.Member)
+	}
+	f.readAt = time.Now()
+}
+
+// holder returns the address of the owner of a service, or nothing.
+func (f *Finder) holder(service string) string {
+	table := f.tables.Table()
+	if table == nil {
+		return ""
+	}
+	partition, ok := Partition(table, service, f.partitions)
+	if !ok {
+		return ""
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holders[partition]
+}
+
+func (f *Finder) client(address string) *link.Client {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.clients[address] == nil {
+		f.clients[address] = link.NewClient(address, f.dial)
+	}
+	return f.clients[address]
+}
+
+// Call asks the owner of a service, and again whoever has become it, until ctx
+// ends. Every call may be repeated.
+func (f *Finder) Call(ctx context.Context, method Method, request Request) Answer {
+	sent := false
+	last := Answer{Outcome: NotOwner}
+	for {
+		answer, wasSent, err := f.attempt(ctx, method, request)
+		sent = sent || wasSent
+		if err == nil {
+			switch answer.Outcome {
+			case NotOwner:
+			case Uncertain:
+				sent = true
+			case Away:
+				if !sent {
+					return answer
+				}
+			default:
+				return answer
+			}
+			last = answer
+		}
+		select {
+		case f.wantRead <- struct{}{}:
+		default:
+		}
+		if core.Sleep(ctx, retryPause) != nil {
+			break
+		}
+	}
+	if sent {
+		return Answer{Outcome: Uncertain}
+	}
+	return last
+}
+
+// attempt asks once and reports whether the request may have arrived.
+func (f *Finder) attempt(ctx context.Context, method Method, request Request) (Answer, bool, error) {
+	var answer Answer
+	address := f.holder(request.Service)
+	if address == "" {
+		return answer, false, errors.New("the service has no owner")
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	request.Timeout = max(time.Until(deadline), minTimeout)
+	if address == f.self {
+		err := f.callLocal(method, &request, &answer)
+		return answer, false, err
+	}
+	err := f.client(address).Call(ctx, RPCName+"."+string(method), &request, &answer)
+	var connect *link.ConnectError
+	return answer, err != nil && !errors.As(err, &connect), err
+}
+
+func (f *Finder) callLocal(method Method, request *Request, answer *Answer) error {
+	switch method {
+	case MethodSubmit:
+		return f.local.Submit(request, answer)
+	case MethodStatus:
+		return f.local.Status(request, answer)
+	case MethodCancel:
+		return f.local.Cancel(request, answer)
+	case MethodPending:
+		return f.local.Pending(request, answer)
+	default:
+		return errors.Errorf("owners don't answer %s", method)
+	}
+}
--- /dev/null
+++ b/owner/group.go
@@ -0,0 +1,122 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rattanpath/core"
+	"rattanpath/store"
+)
+
+const (
+	// groupName names the group and the topic whose partitions are dealt out.
+	groupName = "cells"
+	// joinEvery is the time between two renewals of the membership.
+	joinEvery = 500 * time.Millisecond
+	// memberTTL is how long a member that is silent keeps its partitions.
+	memberTTL = 2 * time.Second
+	// holdingsEvery is the time between two looks at who holds what.
+	holdingsEvery = time.Second
+	// holdingsPause is the shortest time between two such looks.
+	holdingsPause = 50 * time.Millisecond
+	// leaveTime bounds the last call of a node that stops.
+	leaveTime = time.Second
+)
+
+// Group is the store's division of partitions among members.
+type Group interface {
+	Join(ctx context.Context, membership store.Membership) (store.Share, error)
+	Leave(ctx context.Context, membership store.Membership) error
+	Holdings(ctx context.Context, group string) ([]store.Holding, error)
+}
+
+// Member keeps a node in the group.
+type Member struct {
+	group      Group
+	logger     logr.Logger
+	mu         sync.Mutex
+	membership store.Membership
+	held       []int
+	left       bool
+	changed    core.Signal
+}
+
+// NewMember returns a member of the group that answers at an address.
+func NewMember(group Group, node, address string, minTTL time.Duration, logger logr.Logger) *Member {
+	return &Member{
+		group:  group,
+		logger: logger.WithName("owner"),
+		membership: store.Membership{
+			Group:  groupName,
+			Member: memberName(node, address),
+			Topic:  groupName,
+			TTL:    max(memberTTL, minTTL),
+		},
+	}
+}
+
+// Held returns the partitions that the store gives this node.
+func (m *Member) Held() []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held
+}
+
+// Changed returns a channel that is closed after the next renewal.
+func (m *Member) Changed() <-chan struct{} { return m.changed.Changed() }
+
+// Run keeps the membership until ctx ends.
+func (m *Member) Run(ctx context.Context) {
+	for {
+		m.renew(ctx)
+		if core.Sleep(ctx, joinEvery) != nil {
+			return
+		}
+	}
+}
+
+// renew joins the group once more.
+func (m *Member) renew(ctx context.Context) {
+	m.mu.Lock()
+	membership, left := m.membership, m.left
+	m.mu.Unlock()
+	if left {
+		return
+	}
+	share, err := m.group.Join(ctx, membership)
+	if err != nil {
+		if ctx.Err() == nil {
+			m.logger.Info("the membership could not be renewed", "generation", membership.Generation, "err", err.Error())
+		}
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.left {
+		return
+	}
+	if share.Generation != m.membership.Generation {
+		m.logger.Info("the partitions were dealt out", "generation", share.Generation, "before", m.membership.Generation, "held", len(share.Partitions))
+	}
+	m.membership.Generation = share.Generation
+	m.held = share.Partitions
+	m.changed.Notify()
+}
+
+// Leave gives up all partitions, so that others take them at once.
+func (m *Member) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.left = true
+	m.held = nil
+	membership := m.membership
+	m.mu.Unlock()
+	m.changed.Notify()
+	ctx, cancel := context.WithTimeout(ctx, leaveTime)
+	defer cancel()
+	if err := m.group.Leave(ctx, membership); err != nil {
+		m.logger.Info("the group could not be left; others wait for the membership to lapse", "err", err.Error())
+	}
+}
--- /dev/null
+++ b/owner/wire.go
@@ -0,0 +1,91 @@
+package owner
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanpath/cell"
+	"rattanpath/tasks"
+)
+
+// RPCName is the name under which owners answer over net/rpc.
+const RPCName = "Owner"
+
+// Outcome says what became of a call of an owner.
+type Outcome int
+
+// The outcomes of calls.
+const (
+	// Done means that the call has done what was asked.
+	Done Outcome = iota
+	// NotOwner means that the node doesn't have the cell, and nothing was done.
+	NotOwner
+	// Away means that the owner can't reach the store, and nothing was done.
+	Away
+	// Uncertain means that the change may have been kept, or may be yet.
+	Uncertain
+	// Unknown means that there is no such job.
+	Unknown
+	// Taken means that another queue of the service has a job of that ID.
+	Taken
+)
+
+// String returns the word for the outcome in logs.
+func (o Outcome) String() string {
+	words := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken"}
+	if int(o) >= len(words) {
+		return "invalid"
+	}
+	return words[o]
+}
+
+// Request asks the owner of a service about a job or a queue.
+type Request struct {
+	Service string
+	Key     tasks.Key
+	// Plan and Policy are only for jobs that are handed in.
+	Plan   tasks.Plan
+	Policy tasks.Policy
+	// Timeout is how long the owner may take.
+	Timeout time.Duration
+}
+
+// Answer is an owner's answer.
+type Answer struct {
+	Outcome Outcome
+	Status  cell.Status
+	// Pending is the number of jobs of the queue that have not begun.
+	Pending int
+}
+
+// outcomeOf returns the outcome for an error of a cell.
+func outcomeOf(err error) Outcome {
+	switch {
+	case err == nil:
+		return Done
+	case errors.Is(err, cell.ErrNotOwner):
+		return NotOwner
+	case errors.Is(err, cell.ErrStoreAway):
+		return Away
+	case errors.Is(err, cell.ErrUnknownJob):
+		return Unknown
+	case errors.Is(err, cell.ErrTaken):
+		return Taken
+	default:
+		return Uncertain
+	}
+}
+
+// memberMark divides the name of a member from its address.
+const memberMark = "@"
+
+// memberName returns the name under which a node joins the group.
+func memberName(node, address string) string { return node + memberMark + address }
+
+// memberAddress returns the address in the name of a member.
+func memberAddress(member string) string {
+	_, address, _ := strings.Cut(member, memberMark)
+	return address
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"net/rpc"
-	"sync"
-
-	"github.com/pkg/errors"
 
 	"rattanpath/core"
+	"rattanpath/link"
 )
 
 // Link asks one peer.
@@ -20,60 +17,21 @@
 
 // rpcLink is a connection over net/rpc, made when it is needed.
 type rpcLink struct {
-	address string
-	traffic *core.Traffic
-	mu      sync.Mutex
-	client  *rpc.Client
+	*link.Client
 }
 
 // NewLink returns a link over net/rpc to the peer at an address, whose bytes
 // are counted in traffic.
 func NewLink(address string, traffic *core.Traffic) Link {
-	return &rpcLink{address: address, traffic: traffic}
+	return rpcLink{Client: link.NewClient(address, traffic.Dial)}
 }
 
 // Exchange implements Link. A call that fails or takes longer than ctx
 // closes the connection.
-func (l *rpcLink) Exchange(ctx context.Context, request Request) (*Answer, error) {
-	client, err := l.connect(ctx)
-	if err != nil {
-		return nil, err
-	}
+func (l rpcLink) Exchange(ctx context.Context, request Request) (*Answer, error) {
 	answer := new(Answer)
-	call := client.Go(serviceName+".Exchange", request, answer, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		err = call.Error
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	if err != nil {
-		l.Close()
-		return nil, errors.Wrapf(err, "asking the peer at %s", l.address)
+	if err := l.Call(ctx, serviceName+".Exchange", request, answer); err != nil {
+		return nil, err
 	}
 	return answer, nil
 }
-
-func (l *rpcLink) connect(ctx context.Context) (*rpc.Client, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, nil
-	}
-	conn, err := l.traffic.Dial(ctx, "tcp", l.address)
-	if err != nil {
-		return nil, errors.Wrap(err, "connecting to a peer")
-	}
-	l.client = rpc.NewClient(conn)
-	return l.client, nil
-}
-
-// Close implements Link.
-func (l *rpcLink) Close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client != nil {
-		_ = l.client.Close()
-		l.client = nil
-	}
-}
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"rattanpath/core"
 	"rattanpath/fold"
+	"rattanpath/link"
 	"rattanpath/roster"
 )
 
@@ -34,23 +34,24 @@
 func startPeer(t *testing.T) string {
 	t.Helper()
 	exchanger := New(Options{Node: "peer"}, fixedStates{}, emptyRosters{}, roster.NewMembers("peer"), func() Load { return Load{InFlight: 7} }, logr.Discard())
-	s, err := newServer("127.0.0.1:0", exchanger.Service(), nil, logr.Discard())
-	if err != nil {
+	var traffic *core.Traffic
+	s := link.NewServer("127.0.0.1:0", traffic.Conn, logr.Discard())
+	if err := s.Register(serviceName, exchanger.Service()); err != nil {
 		t.Fatal(err)
 	}
-	if err := s.start(t.Context()); err != nil {
+	if err := s.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = s.stop(context.Background()) })
-	return s.listener.Addr().String()
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	return s.Address()
 }
 
 // TestLinkOverRPC exchanges over net/rpc, twice on one connection.
 func TestLinkOverRPC(t *testing.T) {
-	link := NewLink(startPeer(t), nil)
-	defer link.Close()
+	peer := NewLink(startPeer(t), nil)
+	defer peer.Close()
 	for range 2 {
-		answer, err := link.Exchange(t.Context(), Request{Standing: Standing{Node: "asker"}})
+		answer, err := peer.Exchange(t.Context(), Request{Standing: Standing{Node: "asker"}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -59,53 +60,3 @@
 		}
 	}
 }
-
-// TestSilentPeer asks a peer that takes connections and never answers, and then
-// one at the same link that does.
-func TestSilentPeer(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	link := NewLink(listener.Addr().String(), nil).(*rpcLink)
-	defer link.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-	defer cancel()
-	if _, err := link.Exchange(ctx, Request{}); err == nil {
-		t.Error("got an answer from a silent peer, want an error")
-	}
-	if link.client != nil {
-		t.Error("got the connection kept, want it closed")
-	}
-	link.address = startPeer(t)
-	if _, err := link.Exchange(t.Context(), Request{}); err != nil {
-		t.Errorf("got %v after the peer came back, want an answer", err)
-	}
-}
-
-// TestConnectionsOfPeersAreBounded opens more connections than a node takes.
-func TestConnectionsOfPeersAreBounded(t *testing.T) {
-	address := startPeer(t)
-	for range maxInbound {
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = conn.Close() }()
-	}
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
-	if _, err := conn.Read(make([]byte, 1)); err == nil || isTimeout(err) {
-		t.Errorf("got %v, want the connection closed", err)
-	}
-}
-
-func isTimeout(err error) bool {
-	timeout, ok := err.(net.Error)
-	return ok && timeout.Timeout()
-}
