--- a/cell/cell.go
+++ b/cell/cell.go
@@ -8,10 +8,10 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"rattanpath/claim"
 	"rattanpath/core"
 	"rattanpath/lease"
 	"rattanpath/pool"
-	"rattanpath/store"
 	"rattanpath/tasks"
 )
 
@@ -53,17 +53,11 @@
 	ErrTaken = errors.New("another queue of the service has a job of that ID")
 )
 
-// Journal keeps the records of a cell.
-type Journal interface {
-	Append(ctx context.Context, write store.Write) (int64, error)
-	Newest(ctx context.Context, topic string) (store.Table, error)
-}
-
 // Options say what a cell is for and what it works with.
 type Options struct {
 	Service string
 	Node    string
-	Journal Journal
+	Journal claim.Journal
 	Hosts   lease.Hosts
 	Clock   core.Clock
 	// MaxLease is the longest lease that a host grants.
@@ -99,6 +93,7 @@
 	options Options
 	logger  logr.Logger
 	epoch   int64
+	writer  *claim.Writer
 
 	mu    sync.Mutex
 	jobs  map[tasks.Key]*entry
@@ -106,8 +101,6 @@
 	open  map[*entry]bool
 	dirty []*entry
 	hosts map[string]*host
-	// sequence numbers the writes of this epoch.
-	sequence int64
 	// claimed and confirmed are when the cell was claimed and when the last write
 	// that the store has confirmed was sent.
 	claimed   time.Duration
@@ -115,6 +108,8 @@
 	// failing is since when writes fail; zero if they don't.
 	failing time.Time
 	stopped bool
+	// arrived is the processor time that jobs have asked for.
+	arrived int64
 	runtime *runtimes
 
 	writeKick chan struct{}
@@ -206,6 +201,7 @@
 	for core.Sleep(ctx, tickEvery) == nil {
 		c.mu.Lock()
 		c.expireLeases()
+		c.vacateHosts(time.Now())
 		c.forgetEnded(time.Now())
 		c.mu.Unlock()
 		kick(c.placeKick)
--- a/cell/claim.go
+++ b/cell/claim.go
@@ -2,115 +2,47 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"rattanpath/core"
+	"rattanpath/claim"
 	"rattanpath/store"
 	"rattanpath/tasks"
 )
 
 const (
-	// claimKey is the key of the record that says who has the cell.
-	claimKey = "claim"
 	// definitionMark and progressMark begin the keys of a job's two records.
 	definitionMark = "d/"
 	progressMark   = "p/"
-	// writer is the name under which every owner of a cell writes.
-	writer = "cell"
-	// claimAttempts is how often a claim is tried while others write.
-	claimAttempts = 8
-	claimPause    = 30 * time.Millisecond
 )
 
-// claim is the record that says who has the cell.
-type claim struct {
-	Epoch int64
-	Node  string
-	// Nonce tells the claims of one node apart.
-	Nonce string
-}
-
 // Claim takes the cell of a service over: it fences off every older owner and
-// reads what they have kept.
+// reads what they have kept. The nonce is as in claim.Take.
 func Claim(ctx context.Context, options Options, nonce string) (*Cell, error) {
 	begun := options.Clock()
-	for range claimAttempts {
-		c, err := tryClaim(ctx, options, nonce)
-		if err == nil {
-			c.logger.Info("cell claimed", "epoch", c.epoch, "jobs", len(c.jobs), "open", len(c.open), "took", options.Clock()-begun)
-			options.Meters.Claimed.Inc()
-			return c, nil
-		}
-		if !errors.Is(err, store.ErrMoved) && !errors.Is(err, store.ErrFenced) {
-			return nil, err
-		}
-		if err := core.Sleep(ctx, claimPause); err != nil {
-			return nil, err
-		}
-	}
-	return nil, errors.New("others keep writing to the cell")
-}
-
-func tryClaim(ctx context.Context, options Options, nonce string) (*Cell, error) {
-	table, err := options.Journal.Newest(ctx, Topic(options.Service))
+	taken, err := claim.Take(ctx, options.Journal, Topic(options.Service), options.Node, nonce)
 	if err != nil {
 		return nil, err
 	}
 	c := newCell(options)
-	last, err := c.load(table.Records)
-	if err != nil {
-		return nil, err
-	}
-	if last.Nonce == nonce {
-		// An earlier attempt took effect and its answer was lost.
-		c.epoch = last.Epoch
-	} else if err := c.writeClaim(ctx, last.Epoch+1, nonce, table.Next); err != nil {
-		return nil, err
-	}
-	c.sequence = 1
+	c.epoch = taken.Epoch
+	c.writer = taken.NewWriter(options.Journal, Topic(options.Service), options.Clock)
+	c.writer.Failed = c.noteFailure
+	c.load(taken.Records)
 	c.claimed = options.Clock()
 	c.confirmed = c.claimed
 	c.adoptRuns()
+	c.logger.Info("cell claimed", "epoch", c.epoch, "before", taken.Before, "jobs", len(c.jobs), "open", len(c.open), "took", c.claimed-begun)
+	options.Meters.Claimed.Inc()
 	return c, nil
 }
 
-// writeClaim appends the claim if the topic still ends where it was read.
-func (c *Cell) writeClaim(ctx context.Context, epoch int64, nonce string, at int64) error {
-	value, err := json.Marshal(claim{Epoch: epoch, Node: c.options.Node, Nonce: nonce})
-	if err != nil {
-		return errors.Wrap(err, "encoding a claim")
-	}
-	c.epoch = epoch
-	_, err = c.options.Journal.Append(ctx, store.Write{
-		Topic:    Topic(c.options.Service),
-		Records:  []store.Record{{Key: claimKey, Value: value}},
-		Writer:   writer,
-		Epoch:    epoch,
-		Sequence: 0,
-		At:       &at,
-	})
-	if errors.Is(err, store.ErrSequence) {
-		// Another node has claimed the same epoch.
-		return store.ErrMoved
-	}
-	return err
-}
-
 // load reads the records of a cell.
-func (c *Cell) load(records []store.Record) (claim, error) {
-	var last claim
+func (c *Cell) load(records []store.Record) {
 	definitions := make(map[string][]byte)
 	done := make(map[string][]byte)
 	for _, record := range records {
 		switch {
-		case record.Key == claimKey:
-			if err := json.Unmarshal(record.Value, &last); err != nil {
-				return last, errors.Wrap(err, "decoding a claim")
-			}
 		case strings.HasPrefix(record.Key, definitionMark):
 			definitions[record.Key[len(definitionMark):]] = record.Value
 		case strings.HasPrefix(record.Key, progressMark):
@@ -125,7 +57,6 @@
 		}
 		c.add(&entry{job: job, defined: true, shown: job.Phase})
 	}
-	return last, nil
 }
 
 // add takes a job into the tables.
--- a/cell/host.go
+++ b/cell/host.go
@@ -61,14 +61,19 @@
 	failed int
 	// born is the life that has answered.
 	born int64
+	// retired is the life of the host that the depot has ended; 0 is none.
+	retired int64
 	// seen is the last end that is noted in the store, and listed the last one
 	// that the host has listed.
 	seen   int64
 	listed int64
 	// sickUntil is when the host gets orders again after it refused one.
 	sickUntil time.Time
-	// cordonedUntil is until when the host gets no new runs.
+	// cordonedUntil is until when the host gets no new runs, and cordonedSince the
+	// beginning of that. With vacate, its runs are moved away.
 	cordonedUntil time.Time
+	cordonedSince time.Time
+	vacate        bool
 	record        record
 
 	kick    chan struct{}
@@ -85,6 +90,27 @@
 	return h
 }
 
+// life returns when the present life of the host began, or 1 if that isn't
+// known.
+func (h *host) life() int64 {
+	switch {
+	case h.born != 0:
+		return h.born
+	case h.info != nil && h.info.Born != 0:
+		return h.info.Born
+	default:
+		return 1
+	}
+}
+
+// isRetired reports whether the depot has ended the host's present life.
+func (h *host) isRetired() bool { return h.retired != 0 && h.retired == h.life() }
+
+// usable reports whether the host can be given runs.
+func (h *host) usable() bool {
+	return h.present && h.fenced && h.failed == 0 && !h.info.Draining && h.clock.Known() && !h.isRetired()
+}
+
 // meet takes in what a host says of itself.
 func (c *Cell) meet(id string, info *pool.Host) {
 	h := c.host(id)
@@ -179,7 +205,7 @@
 		delete(c.hosts, h.id)
 		return lease.Hold{}, nil, false
 	}
-	if h.fenced && len(h.runs) == 0 && h.seen == h.listed {
+	if len(h.runs) == 0 && (h.isRetired() || h.fenced && h.seen == h.listed) {
 		return lease.Hold{}, h.info, false
 	}
 	order := lease.Hold{Token: c.epoch, Seen: h.seen}
--- a/cell/order.go
+++ b/cell/order.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rattanpath/core"
 	"rattanpath/lease"
 	"rattanpath/tasks"
@@ -69,6 +71,11 @@
 	}
 	now := c.options.Clock()
 	kick(h.kick)
+	if errors.Is(err, lease.ErrNotSent) {
+		h.sickUntil = time.Now().Add(sickTime)
+		c.runOver(h, r, tasks.EndLost, "", "no connection to the host")
+		return
+	}
 	if err != nil {
 		r.doubt = now
 		c.logger.Info("start not answered", "job", r.name.Job, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "err", err.Error())
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -95,7 +95,7 @@
 func (c *Cell) candidates(now time.Time) []*place.Host {
 	var hosts []*place.Host
 	for _, h := range c.hosts {
-		if !h.present || !h.fenced || h.failed > 0 || h.info.Draining || !h.clock.Known() || now.Before(h.sickUntil) || now.Before(h.cordonedUntil) {
+		if !h.usable() || now.Before(h.sickUntil) || now.Before(h.cordonedUntil) {
 			continue
 		}
 		candidate := &place.Host{
--- /dev/null
+++ b/cell/vacate.go
@@ -0,0 +1,225 @@
+package cell
+
+import (
+	"time"
+
+	"rattanpath/tasks"
+)
+
+const (
+	// patience is how long tasks of a cordoned host may go on before they are
+	// stopped; those that checkpoint are stopped at once.
+	patience = 2500 * time.Millisecond
+	// atWorkAfter is how long after its start a serving task is taken to be at
+	// work.
+	atWorkAfter = time.Second
+)
+
+// HostReport is how a host of the pool stands.
+type HostReport struct {
+	ID string
+	// Room is the host's capacity and Used what its runs take.
+	Room tasks.Room
+	Used tasks.Room
+	// Runs counts the runs on the host, and Lasting those that serve until their
+	// job is cancelled.
+	Runs    int
+	Lasting int
+	// Usable means that the host gets runs.
+	Usable bool
+	// Cordoned means that the host gets no new runs on the depot's wish.
+	Cordoned bool
+}
+
+// Report is how the pool of a service stands.
+type Report struct {
+	Service string
+	Hosts   []HostReport
+	// Waiting is the room that ready tasks wait for, and Widest the largest room
+	// of one of them.
+	Waiting tasks.Room
+	Widest  tasks.Room
+	// Arrived is the processor time that jobs have asked for since the cell was
+	// claimed, in thousandths of a core and milliseconds, by their estimates.
+	Arrived int64
+	// Apart is the largest number of hosts that a step must be spread over.
+	Apart int
+	Epoch int64
+}
+
+// Report returns how the pool stands.
+func (c *Cell) Report() (Report, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isLost() {
+		return Report{}, ErrNotOwner
+	}
+	now := time.Now()
+	report := Report{Service: c.options.Service, Epoch: c.epoch, Arrived: c.arrived}
+	for _, h := range c.hosts {
+		if h.info != nil && !h.isRetired() {
+			report.Hosts = append(report.Hosts, c.reportHost(h, now))
+		}
+	}
+	for e := range c.open {
+		reportWaiting(e.job, &report)
+	}
+	return report, nil
+}
+
+func (c *Cell) reportHost(h *host, now time.Time) HostReport {
+	report := HostReport{
+		ID:       h.id,
+		Room:     h.info.Room,
+		Used:     h.used(),
+		Runs:     len(h.runs),
+		Usable:   h.usable(),
+		Cordoned: now.Before(h.cordonedUntil),
+	}
+	for _, r := range h.runs {
+		if r.entry != nil && r.entry.job.Step(r.name).Lasting {
+			report.Lasting++
+		}
+	}
+	return report
+}
+
+// reportWaiting adds the room that a job's ready tasks wait for.
+func reportWaiting(job *tasks.Job, report *Report) {
+	for _, round := range job.Rounds {
+		for step := range round.Steps {
+			need := &job.Plan.Steps[step]
+			if need.MaxPerHost > 0 {
+				report.Apart = max(report.Apart, (need.Count+need.MaxPerHost-1)/need.MaxPerHost)
+			}
+			if !job.Ready(round, step) {
+				continue
+			}
+			for i := range round.Steps[step] {
+				if round.Steps[step][i].State == tasks.Waiting {
+					report.Waiting = report.Waiting.Add(need.Occupies())
+					report.Widest.CPU = max(report.Widest.CPU, need.Room.CPU)
+					report.Widest.MemMB = max(report.Widest.MemMB, need.Room.MemMB)
+				}
+			}
+		}
+	}
+}
+
+// Cordon keeps new runs off hosts for a time. With vacate, what runs there is
+// moved away as far as the steps allow. It returns how the hosts stand.
+func (c *Cell) Cordon(ids []string, length time.Duration, vacate bool) ([]HostReport, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.owns() {
+		return nil, ErrNotOwner
+	}
+	now := time.Now()
+	var reports []HostReport
+	for _, id := range ids {
+		h := c.hosts[id]
+		if h == nil || h.info == nil {
+			continue
+		}
+		if !now.Before(h.cordonedUntil) {
+			h.cordonedSince = now
+			c.logger.Info("host cordoned", "host", id, "runs", len(h.runs), "vacate", vacate)
+		}
+		h.cordonedUntil = now.Add(length)
+		h.vacate = vacate
+		reports = append(reports, c.reportHost(h, now))
+	}
+	return reports, nil
+}
+
+// Retire notes that the machines of hosts have left the pool or are down for
+// upkeep: whatever ran there is over.
+func (c *Cell) Retire(ids []string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isLost() {
+		return ErrNotOwner
+	}
+	for _, id := range ids {
+		h := c.hosts[id]
+		if h == nil {
+			continue
+		}
+		h.retired = h.life()
+		c.logger.Info("host retired", "host", id, "runs", len(h.runs))
+		c.loseRuns(h, "the machine was taken out of the pool")
+	}
+	return nil
+}
+
+// vacateHosts moves runs off the hosts that drain or are to be vacated. It is
+// called with the lock held.
+func (c *Cell) vacateHosts(now time.Time) {
+	for _, h := range c.hosts {
+		switch {
+		case h.info == nil || len(h.runs) == 0:
+		case h.info.Draining:
+			c.vacateDraining(h)
+		case h.vacate && now.Before(h.cordonedUntil):
+			c.vacateCordoned(h, now)
+		}
+	}
+}
+
+// vacateDraining moves serving tasks off a host that leaves by itself.
+func (c *Cell) vacateDraining(h *host) {
+	for _, r := range h.runs {
+		if r.entry != nil && r.entry.job.Step(r.name).Lasting {
+			c.stopRun(h, r)
+		}
+	}
+}
+
+// vacateCordoned moves the runs off a host: serving tasks as their step allows,
+// those that checkpoint at once, and others once patience is over.
+func (c *Cell) vacateCordoned(h *host, now time.Time) {
+	for _, r := range h.runs {
+		if r.entry == nil || r.stopping {
+			continue
+		}
+		step := r.entry.job.Step(r.name)
+		switch {
+		case step.Lasting && c.maySpare(r):
+			c.stopRun(h, r)
+		case step.Lasting:
+		case step.Checkpoints || now.Sub(h.cordonedSince) > patience:
+			c.stopRun(h, r)
+		}
+	}
+}
+
+// maySpare reports whether a serving task may be stopped: fewer of the others of
+// its step are away than may be.
+func (c *Cell) maySpare(r *run) bool {
+	away := 0
+	now := c.options.Clock()
+	for _, round := range r.entry.job.Rounds {
+		if round.Number != r.name.Round {
+			continue
+		}
+		for i := range round.Steps[r.name.Step] {
+			if i != r.name.Index && !c.atWork(r, i, now) {
+				away++
+			}
+		}
+	}
+	return away < max(1, r.entry.job.Step(r.name).MayMiss)
+}
+
+// atWork reports whether a task of a run's step is at work.
+func (c *Cell) atWork(r *run, index int, now time.Duration) bool {
+	name := r.name
+	name.Index = index
+	task := r.entry.job.Task(name)
+	h := c.hosts[task.Host]
+	if !task.Active() || h == nil || h.failed > 0 {
+		return false
+	}
+	other := h.runs[name]
+	return other != nil && other.number == task.Run && !other.stopping && other.answered != 0 && now-other.answered > atWorkAfter
+}
--- a/cell/write.go
+++ b/cell/write.go
@@ -6,19 +6,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 
-	"rattanpath/core"
+	"rattanpath/claim"
 	"rattanpath/store"
 	"rattanpath/tasks"
 )
 
-// Pauses between attempts to write while the store is away.
-const (
-	minWritePause = 20 * time.Millisecond
-	maxWritePause = 250 * time.Millisecond
-)
-
 // touch notes that a job's records must be written. Then, which may be nil, is
 // called with the lock held once they are.
 func (c *Cell) touch(e *entry, then func()) {
@@ -122,45 +115,24 @@
 	return append(records, store.Record{Key: progressMark + suffix, Value: value}), nil
 }
 
-// write appends a batch, over and over until the store confirms it, and reports
-// whether the cell is still this node's.
+// write appends a batch and reports whether the cell is still this node's.
 func (c *Cell) write(ctx context.Context, b batch) bool {
-	pause := minWritePause
-	for {
-		sent, begun := c.options.Clock(), time.Now()
-		_, err := c.options.Journal.Append(ctx, store.Write{
-			Topic:    Topic(c.options.Service),
-			Records:  b.records,
-			Writer:   writer,
-			Epoch:    c.epoch,
-			Sequence: c.sequence,
-		})
-		switch {
-		case err == nil:
-			c.options.Meters.Write.UpdateDuration(begun)
-			c.confirm(sent, b)
-			return true
-		case ctx.Err() != nil:
-			return false
-		case errors.Is(err, store.ErrFenced), errors.Is(err, store.ErrSequence):
-			c.lose(err.Error())
-			return false
-		}
-		c.noteFailure(err)
-		if core.Sleep(ctx, pause) != nil {
-			return false
-		}
-		pause = min(2*pause, maxWritePause)
+	begun := time.Now()
+	sent, err := c.writer.Write(ctx, b.records)
+	switch {
+	case err == nil:
+		c.options.Meters.Write.UpdateDuration(begun)
+		c.confirm(sent, b)
+		return true
+	case claim.Lost(err):
+		c.lose(err.Error())
 	}
+	return false
 }
 
 func (c *Cell) confirm(sent time.Duration, b batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(b.records) > 0 {
-		// An empty write has no place in the sequence.
-		c.sequence++
-	}
 	c.confirmed = sent
 	if !c.failing.IsZero() {
 		c.logger.Info("the store takes writes again", "after", time.Since(c.failing).Round(time.Millisecond))
@@ -177,7 +149,7 @@
 	defer c.mu.Unlock()
 	if c.failing.IsZero() {
 		c.failing = time.Now()
-		c.logger.Info("a write failed and is tried again", "sequence", c.sequence, "err", err.Error())
+		c.logger.Info("a write failed and is tried again", "err", err.Error())
 	}
 }
 
--- /dev/null
+++ b/claim/writer.go
@@ -0,0 +1,81 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanpath/core"
+	"rattanpath/store"
+)
+
+// Pauses between attempts to write while the store is away.
+const (
+	minWritePause = 20 * time.Millisecond
+	maxWritePause = 250 * time.Millisecond
+)
+
+// Writer writes to a topic under a claim, one write at a time.
+type Writer struct {
+	journal  Journal
+	topic    string
+	epoch    int64
+	sequence int64
+	clock    core.Clock
+	// Failed, if it is not nil, is told of each write that is tried again.
+	Failed func(err error)
+}
+
+// NewWriter returns a writer for the topic that was claimed.
+func (c *Claim) NewWriter(journal Journal, topic string, clock core.Clock) *Writer {
+	// The claim itself was the first write.
+	return &Writer{journal: journal, topic: topic, epoch: c.Epoch, sequence: 1, clock: clock}
+}
+
+// NewSideWriter returns a writer for another topic to which only claimants of
+// this one write.
+func (c *Claim) NewSideWriter(journal Journal, topic string, clock core.Clock) *Writer {
+	return &Writer{journal: journal, topic: topic, epoch: c.Epoch, clock: clock}
+}
+
+// Write appends records, over and over until the store confirms it, and returns
+// when the attempt that succeeded was sent. Without records it only confirms
+// that no other node has claimed the topic. An error that is store.ErrFenced or
+// store.ErrSequence means that another node has.
+func (w *Writer) Write(ctx context.Context, records []store.Record) (time.Duration, error) {
+	pause := minWritePause
+	for {
+		sent := w.clock()
+		_, err := w.journal.Append(ctx, store.Write{
+			Topic:    w.topic,
+			Records:  records,
+			Writer:   writer,
+			Epoch:    w.epoch,
+			Sequence: w.sequence,
+		})
+		switch {
+		case err == nil:
+			if len(records) > 0 {
+				w.sequence++
+			}
+			return sent, nil
+		case ctx.Err() != nil:
+			return 0, ctx.Err()
+		case Lost(err):
+			return 0, err
+		}
+		if w.Failed != nil {
+			w.Failed(err)
+		}
+		if err := core.Sleep(ctx, pause); err != nil {
+			return 0, err
+		}
+		pause = min(2*pause, maxWritePause)
+	}
+}
+
+// Lost reports whether an error means that another node has claimed the topic.
+func Lost(err error) bool {
+	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence)
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -11,7 +11,9 @@
 	"go.uber.org/fx"
 
 	"rattanpath/cell"
+	"rattanpath/claim"
 	"rattanpath/core"
+	"rattanpath/depot"
 	"rattanpath/intake"
 	"rattanpath/lease"
 	"rattanpath/link"
@@ -29,7 +31,7 @@
 
 // Platform is what a node uses of the platform.
 type Platform struct {
-	Journal cell.Journal
+	Journal claim.Journal
 	Group   owner.Group
 	Queues  queue.Reader
 	Pools   pool.Reader
@@ -37,12 +39,15 @@
 	Codec   intake.Codec
 	// DecodeOrders and DecodeHost read the records of the operator and of hosts,
 	// which are in these topics.
+	Cloud depot.Cloud
+	// WaveStatus returns the record that reports the state of a wave.
+	WaveStatus    func(number int64, completed bool) (key string, value []byte, err error)
+	StatusTopic   string
 	DecodeOrders  queue.Decode
 	DecodeHost    pool.Decode
 	OperatorTopic string
 	HostTopic     string
-	// RPCName is the name under which owners answer.
-	Clock core.Clock
+	Clock         core.Clock
 }
 
 // New returns a node that runs between Start and Stop.
@@ -61,6 +66,7 @@
 			newFinder,
 			newHandler,
 			newServer,
+			newDepot,
 		),
 		fx.Invoke(start),
 	)
@@ -118,9 +124,28 @@
 	return intake.NewServer(settings.CallerListen, settings.HealthListen, handler, ready, settings.StopGrace, logger)
 }
 
+func newDepot(settings Settings, platform Platform, o *owner.Owner, finder *owner.Finder, queues *queue.Watcher, set *metrics.Set, logger logr.Logger) *depot.Depot {
+	return depot.New(depot.Options{
+		Node:        settings.Name,
+		Cloud:       platform.Cloud,
+		Cells:       finder,
+		Tables:      queues,
+		Journal:     platform.Journal,
+		Clock:       platform.Clock,
+		Holds:       o.HoldsFleet,
+		WaveStatus:  platform.WaveStatus,
+		StatusTopic: platform.StatusTopic,
+		HolderLease: settings.HolderLease,
+		MoveTime:    settings.MoveTime,
+		UpkeepTime:  settings.UpkeepTime,
+		Logger:      logger,
+		Set:         set,
+	})
+}
+
 // start orders the parts: at a stop the node first leaves the group, so that
 // others take its cells over while it still answers callers.
-func start(lifecycle fx.Lifecycle, settings Settings, loops *core.Loops, queues *queue.Watcher, pools *pool.Watcher, member *owner.Member, o *owner.Owner, finder *owner.Finder, server *intake.Server, logger logr.Logger) error {
+func start(lifecycle fx.Lifecycle, settings Settings, loops *core.Loops, queues *queue.Watcher, pools *pool.Watcher, member *owner.Member, o *owner.Owner, finder *owner.Finder, machines *depot.Depot, server *intake.Server, logger logr.Logger) error {
 	peers := link.NewServer(settings.PeerListen, func(conn net.Conn) net.Conn { return conn }, logger.WithName("peers"))
 	if err := peers.Register(owner.RPCName, owner.NewService(o)); err != nil {
 		return err
@@ -131,6 +156,7 @@
 	loops.Go(o.Run)
 	loops.Go(o.RunHosts)
 	loops.Go(finder.Run)
+	loops.Go(machines.Run)
 	lifecycle.Append(fx.Hook{OnStart: peers.Start, OnStop: peers.Stop})
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
--- a/lease/order.go
+++ b/lease/order.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rattanpath/pool"
 	"rattanpath/tasks"
 )
@@ -119,8 +121,12 @@
 	Ends []End
 }
 
-// Hosts calls upstream hosts. An error means that the call may have been carried
-// out, or may be yet.
+// ErrNotSent means that there was no connection to the host, so that the order
+// was not sent.
+var ErrNotSent = errors.New("no connection to the host")
+
+// Hosts calls upstream hosts. An error other than ErrNotSent means that the call
+// may have been carried out, or may be yet.
 type Hosts interface {
 	Start(ctx context.Context, host *pool.Host, order Start) (Reply, error)
 	Stop(ctx context.Context, host *pool.Host, order Stop) (Reply, error)
--- a/owner/finder.go
+++ b/owner/finder.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"rattanpath/cell"
 	"rattanpath/core"
 	"rattanpath/link"
 	"rattanpath/store"
@@ -30,6 +31,9 @@
 	MethodStatus  Method = "Status"
 	MethodCancel  Method = "Cancel"
 	MethodPending Method = "Pending"
+	MethodReport  Method = "Report"
+	MethodCordon  Method = "Cordon"
+	MethodRetire  Method = "Retire"
 )
 
 // Finder finds the owners of cells and calls them.
@@ -186,7 +190,39 @@
 		return f.local.Cancel(request, answer)
 	case MethodPending:
 		return f.local.Pending(request, answer)
+	case MethodReport:
+		return f.local.Report(request, answer)
+	case MethodCordon:
+		return f.local.Cordon(request, answer)
+	case MethodRetire:
+		return f.local.Retire(request, answer)
 	default:
 		return errors.Errorf("owners don't answer %s", method)
 	}
 }
+
+// Report asks how the pool of a service stands.
+func (f *Finder) Report(ctx context.Context, service string) (cell.Report, error) {
+	answer, _, err := f.attempt(ctx, MethodReport, Request{Service: service})
+	return answer.Report, outcomeError(answer, err)
+}
+
+// Cordon asks to keep new runs off hosts for a time, and with vacate to move
+// away what runs there. It returns how the hosts stand.
+func (f *Finder) Cordon(ctx context.Context, service string, hosts []string, length time.Duration, vacate bool) ([]cell.HostReport, error) {
+	answer, _, err := f.attempt(ctx, MethodCordon, Request{Service: service, Hosts: hosts, Length: length, Vacate: vacate})
+	return answer.Hosts, outcomeError(answer, err)
+}
+
+// Retire tells the owner that the machines of hosts are out of the pool.
+func (f *Finder) Retire(ctx context.Context, service string, hosts []string) error {
+	answer, _, err := f.attempt(ctx, MethodRetire, Request{Service: service, Hosts: hosts})
+	return outcomeError(answer, err)
+}
+
+func outcomeError(answer Answer, err error) error {
+	if err == nil && answer.Outcome != Done {
+		return errors.Errorf("the owner answered: %s", answer.Outcome)
+	}
+	return err
+}
--- a/owner/service.go
+++ b/owner/service.go
@@ -71,5 +71,43 @@
 	return nil
 }
 
+// Report says how the pool of a service stands.
+func (s *Service) Report(request *Request, answer *Answer) error {
+	c, _, cancel := s.find(request)
+	defer cancel()
+	if c == nil {
+		answer.Outcome = NotOwner
+		return nil
+	}
+	report, err := c.Report()
+	answer.Outcome, answer.Report = outcomeOf(err), report
+	return nil
+}
+
+// Cordon keeps new runs off hosts.
+func (s *Service) Cordon(request *Request, answer *Answer) error {
+	c, _, cancel := s.find(request)
+	defer cancel()
+	if c == nil {
+		answer.Outcome = NotOwner
+		return nil
+	}
+	hosts, err := c.Cordon(request.Hosts, request.Length, request.Vacate)
+	answer.Outcome, answer.Hosts = outcomeOf(err), hosts
+	return nil
+}
+
+// Retire notes that the machines of hosts are out of the pool.
+func (s *Service) Retire(request *Request, answer *Answer) error {
+	c, _, cancel := s.find(request)
+	defer cancel()
+	if c == nil {
+		answer.Outcome = NotOwner
+		return nil
+	}
+	answer.Outcome = outcomeOf(c.Retire(request.Hosts))
+	return nil
+}
+
 // minTimeout keeps the time of a call positive.
 const minTimeout = time.Millisecond
--- a/owner/wire.go
+++ b/owner/wire.go
@@ -50,6 +50,10 @@
 	Policy tasks.Policy
 	// Timeout is how long the owner may take.
 	Timeout time.Duration
+	// Hosts are to be cordoned for Length; with Vacate their runs are moved away.
+	Hosts  []string
+	Length time.Duration
+	Vacate bool
 }
 
 // Answer is an owner's answer.
@@ -58,6 +62,9 @@
 	Status  cell.Status
 	// Pending is the number of jobs of the queue that have not begun.
 	Pending int
+	// Report is how the pool stands, and Hosts how the hosts that were asked for do.
+	Report cell.Report
+	Hosts  []cell.HostReport
 }
 
 // outcomeOf returns the outcome for an error of a cell.
--- /dev/null
+++ b/shift/doc.go
@@ -0,0 +1,2 @@
+// Package shift decides which machines change their pool. It is pure.
+package shift
