cell: answer only for kept jobs; wait less for older owners' orders

Change: jobs count as kept once a write with them is confirmed; leases are at most 4.5 s and an owner that can't confirm extends them for 4 s, so that a new one waits 9 s, or 5 s if the old one has released the cell in the store.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -12,6 +12,7 @@
 	"rattanpath/core"
 	"rattanpath/lease"
 	"rattanpath/pool"
+	"rattanpath/store"
 	"rattanpath/tasks"
 )
 
@@ -19,7 +20,7 @@
 const (
 	// ownTime is how long after its last confirmed write a cell that can't reach
 	// the store goes on extending leases.
-	ownTime = 8 * time.Second
+	ownTime = 4 * time.Second
 	// countTime is how long after its last confirmed write a cell vouches for
 	// counts.
 	countTime = 5 * time.Second
@@ -28,8 +29,13 @@
 	idleWrite = time.Second
 	// downTime is how long writes must have failed before new jobs are refused.
 	downTime = 300 * time.Millisecond
-	// leaseShare is the part of the longest lease that is granted.
+	// leaseShare is the part of the longest lease that is granted, up to maxLease.
+	// A longer lease outlives a longer loss of its owner; a shorter one frees the
+	// tasks of a lost host sooner.
 	leaseShare = 0.7
+	maxLease   = 4500 * time.Millisecond
+	// releaseTime bounds the last writes of a cell that is given up.
+	releaseTime = 500 * time.Millisecond
 	// tickEvery is the time between two looks at leases, due times and stops.
 	tickEvery = 100 * time.Millisecond
 	// doubtSlack is added to the time after which nothing of an older owner can
@@ -77,11 +83,14 @@
 // entry is a job and what is known of its records.
 type entry struct {
 	job *tasks.Job
-	// defined means that the definition is in the store.
+	// defined means that a write that is confirmed or under way has the definition.
 	defined bool
-	dirty   bool
-	// kept is closed by the first write that holds the job.
-	then []func()
+	// kept means that the store has confirmed the definition.
+	kept bool
+	// dirty means that the job has changed since the last write began. Then are
+	// the calls for when the next write is confirmed.
+	dirty bool
+	then  []func()
 	// shown is the phase in the store: what callers may be told.
 	shown tasks.Phase
 	// notBefore is when a job whose tasks were refused is tried again.
@@ -93,6 +102,7 @@
 	options Options
 	logger  logr.Logger
 	epoch   int64
+	claim   *claim.Claim
 	writer  *claim.Writer
 
 	mu    sync.Mutex
@@ -114,6 +124,7 @@
 
 	writeKick chan struct{}
 	placeKick chan struct{}
+	releasing chan struct{}
 	lost      chan struct{}
 	lostOnce  sync.Once
 	ctx       context.Context
@@ -134,6 +145,7 @@
 		runtime:   newRuntimes(),
 		writeKick: make(chan struct{}, 1),
 		placeKick: make(chan struct{}, 1),
+		releasing: make(chan struct{}),
 		lost:      make(chan struct{}),
 	}
 }
@@ -151,7 +163,13 @@
 		c.startHost(h)
 	}
 	c.mu.Unlock()
-	c.wg.Go(func() { c.loopWrites(ctx) })
+	writes, stopWrites := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWrites()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.loopWrites(writes)
+	}()
 	c.wg.Go(func() { c.loopPlace(ctx) })
 	c.wg.Go(func() { c.loopTicks(ctx) })
 	select {
@@ -163,6 +181,27 @@
 	c.stopped = true
 	c.mu.Unlock()
 	c.wg.Wait()
+	c.release(written, stopWrites)
+}
+
+// release keeps what has changed and says in the store that this node decides no
+// more, as far as the store takes it in time.
+func (c *Cell) release(written <-chan struct{}, stopWrites context.CancelFunc) {
+	timer := time.AfterFunc(releaseTime, stopWrites)
+	defer timer.Stop()
+	close(c.releasing)
+	kick(c.writeKick)
+	<-written
+	if c.isLost() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	record, err := c.claim.Release()
+	if err == nil {
+		_, err = c.writer.Write(ctx, []store.Record{record})
+	}
+	c.logger.Info("cell released", "epoch", c.epoch, "recorded", err == nil)
 }
 
 // Lost returns a channel that is closed when another node has the cell.
--- a/cell/claim.go
+++ b/cell/claim.go
@@ -26,6 +26,7 @@
 	}
 	c := newCell(options)
 	c.epoch = taken.Epoch
+	c.claim = taken
 	c.writer = taken.NewWriter(options.Journal, Topic(options.Service), options.Clock)
 	c.writer.Failed = c.noteFailure
 	c.load(taken.Records)
@@ -55,7 +56,7 @@
 			c.logger.Error(err, "the records of a job can't be read; the job is left out", "key", key)
 			continue
 		}
-		c.add(&entry{job: job, defined: true, shown: job.Phase})
+		c.add(&entry{job: job, defined: true, kept: true, shown: job.Phase})
 	}
 }
 
--- a/cell/host.go
+++ b/cell/host.go
@@ -223,7 +223,17 @@
 
 // leaseLength is how long a lease is granted for.
 func (c *Cell) leaseLength() time.Duration {
-	return time.Duration(float64(c.options.MaxLease) * leaseShare)
+	return min(maxLease, time.Duration(float64(c.options.MaxLease)*leaseShare))
+}
+
+// inheritedUntil returns when everything that older owners have ordered has
+// lapsed.
+func (c *Cell) inheritedUntil() time.Duration {
+	longest := time.Duration(float64(c.leaseLength())/lease.Slowest) + doubtSlack
+	if c.claim.Before != "" && !c.claim.Released {
+		longest += ownTime
+	}
+	return c.claimed + longest
 }
 
 // holdFailed notes that a host did not answer a hold, or refused it.
@@ -431,8 +441,7 @@
 // expireLeases gives up the runs of hosts whose every lease has ended.
 func (c *Cell) expireLeases() {
 	now := c.options.Clock()
-	// Whatever an older owner has ordered has lapsed by then.
-	inheritedUntil := c.claimed + ownTime + time.Duration(float64(c.options.MaxLease)/0.98) + doubtSlack
+	inheritedUntil := c.inheritedUntil()
 	for id, h := range c.hosts {
 		over := h.clock.Over(now)
 		for _, r := range h.runs {
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -12,7 +12,7 @@
 // not taken in.
 func (c *Cell) Submit(ctx context.Context, key tasks.Key, plan tasks.Plan, policy tasks.Policy) error {
 	c.mu.Lock()
-	if c.isLost() {
+	if c.isLost() || c.stopped {
 		c.mu.Unlock()
 		return ErrNotOwner
 	}
@@ -31,7 +31,7 @@
 		c.arrived += e.job.Work()
 		c.logger.Info("job taken in", "job", key.ID, "queue", key.Queue, "steps", len(plan.Steps), "open", len(c.open), "epoch", c.epoch)
 		e.job.Advance(time.Now())
-	} else if !e.dirty && e.defined && len(e.then) == 0 {
+	} else if e.kept {
 		c.mu.Unlock()
 		return nil
 	}
@@ -78,7 +78,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e.job.Unasked || !e.defined {
+	switch {
+	case !e.kept:
+		return Status{}, ErrUncertain
+	case e.job.Unasked:
 		return Status{}, ErrUnknownJob
 	}
 	return Status{Phase: e.shown, Begun: e.job.Begun}, nil
@@ -116,7 +119,7 @@
 // in is kept as cancelled, so that a late request can't begin it.
 func (c *Cell) Cancel(ctx context.Context, key tasks.Key) error {
 	c.mu.Lock()
-	if c.isLost() {
+	if c.isLost() || c.stopped {
 		c.mu.Unlock()
 		return ErrNotOwner
 	}
--- a/cell/write.go
+++ b/cell/write.go
@@ -43,15 +43,25 @@
 		case <-ctx.Done():
 			return
 		}
-		for {
-			b, more := c.collect()
-			if !c.write(ctx, b) {
+		for more := true; more; {
+			var b batch
+			if b, more = c.collect(); !c.write(ctx, b) {
 				return
 			}
-			if !more {
-				break
-			}
 		}
+		if c.isReleasing() {
+			return
+		}
+	}
+}
+
+// isReleasing reports whether the next write is the last.
+func (c *Cell) isReleasing() bool {
+	select {
+	case <-c.releasing:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -86,6 +96,7 @@
 	phase, then := e.job.Phase, e.then
 	e.then = nil
 	return func() {
+		e.kept = true
 		e.shown = phase
 		for _, call := range then {
 			call()
--- a/lease/clock.go
+++ b/lease/clock.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// slowest is how much of real time a host's clock shows at least.
-const slowest = 0.98
+// Slowest is how much of real time a host's clock shows at least.
+const Slowest = 0.98
 
 // Clock estimates a host's clock from its answers. Its own times are readings
 // of a clock that goes on while this machine is suspended.
@@ -39,7 +39,7 @@
 
 // atLeast returns what the host's clock shows at least.
 func (c *Clock) atLeast(now time.Duration) time.Duration {
-	return c.shown + time.Duration(float64(now-c.at)*slowest)
+	return c.shown + time.Duration(float64(now-c.at)*Slowest)
 }
 
 // Over reports whether every lease that was granted has surely ended.
