cell: acknowledge ends only after all before them is written

Change: an acknowledgement waits for the write after it; a serving task is at work once it uses half of its processor time, or after 4 s.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -110,6 +110,8 @@
 	byID  map[string]*entry
 	open  map[*entry]bool
 	dirty []*entry
+	// after are the calls for when all that has changed is written.
+	after []func()
 	hosts map[string]*host
 	// claimed and confirmed are when the cell was claimed and when the last write
 	// that the store has confirmed was sent.
--- a/cell/host.go
+++ b/cell/host.go
@@ -45,6 +45,31 @@
 	percent int
 	load    float64
 	paced   int
+	// atWork means that a serving task has begun to serve.
+	atWork bool
+}
+
+const (
+	// workShare is the part of its processor time that a serving task uses at
+	// least once it is at work.
+	workShare = 0.5
+	// startupTime is how long a serving task takes at most to begin.
+	startupTime = 4 * time.Second
+)
+
+// noteWork judges from what the host has shown whether a serving task is at
+// work.
+func (r *run) noteWork(now time.Duration) {
+	if r.entry == nil || r.atWork {
+		return
+	}
+	step := r.entry.job.Step(r.name)
+	least := workShare * float64(step.Room.CPU)
+	if step.Target > 0 {
+		// It shows its response time instead, once it has answered.
+		least = 1
+	}
+	r.atWork = r.load >= least || r.answered != 0 && now-r.answered > startupTime
 }
 
 // host is what a cell knows of a host.
@@ -334,39 +359,25 @@
 		return nil
 	}
 	highest := h.listed
-	last := c.last()
 	for _, end := range ends {
 		highest = max(highest, end.Number)
 		if r := h.runs[end.Name]; r != nil && r.number == end.Run {
 			c.judge(h, r, end.How)
 			c.runOver(h, r, end.How, end.Saved, "listed")
-			if r.entry != nil {
-				last = r.entry
-			}
 		}
 	}
 	h.listed = highest
 	noted := make(chan struct{})
-	note := func() {
-		h.seen = max(h.seen, highest)
+	life := h.life()
+	c.whenWritten(func() {
+		if h.life() == life {
+			h.seen = max(h.seen, highest)
+		}
 		close(noted)
-	}
-	if last == nil {
-		note()
-		return noted
-	}
-	c.touch(last, note)
+	})
 	return noted
 }
 
-// last returns the job that is written last of those that wait for it.
-func (c *Cell) last() *entry {
-	if len(c.dirty) == 0 {
-		return nil
-	}
-	return c.dirty[len(c.dirty)-1]
-}
-
 // takeRuns takes in the runs that a host lists as of a hold that was sent at a
 // local time.
 func (c *Cell) takeRuns(h *host, listed []lease.Run, sent time.Duration) {
@@ -379,6 +390,7 @@
 			continue
 		}
 		r.percent, r.load = l.Percent, l.Load
+		r.noteWork(sent)
 		r.doubt = 0
 		if r.answered == 0 {
 			r.answered = sent
--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -10,9 +10,6 @@
 	// patience is how long tasks of a cordoned host may go on before they are
 	// stopped; those that checkpoint are stopped at once.
 	patience = 2500 * time.Millisecond
-	// atWorkAfter is how long after its start a serving task is taken to be at
-	// work.
-	atWorkAfter = time.Second
 )
 
 // HostReport is how a host of the pool stands.
@@ -197,13 +194,12 @@
 // its step are away than may be.
 func (c *Cell) maySpare(r *run) bool {
 	away := 0
-	now := c.options.Clock()
 	for _, round := range r.entry.job.Rounds {
 		if round.Number != r.name.Round {
 			continue
 		}
 		for i := range round.Steps[r.name.Step] {
-			if i != r.name.Index && !c.atWork(r, i, now) {
+			if i != r.name.Index && !c.atWork(r, i) {
 				away++
 			}
 		}
@@ -212,7 +208,7 @@
 }
 
 // atWork reports whether a task of a run's step is at work.
-func (c *Cell) atWork(r *run, index int, now time.Duration) bool {
+func (c *Cell) atWork(r *run, index int) bool {
 	name := r.name
 	name.Index = index
 	task := r.entry.job.Task(name)
@@ -221,5 +217,5 @@
 		return false
 	}
 	other := h.runs[name]
-	return other != nil && other.number == task.Run && !other.stopping && other.answered != 0 && now-other.answered > atWorkAfter
+	return other != nil && other.number == task.Run && !other.stopping && other.atWork
 }
--- a/cell/write.go
+++ b/cell/write.go
@@ -28,6 +28,13 @@
 	kick(c.writeKick)
 }
 
+// whenWritten calls then, with the lock held, once all that has changed so far
+// is in the store. It is called with the lock held.
+func (c *Cell) whenWritten(then func()) {
+	c.after = append(c.after, then)
+	kick(c.writeKick)
+}
+
 // batch is what one write carries.
 type batch struct {
 	records []store.Record
@@ -88,6 +95,10 @@
 		b.records = append(b.records, records...)
 		b.done = append(b.done, e.settle())
 	}
+	if len(c.dirty) == 0 {
+		b.done = append(b.done, c.after...)
+		c.after = nil
+	}
 	return b, len(c.dirty) > 0
 }
 
