--- a/cell/cell.go
+++ b/cell/cell.go
@@ -117,6 +117,8 @@
 	// that the store has confirmed was sent.
 	claimed   time.Duration
 	confirmed time.Duration
+	// confirmBy is the last moment after which a confirmation is asked for.
+	confirmBy time.Duration
 	// failing is since when writes fail; zero if they don't.
 	failing time.Time
 	stopped bool
--- /dev/null
+++ b/cell/scene_test.go
@@ -0,0 +1,240 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanpath/fake"
+	"rattanpath/tasks"
+)
+
+// TestJobRuns hands in a job of two steps and waits for its end.
+func TestJobRuns(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		plan := simple(4, 1000)
+		plan.Steps = append(plan.Steps, tasks.Step{Count: 2, Room: tasks.Room{CPU: 500}, After: []int{0}})
+		if err := w.submit(n, "job", plan); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(700 * time.Millisecond)
+		w.wantPhase(n, "job", tasks.Open)
+		time.Sleep(time.Second)
+		w.wantPhase(n, "job", tasks.Completed)
+		if got := w.judge.Starts(); got != 6 {
+			t.Errorf("got %d runs, want 6", got)
+		}
+	})
+}
+
+// TestRepeatIsNotAnsweredBeforeItIsKept hands a job in twice while the store is
+// silent: neither may be answered as taken in, since another node that takes
+// over doesn't know the job.
+func TestRepeatIsNotAnsweredBeforeItIsKept(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		w.store.Fail("a", fake.Silent)
+		// The tasks fit on no host, so that nothing more is written for them.
+		plan := simple(1, 2*hostCPU)
+		if err := w.submit(n, "job", plan); !errors.Is(err, ErrUncertain) {
+			t.Errorf("got %v, want %v", err, ErrUncertain)
+		}
+		if err := w.submit(n, "job", plan); !errors.Is(err, ErrUncertain) {
+			t.Errorf("got %v for the repeat, want %v", err, ErrUncertain)
+		}
+		if _, err := w.status(n, "job"); !errors.Is(err, ErrUncertain) {
+			t.Errorf("got %v for its state, want %v", err, ErrUncertain)
+		}
+	})
+}
+
+// TestEndsAreWrittenBeforeTheyAreAcknowledged lets a task end while its owner
+// can't write, and another node take over: the end must not be lost.
+func TestEndsAreWrittenBeforeTheyAreAcknowledged(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.work = func(name tasks.Name, _ int) fake.Work {
+			if name.Job == "long" {
+				// It keeps the owner asking the host.
+				return fake.Work{Time: 30 * time.Second}
+			}
+			return fake.Work{Time: 500 * time.Millisecond}
+		}
+		a := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		for _, id := range []string{"long", "job"} {
+			if err := w.submit(a, id, simple(1, 1000)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// No write may be under way when the store falls silent, so that the one
+		// with the end is.
+		time.Sleep(300 * time.Millisecond)
+		w.store.Fail("a", fake.Silent)
+		time.Sleep(3 * time.Second)
+		b := w.claim("b")
+		time.Sleep(2 * time.Second)
+		w.wantPhase(b, "job", tasks.Completed)
+		if got := w.judge.Starts(); got != 2 {
+			t.Errorf("got %d runs, want 2", got)
+		}
+	})
+}
+
+// TestRetiredHostGetsNoRuns takes a host's machine away while the pool still
+// lists it: its lasting task runs elsewhere at once and stays there.
+func TestRetiredHostGetsNoRuns(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.work = func(tasks.Name, int) fake.Work { return fake.Work{Lasting: true} }
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := w.submit(n, "job", lasting(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		name := tasks.Name{Job: "job"}
+		n.cell.mu.Lock()
+		host := n.cell.jobs[tasks.Key{Queue: testQueue, ID: "job"}].job.Task(name).Host
+		n.cell.mu.Unlock()
+		w.runners[host].Crash()
+		w.runners[host].Silence(true)
+		if err := n.cell.Retire([]string{host}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if got := w.judge.Active(name); got != 1 {
+			t.Errorf("got %d runs 200 ms after the host was retired, want 1", got)
+		}
+	})
+}
+
+// TestServingTasksAreSparedOneAtATime vacates all hosts of a step: a task is
+// stopped only when the one before is at work again.
+func TestServingTasksAreSparedOneAtATime(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		const startup = 2 * time.Second
+		w.work = func(tasks.Name, int) fake.Work { return fake.Work{Lasting: true, Startup: startup} }
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := w.submit(n, "job", lasting(2, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * time.Second)
+		var busy []string
+		n.cell.mu.Lock()
+		for id, h := range n.cell.hosts {
+			if len(h.runs) > 0 {
+				busy = append(busy, id)
+			}
+		}
+		n.cell.mu.Unlock()
+		stopped := make(map[int]time.Duration)
+		begun := time.Now()
+		for range 100 {
+			if _, err := n.cell.Cordon(busy, time.Second, true); err != nil {
+				t.Fatal(err)
+			}
+			if ends := w.judge.Ends(tasks.EndStopped); stopped[ends] == 0 {
+				stopped[ends] = time.Since(begun)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if stopped[2] == 0 || stopped[2]-stopped[1] < startup {
+			t.Errorf("got the tasks stopped after %v and %v, want both, and %v between", stopped[1], stopped[2], startup)
+		}
+	})
+}
+
+// TestTakeOverOfADeadHost kills a host together with the owner: what ran there
+// starts again once no lease of the old owner can hold.
+func TestTakeOverOfADeadHost(t *testing.T) {
+	tests := []struct {
+		name     string
+		released bool
+		within   time.Duration
+	}{
+		{"released", true, 6 * time.Second},
+		{"lost", false, 10 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inWorld(t, 2, func(w *world) {
+				w.work = func(tasks.Name, int) fake.Work { return fake.Work{Lasting: true} }
+				a := w.claim("a")
+				time.Sleep(100 * time.Millisecond)
+				if err := w.submit(a, "job", lasting(2, 1000)); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				w.runners["h0"].Silence(true)
+				w.runners["h0"].Crash()
+				if test.released {
+					a.stop()
+				} else {
+					w.store.Fail("a", fake.Silent)
+				}
+				time.Sleep(time.Second)
+				w.addHost("h2", 1)
+				w.claim("b")
+				time.Sleep(test.within)
+				for index := range 2 {
+					if got := w.judge.Active(tasks.Name{Job: "job", Index: index}); got != 1 {
+						t.Errorf("got %d runs of task %d after %v, want 1", got, index, test.within)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestLateStartIsFenced lets a start be carried out long after the task was
+// started elsewhere.
+func TestLateStartIsFenced(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.work = func(tasks.Name, int) fake.Work { return fake.Work{Time: 10 * time.Second} }
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		for _, runner := range w.runners {
+			runner.DelayOrders(1, 3*time.Second)
+		}
+		if err := w.submit(n, "job", simple(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Second)
+		w.wantPhase(n, "job", tasks.Completed)
+	})
+}
+
+// TestCancelStopsTasks cancels a job whose tasks run and one that was never
+// handed in; a late request for the latter starts nothing.
+func TestCancelStopsTasks(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.work = func(tasks.Name, int) fake.Work { return fake.Work{Lasting: true} }
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := w.submit(n, "job", simple(3, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		if err := n.cell.Cancel(w.ctx, tasks.Key{Queue: testQueue, ID: "job"}); err != nil {
+			t.Fatal(err)
+		}
+		if err := n.cell.Cancel(w.ctx, tasks.Key{Queue: testQueue, ID: "other"}); !errors.Is(err, ErrUnknownJob) {
+			t.Errorf("got %v, want %v", err, ErrUnknownJob)
+		}
+		if err := w.submit(n, "other", simple(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		w.wantPhase(n, "job", tasks.Cancelled)
+		if got := w.judge.Ends(tasks.EndStopped); got != 3 {
+			t.Errorf("got %d runs stopped, want 3", got)
+		}
+		if got := w.judge.Starts(); got != 3 {
+			t.Errorf("got %d starts, want 3", got)
+		}
+	})
+}
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -92,6 +92,7 @@
 	asked := c.options.Clock()
 	for {
 		c.mu.Lock()
+		c.confirmBy = max(c.confirmBy, asked)
 		confirmed, away := c.confirmed, c.storeAway()
 		c.mu.Unlock()
 		switch {
--- /dev/null
+++ b/cell/world_test.go
@@ -0,0 +1,169 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"rattanpath/core"
+	"rattanpath/fake"
+	"rattanpath/pool"
+	"rattanpath/tasks"
+)
+
+const (
+	testService = "index"
+	testQueue   = "index.example/jobs/"
+	testLease   = 6 * time.Second
+	// hostCPU is the capacity of a host in thousandths of a core.
+	hostCPU = 8000
+	// settleTime is how long everything takes to end.
+	settleTime = 5 * time.Second
+)
+
+// world is a store, some hosts and the nodes that decide, in paused time.
+type world struct {
+	t       *testing.T
+	ctx     context.Context
+	store   *fake.Store
+	judge   *fake.Judge
+	runners map[string]*fake.Runner
+	work    func(name tasks.Name, run int) fake.Work
+	begun   time.Time
+	out     io.Writer
+	plans   map[string]tasks.Plan
+}
+
+// node is a node that has the cell, or thinks so.
+type node struct {
+	name  string
+	hosts *fake.Hosts
+	cell  *Cell
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+// inWorld runs a test in paused time with a number of hosts.
+func inWorld(t *testing.T, hosts int, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		w := &world{
+			t: t, ctx: ctx, store: fake.NewStore(), judge: fake.NewJudge(),
+			runners: make(map[string]*fake.Runner), begun: time.Now(), out: io.Discard, plans: make(map[string]tasks.Plan),
+		}
+		w.work = func(tasks.Name, int) fake.Work { return fake.Work{Time: 500 * time.Millisecond} }
+		for i := range hosts {
+			w.addHost(fmt.Sprintf("h%d", i), 1-0.02*float64(i%2))
+		}
+		test(w)
+		for _, fault := range w.judge.Faults() {
+			t.Error(fault)
+		}
+		cancel()
+		time.Sleep(settleTime)
+	})
+}
+
+func (w *world) addHost(id string, drift float64) {
+	info := pool.Host{ID: id, Service: testService, Address: id, Labels: []string{"a", "r1-" + id}, Room: tasks.Room{CPU: hostCPU, MemMB: 1 << 16}}
+	runner := fake.NewRunner(info, drift, w.judge, func(name tasks.Name, run int) fake.Work { return w.work(name, run) })
+	w.runners[id] = runner
+	go runner.Watch(w.ctx)
+}
+
+// room returns what a task occupies.
+func (w *world) room(name tasks.Name) tasks.Room {
+	return w.plans[name.Job].Steps[name.Step].Occupies()
+}
+
+// claim makes a node take the cell over and run it.
+func (w *world) claim(name string) *node {
+	w.t.Helper()
+	n := &node{name: name, hosts: fake.NewHosts(w.runners, w.room), done: make(chan struct{})}
+	var logger logr.Logger
+	if w.out == io.Discard {
+		logger = logr.Discard()
+	} else {
+		logger = core.NewLogger(w.out, name)
+	}
+	c, err := Claim(w.ctx, Options{
+		Service:    testService,
+		Node:       name,
+		Journal:    w.store.Client(name),
+		Hosts:      n.hosts,
+		Clock:      func() time.Duration { return time.Since(w.begun) },
+		MaxLease:   testLease,
+		KeepEnded:  2 * time.Minute,
+		Pace:       100 * time.Millisecond,
+		Harm:       4 * time.Second,
+		BatchBytes: 1 << 20,
+		Logger:     logger,
+		Meters:     NewMeters(metrics.NewSet()),
+	}, name+time.Now().String())
+	if err != nil {
+		w.t.Fatalf("node %s could not claim the cell: %v", name, err)
+	}
+	n.cell = c
+	c.SetHosts(n.hosts.View())
+	ctx, cancel := context.WithCancel(w.ctx)
+	n.stop = cancel
+	go func() {
+		defer close(n.done)
+		c.Run(ctx)
+	}()
+	go n.watch(ctx)
+	return n
+}
+
+// watch tells the cell of hosts that change.
+func (n *node) watch(ctx context.Context) {
+	for core.Sleep(ctx, 300*time.Millisecond) == nil {
+		n.cell.SetHosts(n.hosts.View())
+	}
+}
+
+// submit hands a job in and waits for up to a second.
+func (w *world) submit(n *node, id string, plan tasks.Plan) error {
+	w.plans[id] = plan
+	ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+	defer cancel()
+	return n.cell.Submit(ctx, tasks.Key{Queue: testQueue, ID: id}, plan, tasks.Policy{Service: testService, MaxAttempts: 3})
+}
+
+// status asks for a job.
+func (w *world) status(n *node, id string) (Status, error) {
+	ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+	defer cancel()
+	return n.cell.Status(ctx, tasks.Key{Queue: testQueue, ID: id})
+}
+
+// simple is a plan of one step.
+func simple(count int, cpu int64) tasks.Plan {
+	return tasks.Plan{Spec: "spec", Steps: []tasks.Step{{Count: count, Room: tasks.Room{CPU: cpu, MemMB: 100}, Estimate: 500 * time.Millisecond}}}
+}
+
+// lasting is a plan of one step of serving tasks, at most one of a host.
+func lasting(count int, cpu int64) tasks.Plan {
+	plan := simple(count, cpu)
+	plan.Steps[0].Lasting = true
+	plan.Steps[0].MaxPerHost = 1
+	plan.Steps[0].MayMiss = 1
+	return plan
+}
+
+// wantPhase checks how far a job is.
+func (w *world) wantPhase(n *node, id string, want tasks.Phase) {
+	w.t.Helper()
+	got, err := w.status(n, id)
+	if err != nil || got.Phase != want {
+		w.t.Errorf("got phase %v and error %v of job %s at %s, want phase %v", got.Phase, err, id, n.name, want)
+	}
+}
--- a/cell/write.go
+++ b/cell/write.go
@@ -50,7 +50,7 @@
 		case <-ctx.Done():
 			return
 		}
-		for more := true; more; {
+		for more := c.mustWrite(); more; {
 			var b batch
 			if b, more = c.collect(); !c.write(ctx, b) {
 				return
@@ -62,6 +62,14 @@
 	}
 }
 
+// mustWrite reports whether there is anything to write or to confirm.
+func (c *Cell) mustWrite() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	asked := c.confirmBy > c.confirmed
+	return len(c.dirty) > 0 || len(c.after) > 0 || asked || c.options.Clock()-c.confirmed >= idleWrite/2
+}
+
 // isReleasing reports whether the next write is the last.
 func (c *Cell) isReleasing() bool {
 	select {
--- /dev/null
+++ b/fake/judge.go
@@ -0,0 +1,97 @@
+package fake
+
+import (
+	"fmt"
+	"sync"
+
+	"rattanpath/lease"
+	"rattanpath/tasks"
+)
+
+// Judge sees every start and end on all hosts and notes what must not happen.
+type Judge struct {
+	mu sync.Mutex
+	// active counts the runs of each task that are at work, and done and failed
+	// its ends of that kind that were noted.
+	active map[tasks.Name]map[string]int
+	done   map[tasks.Name]bool
+	faults []string
+	starts int
+	ends   map[tasks.How]int
+}
+
+// NewJudge returns a judge that has seen nothing.
+func NewJudge() *Judge {
+	return &Judge{
+		active: make(map[tasks.Name]map[string]int),
+		done:   make(map[tasks.Name]bool),
+		ends:   make(map[tasks.How]int),
+	}
+}
+
+// Faults returns what must not have happened.
+func (j *Judge) Faults() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.faults...)
+}
+
+// Starts returns how many runs were started.
+func (j *Judge) Starts() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.starts
+}
+
+// Ends returns how many runs ended in a way.
+func (j *Judge) Ends(how tasks.How) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ends[how]
+}
+
+// Active returns how many runs of a task are at work.
+func (j *Judge) Active(name tasks.Name) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.active[name])
+}
+
+func (j *Judge) fault(format string, args ...any) {
+	j.faults = append(j.faults, fmt.Sprintf(format, args...))
+}
+
+func (j *Judge) started(host string, name tasks.Name, run int, fits bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts++
+	if j.active[name] == nil {
+		j.active[name] = make(map[string]int)
+	}
+	j.active[name][host+"/"+itoa(run)] = run
+	if len(j.active[name]) > 1 {
+		j.fault("task %+v runs twice at once: %v", name, j.active[name])
+	}
+	if j.done[name] {
+		j.fault("task %+v run %d started on %s after an end that was noted as done", name, run, host)
+	}
+	if !fits {
+		j.fault("task %+v run %d was started on %s beyond its room", name, run, host)
+	}
+}
+
+func (j *Judge) ended(host string, name tasks.Name, run int, how tasks.How) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ends[how]++
+	delete(j.active[name], host+"/"+itoa(run))
+}
+
+// noted sees that an end won't be listed again.
+func (j *Judge) noted(end lease.End) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if end.How == tasks.EndDone {
+		j.done[end.Name] = true
+	}
+}
--- /dev/null
+++ b/fake/runner.go
@@ -0,0 +1,349 @@
+package fake
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"rattanpath/core"
+	"rattanpath/lease"
+	"rattanpath/pool"
+	"rattanpath/tasks"
+)
+
+const (
+	// hostLatency is the time of a call of a host.
+	hostLatency = time.Millisecond
+	// hostStop is the time that a run takes to stop.
+	hostStop = 100 * time.Millisecond
+	// firstClock is what a host's clock shows when it is born.
+	firstClock = 1000 * time.Millisecond
+)
+
+// Work says how a run goes: how long it takes and how it ends. Without an end it
+// goes on until it is stopped.
+type Work struct {
+	Time time.Duration
+	End  tasks.How
+	// Lasting means that the run never ends by itself.
+	Lasting bool
+	// Startup is the time in which the run isn't at work yet.
+	Startup time.Duration
+}
+
+// Runner is a stand-in for an upstream host that runs tasks under a lease.
+type Runner struct {
+	judge *Judge
+	work  func(name tasks.Name, run int) Work
+
+	mu      sync.Mutex
+	info    pool.Host
+	born    time.Time
+	drift   float64
+	token   int64
+	until   time.Duration
+	runs    map[tasks.Name]*running
+	barred  map[tasks.Name]int
+	ends    []lease.End
+	numbers int64
+	changed core.Signal
+	// silent means that no call arrives; refuses that none connects.
+	silent  bool
+	refuses bool
+	// lateOrders is how many orders are carried out late and not answered.
+	lateOrders int
+	lateBy     time.Duration
+}
+
+type running struct {
+	name  tasks.Name
+	run   int
+	room  tasks.Room
+	timer *time.Timer
+	saved string
+	// atWork is when the run is at work.
+	atWork time.Time
+}
+
+// load returns the processor time that the run uses.
+func (r *running) load() float64 {
+	if time.Now().Before(r.atWork) {
+		return 0
+	}
+	return float64(r.room.CPU)
+}
+
+// NewRunner returns a host that is born now. Its clock runs at drift times the
+// real one.
+func NewRunner(info pool.Host, drift float64, judge *Judge, work func(name tasks.Name, run int) Work) *Runner {
+	r := &Runner{info: info, drift: drift, judge: judge, work: work}
+	r.birth()
+	return r
+}
+
+func (r *Runner) birth() {
+	r.born = time.Now()
+	r.info.Born = r.born.UnixMilli()
+	r.token, r.until, r.numbers = 0, 0, 0
+	r.runs = make(map[tasks.Name]*running)
+	r.barred = make(map[tasks.Name]int)
+	r.ends = nil
+}
+
+// Info returns what the host says of itself.
+func (r *Runner) Info() *pool.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	info := r.info
+	return &info
+}
+
+// Drain makes the host say that it will leave.
+func (r *Runner) Drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.info.Draining = true
+}
+
+// Silence makes calls of the host get no answer, or arrive again.
+func (r *Runner) Silence(silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = silent
+}
+
+// DelayOrders makes the next orders be carried out late and not answered.
+func (r *Runner) DelayOrders(orders int, by time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lateOrders, r.lateBy = orders, by
+}
+
+// Crash ends everything on the host; it refuses connections until Restart. Its
+// entry stays what it was.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.runs {
+		run.timer.Stop()
+		r.judge.ended(r.info.ID, run.name, run.run, tasks.EndLost)
+	}
+	r.runs = make(map[tasks.Name]*running)
+	r.ends = nil
+	r.refuses = true
+}
+
+// Restart begins the host's next life.
+func (r *Runner) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.birth()
+	r.refuses = false
+}
+
+// clock returns what the host's clock shows.
+func (r *Runner) clock() time.Duration {
+	return (firstClock + time.Duration(float64(time.Since(r.born))*r.drift)).Truncate(time.Millisecond)
+}
+
+// reach spends the time of a call and says whether it arrives.
+func (r *Runner) reach(ctx context.Context) error {
+	if err := core.Sleep(ctx, hostLatency); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	silent, refuses := r.silent, r.refuses
+	r.mu.Unlock()
+	switch {
+	case silent:
+		if err := core.Sleep(ctx, time.Second); err != nil {
+			return err
+		}
+		return errSilent
+	case refuses:
+		return lease.ErrNotSent
+	default:
+		return nil
+	}
+}
+
+// late carries an order out later if that is the host's fault now.
+func (r *Runner) late(order func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lateOrders == 0 {
+		return false
+	}
+	r.lateOrders--
+	time.AfterFunc(r.lateBy, order)
+	return true
+}
+
+// Start tells the host to start a run.
+func (r *Runner) Start(ctx context.Context, order lease.Start, room tasks.Room) (lease.Reply, error) {
+	if err := r.reach(ctx); err != nil {
+		return lease.Reply{}, err
+	}
+	if r.late(func() { r.start(order, room) }) {
+		return lease.Reply{}, errSilent
+	}
+	return r.start(order, room), nil
+}
+
+func (r *Runner) start(order lease.Start, room tasks.Room) lease.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire()
+	reply := lease.Reply{Clock: r.clock()}
+	if order.Token < r.token {
+		reply.Reason = lease.RefusedFence
+		return reply
+	}
+	r.token = order.Token
+	r.until = max(r.until, min(order.Until, r.clock()+maxHold))
+	current := r.runs[order.Name]
+	switch {
+	case current != nil && current.run == order.Run:
+	case current != nil || order.Run <= r.barred[order.Name]:
+		reply.Reason = lease.RefusedOld
+	case order.Until <= r.clock():
+		reply.Reason = lease.RefusedLate
+	default:
+		r.begin(order, room)
+	}
+	return reply
+}
+
+// maxHold is the longest lease that a host grants.
+const maxHold = 6 * time.Second
+
+func (r *Runner) begin(order lease.Start, room tasks.Room) {
+	work := r.work(order.Name, order.Run)
+	run := &running{name: order.Name, run: order.Run, room: room, saved: order.Saved, atWork: time.Now().Add(work.Startup)}
+	length := work.Time
+	if work.Lasting {
+		length = time.Hour
+	}
+	run.timer = time.AfterFunc(length, func() { r.finish(run, work.End) })
+	r.runs[order.Name] = run
+	var used tasks.Room
+	for _, other := range r.runs {
+		used = used.Add(other.room)
+	}
+	r.judge.started(r.info.ID, order.Name, order.Run, r.info.Room.Fits(used))
+}
+
+// finish ends a run.
+func (r *Runner) finish(run *running, how tasks.How) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs[run.name] != run {
+		return
+	}
+	r.end(run, how)
+}
+
+func (r *Runner) end(run *running, how tasks.How) {
+	run.timer.Stop()
+	delete(r.runs, run.name)
+	r.barred[run.name] = max(r.barred[run.name], run.run)
+	r.numbers++
+	r.ends = append(r.ends, lease.End{Number: r.numbers, Name: run.name, Run: run.run, How: how, Saved: run.saved})
+	r.judge.ended(r.info.ID, run.name, run.run, how)
+	r.changed.Notify()
+}
+
+// expire ends everything once the lease is over.
+func (r *Runner) expire() {
+	if r.clock() < r.until {
+		return
+	}
+	for _, run := range r.runs {
+		r.end(run, tasks.EndLapsed)
+	}
+}
+
+// Stop tells the host to end a run.
+func (r *Runner) Stop(ctx context.Context, order lease.Stop) (lease.Reply, error) {
+	if err := r.reach(ctx); err != nil {
+		return lease.Reply{}, err
+	}
+	if r.late(func() { r.stop(order) }) {
+		return lease.Reply{}, errSilent
+	}
+	return r.stop(order), nil
+}
+
+func (r *Runner) stop(order lease.Stop) lease.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire()
+	reply := lease.Reply{Clock: r.clock()}
+	if order.Token < r.token {
+		reply.Reason = lease.RefusedFence
+		return reply
+	}
+	r.token = order.Token
+	r.barred[order.Name] = max(r.barred[order.Name], order.Run)
+	if run := r.runs[order.Name]; run != nil && run.run <= order.Run {
+		time.AfterFunc(hostStop, func() { r.finish(run, tasks.EndStopped) })
+	}
+	return reply
+}
+
+// Hold extends the lease and lists runs and ends.
+func (r *Runner) Hold(ctx context.Context, order lease.Hold) (lease.Listing, error) {
+	if err := r.reach(ctx); err != nil {
+		return lease.Listing{}, err
+	}
+	deadline := time.Now().Add(order.Wait)
+	for {
+		listing, changed := r.hold(order)
+		left := time.Until(deadline)
+		if len(listing.Ends) > 0 || left <= 0 || listing.Reason != lease.Accepted {
+			return listing, r.reach(ctx)
+		}
+		select {
+		case <-changed:
+		case <-time.After(left):
+		case <-ctx.Done():
+			return lease.Listing{}, ctx.Err()
+		}
+	}
+}
+
+func (r *Runner) hold(order lease.Hold) (lease.Listing, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire()
+	listing := lease.Listing{Reply: lease.Reply{Clock: r.clock()}, Born: r.info.Born}
+	if order.Token < r.token {
+		listing.Reason = lease.RefusedFence
+		return listing, nil
+	}
+	r.token = order.Token
+	if order.Until > 0 {
+		r.until = max(r.until, min(order.Until, r.clock()+maxHold))
+	}
+	for _, end := range r.ends {
+		if end.Number <= order.Seen {
+			r.judge.noted(end)
+		}
+	}
+	r.ends = slices.DeleteFunc(r.ends, func(end lease.End) bool { return end.Number <= order.Seen })
+	listing.Ends = slices.Clone(r.ends)
+	for _, run := range r.runs {
+		listing.Runs = append(listing.Runs, lease.Run{Name: run.name, Run: run.run, Saved: run.saved, Percent: 100, Load: run.load()})
+	}
+	return listing, r.changed.Changed()
+}
+
+// Watch lets the lease run out in time; it returns when ctx ends.
+func (r *Runner) Watch(ctx context.Context) {
+	for core.Sleep(ctx, 10*time.Millisecond) == nil {
+		r.mu.Lock()
+		r.expire()
+		r.mu.Unlock()
+	}
+}
