cell: no longer leases for a host that doesn't answer

Change: leases are extended only while the host answers. Scene: TestSilentHost, which failed before.

--- a/cell/host.go
+++ b/cell/host.go
@@ -240,7 +240,9 @@
 	if h.seen < h.listed {
 		order.Wait = 0
 	}
-	if len(h.runs) > 0 && c.owns() {
+	// A host that doesn't answer is not given longer leases: otherwise they would
+	// never be sure to have ended.
+	if len(h.runs) > 0 && h.failed == 0 && c.owns() {
 		order.Until = h.clock.Until(c.options.Clock(), c.leaseLength())
 	}
 	return order, h.info, true
--- a/cell/scene_test.go
+++ b/cell/scene_test.go
@@ -190,6 +190,27 @@
 	}
 }
 
+// TestSilentHost lets a host fall silent while its tasks serve: they start
+// elsewhere once its lease has ended, however often it was asked meanwhile.
+func TestSilentHost(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.work = func(tasks.Name, int) fake.Work { return fake.Work{Lasting: true} }
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := w.submit(n, "job", lasting(2, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		w.runners["h0"].Silence(true)
+		time.Sleep(6 * time.Second)
+		for index := range 2 {
+			if got := w.judge.Active(tasks.Name{Job: "job", Index: index}); got != 1 {
+				t.Errorf("got %d runs of task %d 6 s after its host fell silent, want 1", got, index)
+			}
+		}
+	})
+}
+
 // TestLateStartIsFenced lets a start be carried out long after the task was
 // started elsewhere.
 func TestLateStartIsFenced(t *testing.T) {
