--- a/cell/host.go
+++ b/cell/host.go
@@ -84,8 +84,9 @@
 	fenced bool
 	// failed counts the holds without an answer since the last one with.
 	failed int
-	// born is the life that has answered.
-	born int64
+	// born is the life that has answered, and lives counts those of this epoch.
+	born  int64
+	lives int64
 	// retired is the life of the host that the depot has ended; 0 is none.
 	retired int64
 	// seen is the last end that is noted in the store, and listed the last one
@@ -140,7 +141,9 @@
 func (c *Cell) meet(id string, info *pool.Host) {
 	h := c.host(id)
 	if h.info != nil && h.info.Born != 0 && info.Born != 0 && info.Born != h.info.Born && h.born != info.Born {
-		c.reborn(h, info.Born)
+		// Its list will tell.
+		h.fenced = false
+		kick(h.kick)
 	}
 	h.info = info
 	h.present = true
@@ -189,7 +192,7 @@
 			return
 		}
 		if err != nil || listing.Reason != lease.Accepted {
-			l.cell.holdFailed(l.host, listing.Reason, err)
+			l.cell.holdFailed(l.host, order.Token, listing.Reason, err)
 			_ = core.Sleep(ctx, holdPause)
 			continue
 		}
@@ -233,7 +236,7 @@
 	if len(h.runs) == 0 && (h.isRetired() || h.fenced && h.seen == h.listed) {
 		return lease.Hold{}, h.info, false
 	}
-	order := lease.Hold{Token: c.epoch, Seen: h.seen}
+	order := lease.Hold{Token: c.token(h), Seen: h.seen}
 	if h.fenced && h.failed == 0 {
 		order.Wait = holdWait
 	}
@@ -248,6 +251,15 @@
 	return order, h.info, true
 }
 
+// tokenStep is how far apart the tokens of two epochs are.
+const tokenStep = 1000
+
+// token returns the token of orders to a host. It rises with each life of the
+// host, so that an order to an earlier one is refused by a later one.
+func (c *Cell) token(h *host) int64 {
+	return c.epoch*tokenStep + min(h.lives, tokenStep-1)
+}
+
 // leaseLength is how long a lease is granted for.
 func (c *Cell) leaseLength() time.Duration {
 	return min(maxLease, time.Duration(float64(c.options.MaxLease)*leaseShare))
@@ -264,7 +276,7 @@
 }
 
 // holdFailed notes that a host did not answer a hold, or refused it.
-func (c *Cell) holdFailed(h *host, reason lease.Reason, err error) {
+func (c *Cell) holdFailed(h *host, token int64, reason lease.Reason, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h.failed++
@@ -273,7 +285,7 @@
 	}
 	switch reason {
 	case lease.RefusedFence:
-		c.lose("host " + h.id + " has seen a higher token")
+		c.fencedOff(h, token)
 	case lease.RefusedOther:
 		// Another life has the address; this one is over, and with it its runs.
 		c.loseRuns(h, "the address belongs to another host")
@@ -293,20 +305,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock()
+	lives := h.lives
+	c.noteClock(h, listing.Clock, sent)
 	if listing.Born != 0 && h.born != 0 && listing.Born != h.born {
 		c.reborn(h, listing.Born)
 	}
+	if listing.Born != 0 {
+		h.born = listing.Born
+	}
 	if h.failed > 0 {
 		c.logger.Info("host back in touch", "host", h.id, "runs", len(h.runs), "missed", h.failed)
 	}
 	h.failed = 0
-	if listing.Born != 0 {
-		h.born = listing.Born
-	}
 	h.clock.Learn(listing.Clock, now)
 	noted := c.takeEnds(h, listing.Ends)
 	c.takeRuns(h, listing.Runs, sent)
-	if !h.fenced {
+	// A new life must see the higher token before it is believed.
+	if !h.fenced && h.lives == lives {
 		h.fenced = true
 		c.settleInherited(h, listing.Runs)
 	}
@@ -314,14 +329,25 @@
 	return noted
 }
 
-// reborn notes that a host has begun a new life: whatever ran on it is gone.
+// reborn notes that a host has begun a new life. Which of its runs are part of
+// it the host's list shows; a start that was sent to the old life may still
+// arrive in the new one.
 func (c *Cell) reborn(h *host, born int64) {
 	c.logger.Info("host born again", "host", h.id, "before", h.born, "born", born, "runs", len(h.runs))
 	h.born = born
-	h.clock = lease.Clock{}
+	h.lives++
+	h.clock.Restart(c.options.MaxLease)
 	h.fenced = false
 	h.seen, h.listed = 0, 0
-	c.loseRuns(h, "host born again")
+}
+
+// noteClock looks for a new life of a host in the answer to a call that was sent
+// at a local time, before any list tells of it: a count of ends of the old life
+// must not acknowledge those of the new one.
+func (c *Cell) noteClock(h *host, shown, sent time.Duration) {
+	if h.clock.Began(shown, sent) {
+		c.reborn(h, 0)
+	}
 }
 
 // loseRuns gives up all runs of a host that surely are not at work any more.
@@ -370,9 +396,9 @@
 	}
 	h.listed = highest
 	noted := make(chan struct{})
-	life := h.life()
+	lives := h.lives
 	c.whenWritten(func() {
-		if h.life() == life {
+		if h.lives == lives {
 			h.seen = max(h.seen, highest)
 		}
 		close(noted)
--- a/cell/order.go
+++ b/cell/order.go
@@ -20,6 +20,13 @@
 	refusedPause = 100 * time.Millisecond
 )
 
+// sentOrder is what must be known of an order when its answer comes.
+type sentOrder struct {
+	token int64
+	// at is the local time at which it was sent.
+	at time.Duration
+}
+
 // sendStart tells a host to start a run whose record is in the store. It is
 // called with the lock held.
 func (c *Cell) sendStart(h *host, r *run) {
@@ -29,10 +36,10 @@
 		if !ok {
 			return
 		}
-		begun := time.Now()
+		begun, sent := time.Now(), c.options.Clock()
 		reply, err := c.options.Hosts.Start(ctx, h.info, order)
 		c.options.Meters.Start.UpdateDuration(begun)
-		c.started(h, r, reply, err)
+		c.started(h, r, sentOrder{token: order.Token, at: sent}, reply, err)
 	})
 }
 
@@ -58,14 +65,15 @@
 		Spec:  r.entry.job.Plan.Spec,
 		Saved: task.Saved,
 		Until: h.clock.Until(now, c.leaseLength()),
-		Token: c.epoch,
+		Token: c.token(h),
 	}, true
 }
 
 // started takes in a host's answer to a start.
-func (c *Cell) started(h *host, r *run, reply lease.Reply, err error) {
+func (c *Cell) started(h *host, r *run, sent sentOrder, reply lease.Reply, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteClock(h, reply.Clock, sent.at)
 	if h.runs[r.name] != r {
 		return
 	}
@@ -92,8 +100,7 @@
 	r.entry.notBefore = time.Now().Add(refusedPause)
 	switch reply.Reason {
 	case lease.RefusedFence:
-		c.lose("host " + h.id + " has seen a higher token")
-		return
+		c.fencedOff(h, sent.token)
 	case lease.RefusedLate:
 		h.clock = lease.Clock{}
 		h.fenced = false
@@ -128,11 +135,14 @@
 	}
 	r.stopping = true
 	kick(h.kick)
-	order := lease.Stop{Name: r.name, Run: r.number, Token: c.epoch}
 	c.goRun(func(ctx context.Context) {
 		for {
+			c.mu.Lock()
+			order := lease.Stop{Name: r.name, Run: r.number, Token: c.token(h)}
+			c.mu.Unlock()
+			sent := sentOrder{token: order.Token, at: c.options.Clock()}
 			reply, err := c.options.Hosts.Stop(ctx, h.info, order)
-			if ctx.Err() != nil || c.stopAnswered(h, r, reply, err) {
+			if ctx.Err() != nil || c.stopAnswered(h, r, sent, reply, err) {
 				return
 			}
 			if core.Sleep(ctx, stopPause) != nil {
@@ -144,9 +154,10 @@
 
 // stopAnswered takes in a host's answer to a stop and reports whether no other
 // attempt is due.
-func (c *Cell) stopAnswered(h *host, r *run, reply lease.Reply, err error) bool {
+func (c *Cell) stopAnswered(h *host, r *run, sent sentOrder, reply lease.Reply, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteClock(h, reply.Clock, sent.at)
 	if h.runs[r.name] != r {
 		return true
 	}
@@ -157,7 +168,7 @@
 	kick(h.kick)
 	switch reply.Reason {
 	case lease.RefusedFence:
-		c.lose("host " + h.id + " has seen a higher token")
+		return c.fencedOff(h, sent.token)
 	case lease.RefusedOther:
 		c.runOver(h, r, tasks.EndLost, "", "another host answers at the address")
 	case lease.Accepted, lease.RefusedOld:
@@ -168,3 +179,14 @@
 	}
 	return true
 }
+
+// fencedOff reacts to a host that has seen a higher token than that of an order,
+// and reports whether the cell is lost: the order may also be of before the
+// host's present life.
+func (c *Cell) fencedOff(h *host, token int64) bool {
+	if token < c.token(h) {
+		return false
+	}
+	c.lose("host " + h.id + " has seen a higher token")
+	return true
+}
--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -10,6 +10,9 @@
 	// patience is how long tasks of a cordoned host may go on before they are
 	// stopped; those that checkpoint are stopped at once.
 	patience = 2500 * time.Millisecond
+	// settleTime is how long after a take-over no serving task is stopped: those
+	// that the older owner has stopped may still be listed.
+	settleTime = 2 * time.Second
 )
 
 // HostReport is how a host of the pool stands.
@@ -193,6 +196,9 @@
 // maySpare reports whether a serving task may be stopped: fewer of the others of
 // its step are away than may be.
 func (c *Cell) maySpare(r *run) bool {
+	if c.options.Clock()-c.claimed < settleTime {
+		return false
+	}
 	away := 0
 	for _, round := range r.entry.job.Rounds {
 		if round.Number != r.name.Round {
