cell: a stopped late start takes its room until the host's list shows its end

Ruled out: a second order; the log has one start and one stop of the run. Change: after the stop the next list decides. Scene: TestStopMeetsLateStart, which failed before.

--- a/cell/order.go
+++ b/cell/order.go
@@ -173,8 +173,10 @@
 		c.runOver(h, r, tasks.EndLost, "", "another host answers at the address")
 	case lease.Accepted, lease.RefusedOld:
 		if r.doubt != 0 {
-			// It was not there; from now on the host refuses it.
-			c.runOver(h, r, tasks.EndLost, "", "stopped before its start arrived")
+			// From now on the host refuses a late start. Whether it had come before,
+			// the next list shows.
+			r.doubt = 0
+			r.answered = c.options.Clock()
 		}
 	}
 	return true
--- a/cell/scene_test.go
+++ b/cell/scene_test.go
@@ -229,6 +229,30 @@
 	})
 }
 
+// TestStopMeetsLateStart lets a start be carried out just before the stop that
+// its owner sends since it got no answer: the task may not run elsewhere before
+// the host lists the end.
+func TestStopMeetsLateStart(t *testing.T) {
+	met := 0
+	for late := 900 * time.Millisecond; late < 2200*time.Millisecond; late += time.Millisecond {
+		inWorld(t, 1, func(w *world) {
+			w.work = func(tasks.Name, int) fake.Work { return fake.Work{Time: 5 * time.Second} }
+			n := w.claim("a")
+			time.Sleep(100 * time.Millisecond)
+			w.runners["h0"].DelayOrders(1, late)
+			if err := w.submit(n, "job", simple(1, 1000)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Second)
+			w.wantPhase(n, "job", tasks.Completed)
+			met += w.judge.Ends(tasks.EndStopped)
+		})
+	}
+	if met == 0 {
+		t.Error("got no late start that was stopped, want some")
+	}
+}
+
 // TestCancelStopsTasks cancels a job whose tasks run and one that was never
 // handed in; a late request for the latter starts nothing.
 func TestCancelStopsTasks(t *testing.T) {
--- a/fake/runner.go
+++ b/fake/runner.go
@@ -43,7 +43,7 @@
 	drift   float64
 	token   int64
 	until   time.Duration
-	runs    map[tasks.Name]*running
+	runs    map[runKey]*running
 	barred  map[tasks.Name]int
 	ends    []lease.End
 	numbers int64
@@ -61,6 +61,12 @@
 	lateBy     time.Duration
 }
 
+// runKey names a run: a higher run of a task may begin while a lower one stops.
+type runKey struct {
+	name tasks.Name
+	run  int
+}
+
 type running struct {
 	name  tasks.Name
 	run   int
@@ -91,7 +97,7 @@
 	r.born = time.Now()
 	r.info.Born = r.born.UnixMilli()
 	r.token, r.until, r.numbers, r.lapsed = 0, 0, 0, 0
-	r.runs = make(map[tasks.Name]*running)
+	r.runs = make(map[runKey]*running)
 	r.barred = make(map[tasks.Name]int)
 	r.ends = nil
 	r.holds = 0
@@ -135,7 +141,7 @@
 		run.timer.Stop()
 		r.judge.ended(r.info.ID, run.name, run.run, tasks.EndLost)
 	}
-	r.runs = make(map[tasks.Name]*running)
+	r.runs = make(map[runKey]*running)
 	r.ends = nil
 	r.refuses = true
 }
@@ -225,10 +231,9 @@
 	}
 	r.token = order.Token
 	r.until = max(r.until, min(order.Until, r.clock()+maxHold))
-	current := r.runs[order.Name]
 	switch {
-	case current != nil && current.run == order.Run:
-	case current != nil || order.Run <= r.barred[order.Name]:
+	case r.runs[runKey{order.Name, order.Run}] != nil:
+	case order.Run <= r.barred[order.Name]:
 		reply.Reason = lease.RefusedOld
 	case order.Until <= r.clock():
 		reply.Reason = lease.RefusedLate
@@ -249,7 +254,7 @@
 		length = time.Hour
 	}
 	run.timer = time.AfterFunc(length, func() { r.finish(run, work.End) })
-	r.runs[order.Name] = run
+	r.runs[runKey{order.Name, order.Run}] = run
 	var used tasks.Room
 	for _, other := range r.runs {
 		used = used.Add(other.room)
@@ -261,7 +266,7 @@
 func (r *Runner) finish(run *running, how tasks.How) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.runs[run.name] != run {
+	if r.runs[runKey{run.name, run.run}] != run {
 		return
 	}
 	r.end(run, how)
@@ -269,7 +274,7 @@
 
 func (r *Runner) end(run *running, how tasks.How) {
 	run.timer.Stop()
-	delete(r.runs, run.name)
+	delete(r.runs, runKey{run.name, run.run})
 	r.barred[run.name] = max(r.barred[run.name], run.run)
 	r.numbers++
 	r.ends = append(r.ends, lease.End{Number: r.numbers, Name: run.name, Run: run.run, How: how, Saved: run.saved})
@@ -310,7 +315,7 @@
 	}
 	r.token = order.Token
 	r.barred[order.Name] = max(r.barred[order.Name], order.Run)
-	if run := r.runs[order.Name]; run != nil && run.run <= order.Run {
+	if run := r.runs[runKey{order.Name, order.Run}]; run != nil {
 		time.AfterFunc(hostStop, func() { r.finish(run, tasks.EndStopped) })
 	}
 	return reply
