--- a/fake/runner.go
+++ b/fake/runner.go
@@ -327,7 +327,12 @@
 		return lease.Listing{}, err
 	}
 	deadline := time.Now().Add(order.Wait)
+	born := r.Info().Born
 	for {
+		if r.Info().Born != born {
+			// The connection ended with the life that took the call.
+			return lease.Listing{}, errSilent
+		}
 		listing, changed := r.hold(order)
 		left := time.Until(deadline)
 		if len(listing.Ends) > 0 || left <= 0 || listing.Reason != lease.Accepted {
