cell, owner: doubts go from owner to owner; handovers hurry

A cell that was given up had no owner for 0.5 to 1 s: the store passes a partition on only when the old holder joins again, and the new one looks each 0.5 s. Change: an owner that releases a cell writes for how long leases of hosts that it doesn't reach may hold; a node that loses partitions joins again at once and tells the others. Scene: TestOwnersInTurn, which failed before.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -128,6 +128,9 @@
 
 	writeKick chan struct{}
 	placeKick chan struct{}
+	// doubts are the times for which leases of hosts may hold that the last owner
+	// didn't reach.
+	doubts    map[string]time.Duration
 	releasing chan struct{}
 	lost      chan struct{}
 	lostOnce  sync.Once
@@ -201,13 +204,23 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
 	defer cancel()
-	record, err := c.claim.Release()
+	records, err := c.lastRecords()
 	if err == nil {
-		_, err = c.writer.Write(ctx, []store.Record{record})
+		_, err = c.writer.Write(ctx, records)
 	}
 	c.logger.Info("cell released", "epoch", c.epoch, "recorded", err == nil)
 }
 
+// lastRecords returns what the next owner must know.
+func (c *Cell) lastRecords() ([]store.Record, error) {
+	doubts, err := c.encodeDoubts()
+	if err != nil {
+		return nil, err
+	}
+	released, err := c.claim.Release()
+	return []store.Record{doubts, released}, err
+}
+
 // Lost returns a channel that is closed when another node has the cell.
 func (c *Cell) Lost() <-chan struct{} { return c.lost }
 
--- a/cell/claim.go
+++ b/cell/claim.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rattanpath/claim"
 	"rattanpath/store"
 	"rattanpath/tasks"
@@ -14,6 +17,9 @@
 	// definitionMark and progressMark begin the keys of a job's two records.
 	definitionMark = "d/"
 	progressMark   = "p/"
+	// doubtKey is the key of the record of leases that may still hold on hosts that
+	// the last owner didn't reach.
+	doubtKey = "doubt"
 )
 
 // Claim takes the cell of a service over: it fences off every older owner and
@@ -46,6 +52,8 @@
 		switch {
 		case strings.HasPrefix(record.Key, definitionMark):
 			definitions[record.Key[len(definitionMark):]] = record.Value
+		case record.Key == doubtKey:
+			c.loadDoubts(record.Value)
 		case strings.HasPrefix(record.Key, progressMark):
 			done[record.Key[len(progressMark):]] = record.Value
 		}
@@ -60,6 +68,47 @@
 	}
 }
 
+// doubts is the record of leases that may still hold.
+type doubts struct {
+	// Epoch is that of the owner that released the cell.
+	Epoch int64
+	// Remaining is the longest time that leases of each host still hold.
+	Remaining map[string]time.Duration
+}
+
+// loadDoubts takes the doubts over if nobody has extended a lease since.
+func (c *Cell) loadDoubts(value []byte) {
+	var d doubts
+	if err := json.Unmarshal(value, &d); err != nil {
+		c.logger.Error(err, "the record of leases that may still hold can't be read; every lease counts as new")
+		return
+	}
+	if c.claim.Released && d.Epoch == c.epoch-1 {
+		c.doubts = d.Remaining
+	}
+}
+
+// encodeDoubts returns the record of leases that may still hold on hosts that
+// this owner doesn't reach.
+func (c *Cell) encodeDoubts() (store.Record, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Clock()
+	d := doubts{Epoch: c.epoch, Remaining: make(map[string]time.Duration)}
+	for id, h := range c.hosts {
+		if len(h.runs) == 0 {
+			continue
+		}
+		if !h.fenced {
+			d.Remaining[id] = max(0, c.inheritedUntil(h)-now)
+		} else if left, known := h.clock.Remaining(now); known && h.failed > 0 {
+			d.Remaining[id] = left
+		}
+	}
+	value, err := json.Marshal(d)
+	return store.Record{Key: doubtKey, Value: value}, errors.Wrap(err, "encoding the leases that may still hold")
+}
+
 // add takes a job into the tables.
 func (c *Cell) add(e *entry) {
 	c.jobs[e.job.Key] = e
--- a/cell/host.go
+++ b/cell/host.go
@@ -265,9 +265,12 @@
 	return min(maxLease, time.Duration(float64(c.options.MaxLease)*leaseShare))
 }
 
-// inheritedUntil returns when everything that older owners have ordered has
-// lapsed.
-func (c *Cell) inheritedUntil() time.Duration {
+// inheritedUntil returns when everything that older owners have ordered on a
+// host has lapsed.
+func (c *Cell) inheritedUntil(h *host) time.Duration {
+	if left, known := c.doubts[h.id]; known {
+		return c.claimed + left
+	}
 	longest := time.Duration(float64(c.leaseLength())/lease.Slowest) + doubtSlack
 	if c.claim.Before != "" && !c.claim.Released {
 		longest += ownTime
@@ -481,8 +484,8 @@
 // expireLeases gives up the runs of hosts whose every lease has ended.
 func (c *Cell) expireLeases() {
 	now := c.options.Clock()
-	inheritedUntil := c.inheritedUntil()
 	for id, h := range c.hosts {
+		inheritedUntil := c.inheritedUntil(h)
 		over := h.clock.Over(now)
 		for _, r := range h.runs {
 			switch {
--- a/cell/scene_test.go
+++ b/cell/scene_test.go
@@ -190,6 +190,33 @@
 	}
 }
 
+// TestOwnersInTurn lets the cell change hands every second while a host is dead:
+// the wait for its leases goes on from owner to owner.
+func TestOwnersInTurn(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.work = func(tasks.Name, int) fake.Work { return fake.Work{Lasting: true} }
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := w.submit(n, "job", lasting(2, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		w.runners["h0"].Silence(true)
+		w.runners["h0"].Crash()
+		for i := range 8 {
+			n.stop()
+			<-n.done
+			n = w.claim([]string{"b", "c"}[i%2])
+			time.Sleep(time.Second)
+		}
+		for index := range 2 {
+			if got := w.judge.Active(tasks.Name{Job: "job", Index: index}); got != 1 {
+				t.Errorf("got %d runs of task %d after 8 s of changing owners, want 1", got, index)
+			}
+		}
+	})
+}
+
 // TestSilentHost lets a host fall silent while its tasks serve: they start
 // elsewhere once its lease has ended, however often it was asked meanwhile.
 func TestSilentHost(t *testing.T) {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -150,6 +150,7 @@
 	if err := peers.Register(owner.RPCName, owner.NewService(o)); err != nil {
 		return err
 	}
+	member.Shrunk = finder.TellOthers
 	loops.Go(queues.Run)
 	loops.Go(pools.Run)
 	loops.Go(member.Run)
--- a/lease/clock.go
+++ b/lease/clock.go
@@ -65,6 +65,16 @@
 	return c.shown + time.Duration(float64(now-c.at)*Slowest)
 }
 
+// Remaining returns after what time every lease that was granted has surely
+// ended, and false if that isn't known.
+func (c *Clock) Remaining(now time.Duration) (time.Duration, bool) {
+	if !c.known {
+		return 0, false
+	}
+	left := time.Duration(float64(c.granted-c.shown)/Slowest) - (now - c.at)
+	return max(0, left), true
+}
+
 // Over reports whether every lease that was granted has surely ended.
 func (c *Clock) Over(now time.Duration) bool {
 	return c.known && c.atLeast(now) > c.granted
--- a/owner/finder.go
+++ b/owner/finder.go
@@ -34,6 +34,7 @@
 	MethodReport  Method = "Report"
 	MethodCordon  Method = "Cordon"
 	MethodRetire  Method = "Retire"
+	MethodHurry   Method = "Hurry"
 )
 
 // Finder finds the owners of cells and calls them.
@@ -220,6 +221,37 @@
 	return outcomeError(answer, err)
 }
 
+// TellOthers makes all other nodes look for partitions that this one gave up. It
+// doesn't wait for them.
+func (f *Finder) TellOthers() {
+	f.mu.Lock()
+	others := make(map[string]bool)
+	for _, address := range f.holders {
+		if address != f.self {
+			others[address] = true
+		}
+	}
+	f.mu.Unlock()
+	for address := range others {
+		go (&hint{finder: f, address: address}).run()
+	}
+}
+
+// hint is a call that tells another node to hurry.
+type hint struct {
+	finder  *Finder
+	address string
+}
+
+// run makes the call once; without an answer the other node finds out by itself.
+func (h *hint) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTime)
+	defer cancel()
+	if err := h.finder.client(h.address).Call(ctx, RPCName+"."+string(MethodHurry), &Request{}, &Answer{}); err != nil {
+		h.finder.logger.Info("another node was not told to hurry", "address", h.address, "err", err.Error())
+	}
+}
+
 func outcomeError(answer Answer, err error) error {
 	if err == nil && answer.Outcome != Done {
 		return errors.Errorf("the owner answered: %s", answer.Outcome)
--- a/owner/group.go
+++ b/owner/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	holdingsPause = 50 * time.Millisecond
 	// leaveTime bounds the last call of a node that stops.
 	leaveTime = time.Second
+	// hurryPause is the time before a renewal that others ask for.
+	hurryPause = 10 * time.Millisecond
 )
 
 // Group is the store's division of partitions among members.
@@ -42,6 +45,11 @@
 	held       []int
 	left       bool
 	changed    core.Signal
+	// hurry asks for a renewal at once.
+	hurry chan struct{}
+	// Shrunk, if it is not nil, is called when this node has given partitions up,
+	// so that others may look for them.
+	Shrunk func()
 }
 
 // NewMember returns a member of the group that answers at an address.
@@ -49,6 +57,7 @@
 	return &Member{
 		group:  group,
 		logger: logger.WithName("owner"),
+		hurry:  make(chan struct{}, 1),
 		membership: store.Membership{
 			Group:  groupName,
 			Member: memberName(node, address),
@@ -71,39 +80,67 @@
 // Run keeps the membership until ctx ends.
 func (m *Member) Run(ctx context.Context) {
 	for {
-		m.renew(ctx)
-		if core.Sleep(ctx, joinEvery) != nil {
+		if m.renew(ctx) {
+			// The store gives the partitions to others once this node shows that it
+			// knows.
+			m.renew(ctx)
+			m.tellOthers()
+		}
+		select {
+		case <-m.hurry:
+			if core.Sleep(ctx, hurryPause) != nil {
+				return
+			}
+		case <-time.After(joinEvery):
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// renew joins the group once more.
-func (m *Member) renew(ctx context.Context) {
+// Hurry asks for a renewal soon.
+func (m *Member) Hurry() {
+	select {
+	case m.hurry <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Member) tellOthers() {
+	if m.Shrunk != nil {
+		m.Shrunk()
+	}
+}
+
+// renew joins the group once more and reports whether the node has lost
+// partitions by it.
+func (m *Member) renew(ctx context.Context) bool {
 	m.mu.Lock()
 	membership, left := m.membership, m.left
 	m.mu.Unlock()
 	if left {
-		return
+		return false
 	}
 	share, err := m.group.Join(ctx, membership)
 	if err != nil {
 		if ctx.Err() == nil {
 			m.logger.Info("the membership could not be renewed", "generation", membership.Generation, "err", err.Error())
 		}
-		return
+		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.left {
-		return
+		return false
 	}
+	shrunk := slices.ContainsFunc(m.held, func(held int) bool { return !slices.Contains(share.Partitions, held) })
 	if share.Generation != m.membership.Generation {
 		m.logger.Info("the partitions were dealt out", "generation", share.Generation, "before", m.membership.Generation, "held", len(share.Partitions))
 	}
 	m.membership.Generation = share.Generation
 	m.held = share.Partitions
 	m.changed.Notify()
+	return shrunk
 }
 
 // Leave gives up all partitions, so that others take them at once.
@@ -118,5 +155,7 @@
 	defer cancel()
 	if err := m.group.Leave(ctx, membership); err != nil {
 		m.logger.Info("the group could not be left; others wait for the membership to lapse", "err", err.Error())
+		return
 	}
+	m.tellOthers()
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -74,6 +74,9 @@
 	}
 }
 
+// Hurry makes this node look at once for partitions that others gave up.
+func (o *Owner) Hurry() { o.member.Hurry() }
+
 // Active reports whether this node has any cell.
 func (o *Owner) Active() bool {
 	o.mu.Lock()
--- a/owner/service.go
+++ b/owner/service.go
@@ -109,5 +109,11 @@
 	return nil
 }
 
+// Hurry tells this node that another one has given partitions up.
+func (s *Service) Hurry(_ *Request, _ *Answer) error {
+	s.owner.Hurry()
+	return nil
+}
+
 // minTimeout keeps the time of a call positive.
 const minTimeout = time.Millisecond
