claim: make sure of an unsure write before the next

Cause: a write that was given up at its time limit may have happened; the next one went out under the same number and the store took it for a repeat, so that its records were dropped (the completion of a wave could be lost). Change: the next write repeats the unsure one first. Test: TestWriteAfterAnUnsureOne, which fails without it.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,91 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanpath/fake"
+	"rattanpath/store"
+)
+
+const testTopic = "matter"
+
+func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+func take(t *testing.T, journal Journal, node string) *Claim {
+	t.Helper()
+	c, err := Take(t.Context(), journal, testTopic, node, node+time.Now().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestClaimFencesOlderOnes lets two nodes claim a topic in turn.
+func TestClaimFencesOlderOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.NewStore()
+		first := take(t, s.Client("a"), "a")
+		writer := first.NewWriter(s.Client("a"), testTopic, clock)
+		if _, err := writer.Write(t.Context(), []store.Record{{Key: "k", Value: []byte("1")}}); err != nil {
+			t.Fatal(err)
+		}
+		second := take(t, s.Client("b"), "b")
+		if second.Epoch <= first.Epoch || second.Before != "a" || second.Released {
+			t.Errorf("got epoch %d after %d, before %q, released %v; want a higher epoch after a, not released", second.Epoch, first.Epoch, second.Before, second.Released)
+		}
+		if len(second.Records) != 1 || string(second.Records[0].Value) != "1" {
+			t.Errorf("got records %v, want the one that was written", second.Records)
+		}
+		if _, err := writer.Write(t.Context(), nil); !errors.Is(err, store.ErrFenced) {
+			t.Errorf("got %v for the older claim, want %v", err, store.ErrFenced)
+		}
+	})
+}
+
+// TestClaimWhoseAnswerIsLost tries the claim again under the same nonce.
+func TestClaimWhoseAnswerIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.NewStore()
+		s.LoseAnswers("a", 1, time.Millisecond)
+		if _, err := Take(t.Context(), s.Client("a"), testTopic, "a", "nonce"); err == nil {
+			t.Fatal("got no error for a lost answer, want one")
+		}
+		time.Sleep(time.Second)
+		c, err := Take(t.Context(), s.Client("a"), testTopic, "a", "nonce")
+		if err != nil || c.Epoch != 1 {
+			t.Fatalf("got epoch %v and %v, want epoch 1", c, err)
+		}
+		if _, err := c.NewWriter(s.Client("a"), testTopic, clock).Write(t.Context(), []store.Record{{Key: "k", Value: []byte("1")}}); err != nil {
+			t.Errorf("got %v, want the claim to hold", err)
+		}
+	})
+}
+
+// TestWriteAfterAnUnsureOne gives up on a write that takes effect later, and
+// writes something else: both must be there.
+func TestWriteAfterAnUnsureOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.NewStore()
+		c := take(t, s.Client("a"), "a")
+		writer := c.NewWriter(s.Client("a"), testTopic, clock)
+		s.LoseAnswers("a", 1, 0)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		if _, err := writer.Write(ctx, []store.Record{{Key: "first", Value: []byte("1")}}); err == nil {
+			t.Fatal("got no error, want the write to be given up")
+		}
+		if _, err := writer.Write(t.Context(), []store.Record{{Key: "second", Value: []byte("2")}}); err != nil {
+			t.Fatal(err)
+		}
+		for key, want := range map[string]string{"first": "1", "second": "2"} {
+			if got := string(s.Value(testTopic, key)); got != want {
+				t.Errorf("got %q for %s, want %q", got, key, want)
+			}
+		}
+	})
+}
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -23,6 +23,9 @@
 	epoch    int64
 	sequence int64
 	clock    core.Clock
+	// unsure are the records of the last write if it isn't known whether they were
+	// written.
+	unsure []store.Record
 	// Failed, if it is not nil, is told of each write that is tried again.
 	Failed func(err error)
 }
@@ -42,8 +45,24 @@
 // Write appends records, over and over until the store confirms it, and returns
 // when the attempt that succeeded was sent. Without records it only confirms
 // that no other node has claimed the topic. An error that is store.ErrFenced or
-// store.ErrSequence means that another node has.
+// store.ErrSequence means that another node has. After any other error the
+// records may have been written; the next Write makes sure of them first, since a
+// repeat under their number must be the same.
 func (w *Writer) Write(ctx context.Context, records []store.Record) (time.Duration, error) {
+	if w.unsure != nil {
+		if _, err := w.write(ctx, w.unsure); err != nil {
+			return 0, err
+		}
+		w.unsure = nil
+	}
+	sent, err := w.write(ctx, records)
+	if err != nil && !Lost(err) && len(records) > 0 {
+		w.unsure = records
+	}
+	return sent, err
+}
+
+func (w *Writer) write(ctx context.Context, records []store.Record) (time.Duration, error) {
 	pause := minWritePause
 	for {
 		sent := w.clock()
