cell, place: late jobs go behind those that can still meet their objective

Cause: in a peak jobs were served in order of their arrival, so that all of them were a little late; a late job is worth a fourteenth of one in time. Change: within a priority, jobs that can't meet their objective go behind those that can, until they are 15 s old; among the others the one whose rest must begin first goes first.

--- a/cell/plan.go
+++ b/cell/plan.go
@@ -52,8 +52,12 @@
 		}
 		waiting = append(waiting, e)
 	}
+	urgencies := make(map[*entry]place.Urgency, len(waiting))
+	for _, e := range waiting {
+		urgencies[e] = c.urgency(e, now)
+	}
 	slices.SortFunc(waiting, func(a, b *entry) int {
-		ua, ub := c.urgency(a), c.urgency(b)
+		ua, ub := urgencies[a], urgencies[b]
 		switch {
 		case ua.Before(ub):
 			return -1
@@ -83,14 +87,29 @@
 }
 
 // urgency returns the order of a job among others.
-func (c *Cell) urgency(e *entry) place.Urgency {
-	due := e.job.Accepted
+func (c *Cell) urgency(e *entry, now time.Time) place.Urgency {
+	begun := e.job.Accepted
 	if len(e.job.Rounds) > 0 {
-		due = e.job.Due(e.job.Rounds[0].Number)
+		begun = e.job.Due(e.job.Rounds[0].Number)
 	}
-	return place.Urgency{Priority: e.job.Policy.Priority, Due: due.Add(e.job.Policy.Target)}
+	whole, left := e.job.Chain()
+	objective := time.Duration(e.job.Policy.Stretch*float64(whole)) + e.job.Policy.Target
+	due := begun.Add(objective - left)
+	// A job that is late by less than this may have been guessed too long.
+	slack := time.Duration(lateShare * float64(whole))
+	late := !e.job.Lasting() && now.After(due.Add(slack)) && now.Before(begun.Add(lateAtMost))
+	return place.Urgency{Priority: e.job.Policy.Priority, Late: late, Due: due}
 }
 
+const (
+	// lateShare is the part of a job's chain by which it must be late to go behind
+	// others.
+	lateShare = 0.5
+	// lateAtMost is the time after which a late job goes before others again, so
+	// that it ends at all.
+	lateAtMost = 15 * time.Second
+)
+
 // candidates returns the hosts that may get runs now.
 func (c *Cell) candidates(now time.Time) []*place.Host {
 	var hosts []*place.Host
--- a/place/pick.go
+++ b/place/pick.go
@@ -120,17 +120,25 @@
 	return best
 }
 
-// Urgency orders jobs for room: first the better priority, then the job that has
-// used most of the time in which it is worth most.
+// Urgency orders jobs for room: first the better priority; then those that can
+// still meet their objective before those that can't, since a late job is worth
+// little more the sooner it ends; then by when they must.
 type Urgency struct {
 	Priority int
-	Due      time.Time
+	// Late means that the job can't meet its objective any more.
+	Late bool
+	// Due is when the rest of the job must begin to meet the objective.
+	Due time.Time
 }
 
 // Before reports whether one job goes before another.
 func (u Urgency) Before(other Urgency) bool {
-	if u.Priority != other.Priority {
+	switch {
+	case u.Priority != other.Priority:
 		return u.Priority < other.Priority
+	case u.Late != other.Late:
+		return other.Late
+	default:
+		return u.Due.Before(other.Due)
 	}
-	return u.Due.Before(other.Due)
 }
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -286,3 +286,36 @@
 	}
 	return work
 }
+
+// Chain returns the longest chain of a round's steps by their estimates, and that
+// of the steps that are not done in the first round under way.
+func (j *Job) Chain() (whole, left time.Duration) {
+	ends := make([]time.Duration, len(j.Plan.Steps))
+	rest := make([]time.Duration, len(j.Plan.Steps))
+	for i := range j.Plan.Steps {
+		step := &j.Plan.Steps[i]
+		for _, before := range step.After {
+			ends[i] = max(ends[i], ends[before])
+			rest[i] = max(rest[i], rest[before])
+		}
+		ends[i] += step.Estimate
+		if !j.stepDone(i) {
+			rest[i] += step.Estimate
+		}
+		whole, left = max(whole, ends[i]), max(left, rest[i])
+	}
+	return whole, left
+}
+
+// stepDone reports whether a step of the first round under way is done.
+func (j *Job) stepDone(step int) bool {
+	if len(j.Rounds) == 0 {
+		return false
+	}
+	for i := range j.Rounds[0].Steps[step] {
+		if j.Rounds[0].Steps[step][i].State != Done {
+			return false
+		}
+	}
+	return true
+}
