--- /dev/null
+++ b/tasks/main_test.go
@@ -0,0 +1,15 @@
+package tasks
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of generated tests.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
