--- a/config/folder.go
+++ b/config/folder.go
@@ -41,6 +41,11 @@
 // ReadFolder does; name stands for the folder in problems.
 func ReadFS(fsys fs.FS, name string) (Files, error) {
 	entries, err := fs.ReadDir(fsys, ".")
+	if errors.Is(err, fs.ErrNotExist) {
+		var problems Problems
+		problems.add(Position{File: name, Line: 1, Column: 1}, "name a folder of declaration files", "there is no such folder")
+		return nil, problems.err()
+	}
 	if err != nil {
 		return nil, errors.Wrapf(err, "reading the declarations in %s", name)
 	}
