intake: jobs of a queue that changed its service are still known

Cause: a job stays with the cell of the service that took it in, but questions and repeats went to the queue's present service, which answered 410 or took the job in again. Change: nodes remember the services that a queue had, and ask the others before they say that there is no such job. Test: TestQueueMoves, which failed before find was called.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -60,6 +60,7 @@
 	logger logr.Logger
 	set    *metrics.Set
 	router *mux.Router
+	moved  moved
 }
 
 // NewHandler returns a handler of callers' requests.
@@ -93,6 +94,7 @@
 		return
 	}
 	host, _, _ := strings.Cut(r.Host, ":")
+	h.moved.see(x.table)
 	x.queue = x.table.Find(host, r.URL.Path)
 	if x.queue == nil {
 		x.refuse(http.StatusNotFound, "no queue has this host and path")
@@ -129,6 +131,11 @@
 
 // call asks the owner of the queue's service.
 func (x *exchange) call(method owner.Method, plan tasks.Plan) owner.Answer {
+	return x.callService(x.queue.Policy.Service, method, plan)
+}
+
+// callService asks the owner of a service.
+func (x *exchange) callService(service string, method owner.Method, plan tasks.Plan) owner.Answer {
 	timeout := x.codec.Timeout(x.in.Header)
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -136,7 +143,7 @@
 	ctx, cancel := context.WithTimeout(x.in.Context(), min(time.Duration(float64(timeout)*callShare), maxCall))
 	defer cancel()
 	return x.owners.Call(ctx, method, owner.Request{
-		Service: x.queue.Policy.Service,
+		Service: service,
 		Key:     tasks.Key{Queue: x.queue.Key(), ID: x.id},
 		Plan:    plan,
 		Policy:  x.queue.Policy,
@@ -163,7 +170,14 @@
 		x.refuse(http.StatusBadRequest, err.Error())
 		return
 	}
-	answer := x.call(owner.MethodSubmit, plan)
+	if service, answer := x.find(x.moved.former(x.queue.Key())); service != "" || answer.Outcome != owner.Unknown {
+		x.finishSubmit(answer)
+		return
+	}
+	x.finishSubmit(x.call(owner.MethodSubmit, plan))
+}
+
+func (x *exchange) finishSubmit(answer owner.Answer) {
 	if answer.Outcome == owner.Done {
 		x.reply(http.StatusOK, []byte("{}"))
 		return
@@ -173,6 +187,9 @@
 
 func (x *exchange) show() {
 	answer := x.call(owner.MethodStatus, tasks.Plan{})
+	if answer.Outcome == owner.Unknown {
+		_, answer = x.find(x.otherServices())
+	}
 	if answer.Outcome != owner.Done {
 		x.fail(answer.Outcome)
 		return
@@ -182,7 +199,18 @@
 }
 
 func (x *exchange) cancel() {
-	answer := x.call(owner.MethodCancel, tasks.Plan{})
+	service := x.queue.Policy.Service
+	if x.call(owner.MethodStatus, tasks.Plan{}).Outcome == owner.Unknown {
+		other, answer := x.find(x.otherServices())
+		switch {
+		case other != "":
+			service = other
+		case answer.Outcome != owner.Unknown:
+			x.fail(answer.Outcome)
+			return
+		}
+	}
+	answer := x.callService(service, owner.MethodCancel, tasks.Plan{})
 	if answer.Outcome == owner.Done {
 		x.reply(http.StatusOK, []byte("{}"))
 		return
