depot: ask once more just before a machine is ordered to upkeep

Cause: between the answer that a host is empty and the order, calls of other pools may take up to 0.4 s each; an owner that takes over meanwhile doesn't know of the cordon and may place a task there. Change: upkeep asks again, as moves do.

--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -125,8 +125,8 @@
 			h.cordonedSince = now
 			c.logger.Info("host cordoned", "host", id, "runs", len(h.runs), "vacate", vacate)
 		}
+		h.vacate = vacate || h.vacate && now.Before(h.cordonedUntil)
 		h.cordonedUntil = now.Add(length)
-		h.vacate = vacate
 		reports = append(reports, c.reportHost(h, now))
 	}
 	return reports, nil
--- a/depot/round.go
+++ b/depot/round.go
@@ -97,7 +97,9 @@
 		if view.Down+begun >= w.Cap || !t.mayOrder() {
 			break
 		}
-		if t.orderUpkeep(ctx, w, places[name]) {
+		// Asked again just before the order: the owner of the pool may have changed,
+		// and the new one doesn't know of the cordon.
+		if t.isEmpty(ctx, places[name]) && t.orderUpkeep(ctx, w, places[name]) {
 			begun++
 		}
 	}
@@ -252,11 +254,8 @@
 	pools, machines := t.viewPools(table)
 	for _, move := range shift.Plan(pools, maxMoves) {
 		m := machines[move.Machine]
-		if m.Host != "" {
-			reports := t.cordon(ctx, m.Pool, []string{m.Host}, false)
-			if len(reports) != 1 || reports[0].Runs > 0 {
-				continue
-			}
+		if !t.isEmpty(ctx, m) {
+			continue
 		}
 		if !t.mayOrder() {
 			return
@@ -265,6 +264,15 @@
 	}
 }
 
+// isEmpty cordons the host of a machine and reports whether nothing runs on it.
+func (t *term) isEmpty(ctx context.Context, m Machine) bool {
+	if m.Host == "" {
+		return true
+	}
+	reports := t.cordon(ctx, m.Pool, []string{m.Host}, false)
+	return len(reports) == 1 && reports[0].Runs == 0
+}
+
 // retire tells the owner of a pool that a machine is out of it.
 func (t *term) retire(ctx context.Context, m Machine) {
 	if m.Host == "" {
