depot, owner: notice sooner that another holder must take over

Ruled out: the planner; moves stopped with the depot's last confirmed write. Change: the depot confirms each 250 ms and orders for 750 ms after, an order may take 500 ms, memberships lapse after 1.5 s.

--- a/depot/depot.go
+++ b/depot/depot.go
@@ -24,13 +24,13 @@
 	// roundEvery is the time between two rounds of decisions.
 	roundEvery = 250 * time.Millisecond
 	// validTime is how long after a confirmed write orders are given.
-	validTime = 1500 * time.Millisecond
+	validTime = 750 * time.Millisecond
 	// confirmEvery is the time between two confirmations.
-	confirmEvery = 500 * time.Millisecond
+	confirmEvery = 250 * time.Millisecond
 	// writeTime bounds a write.
 	writeTime = time.Second
 	// orderTime bounds an order; it is part of the time that a new holder waits.
-	orderTime = time.Second
+	orderTime = 500 * time.Millisecond
 	// cordonTime is how long a host stays cordoned after the last wish. A host
 	// whose machine was ordered away without an answer is as good as gone by then.
 	cordonTime = 4 * time.Second
--- a/depot/round.go
+++ b/depot/round.go
@@ -206,7 +206,9 @@
 func (t *term) orderUpkeep(ctx context.Context, w *wave, m Machine) bool {
 	name := m.Name
 	e := &errand{kind: errandUpkeep, since: t.options.Clock(), wave: w.Number}
-	verdict, err := t.options.Cloud.Upkeep(ctx, t.order(name), w.Number)
+	orderCtx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	verdict, err := t.options.Cloud.Upkeep(orderCtx, t.order(name), w.Number)
 	t.logOrder("upkeep", name, w.Number, "", verdict, err)
 	switch {
 	case err != nil:
@@ -287,7 +289,9 @@
 
 func (t *term) orderMove(ctx context.Context, move shift.Move, m Machine) {
 	e := &errand{kind: errandMove, since: t.options.Clock(), to: move.To}
-	verdict, err := t.options.Cloud.Move(ctx, t.order(move.Machine), move.To)
+	orderCtx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	verdict, err := t.options.Cloud.Move(orderCtx, t.order(move.Machine), move.To)
 	t.logOrder("move", move.Machine, 0, move.To, verdict, err)
 	switch {
 	case err != nil:
--- a/owner/group.go
+++ b/owner/group.go
@@ -16,9 +16,9 @@
 	// groupName names the group and the topic whose partitions are dealt out.
 	groupName = "cells"
 	// joinEvery is the time between two renewals of the membership.
-	joinEvery = 500 * time.Millisecond
+	joinEvery = 400 * time.Millisecond
 	// memberTTL is how long a member that is silent keeps its partitions.
-	memberTTL = 2 * time.Second
+	memberTTL = 1500 * time.Millisecond
 	// holdingsEvery is the time between two looks at who holds what.
 	holdingsEvery = time.Second
 	// holdingsPause is the shortest time between two such looks.
