--- a/cell/cell.go
+++ b/cell/cell.go
@@ -70,10 +70,6 @@
 	MaxLease time.Duration
 	// KeepEnded is how long an ended job must be known.
 	KeepEnded time.Duration
-	// Pace is the time after which a new pace is in force, and Harm how long a
-	// serving task may be over its target.
-	Pace time.Duration
-	Harm time.Duration
 	// BatchBytes bounds the records of one write.
 	BatchBytes int
 	Logger     logr.Logger
@@ -124,7 +120,6 @@
 	stopped bool
 	// arrived is the processor time that jobs have asked for.
 	arrived int64
-	runtime *runtimes
 
 	writeKick chan struct{}
 	placeKick chan struct{}
@@ -149,7 +144,6 @@
 		byID:      make(map[string]*entry),
 		open:      make(map[*entry]bool),
 		hosts:     make(map[string]*host),
-		runtime:   newRuntimes(),
 		writeKick: make(chan struct{}, 1),
 		placeKick: make(chan struct{}, 1),
 		releasing: make(chan struct{}),
--- a/cell/chaos_test.go
+++ b/cell/chaos_test.go
@@ -120,7 +120,8 @@
 	case 9:
 		if len(c.jobs) > 0 {
 			id := c.jobs[c.random.IntN(len(c.jobs))]
-			go func() { _ = c.owner().cell.Cancel(c.ctx, tasks.Key{Queue: testQueue, ID: id}) }()
+			owner := c.owner()
+			go func() { _ = owner.cell.Cancel(c.ctx, tasks.Key{Queue: testQueue, ID: id}) }()
 		}
 	default:
 		c.handIn()
--- a/cell/host.go
+++ b/cell/host.go
@@ -41,10 +41,8 @@
 	stopping bool
 	// inherited means that an older owner may have started it.
 	inherited bool
-	// percent and load are what the host last showed.
-	percent int
-	load    float64
-	paced   int
+	// load is what the host last showed.
+	load float64
 	// atWork means that a serving task has begun to serve.
 	atWork bool
 }
@@ -420,7 +418,7 @@
 			c.stopUnknown(h, l)
 			continue
 		}
-		r.percent, r.load = l.Percent, l.Load
+		r.load = l.Load
 		r.noteWork(sent)
 		r.doubt = 0
 		if r.answered == 0 {
--- a/cell/judge.go
+++ b/cell/judge.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// fullPace is the share of its speed at which a run works at first.
-	fullPace = 100
 	// suspectTime is how long a failure counts against a host.
 	suspectTime = 10 * time.Second
 	// maxFailures bounds the failures that count against a host.
@@ -40,7 +38,6 @@
 	switch {
 	case how == tasks.EndDone:
 		h.record = record{}
-		c.learn(h, r, now)
 	case how == tasks.EndFailed && h.record.failedJob != r.name.Job:
 		h.record.failedJob = r.name.Job
 		h.record.failures = append(h.record.failures, now)
@@ -49,36 +46,3 @@
 		}
 	}
 }
-
-// learn notes how long a run took.
-func (c *Cell) learn(h *host, r *run, now time.Time) {
-	if r.entry == nil {
-		return
-	}
-	task := r.entry.job.Task(r.name)
-	if task == nil || task.Since.IsZero() {
-		return
-	}
-	c.runtime.note(r.entry.job.Key.Queue, now.Sub(task.Since))
-}
-
-// runtimes learns how long tasks of each queue take.
-type runtimes struct {
-	mean map[string]time.Duration
-}
-
-// runtimeWeight is the weight of a new run time in the mean.
-const runtimeWeight = 0.1
-
-func newRuntimes() *runtimes {
-	return &runtimes{mean: make(map[string]time.Duration)}
-}
-
-func (r *runtimes) note(queue string, took time.Duration) {
-	mean, known := r.mean[queue]
-	if !known {
-		r.mean[queue] = took
-		return
-	}
-	r.mean[queue] = mean + time.Duration(runtimeWeight*float64(took-mean))
-}
--- a/cell/order.go
+++ b/cell/order.go
@@ -8,6 +8,7 @@
 
 	"rattanpath/core"
 	"rattanpath/lease"
+	"rattanpath/pool"
 	"rattanpath/tasks"
 )
 
@@ -32,31 +33,31 @@
 func (c *Cell) sendStart(h *host, r *run) {
 	written := c.options.Clock()
 	c.goRun(func(ctx context.Context) {
-		order, ok := c.startOrder(h, r, written)
+		order, info, ok := c.startOrder(h, r, written)
 		if !ok {
 			return
 		}
 		begun, sent := time.Now(), c.options.Clock()
-		reply, err := c.options.Hosts.Start(ctx, h.info, order)
+		reply, err := c.options.Hosts.Start(ctx, info, order)
 		c.options.Meters.Start.UpdateDuration(begun)
 		c.started(h, r, sentOrder{token: order.Token, at: sent}, reply, err)
 	})
 }
 
-// startOrder returns the order for a run, unless it is not to be started any
-// more.
-func (c *Cell) startOrder(h *host, r *run, written time.Duration) (lease.Start, bool) {
+// startOrder returns the order for a run and the host as it is now, unless the
+// run is not to be started any more.
+func (c *Cell) startOrder(h *host, r *run, written time.Duration) (lease.Start, *pool.Host, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock()
 	task := r.entry.job.Task(r.name)
 	current := h.runs[r.name] == r && task != nil && task.Run == r.number
 	if !current {
-		return lease.Start{}, false
+		return lease.Start{}, nil, false
 	}
 	if r.entry.job.Phase != tasks.Open || now-written > sendTime || c.isLost() || !h.clock.Known() || r.stopping {
 		c.runOver(h, r, tasks.EndLost, "", "not sent")
-		return lease.Start{}, false
+		return lease.Start{}, nil, false
 	}
 	r.sent = true
 	return lease.Start{
@@ -66,7 +67,7 @@
 		Saved: task.Saved,
 		Until: h.clock.Until(now, c.leaseLength()),
 		Token: c.token(h),
-	}, true
+	}, h.info, true
 }
 
 // started takes in a host's answer to a start.
@@ -138,10 +139,10 @@
 	c.goRun(func(ctx context.Context) {
 		for {
 			c.mu.Lock()
-			order := lease.Stop{Name: r.name, Run: r.number, Token: c.token(h)}
+			order, info := lease.Stop{Name: r.name, Run: r.number, Token: c.token(h)}, h.info
 			c.mu.Unlock()
 			sent := sentOrder{token: order.Token, at: c.options.Clock()}
-			reply, err := c.options.Hosts.Stop(ctx, h.info, order)
+			reply, err := c.options.Hosts.Stop(ctx, info, order)
 			if ctx.Err() != nil || c.stopAnswered(h, r, sent, reply, err) {
 				return
 			}
--- a/cell/scene_test.go
+++ b/cell/scene_test.go
@@ -161,7 +161,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			inWorld(t, 2, func(w *world) {
+			inWorld(t, 3, func(w *world) {
 				w.work = func(tasks.Name, int) fake.Work { return fake.Work{Lasting: true} }
 				a := w.claim("a")
 				time.Sleep(100 * time.Millisecond)
@@ -177,7 +177,6 @@
 					w.store.Fail("a", fake.Silent)
 				}
 				time.Sleep(time.Second)
-				w.addHost("h2", 1)
 				w.claim("b")
 				time.Sleep(test.within)
 				for index := range 2 {
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -106,8 +106,6 @@
 		Clock:      func() time.Duration { return time.Since(w.begun) },
 		MaxLease:   testLease,
 		KeepEnded:  2 * time.Minute,
-		Pace:       100 * time.Millisecond,
-		Harm:       4 * time.Second,
 		BatchBytes: 1 << 20,
 		Logger:     logger,
 		Meters:     NewMeters(metrics.NewSet()),
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -67,6 +67,7 @@
 			newHandler,
 			newServer,
 			newDepot,
+			newFigures,
 		),
 		fx.Invoke(start),
 	)
@@ -100,8 +101,6 @@
 		Clock:      platform.Clock,
 		MaxLease:   settings.MaxLease,
 		KeepEnded:  settings.KeepEnded,
-		Pace:       settings.PaceDelay,
-		Harm:       settings.HarmTime,
 		BatchBytes: int(batchShare * float64(settings.CallBytes)),
 		Logger:     logger,
 		Meters:     cell.NewMeters(set),
@@ -145,7 +144,7 @@
 
 // start orders the parts: at a stop the node first leaves the group, so that
 // others take its cells over while it still answers callers.
-func start(lifecycle fx.Lifecycle, settings Settings, loops *core.Loops, queues *queue.Watcher, pools *pool.Watcher, member *owner.Member, o *owner.Owner, finder *owner.Finder, machines *depot.Depot, server *intake.Server, logger logr.Logger) error {
+func start(lifecycle fx.Lifecycle, settings Settings, loops *core.Loops, queues *queue.Watcher, pools *pool.Watcher, member *owner.Member, o *owner.Owner, finder *owner.Finder, machines *depot.Depot, figures *figures, server *intake.Server, logger logr.Logger) error {
 	peers := link.NewServer(settings.PeerListen, func(conn net.Conn) net.Conn { return conn }, logger.WithName("peers"))
 	if err := peers.Register(owner.RPCName, owner.NewService(o)); err != nil {
 		return err
@@ -159,6 +158,7 @@
 	loops.Go(finder.Run)
 	loops.Go(machines.Run)
 	lifecycle.Append(fx.Hook{OnStart: peers.Start, OnStop: peers.Stop})
+	lifecycle.Append(fx.Hook{OnStart: figures.start, OnStop: figures.stop})
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			logger.Info("node starts", "callers", settings.CallerListen, "peers", settings.PeerListen, "store", settings.Store)
--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,177 @@
+package engine_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"rattanpath/core"
+	"rattanpath/depot"
+	"rattanpath/engine"
+	"rattanpath/fake"
+	"rattanpath/platform"
+	"rattanpath/pool"
+	"rattanpath/tasks"
+)
+
+const (
+	testConfig = `{"version":1,"routes":[{"name":"q","host":"a.example","pathPrefix":"/x/","service":"s","maxAttempts":2,"stretch":1.6,"targetLatencyMs":600}],"services":[{"name":"s"}]}`
+	testBody   = `{"spec":"text","steps":[{"count":3,"cpu":1000,"memMb":10,"estRuntimeMs":200}]}`
+	// patience bounds every wait of the test.
+	patience = 15 * time.Second
+)
+
+// noCloud is a cloud without machines.
+type noCloud struct{}
+
+func (noCloud) Machines(context.Context) ([]depot.Machine, error) { return []depot.Machine{}, nil }
+func (noCloud) Move(context.Context, depot.Order, string) (depot.Verdict, error) {
+	return depot.Invalid, nil
+}
+func (noCloud) Upkeep(context.Context, depot.Order, int64) (depot.Verdict, error) {
+	return depot.Invalid, nil
+}
+
+// fleet is some nodes on loopback with a store and hosts.
+type fleet struct {
+	t       *testing.T
+	store   *fake.Store
+	judge   *fake.Judge
+	runners map[string]*fake.Runner
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: fake.NewStore(), judge: fake.NewJudge(), runners: make(map[string]*fake.Runner)}
+	f.store.Put("op", "config", []byte(testConfig))
+	for i := range 2 {
+		info := pool.Host{ID: fmt.Sprintf("h%d", i), Service: "s", Address: "127.0.0.1:1", Room: tasks.Room{CPU: 4000, MemMB: 1000}}
+		runner := fake.NewRunner(info, 1, f.judge, func(tasks.Name, int) fake.Work { return fake.Work{Time: 200 * time.Millisecond} })
+		f.runners[info.ID] = runner
+		go runner.Watch(t.Context())
+		entry, err := json.Marshal(map[string]any{
+			"service": "s", "address": info.Address, "state": "ready", "capacity": map[string]any{"cpu": 4000, "memMb": 1000}, "born": runner.Info().Born,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.Put("servers", info.ID, entry)
+	}
+	return f
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// start runs a node and returns it and its address for callers.
+func (f *fleet) start(name string) (*fx.App, string) {
+	f.t.Helper()
+	settings := engine.Settings{
+		Name: name, CallerListen: freeAddress(f.t), HealthListen: freeAddress(f.t), PeerListen: freeAddress(f.t), AdminListen: freeAddress(f.t),
+		Partitions: 32, CallBytes: 1 << 20, StopGrace: time.Second, MaxLease: 6 * time.Second, KeepEnded: time.Minute,
+		HolderLease: time.Second, MoveTime: time.Second, UpkeepTime: time.Second,
+	}
+	client := f.store.Client(name)
+	app := engine.New(settings, engine.Platform{
+		Journal: client, Group: client, Queues: client, Pools: client,
+		Hosts:        fake.NewHosts(f.runners, func(tasks.Name) tasks.Room { return tasks.Room{CPU: 1000, MemMB: 10} }),
+		Codec:        platform.Codec(),
+		Cloud:        noCloud{},
+		WaveStatus:   platform.WaveStatus,
+		StatusTopic:  platform.TopicStatus,
+		DecodeOrders: platform.DecodeOrders, DecodeHost: platform.DecodeHost,
+		OperatorTopic: platform.TopicOperator, HostTopic: platform.TopicHosts,
+		Clock: core.BootClock,
+	}, logr.Discard())
+	if err := app.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	return app, settings.CallerListen
+}
+
+// ask sends one request and returns the status and the body.
+func ask(t *testing.T, method, address, path, body string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "a.example"
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(text)
+}
+
+// wait asks until the status and a part of the body are as wanted.
+func wait(t *testing.T, method, address, path, body string, status int, part string) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		got, text := ask(t, method, address, path, body)
+		if got == status && strings.Contains(text, part) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("got %d %s for %s %s, want %d %s", got, text, method, path, status, part)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestJobsOverTwoNodes hands a job in at each of two nodes, follows it at the
+// other, stops one node and goes on with the rest.
+func TestJobsOverTwoNodes(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes seconds of real time")
+	}
+	f := newFleet(t)
+	first, a := f.start("a")
+	second, b := f.start("b")
+	for i, addresses := range [][2]string{{a, b}, {b, a}} {
+		path := fmt.Sprintf("/x/%016x", i+1)
+		wait(t, "POST", addresses[0], path, testBody, 200, "")
+		wait(t, "GET", addresses[1], path, "", 200, "completed")
+		wait(t, "POST", addresses[1], path, testBody, 200, "")
+	}
+	wait(t, "GET", b, "/x/", "", 200, `"pending":0`)
+	wait(t, "GET", b, "/x/00000000000000ff", "", 410, "")
+	if err := first.Stop(t.Context()); err != nil {
+		t.Error(err)
+	}
+	wait(t, "GET", b, "/x/0000000000000001", "", 200, "completed")
+	wait(t, "POST", b, "/x/0000000000000003", testBody, 200, "")
+	wait(t, "GET", b, "/x/0000000000000003", "", 200, "completed")
+	if err := second.Stop(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if got := f.judge.Starts(); got != 9 {
+		t.Errorf("got %d starts, want 9", got)
+	}
+	for _, fault := range f.judge.Faults() {
+		t.Error(fault)
+	}
+}
--- a/fake/fleet.go
+++ b/fake/fleet.go
@@ -73,12 +73,6 @@
 	return runner.Stop(ctx, order)
 }
 
-// Pace implements lease.Hosts.
-func (h *Hosts) Pace(ctx context.Context, host *pool.Host, _ lease.Pace) (lease.Reply, error) {
-	_, err := h.runner(ctx, host.ID)
-	return lease.Reply{}, err
-}
-
 // Hold implements lease.Hosts.
 func (h *Hosts) Hold(ctx context.Context, host *pool.Host, order lease.Hold) (lease.Listing, error) {
 	runner, err := h.runner(ctx, host.ID)
