cell: a count of ends is sent only to a life that has answered

Cause: TestChaos/8 failed once beside load: a hold with the count of ends of a host's old life reached the new one, which dropped an end that nobody had seen; the task ran again. Change: the first hold after a host was idle or silent acknowledges nothing.

--- a/cell/host.go
+++ b/cell/host.go
@@ -87,6 +87,9 @@
 	lives int64
 	// retired is the life of the host that the depot has ended; 0 is none.
 	retired int64
+	// sure means that the present life has answered since the host was idle or
+	// silent. Before, a count of ends may be of an older life.
+	sure bool
 	// seen is the last end that is noted in the store, and listed the last one
 	// that the host has listed.
 	seen   int64
@@ -232,9 +235,13 @@
 		return lease.Hold{}, nil, false
 	}
 	if len(h.runs) == 0 && (h.isRetired() || h.fenced && h.seen == h.listed) {
+		h.sure = false
 		return lease.Hold{}, h.info, false
 	}
-	order := lease.Hold{Token: c.token(h), Seen: h.seen}
+	order := lease.Hold{Token: c.token(h)}
+	if h.sure {
+		order.Seen = h.seen
+	}
 	if h.fenced && h.failed == 0 {
 		order.Wait = holdWait
 	}
@@ -281,6 +288,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h.failed++
+	h.sure = false
 	if h.failed == 1 {
 		c.logger.Info("host lost touch", "host", h.id, "runs", len(h.runs), "refusal", reason.String(), "err", text(err))
 	}
--- a/cell/list.go
+++ b/cell/list.go
@@ -25,6 +25,7 @@
 		c.logger.Info("host back in touch", "host", h.id, "runs", len(h.runs), "missed", h.failed)
 	}
 	h.failed = 0
+	h.sure = h.lives == lives
 	h.clock.Learn(listing.Clock, now)
 	noted := c.takeEnds(h, listing.Ends)
 	c.takeRuns(h, listing.Runs, sent)
