--- a/cell/claim.go
+++ b/cell/claim.go
@@ -126,7 +126,7 @@
 			task.Since = time.Now()
 			h := c.host(task.Host)
 			h.runs[name] = &run{
-				entry: e, name: name, number: task.Run, born: task.Born,
+				entry: e, name: name, number: task.Run,
 				room: e.job.Step(name).Occupies(), inherited: true,
 			}
 		})
--- a/cell/host.go
+++ b/cell/host.go
@@ -29,7 +29,6 @@
 	entry  *entry
 	name   tasks.Name
 	number int
-	born   int64
 	room   tasks.Room
 	// sent means that the start was or is being sent, and answered is when the
 	// host took it.
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -283,7 +283,7 @@
 	}
 	e.job.Assign(name, h.id, h.born, now)
 	task := e.job.Task(name)
-	r := &run{entry: e, name: name, number: task.Run, born: h.born, room: step.Occupies()}
+	r := &run{entry: e, name: name, number: task.Run, room: step.Occupies()}
 	h.runs[name] = r
 	c.options.Meters.Waited.Update(now.Sub(e.job.Due(name.Round)).Seconds())
 	c.logger.Info("run assigned", "job", name.Job, "round", name.Round, "step", name.Step, "index", name.Index, "run", r.number, "host", h.id, "failed", task.Failed, "suspicion", to.Suspicion)
--- a/owner/finder.go
+++ b/owner/finder.go
@@ -49,7 +49,6 @@
 
 	mu       sync.Mutex
 	holders  map[int]string
-	readAt   time.Time
 	clients  map[string]*link.Client
 	wantRead chan struct{}
 }
@@ -98,7 +97,6 @@
 	for _, holding := range holdings {
 		f.holders[holding.Partition] = memberAddress(holding.Member)
 	}
-	f.readAt = time.Now()
 }
 
 // holder returns the address of the owner of a service, or nothing.
