cell: a draining host's serving task waits for a stop on another

Ruled out: a new owner that doesn't know of a cordon, the depot's orders, lapses.

Change: no serving task of a draining host is stopped while one of its step is being stopped on a host that stays. What is at work is read from the percent that hosts list (0 to 100 while a serving task starts), no longer guessed from its load.

--- a/cell/host.go
+++ b/cell/host.go
@@ -40,34 +40,13 @@
 	stopping bool
 	// inherited means that an older owner may have started it.
 	inherited bool
-	// load is what the host last showed.
-	load float64
-	// atWork means that a serving task has begun to serve.
-	atWork bool
+	// percent is how far the run is, as its host last showed.
+	percent int
 }
 
-const (
-	// workShare is the part of its processor time that a serving task uses at
-	// least once it is at work.
-	workShare = 0.5
-	// startupTime is how long a serving task takes at most to begin.
-	startupTime = 4 * time.Second
-)
-
-// noteWork judges from what the host has shown whether a serving task is at
-// work.
-func (r *run) noteWork(now time.Duration) {
-	if r.entry == nil || r.atWork {
-		return
-	}
-	step := r.entry.job.Step(r.name)
-	least := workShare * float64(step.Room.CPU)
-	if step.Target > 0 {
-		// It shows its response time instead, once it has answered.
-		least = 1
-	}
-	r.atWork = r.load >= least || r.answered != 0 && now-r.answered > startupTime
-}
+// whole is the percent that a host shows of a serving task that is at work, and
+// of any other that is done.
+const whole = 100
 
 // host is what a cell knows of a host.
 type host struct {
--- a/cell/list.go
+++ b/cell/list.go
@@ -126,8 +126,7 @@
 			c.stopUnknown(h, l)
 			continue
 		}
-		r.load = l.Load
-		r.noteWork(sent)
+		r.percent = l.Percent
 		r.doubt = 0
 		if r.answered == 0 {
 			r.answered = sent
--- a/cell/scene_test.go
+++ b/cell/scene_test.go
@@ -96,9 +96,7 @@
 		}
 		time.Sleep(time.Second)
 		name := tasks.Name{Job: "job"}
-		n.cell.mu.Lock()
-		host := n.cell.jobs[tasks.Key{Queue: testQueue, ID: "job"}].job.Task(name).Host
-		n.cell.mu.Unlock()
+		host := n.hostOf("job", 0)
 		w.runners[host].Crash()
 		w.runners[host].Silence(true)
 		if err := n.cell.Retire([]string{host}); err != nil {
@@ -148,6 +146,37 @@
 	})
 }
 
+// TestDrainingWaitsForASparedTask lets a host drain just after a serving task was
+// stopped on another: until that stop is over, the draining one's task goes on,
+// since its end would count as the first to go.
+func TestDrainingWaitsForASparedTask(t *testing.T) {
+	for wait := time.Duration(0); wait < 300*time.Millisecond; wait += 10 * time.Millisecond {
+		inWorld(t, 5, func(w *world) {
+			w.work = func(name tasks.Name, _ int) fake.Work {
+				return fake.Work{Lasting: true, Startup: 2 * time.Second}
+			}
+			n := w.claim("a")
+			time.Sleep(100 * time.Millisecond)
+			if err := w.submit(n, "job", lasting(3, 1000)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(4 * time.Second)
+			cordoned, leaving := n.hostOf("job", 0), n.hostOf("job", 1)
+			w.runners[cordoned].SlowStops(400 * time.Millisecond)
+			if _, err := n.cell.Cordon([]string{cordoned}, 10*time.Second, true); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(wait)
+			w.runners[leaving].Drain()
+			n.cell.SetHosts(n.hosts.View())
+			time.Sleep(5 * time.Second)
+			if got := w.judge.Ends(tasks.EndStopped); got != 2 {
+				t.Errorf("got %d tasks stopped with a drain %v after a cordon, want both", got, wait)
+			}
+		})
+	}
+}
+
 // TestTakeOverOfADeadHost kills a host together with the owner: what ran there
 // starts again once no lease of the old owner can hold.
 func TestTakeOverOfADeadHost(t *testing.T) {
--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -166,15 +166,44 @@
 	}
 }
 
-// vacateDraining moves serving tasks off a host that leaves by itself.
+// vacateDraining moves serving tasks off a host that leaves by itself. While a
+// task of the same step is being stopped on a host that stays, the one here goes
+// on: were it to end first, the other would go while this one is away.
 func (c *Cell) vacateDraining(h *host) {
 	for _, r := range h.runs {
-		if r.entry != nil && r.entry.job.Step(r.name).Lasting {
+		if r.entry != nil && r.entry.job.Step(r.name).Lasting && !c.sparesOther(r) {
 			c.stopRun(h, r)
 		}
 	}
 }
 
+// sparesOther reports whether another task of a run's step is being stopped on a
+// host that stays.
+func (c *Cell) sparesOther(r *run) bool {
+	name := r.name
+	for i := range r.entry.job.Tasks(r.name) {
+		name.Index = i
+		h, other := c.runOf(r.entry, name)
+		if other != nil && other != r && other.stopping && h.info != nil && !h.info.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// runOf returns the present run of a task and its host, or nothing.
+func (c *Cell) runOf(e *entry, name tasks.Name) (*host, *run) {
+	task := e.job.Task(name)
+	h := c.hosts[task.Host]
+	if !task.Active() || h == nil {
+		return nil, nil
+	}
+	if r := h.runs[name]; r != nil && r.number == task.Run {
+		return h, r
+	}
+	return nil, nil
+}
+
 // vacateCordoned moves the runs off a host: serving tasks as their step allows,
 // those that checkpoint at once, and others once patience is over.
 func (c *Cell) vacateCordoned(h *host, now time.Time) {
@@ -200,14 +229,9 @@
 		return false
 	}
 	away := 0
-	for _, round := range r.entry.job.Rounds {
-		if round.Number != r.name.Round {
-			continue
-		}
-		for i := range round.Steps[r.name.Step] {
-			if i != r.name.Index && !c.atWork(r, i) {
-				away++
-			}
+	for i := range r.entry.job.Tasks(r.name) {
+		if i != r.name.Index && !c.atWork(r, i) {
+			away++
 		}
 	}
 	return away < max(1, r.entry.job.Step(r.name).MayMiss)
@@ -217,11 +241,6 @@
 func (c *Cell) atWork(r *run, index int) bool {
 	name := r.name
 	name.Index = index
-	task := r.entry.job.Task(name)
-	h := c.hosts[task.Host]
-	if !task.Active() || h == nil || h.failed > 0 {
-		return false
-	}
-	other := h.runs[name]
-	return other != nil && other.number == task.Run && !other.stopping && other.atWork
+	h, other := c.runOf(r.entry, name)
+	return other != nil && h.failed == 0 && !other.stopping && other.percent >= whole
 }
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -62,6 +62,7 @@
 			t: t, ctx: ctx, store: fake.NewStore(), judge: fake.NewJudge(),
 			runners: make(map[string]*fake.Runner), begun: time.Now(), out: io.Discard,
 		}
+		w.judge.MayMiss = w.mayMiss
 		w.work = func(tasks.Name, int) fake.Work { return fake.Work{Time: 500 * time.Millisecond} }
 		for i := range hosts {
 			w.addHost(fmt.Sprintf("h%d", i), 1-0.02*float64(i%2))
@@ -88,6 +89,12 @@
 	return plan.(tasks.Plan).Steps[name.Step].Occupies()
 }
 
+// mayMiss returns how many tasks of a step may be away at once by orders.
+func (w *world) mayMiss(name tasks.Name) int {
+	plan, _ := w.plans.Load(name.Job)
+	return plan.(tasks.Plan).Steps[name.Step].MayMiss
+}
+
 // claim makes a node take the cell over and run it.
 func (w *world) claim(name string) *node {
 	w.t.Helper()
@@ -144,6 +151,14 @@
 	}
 }
 
+// hostOf returns the host of a task of a job's first step.
+func (n *node) hostOf(id string, index int) string {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	job := n.cell.jobs[tasks.Key{Queue: testQueue, ID: id}].job
+	return job.Task(tasks.Name{Job: id, Index: index}).Host
+}
+
 // submit hands a job in and waits for up to a second.
 func (w *world) submit(n *node, id string, plan tasks.Plan) error {
 	w.plans.Store(id, plan)
--- a/fake/judge.go
+++ b/fake/judge.go
@@ -18,6 +18,12 @@
 	faults []string
 	starts int
 	ends   map[tasks.How]int
+	// away holds the tasks of each step that were stopped and are not at work
+	// again; a Name with the index 0 stands for the step.
+	away map[tasks.Name]map[int]bool
+	// MayMiss returns how many serving tasks of a step may be away at once by
+	// orders; nil or 0 is any number.
+	MayMiss func(name tasks.Name) int
 }
 
 // NewJudge returns a judge that has seen nothing.
@@ -26,6 +32,7 @@
 		active: make(map[tasks.Name]map[string]int),
 		done:   make(map[tasks.Name]bool),
 		ends:   make(map[tasks.How]int),
+		away:   make(map[tasks.Name]map[int]bool),
 	}
 }
 
@@ -87,6 +94,34 @@
 	delete(j.active[name], host+"/"+itoa(run))
 }
 
+// stopped sees that an order ended a run. Counted means that the run was at work
+// on a host that stays.
+func (j *Judge) stopped(name tasks.Name, counted bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	step, index := name, name.Index
+	step.Index = 0
+	if j.away[step] == nil {
+		j.away[step] = make(map[int]bool)
+	}
+	delete(j.away[step], index)
+	if counted && j.MayMiss != nil {
+		if most := j.MayMiss(name); most > 0 && len(j.away[step]) >= most {
+			j.fault("task %+v was stopped while %d others of its step were away, and %d may be", name, len(j.away[step]), most)
+		}
+	}
+	j.away[step][index] = true
+}
+
+// atWork sees that a run has begun to serve.
+func (j *Judge) atWork(name tasks.Name) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	step := name
+	step.Index = 0
+	delete(j.away[step], name.Index)
+}
+
 // noted sees that an end won't be listed again.
 func (j *Judge) noted(end lease.End) {
 	j.mu.Lock()
--- a/fake/runner.go
+++ b/fake/runner.go
@@ -15,7 +15,7 @@
 const (
 	// hostLatency is the time of a call of a host.
 	hostLatency = time.Millisecond
-	// hostStop is the time that a run takes to stop.
+	// hostStop is the time that a run takes to stop, unless it is told otherwise.
 	hostStop = 100 * time.Millisecond
 	// firstClock is what a host's clock shows when it is born.
 	firstClock = 1000 * time.Millisecond
@@ -59,6 +59,7 @@
 	// lateOrders is how many orders are carried out late and not answered.
 	lateOrders int
 	lateBy     time.Duration
+	stopTime   time.Duration
 }
 
 // runKey names a run: a higher run of a task may begin while a lower one stops.
@@ -73,13 +74,28 @@
 	room  tasks.Room
 	timer *time.Timer
 	saved string
-	// atWork is when the run is at work.
-	atWork time.Time
+	begun time.Time
+	work  Work
 }
 
+// percent returns how far the run is: a serving one through its startup.
+func (r *running) percent() int {
+	length := r.work.Time
+	if r.work.Lasting {
+		length = r.work.Startup
+	}
+	if length <= 0 {
+		return wholePercent
+	}
+	return int(min(wholePercent, wholePercent*time.Since(r.begun)/length))
+}
+
+// wholePercent is what a host shows of a run that is done or at work.
+const wholePercent = 100
+
 // load returns the processor time that the run uses.
 func (r *running) load() float64 {
-	if time.Now().Before(r.atWork) {
+	if time.Since(r.begun) < r.work.Startup {
 		return 0
 	}
 	return float64(r.room.CPU)
@@ -88,7 +104,7 @@
 // NewRunner returns a host that is born now. Its clock runs at drift times the
 // real one.
 func NewRunner(info pool.Host, drift float64, judge *Judge, work func(name tasks.Name, run int) Work) *Runner {
-	r := &Runner{info: info, drift: drift, judge: judge, work: work}
+	r := &Runner{info: info, drift: drift, judge: judge, work: work, stopTime: hostStop}
 	r.birth()
 	return r
 }
@@ -132,6 +148,13 @@
 	r.lateOrders, r.lateBy = orders, by
 }
 
+// SlowStops sets how long runs take to stop.
+func (r *Runner) SlowStops(length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopTime = length
+}
+
 // Crash ends everything on the host; it refuses connections until Restart. Its
 // entry stays what it was.
 func (r *Runner) Crash() {
@@ -248,10 +271,11 @@
 
 func (r *Runner) begin(order lease.Start, room tasks.Room) {
 	work := r.work(order.Name, order.Run)
-	run := &running{name: order.Name, run: order.Run, room: room, saved: order.Saved, atWork: time.Now().Add(work.Startup)}
+	run := &running{name: order.Name, run: order.Run, room: room, saved: order.Saved, begun: time.Now(), work: work}
 	length := work.Time
 	if work.Lasting {
 		length = time.Hour
+		time.AfterFunc(work.Startup, func() { r.serve(run) })
 	}
 	run.timer = time.AfterFunc(length, func() { r.finish(run, work.End) })
 	r.runs[runKey{order.Name, order.Run}] = run
@@ -262,6 +286,15 @@
 	r.judge.started(r.info.ID, order.Name, order.Run, r.info.Room.Fits(used))
 }
 
+// serve notes that a run has begun to serve.
+func (r *Runner) serve(run *running) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs[runKey{run.name, run.run}] == run {
+		r.judge.atWork(run.name)
+	}
+}
+
 // finish ends a run.
 func (r *Runner) finish(run *running, how tasks.How) {
 	r.mu.Lock()
@@ -279,6 +312,9 @@
 	r.numbers++
 	r.ends = append(r.ends, lease.End{Number: r.numbers, Name: run.name, Run: run.run, How: how, Saved: run.saved})
 	r.judge.ended(r.info.ID, run.name, run.run, how)
+	if how == tasks.EndStopped {
+		r.judge.stopped(run.name, run.work.Lasting && run.percent() == wholePercent && !r.info.Draining)
+	}
 	r.changed.Notify()
 }
 
@@ -316,7 +352,7 @@
 	r.token = order.Token
 	r.barred[order.Name] = max(r.barred[order.Name], order.Run)
 	if run := r.runs[runKey{order.Name, order.Run}]; run != nil {
-		time.AfterFunc(hostStop, func() { r.finish(run, tasks.EndStopped) })
+		time.AfterFunc(r.stopTime, func() { r.finish(run, tasks.EndStopped) })
 	}
 	return reply
 }
@@ -369,7 +405,7 @@
 	r.ends = slices.DeleteFunc(r.ends, func(end lease.End) bool { return end.Number <= order.Seen })
 	listing.Ends = slices.Clone(r.ends)
 	for _, run := range r.runs {
-		listing.Runs = append(listing.Runs, lease.Run{Name: run.name, Run: run.run, Saved: run.saved, Percent: 100, Load: run.load()})
+		listing.Runs = append(listing.Runs, lease.Run{Name: run.name, Run: run.run, Saved: run.saved, Percent: run.percent(), Load: run.load()})
 	}
 	return listing, r.changed.Changed()
 }
--- a/lease/order.go
+++ b/lease/order.go
@@ -88,7 +88,7 @@
 	Name  tasks.Name
 	Run   int
 	Saved string
-	// Percent is how far the run is, or at which share it works.
+	// Percent is how far the run is. A serving task is at work once it is 100.
 	Percent int
 	// Load is the tail of a serving task's response times in milliseconds, or the
 	// processor time in use, in thousandths of a core, of any other.
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -236,6 +236,16 @@
 	return nil
 }
 
+// Tasks returns all tasks of the step and round of a task.
+func (j *Job) Tasks(name Name) []Task {
+	for _, round := range j.Rounds {
+		if round.Number == name.Round && name.Step < len(round.Steps) {
+			return round.Steps[name.Step]
+		}
+	}
+	return nil
+}
+
 // Step returns the step of a task.
 func (j *Job) Step(name Name) *Step { return &j.Plan.Steps[name.Step] }
 
