cell, permit, pace: advised queues, and tasks that fill beside those that serve

Cause: a queue with an advisor never ran a task, since no start had a ticket; and nothing kept tasks that fill from holding a serving task over its target.

Change: package permit keeps the advisor's answers of a step (pure: tickets by life of a host, hosts that are barred for good, whom to ask next); the cell asks about a few of the best hosts as soon as a step only waits for tasks under way, and gives each start its ticket. Package pace sets the share of the tasks that fill on a host from the tails beside them: halved near the target, raised by tenths when there is room. The stand-ins grow an advisor, tails and shares. place.Need.Rack and place.Host.Leaving, which nothing set, are gone.

Seen: scenes with tickets of 0.6 s (no start without a good one, 14 questions at most), with an advisor that doesn't answer, with a tail that is over its target for under 4 s, also after a take-over.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -65,6 +65,8 @@
 	Node    string
 	Journal claim.Journal
 	Hosts   lease.Hosts
+	// Advisor may be nil if no queue has one.
+	Advisor Advisor
 	Clock   core.Clock
 	// MaxLease is the longest lease that a host grants.
 	MaxLease time.Duration
@@ -91,6 +93,8 @@
 	shown tasks.Phase
 	// notBefore is when a job whose tasks were refused is tried again.
 	notBefore time.Time
+	// advice is what the advisor has said of the job's steps.
+	advice map[stepKey]*advice
 }
 
 // Cell decides for one service.
@@ -120,6 +124,8 @@
 	stopped bool
 	// arrived is the processor time that jobs have asked for.
 	arrived int64
+	// questions counts the questions to the advisor that are under way.
+	questions int
 
 	writeKick chan struct{}
 	placeKick chan struct{}
--- a/cell/host.go
+++ b/cell/host.go
@@ -6,6 +6,7 @@
 
 	"rattanpath/core"
 	"rattanpath/lease"
+	"rattanpath/pace"
 	"rattanpath/pool"
 	"rattanpath/tasks"
 )
@@ -40,8 +41,17 @@
 	stopping bool
 	// inherited means that an older owner may have started it.
 	inherited bool
-	// percent is how far the run is, as its host last showed.
-	percent int
+	// percent is how far the run is, as its host last showed. firstSeen is when it
+	// was shown first, and rose when the percent last rose.
+	percent   int
+	firstSeen time.Duration
+	rose      time.Duration
+	// tail is the response time of a serving task as its host last showed.
+	tail time.Duration
+	// share is how hard the run works, in percent, and pacing means that an order
+	// to change that is under way.
+	share  int
+	pacing bool
 }
 
 // whole is the percent that a host shows of a serving task that is at work, and
@@ -80,6 +90,9 @@
 	cordonedSince time.Time
 	vacate        bool
 	record        record
+	// share is how hard tasks that fill are to work, in percent, since pacedAt.
+	share   int
+	pacedAt time.Time
 
 	kick    chan struct{}
 	running bool
@@ -89,7 +102,7 @@
 func (c *Cell) host(id string) *host {
 	h := c.hosts[id]
 	if h == nil {
-		h = &host{id: id, runs: make(map[tasks.Name]*run), kick: make(chan struct{}, 1)}
+		h = &host{id: id, runs: make(map[tasks.Name]*run), kick: make(chan struct{}, 1), share: pace.Full}
 		c.hosts[id] = h
 	}
 	return h
@@ -222,6 +235,9 @@
 	}
 	if h.fenced && h.failed == 0 {
 		order.Wait = holdWait
+		if filling, tails := h.sharing(); filling > 0 && len(tails) > 0 {
+			order.Wait = paceEvery
+		}
 	}
 	if h.seen < h.listed {
 		order.Wait = 0
--- a/cell/order.go
+++ b/cell/order.go
@@ -61,12 +61,13 @@
 	}
 	r.sent = true
 	return lease.Start{
-		Name:  r.name,
-		Run:   r.number,
-		Spec:  r.entry.job.Plan.Spec,
-		Saved: task.Saved,
-		Until: h.clock.Until(now, c.leaseLength()),
-		Token: c.token(h),
+		Name:   r.name,
+		Run:    r.number,
+		Spec:   r.entry.job.Plan.Spec,
+		Saved:  task.Saved,
+		Until:  h.clock.Until(now, c.leaseLength()),
+		Token:  c.token(h),
+		Ticket: c.ticket(r.entry, r.name, h, time.Now()),
 	}, h.info, true
 }
 
@@ -105,6 +106,8 @@
 	case lease.RefusedLate:
 		h.clock = lease.Clock{}
 		h.fenced = false
+	case lease.RefusedTicket:
+		r.entry.adviceOf(stepKey{r.name.Round, r.name.Step}).book.Forget(h.permit())
 	case lease.RefusedOther, lease.RefusedBusy, lease.RefusedRoom:
 		h.sickUntil = time.Now().Add(sickTime)
 	}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -1,10 +1,12 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
+	"rattanpath/pace"
 	"rattanpath/place"
 	"rattanpath/tasks"
 )
@@ -47,7 +49,7 @@
 			continue
 		}
 		e.job.Advance(now)
-		if now.Before(e.notBefore) || !hasReady(e.job) {
+		if now.Before(e.notBefore) || e.job.Policy.Advice == nil && !hasReady(e.job) {
 			continue
 		}
 		waiting = append(waiting, e)
@@ -138,25 +140,17 @@
 		}
 		hosts = append(hosts, candidate)
 	}
-	slices.SortFunc(hosts, func(a, b *place.Host) int { return compare(a.ID, b.ID) })
+	slices.SortFunc(hosts, func(a, b *place.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return hosts
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // placeJob gives the waiting tasks of one job to hosts.
 func (c *Cell) placeJob(e *entry, hosts []*place.Host, now time.Time) {
 	for _, round := range e.job.Rounds {
 		for step := range round.Steps {
+			if e.job.Policy.Advice != nil && e.job.Soon(round, step) {
+				c.seekAdvice(e, round, step, hosts, now)
+			}
 			if !e.job.Ready(round, step) {
 				continue
 			}
@@ -177,6 +171,7 @@
 		Avoid:   task.Avoid,
 		Careful: task.Failed+1 >= e.job.Policy.MaxAttempts,
 		Beside:  beside(round, step),
+		Only:    c.permitted(e, stepKey{round.Number, step}, time.Now()),
 	}
 }
 
@@ -283,7 +278,7 @@
 	}
 	e.job.Assign(name, h.id, h.born, now)
 	task := e.job.Task(name)
-	r := &run{entry: e, name: name, number: task.Run, room: step.Occupies()}
+	r := &run{entry: e, name: name, number: task.Run, room: step.Occupies(), share: pace.Full}
 	h.runs[name] = r
 	c.options.Meters.Waited.Update(now.Sub(e.job.Due(name.Round)).Seconds())
 	c.logger.Info("run assigned", "job", name.Job, "round", name.Round, "step", name.Step, "index", name.Index, "run", r.number, "host", h.id, "failed", task.Failed, "suspicion", to.Suspicion)
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -41,6 +41,11 @@
 	// plans are the plans of all jobs by ID.
 	plans sync.Map
 	jobs  int
+	// stuck is the host on which every run stands still.
+	stuck string
+	// policy is that of the queue, and advisor may be nil.
+	policy  tasks.Policy
+	advisor *fake.Advisor
 }
 
 // node is a node that has the cell, or thinks so.
@@ -61,6 +66,7 @@
 		w := &world{
 			t: t, ctx: ctx, store: fake.NewStore(), judge: fake.NewJudge(),
 			runners: make(map[string]*fake.Runner), begun: time.Now(), out: io.Discard,
+			policy: tasks.Policy{Service: testService, MaxAttempts: 3},
 		}
 		w.judge.MayMiss = w.mayMiss
 		w.work = func(tasks.Name, int) fake.Work { return fake.Work{Time: 500 * time.Millisecond} }
@@ -78,11 +84,26 @@
 
 func (w *world) addHost(id string, drift float64) {
 	info := pool.Host{ID: id, Service: testService, Address: id, Labels: []string{"a", "r1-" + id}, Room: tasks.Room{CPU: hostCPU, MemMB: 1 << 16}}
-	runner := fake.NewRunner(info, drift, w.judge, func(name tasks.Name, run int) fake.Work { return w.work(name, run) })
+	runner := fake.NewRunner(info, drift, w.judge, func(name tasks.Name, run int) fake.Work {
+		if id == w.stuck {
+			return fake.Work{Time: 500 * time.Millisecond, Stalls: true}
+		}
+		return w.work(name, run)
+	})
+	runner.SetAdvisor(w.advisor)
 	w.runners[id] = runner
 	go runner.Watch(w.ctx)
 }
 
+// advise gives the queue an advisor.
+func (w *world) advise(advisor *fake.Advisor) {
+	w.advisor = advisor
+	w.policy.Advice = &tasks.Advice{Decision: 10 * time.Millisecond, PerHost: time.Millisecond, Valid: advisor.Valid}
+	for _, runner := range w.runners {
+		runner.SetAdvisor(advisor)
+	}
+}
+
 // room returns what a task occupies.
 func (w *world) room(name tasks.Name) tasks.Room {
 	plan, _ := w.plans.Load(name.Job)
@@ -105,7 +126,7 @@
 	} else {
 		logger = core.NewLogger(w.out, name)
 	}
-	c := w.claimCell(Options{
+	options := Options{
 		Service:    testService,
 		Node:       name,
 		Journal:    w.store.Client(name),
@@ -116,7 +137,11 @@
 		BatchBytes: 1 << 20,
 		Logger:     logger,
 		Meters:     NewMeters(metrics.NewSet()),
-	})
+	}
+	if w.advisor != nil {
+		options.Advisor = w.advisor
+	}
+	c := w.claimCell(options)
 	n.cell = c
 	c.SetHosts(n.hosts.View())
 	ctx, cancel := context.WithCancel(w.ctx)
@@ -165,7 +190,7 @@
 	w.jobs++
 	ctx, cancel := context.WithTimeout(w.ctx, time.Second)
 	defer cancel()
-	return n.cell.Submit(ctx, tasks.Key{Queue: testQueue, ID: id}, plan, tasks.Policy{Service: testService, MaxAttempts: 3})
+	return n.cell.Submit(ctx, tasks.Key{Queue: testQueue, ID: id}, plan, w.policy)
 }
 
 // status asks for a job.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -36,6 +36,8 @@
 	Queues  queue.Reader
 	Pools   pool.Reader
 	Hosts   lease.Hosts
+	// Advisor may be nil.
+	Advisor cell.Advisor
 	Codec   intake.Codec
 	// DecodeOrders and DecodeHost read the records of the operator and of hosts,
 	// which are in these topics.
@@ -98,6 +100,7 @@
 		Node:       settings.Name,
 		Journal:    platform.Journal,
 		Hosts:      platform.Hosts,
+		Advisor:    platform.Advisor,
 		Clock:      platform.Clock,
 		MaxLease:   settings.MaxLease,
 		KeepEnded:  settings.KeepEnded,
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -14,9 +14,11 @@
 	PeerListen   string
 	AdminListen  string
 
-	// Store and Cloud are the addresses of the platform's services.
-	Store string
-	Cloud string
+	// Store, Cloud and Advisor are the addresses of the platform's services. There
+	// may be no advisor.
+	Store   string
+	Cloud   string
+	Advisor string
 
 	// Partitions is how many partitions a topic has.
 	Partitions int
--- a/fake/fleet.go
+++ b/fake/fleet.go
@@ -73,6 +73,15 @@
 	return runner.Stop(ctx, order)
 }
 
+// Pace implements lease.Hosts.
+func (h *Hosts) Pace(ctx context.Context, host *pool.Host, order lease.Pace) (lease.Reply, error) {
+	runner, err := h.runner(ctx, host.ID)
+	if err != nil {
+		return lease.Reply{}, err
+	}
+	return runner.Pace(ctx, order)
+}
+
 // Hold implements lease.Hosts.
 func (h *Hosts) Hold(ctx context.Context, host *pool.Host, order lease.Hold) (lease.Listing, error) {
 	runner, err := h.runner(ctx, host.ID)
--- a/fake/judge.go
+++ b/fake/judge.go
@@ -18,6 +18,8 @@
 	faults []string
 	starts int
 	ends   map[tasks.How]int
+	// refused counts the starts without a good ticket.
+	refused int
 	// away holds the tasks of each step that were stopped and are not at work
 	// again; a Name with the index 0 stands for the step.
 	away map[tasks.Name]map[int]bool
@@ -57,6 +59,19 @@
 	return j.ends[how]
 }
 
+// Ticketless returns how many starts came without a good ticket.
+func (j *Judge) Ticketless() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.refused
+}
+
+func (j *Judge) ticketless() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.refused++
+}
+
 // Active returns how many runs of a task are at work.
 func (j *Judge) Active(name tasks.Name) int {
 	j.mu.Lock()
--- a/fake/runner.go
+++ b/fake/runner.go
@@ -30,6 +30,12 @@
 	Lasting bool
 	// Startup is the time in which the run isn't at work yet.
 	Startup time.Duration
+	// Stalls means that the run stands still halfway.
+	Stalls bool
+	// Fills is how much the run disturbs those that serve, and Tail returns the
+	// response time of a run that serves beside so much disturbance.
+	Fills float64
+	Tail  func(disturbance float64) time.Duration
 }
 
 // Runner is a stand-in for an upstream host that runs tasks under a lease.
@@ -60,6 +66,7 @@
 	lateOrders int
 	lateBy     time.Duration
 	stopTime   time.Duration
+	advisor    *Advisor
 }
 
 // runKey names a run: a higher run of a task may begin while a lower one stops.
@@ -76,11 +83,16 @@
 	saved string
 	begun time.Time
 	work  Work
+	// share is how hard the run works, in percent.
+	share int
 }
 
 // percent returns how far the run is: a serving one through its startup.
 func (r *running) percent() int {
 	length := r.work.Time
+	if r.work.Stalls {
+		return min(wholePercent/2, int(wholePercent*time.Since(r.begun)/length))
+	}
 	if r.work.Lasting {
 		length = r.work.Startup
 	}
@@ -93,12 +105,45 @@
 // wholePercent is what a host shows of a run that is done or at work.
 const wholePercent = 100
 
-// load returns the processor time that the run uses.
-func (r *running) load() float64 {
-	if time.Since(r.begun) < r.work.Startup {
+// load returns what a host shows of a run's load: the tail of its response times
+// in milliseconds if it serves, or else the processor time that it uses.
+func (r *Runner) load(run *running) float64 {
+	switch {
+	case time.Since(run.begun) < run.work.Startup:
 		return 0
+	case run.work.Tail != nil:
+		return float64(run.work.Tail(r.disturbance()).Milliseconds())
+	default:
+		return float64(run.room.CPU)
 	}
-	return float64(r.room.CPU)
+}
+
+// disturbance is what the runs that fill add up to.
+func (r *Runner) disturbance() float64 {
+	sum := 0.0
+	for _, run := range r.runs {
+		sum += run.work.Fills * float64(run.share) / wholePercent
+	}
+	return sum
+}
+
+// Tail returns the response time of a task that serves on the host, or 0.
+func (r *Runner) Tail(name tasks.Name) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, run := range r.runs {
+		if key.name == name && run.work.Tail != nil {
+			return run.work.Tail(r.disturbance())
+		}
+	}
+	return 0
+}
+
+// SetAdvisor makes starts need a ticket of an advisor.
+func (r *Runner) SetAdvisor(advisor *Advisor) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advisor = advisor
 }
 
 // NewRunner returns a host that is born now. Its clock runs at drift times the
@@ -260,6 +305,9 @@
 		reply.Reason = lease.RefusedOld
 	case order.Until <= r.clock():
 		reply.Reason = lease.RefusedLate
+	case r.advisor != nil && !r.advisor.holds(order.Ticket, order.Name, r.info.ID):
+		reply.Reason = lease.RefusedTicket
+		r.judge.ticketless()
 	default:
 		r.begin(order, room)
 	}
@@ -271,8 +319,11 @@
 
 func (r *Runner) begin(order lease.Start, room tasks.Room) {
 	work := r.work(order.Name, order.Run)
-	run := &running{name: order.Name, run: order.Run, room: room, saved: order.Saved, begun: time.Now(), work: work}
+	run := &running{name: order.Name, run: order.Run, room: room, saved: order.Saved, begun: time.Now(), work: work, share: wholePercent}
 	length := work.Time
+	if work.Stalls {
+		length = time.Hour
+	}
 	if work.Lasting {
 		length = time.Hour
 		time.AfterFunc(work.Startup, func() { r.serve(run) })
@@ -357,6 +408,25 @@
 	return reply
 }
 
+// Pace tells the host how hard a run is to work.
+func (r *Runner) Pace(ctx context.Context, order lease.Pace) (lease.Reply, error) {
+	if err := r.reach(ctx); err != nil {
+		return lease.Reply{}, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := lease.Reply{Clock: r.clock()}
+	if order.Token < r.token {
+		reply.Reason = lease.RefusedFence
+		return reply, nil
+	}
+	r.token = order.Token
+	if run := r.runs[runKey{order.Name, order.Run}]; run != nil {
+		run.share = order.Share
+	}
+	return reply, nil
+}
+
 // Hold extends the lease and lists runs and ends.
 func (r *Runner) Hold(ctx context.Context, order lease.Hold) (lease.Listing, error) {
 	if err := r.reach(ctx); err != nil {
@@ -405,7 +475,7 @@
 	r.ends = slices.DeleteFunc(r.ends, func(end lease.End) bool { return end.Number <= order.Seen })
 	listing.Ends = slices.Clone(r.ends)
 	for _, run := range r.runs {
-		listing.Runs = append(listing.Runs, lease.Run{Name: run.name, Run: run.run, Saved: run.saved, Percent: run.percent(), Load: run.load()})
+		listing.Runs = append(listing.Runs, lease.Run{Name: run.name, Run: run.run, Saved: run.saved, Percent: run.percent(), Load: r.load(run)})
 	}
 	return listing, r.changed.Changed()
 }
--- a/lease/order.go
+++ b/lease/order.go
@@ -31,6 +31,15 @@
 	Token int64
 }
 
+// Pace tells a host how hard a run is to work.
+type Pace struct {
+	Name tasks.Name
+	Run  int
+	// Share is in percent of the run's full speed.
+	Share int
+	Token int64
+}
+
 // Hold extends a host's lease and asks for its runs and ends.
 type Hold struct {
 	// Until is when the lease ends, on the host's clock; 0 leaves it.
@@ -122,5 +131,6 @@
 type Hosts interface {
 	Start(ctx context.Context, host *pool.Host, order Start) (Reply, error)
 	Stop(ctx context.Context, host *pool.Host, order Stop) (Reply, error)
+	Pace(ctx context.Context, host *pool.Host, order Pace) (Reply, error)
 	Hold(ctx context.Context, host *pool.Host, order Hold) (Listing, error)
 }
--- a/place/pick.go
+++ b/place/pick.go
@@ -21,8 +21,6 @@
 	// Serving counts the serving tasks there, and Filling those that fill.
 	Serving int
 	Filling int
-	// Leaving means that the host is due for upkeep soon.
-	Leaving bool
 }
 
 // Need is what a task needs of its host.
@@ -34,8 +32,8 @@
 	Careful bool
 	// Beside counts the tasks of the same step and round on each host.
 	Beside map[string]int
-	// Rack is the rack of the other members of a gang that is slow when spread.
-	Rack string
+	// Only are the hosts that an advisor allows; nil is all.
+	Only map[string]bool
 }
 
 // Costs order the hosts on which a task fits; a higher one outweighs all lower
@@ -44,7 +42,6 @@
 	costFar       = 1000.0
 	costAvoid     = 400.0
 	costSuspicion = 100.0
-	costLeaving   = 30.0
 	costBeside    = 8.0
 	costShared    = 20.0
 )
@@ -57,6 +54,8 @@
 		return false
 	case step.Label != "" && !slices.Contains(host.Labels, step.Label):
 		return false
+	case need.Only != nil && !need.Only[host.ID]:
+		return false
 	case step.MaxPerHost > 0 && need.Beside[host.ID] >= step.MaxPerHost:
 		return false
 	}
@@ -70,9 +69,6 @@
 	if step.DataRack != "" && host.Rack != step.DataRack {
 		cost += costFar
 	}
-	if step.RackBound && need.Rack != "" && host.Rack != need.Rack {
-		cost += costFar
-	}
 	if need.Avoid == host.ID {
 		cost += costAvoid
 	}
@@ -81,9 +77,6 @@
 		weight *= 2
 	}
 	cost += weight * float64(host.Suspicion)
-	if host.Leaving {
-		cost += costLeaving
-	}
 	if step.Lasting {
 		cost += costBeside * float64(need.Beside[host.ID])
 	}
--- a/place/pick_test.go
+++ b/place/pick_test.go
@@ -22,7 +22,8 @@
 		fits := occupies.CPU <= free.CPU && occupies.MemMB <= free.MemMB && occupies.GPU <= free.GPU
 		labelled := need.Step.Label == "" || slices.Contains(host.Labels, need.Step.Label)
 		apart := need.Step.MaxPerHost == 0 || need.Beside[host.ID] < need.Step.MaxPerHost
-		if fits && labelled && apart {
+		permitted := need.Only == nil || need.Only[host.ID]
+		if fits && labelled && apart && permitted {
 			allowed = append(allowed, host)
 		}
 	}
@@ -54,7 +55,6 @@
 			Suspicion: rapid.IntRange(0, 2).Draw(t, "suspicion"),
 			Serving:   rapid.IntRange(0, 2).Draw(t, "serving"),
 			Filling:   rapid.IntRange(0, 2).Draw(t, "filling"),
-			Leaving:   rapid.Bool().Draw(t, "leaving"),
 		})
 	}
 	return hosts
@@ -73,6 +73,9 @@
 			Fills:      rapid.Bool().Draw(t, "fills"),
 		}
 		need := Need{Step: step, Avoid: "h0", Beside: map[string]int{"h1": 1}, Careful: rapid.Bool().Draw(t, "careful")}
+		if rapid.Bool().Draw(t, "advised") {
+			need.Only = map[string]bool{"h1": true, "h3": true}
+		}
 		if got, want := Pick(need, hosts), naivePick(need, hosts); got != want {
 			t.Fatalf("got %+v, want %+v", got, want)
 		}
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -105,8 +105,17 @@
 	// of tasks, and Target more.
 	Stretch float64
 	Target  time.Duration
-	// Advised means that only the advisor knows which hosts may run a step.
-	Advised bool `json:",omitempty"`
+	// Advice is set if only the advisor knows which hosts may run a step.
+	Advice *Advice `json:",omitempty"`
+}
+
+// Advice says how a queue's advisor answers.
+type Advice struct {
+	// Decision is the time of an answer, and PerHost what each host adds to it.
+	Decision time.Duration
+	PerHost  time.Duration
+	// Valid is how long a ticket holds.
+	Valid time.Duration
 }
 
 // Phase says how far a job is.
@@ -261,6 +270,19 @@
 	return true
 }
 
+// Soon reports whether a step is ready, or only waits for tasks that are under
+// way.
+func (j *Job) Soon(round *Round, step int) bool {
+	for _, before := range j.Plan.Steps[step].After {
+		for i := range round.Steps[before] {
+			if round.Steps[before][i].State == Waiting {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // EachActive calls visit for each task with a run that may be at work.
 func (j *Job) EachActive(visit func(Name, *Task)) {
 	for _, round := range j.Rounds {
