cell: runs that stand still are begun anew elsewhere

Change: hosts show how far a run is. One that stands still for 1.5 s, and for eight times as long as each hundredth has taken so far, is stopped and begun anew, and counts against its host for a while like a failure. Gangs and tasks that fill are left out: they wait for others.

The scene and the table of what counts as standing still failed before (no such code).

--- a/cell/judge.go
+++ b/cell/judge.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"rattanpath/tasks"
@@ -19,12 +20,14 @@
 	failures []time.Time
 	// failedJob is the last job that failed there.
 	failedJob string
+	// stalls are when runs stood still there.
+	stalls []time.Time
 }
 
 // suspicion returns how many failures count against the host.
 func (r *record) suspicion(now time.Time) int {
 	count := 0
-	for _, at := range r.failures {
+	for _, at := range slices.Concat(r.failures, r.stalls) {
 		if now.Sub(at) < suspectTime {
 			count++
 		}
--- a/cell/list.go
+++ b/cell/list.go
@@ -29,6 +29,7 @@
 	h.clock.Learn(listing.Clock, now)
 	noted := c.takeEnds(h, listing.Ends)
 	c.takeRuns(h, listing.Runs, sent)
+	c.stopStalled(h, sent)
 	c.paceHost(h, time.Now())
 	// A new life must see the higher token before it is believed.
 	if !h.fenced && h.lives == lives {
@@ -127,7 +128,7 @@
 			c.stopUnknown(h, l)
 			continue
 		}
-		r.percent = l.Percent
+		r.noteProgress(l.Percent, sent)
 		r.tail = time.Duration(l.Load * float64(time.Millisecond))
 		r.doubt = 0
 		if r.answered == 0 {
--- a/cell/share_test.go
+++ b/cell/share_test.go
@@ -101,3 +101,46 @@
 		}
 	})
 }
+
+// TestStalledRunsMove lets every run on one host stand still: the tasks are done
+// elsewhere, and the host gets no more of them while others have room.
+func TestStalledRunsMove(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.stuck = "h0"
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		for _, id := range []string{"one", "two"} {
+			if err := w.submit(n, id, simple(12, 1000)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(5 * time.Second)
+			w.wantPhase(n, id, tasks.Completed)
+		}
+		if got := w.judge.Ends(tasks.EndStopped); got == 0 || got > 8 {
+			t.Errorf("got %d runs stopped, want some of the first job, and at most the 8 that the host has room for", got)
+		}
+	})
+}
+
+// TestStalls checks when a run counts as standing still.
+func TestStalls(t *testing.T) {
+	tests := []struct {
+		name string
+		run  progress
+		want bool
+	}{
+		{"moves", progress{percent: 40, worked: 400 * time.Millisecond, still: 200 * time.Millisecond, estimate: time.Second}, false},
+		{"short and still", progress{percent: 40, worked: 400 * time.Millisecond, still: 1600 * time.Millisecond, estimate: time.Second}, true},
+		{"long: a hundredth takes a second", progress{percent: 10, worked: 10 * time.Second, still: 5 * time.Second, estimate: time.Second}, false},
+		{"long and still", progress{percent: 10, worked: 10 * time.Second, still: 9 * time.Second, estimate: time.Second}, true},
+		{"guessed long, nothing shown yet", progress{still: 5 * time.Second, estimate: 100 * time.Second}, false},
+		{"at work", progress{percent: 100, still: time.Hour, estimate: time.Second}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.run.stalls(); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
