cell: a retired host that is still there is used again

Cause: the cloud accepts an upkeep that a machine has had before; the depot then retires the host's life, which goes on, and the cell never used it again.

Change: a retired life counts as over for 6 s, longer than the entry of one that has gone stays in the pool, and must answer again before it gets runs. The scene failed before.

--- a/cell/host.go
+++ b/cell/host.go
@@ -73,8 +73,10 @@
 	// born is the life that has answered, and lives counts those of this epoch.
 	born  int64
 	lives int64
-	// retired is the life of the host that the depot has ended; 0 is none.
-	retired int64
+	// retired is the life of the host that the depot has ended, and retiredAt when;
+	// 0 is none.
+	retired   int64
+	retiredAt time.Time
 	// sure means that the present life has answered since the host was idle or
 	// silent. Before, a count of ends may be of an older life.
 	sure bool
@@ -121,8 +123,15 @@
 	}
 }
 
+// retireTime is how long a life that the depot has ended counts as over. A host
+// that is listed still, and answers, has not gone: the machine had had its
+// upkeep before.
+const retireTime = 6 * time.Second
+
 // isRetired reports whether the depot has ended the host's present life.
-func (h *host) isRetired() bool { return h.retired != 0 && h.retired == h.life() }
+func (h *host) isRetired() bool {
+	return h.retired != 0 && h.retired == h.life() && time.Since(h.retiredAt) < retireTime
+}
 
 // usable reports whether the host can be given runs.
 func (h *host) usable() bool {
--- a/cell/scene_test.go
+++ b/cell/scene_test.go
@@ -109,6 +109,25 @@
 	})
 }
 
+// TestHostThatStaysIsUsedAgain retires a host whose machine goes nowhere, since it
+// has had its upkeep before: it gets runs again.
+func TestHostThatStaysIsUsedAgain(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := n.cell.Retire([]string{"h0"}); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.submit(n, "job", simple(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * time.Second)
+		w.wantPhase(n, "job", tasks.Open)
+		time.Sleep(5 * time.Second)
+		w.wantPhase(n, "job", tasks.Completed)
+	})
+}
+
 // TestServingTasksAreSparedOneAtATime vacates all hosts of a step: a task is
 // stopped only when the one before is at work again.
 func TestServingTasksAreSparedOneAtATime(t *testing.T) {
--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -145,7 +145,8 @@
 		if h == nil {
 			continue
 		}
-		h.retired = h.life()
+		h.retired, h.retiredAt = h.life(), time.Now()
+		h.fenced = false
 		c.logger.Info("host retired", "host", id, "runs", len(h.runs))
 		c.loseRuns(h, "the machine was taken out of the pool")
 	}
