depot, shift, cell: machines follow demand and its growth, and rest in standby

Changes: a pool wants what its tasks use and wait for, and the growth of that over the time of a move; new work counts by how long tasks of the queue take; memory counts; what a pool hasn't wanted for 2 s goes to standby. Orders are recorded ahead (which machines, and where the holder answers), so that the next holder leaves just these alone; it asks the last one to resign, which waits for the orders under way and tells their ages.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -122,8 +122,12 @@
 	// failing is since when writes fail; zero if they don't.
 	failing time.Time
 	stopped bool
-	// arrived is the processor time that jobs have asked for.
+	// arrived is the processor time that jobs have asked for, by how long tasks of
+	// their queue take.
 	arrived int64
+	// lengths are how long tasks of each queue have taken of late; none for a queue
+	// of which none has ended. Callers' guesses are too rough to count on.
+	lengths map[string]time.Duration
 	// questions counts the questions to the advisor that are under way.
 	questions int
 
@@ -150,6 +154,7 @@
 		byID:      make(map[string]*entry),
 		open:      make(map[*entry]bool),
 		hosts:     make(map[string]*host),
+		lengths:   make(map[string]time.Duration),
 		writeKick: make(chan struct{}, 1),
 		placeKick: make(chan struct{}, 1),
 		releasing: make(chan struct{}),
--- a/cell/claim.go
+++ b/cell/claim.go
@@ -127,7 +127,7 @@
 			h := c.host(task.Host)
 			h.runs[name] = &run{
 				entry: e, name: name, number: task.Run,
-				room: e.job.Step(name).Occupies(), inherited: true, share: unknownShare,
+				room: e.job.Step(name).Occupies(), inherited: true, adopted: true, share: unknownShare,
 			}
 		})
 	}
--- a/cell/host.go
+++ b/cell/host.go
@@ -41,6 +41,8 @@
 	stopping bool
 	// inherited means that an older owner may have started it.
 	inherited bool
+	// adopted means that an older owner has started it.
+	adopted bool
 	// percent is how far the run is, as its host last showed. firstSeen is when it
 	// was shown first, and rose when the percent last rose.
 	percent   int
--- a/cell/judge.go
+++ b/cell/judge.go
@@ -35,12 +35,32 @@
 	return count
 }
 
+// lengthWeight is the weight of a run in the mean of its queue.
+const lengthWeight = 0.05
+
+// noteLength takes in how long a run took that this owner has started.
+func (c *Cell) noteLength(r *run) {
+	if r.adopted || r.answered == 0 {
+		return
+	}
+	length := c.options.Clock() - r.answered
+	queue := r.entry.job.Key.Queue
+	if mean := c.lengths[queue]; mean != 0 {
+		length = mean + time.Duration(lengthWeight*float64(length-mean))
+	}
+	c.lengths[queue] = length
+}
+
 // judge takes the end of a run into the record of its host.
 func (c *Cell) judge(h *host, r *run, how tasks.How) {
+	if r.entry == nil {
+		return
+	}
 	now := time.Now()
 	switch {
 	case how == tasks.EndDone:
 		h.record = record{}
+		c.noteLength(r)
 	case how == tasks.EndFailed && h.record.failedJob != r.name.Job:
 		h.record.failedJob = r.name.Job
 		h.record.failures = append(h.record.failures, now)
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -28,7 +28,7 @@
 		}
 		e = &entry{job: tasks.NewJob(key, plan, policy, time.Now())}
 		c.add(e)
-		c.arrived += e.job.Work()
+		c.arrived += e.job.Work(c.lengths[key.Queue])
 		c.logger.Info("job taken in", "job", key.ID, "queue", key.Queue, "steps", len(plan.Steps), "open", len(c.open), "epoch", c.epoch)
 		e.job.Advance(time.Now())
 	} else if e.kept {
--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -35,12 +35,14 @@
 type Report struct {
 	Service string
 	Hosts   []HostReport
+	// Serving is the room that serving tasks take.
+	Serving tasks.Room
 	// Waiting is the room that ready tasks wait for, and Widest the largest room
 	// of one of them.
 	Waiting tasks.Room
 	Widest  tasks.Room
 	// Arrived is the processor time that jobs have asked for since the cell was
-	// claimed, in thousandths of a core and milliseconds, by their estimates.
+	// claimed, in thousandths of a core and milliseconds.
 	Arrived int64
 	// Apart is the largest number of hosts that a step must be spread over.
 	Apart int
@@ -59,6 +61,7 @@
 	for _, h := range c.hosts {
 		if h.info != nil && !h.isRetired() {
 			report.Hosts = append(report.Hosts, c.reportHost(h, now))
+			report.Serving = report.Serving.Add(h.serving())
 		}
 	}
 	for e := range c.open {
@@ -84,6 +87,17 @@
 	return report
 }
 
+// serving returns the room that serving tasks take on a host.
+func (h *host) serving() tasks.Room {
+	var sum tasks.Room
+	for _, r := range h.runs {
+		if r.entry != nil && r.entry.job.Step(r.name).Lasting {
+			sum = sum.Add(r.room)
+		}
+	}
+	return sum
+}
+
 // reportWaiting adds the room that a job's ready tasks wait for.
 func reportWaiting(job *tasks.Job, report *Report) {
 	for _, round := range job.Rounds {
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -48,6 +49,13 @@
 	Retire(ctx context.Context, service string, hosts []string) error
 }
 
+// Holders asks other nodes that had the depot.
+type Holders interface {
+	// Resign makes the node at an address give no more orders as a holder before an
+	// epoch. It returns how long ago each machine was last ordered.
+	Resign(ctx context.Context, address string, epoch int64) (map[string]time.Duration, error)
+}
+
 // Tables returns what the operator has written.
 type Tables interface {
 	Table() *queue.Table
@@ -56,9 +64,12 @@
 
 // Options say what a depot works with.
 type Options struct {
-	Node    string
+	Node string
+	// Address is where this node answers others.
+	Address string
 	Cloud   Cloud
 	Cells   Cells
+	Holders Holders
 	Tables  Tables
 	Journal claim.Journal
 	Clock   core.Clock
@@ -81,6 +92,17 @@
 	options Options
 	logger  logr.Logger
 	term    *term
+
+	mu sync.Mutex
+	// holding is the last epoch in which this node had the depot, and resigned
+	// means that a newer holder has made it resign.
+	holding  int64
+	resigned bool
+	// underWay counts the orders that are being sent; ended tells that one no longer
+	// is. Ordered is when each machine was ordered at the latest.
+	underWay int
+	ended    core.Signal
+	ordered  map[string]time.Duration
 }
 
 // New returns a depot.
@@ -95,24 +117,23 @@
 	writer    *claim.Writer
 	status    *claim.Writer
 	confirmed time.Duration
-	// quietUntil is until when another holder's orders may be under way.
-	quietUntil time.Duration
-	waves      map[int64]*wave
-	machines   []Machine
-	listedAt   time.Duration
-	reports    map[string]*pool
-	busy       map[string]*errand
+	// intents are the machines that were lately ordered. With quietAll, it isn't
+	// known until then which an older holder had meant to order.
+	intents  intents
+	quietAll time.Duration
+	waves    map[int64]*wave
+	machines []Machine
+	listedAt time.Duration
+	reports  map[string]*pool
+	busy     map[string]*errand
 }
 
 // errand is an order that a machine carries out.
 type errand struct {
 	kind  errandKind
 	since time.Duration
-	// to is the pool that a machine moves to, and wave the wave of an upkeep.
-	to   string
-	wave int64
-	// doubtful means that the order was not answered.
-	doubtful bool
+	// to is the pool that a machine moves to.
+	to string
 }
 
 type errandKind int
@@ -169,31 +190,39 @@
 		writer:    taken.NewWriter(d.options.Journal, topic, d.options.Clock),
 		status:    taken.NewSideWriter(d.options.Journal, d.options.StatusTopic, d.options.Clock),
 		confirmed: now,
+		intents:   intents{Machines: make(map[string]*intent)},
 		waves:     make(map[int64]*wave),
 		reports:   make(map[string]*pool),
 		busy:      make(map[string]*errand),
 	}
-	t.quietUntil = now + t.quietTime()
+	d.hold(taken.Epoch)
 	t.load(taken.Records)
+	t.inherit(ctx)
 	d.term = t
-	d.logger.Info("depot claimed", "epoch", taken.Epoch, "before", taken.Before, "released", taken.Released, "quiet", t.quietUntil-now)
+	d.logger.Info("depot claimed", "epoch", taken.Epoch, "before", taken.Before, "released", taken.Released, "intents", len(t.intents.Machines), "took", d.options.Clock()-now)
 }
 
-// quietTime is how long a new holder waits for an older one's orders.
-func (t *term) quietTime() time.Duration {
-	switch {
-	case t.claim.Before == "":
-		return 0
-	case t.claim.Released:
-		return t.options.HolderLease
-	default:
-		return validTime + orderTime + t.options.HolderLease
-	}
+// hold notes that this node has the depot in an epoch.
+func (d *Depot) hold(epoch int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holding, d.resigned = epoch, false
+	d.ordered = make(map[string]time.Duration)
+}
+
+// lose notes that another node has the depot.
+func (t *term) lose(why string) {
+	t.logger.Info("depot lost", "epoch", t.claim.Epoch, "why", why)
+	t.Depot.term = nil
 }
 
 // load reads the records of an older holder.
 func (t *term) load(records []store.Record) {
 	for _, record := range records {
+		if record.Key == intentKey {
+			t.loadIntents(record.Value)
+			continue
+		}
 		suffix, isWave := strings.CutPrefix(record.Key, waveKey)
 		number, err := strconv.ParseInt(suffix, 10, 64)
 		if !isWave || err != nil {
@@ -222,14 +251,12 @@
 	if !t.mayOrder() {
 		return
 	}
-	t.runWaves(ctx)
-	t.runMoves(ctx, table)
+	t.give(ctx, append(t.runWaves(ctx), t.runMoves(table)...))
 }
 
 // mayOrder reports whether no other holder can be giving orders.
 func (t *term) mayOrder() bool {
-	now := t.options.Clock()
-	return now >= t.quietUntil && now-t.confirmed < validTime
+	return !t.hasResigned() && t.options.Clock()-t.confirmed < validTime
 }
 
 // confirm makes sure now and then that no other node has the depot.
@@ -250,8 +277,7 @@
 		t.confirmed = sent
 		return true
 	case claim.Lost(err):
-		t.logger.Info("depot lost", "epoch", t.claim.Epoch, "why", err.Error())
-		t.Depot.term = nil
+		t.lose(err.Error())
 	default:
 		t.logger.Info("the depot can't write", "err", err.Error())
 	}
@@ -273,48 +299,3 @@
 	t.machines, t.listedAt = machines, now
 	return true
 }
-
-// pool is what is known of a pool.
-type pool struct {
-	report cell.Report
-	hosts  map[string]cell.HostReport
-	at     time.Duration
-	// asked is the processor time that new jobs ask for each second, in thousandths
-	// of a core.
-	asked   float64
-	arrived int64
-	epoch   int64
-}
-
-// ask reads the reports of all cells.
-func (t *term) ask(ctx context.Context, table *queue.Table) {
-	for _, service := range table.Services {
-		if service.Standby {
-			continue
-		}
-		askCtx, cancel := context.WithTimeout(ctx, askTime)
-		report, err := t.options.Cells.Report(askCtx, service.Name)
-		cancel()
-		if err != nil {
-			delete(t.reports, service.Name)
-			continue
-		}
-		t.note(service.Name, report)
-	}
-}
-
-// askedWeight is the weight of a new rate in the mean.
-const askedWeight = 0.5
-
-func (t *term) note(service string, report cell.Report) {
-	now := t.options.Clock()
-	p := &pool{report: report, hosts: make(map[string]cell.HostReport), at: now, arrived: report.Arrived, epoch: report.Epoch}
-	for _, h := range report.Hosts {
-		p.hosts[h.ID] = h
-	}
-	if before := t.reports[service]; before != nil && before.epoch == report.Epoch && now > before.at {
-		rate := float64(report.Arrived-before.arrived) / float64((now - before.at).Milliseconds())
-		p.asked = before.asked + askedWeight*(rate-before.asked)
-	}
-	t.reports[service] = p
-}
--- a/depot/moves.go
+++ b/depot/moves.go
@@ -1,43 +1,29 @@
 package depot
 
 import (
-	"context"
-
 	"rattanpath/queue"
 	"rattanpath/shift"
 )
 
-// runMoves brings machines to the pools that miss some.
-func (t *term) runMoves(ctx context.Context, table *queue.Table) {
+const (
+	// maxMoves bounds the moves of one round.
+	maxMoves = 24
+	// spareHosts is the number of hosts that a pool keeps beyond those that its
+	// steps must be spread over.
+	spareHosts = 1
+	// leastHosts is the number of hosts that a pool always keeps.
+	leastHosts = 2
+)
+
+// runMoves returns the moves that bring machines to the pools that miss some, and
+// away from those that have too many.
+func (t *term) runMoves(table *queue.Table) []plan {
 	pools, machines := t.viewPools(table)
+	var plans []plan
 	for _, move := range shift.Plan(pools, maxMoves) {
-		m := machines[move.Machine]
-		if !t.isEmpty(ctx, m) {
-			continue
-		}
-		if !t.mayOrder() {
-			return
-		}
-		t.orderMove(ctx, move, m)
-	}
-}
-
-func (t *term) orderMove(ctx context.Context, move shift.Move, m Machine) {
-	e := &errand{kind: errandMove, since: t.options.Clock(), to: move.To}
-	orderCtx, cancel := context.WithTimeout(ctx, orderTime)
-	defer cancel()
-	verdict, err := t.options.Cloud.Move(orderCtx, t.order(move.Machine), move.To)
-	t.logOrder("move", move.Machine, 0, move.To, verdict, err)
-	switch {
-	case err != nil:
-		e.doubtful = true
-		t.busy[move.Machine] = e
-	case verdict == Accepted:
-		t.busy[move.Machine] = e
-		t.retire(ctx, m)
-	default:
-		t.refused(verdict)
+		plans = append(plans, plan{kind: errandMove, machine: machines[move.Machine], to: move.To})
 	}
+	return plans
 }
 
 // viewPools returns what the moves depend on, and the machines by name.
@@ -47,12 +33,12 @@
 	for _, service := range table.Services {
 		view := &shift.Pool{Name: service.Name, Standby: service.Standby}
 		if p := t.reports[service.Name]; p != nil {
-			view.Waiting = p.report.Waiting.CPU
+			view.Serving = p.report.Serving
+			view.Waiting = p.report.Waiting
 			view.Asked = int64(p.asked)
+			view.Soon = int64(p.soon())
 			view.Least = max(leastHosts, p.report.Apart+spareHosts)
-			for _, h := range p.report.Hosts {
-				view.Used += h.Used.CPU
-			}
+			view.Used = p.used()
 		} else if !service.Standby {
 			// Nothing is known of the pool: it keeps what it has.
 			view.Least = len(t.machines)
@@ -63,10 +49,16 @@
 		machines[m.Name] = m
 		t.viewMachine(m, views)
 	}
+	now := t.options.Clock()
+	size := shift.HostSize(views)
 	var pools []shift.Pool
 	for _, service := range table.Services {
-		if t.reports[service.Name] != nil || service.Standby {
-			pools = append(pools, *views[service.Name])
+		view := views[service.Name]
+		if p := t.reports[service.Name]; p != nil {
+			view.Keep = p.keeps(now, shift.Wants(*view, size))
+			pools = append(pools, *view)
+		} else if service.Standby {
+			pools = append(pools, *view)
 		}
 	}
 	return pools, machines
@@ -91,7 +83,7 @@
 		view.Coming++
 		return
 	}
-	host := shift.Host{Machine: m.Name, CPU: m.Room.CPU}
+	host := shift.Host{Machine: m.Name, Room: m.Room, Due: t.isDue(m.Name)}
 	p := t.reports[m.Pool]
 	switch {
 	case view.Standby:
@@ -103,7 +95,11 @@
 		return
 	default:
 		h := p.hosts[m.Host]
-		host.Idle = h.Runs == 0 && h.Usable && !h.Cordoned
+		if !h.Usable && h.Runs == 0 {
+			// It doesn't answer, or is leaving.
+			return
+		}
+		host.Idle = h.Runs == 0 && !h.Cordoned
 	}
 	view.Hosts = append(view.Hosts, host)
 }
--- a/depot/round.go
+++ b/depot/round.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"rattanpath/cell"
 	"rattanpath/store"
 )
 
@@ -12,13 +12,6 @@
 	// errandSlack is the time beyond an errand's own after which the list of
 	// machines is believed again.
 	errandSlack = time.Second
-	// maxMoves bounds the moves of one round.
-	maxMoves = 16
-	// spareHosts is the number of hosts that a pool keeps beyond those that its
-	// steps must be spread over.
-	spareHosts = 1
-	// leastHosts is the number of hosts that a pool always keeps.
-	leastHosts = 2
 )
 
 // settleErrands forgets the errands that are over.
@@ -29,14 +22,15 @@
 		if e.kind == errandUpkeep {
 			length = t.options.UpkeepTime
 		}
-		if now-e.since > length+errandSlack && t.listedAt > e.since {
+		if now-e.since > length+errandSlack && t.listedAt > e.since && !t.isQuiet(name) {
 			delete(t.busy, name)
 		}
 	}
 }
 
-// runWaves takes every wave a step further.
-func (t *term) runWaves(ctx context.Context) {
+// runWaves takes every wave a step further and returns the upkeep that can begin.
+func (t *term) runWaves(ctx context.Context) []plan {
+	var plans []plan
 	for number, asked := range t.options.Tables.Waves() {
 		w := t.waves[number]
 		if w == nil {
@@ -44,20 +38,23 @@
 			t.waves[number] = w
 		}
 		w.Wave = asked
-		t.runWave(ctx, w)
+		plans = append(plans, t.runWave(ctx, w)...)
 	}
+	return plans
 }
 
-func (t *term) runWave(ctx context.Context, w *wave) {
+func (t *term) runWave(ctx context.Context, w *wave) []plan {
 	if w.reported == 0 && !w.Completed {
 		t.reportWave(ctx, w, false)
 	}
+	var plans []plan
 	if !w.Completed {
-		t.stepWave(ctx, w)
+		plans = t.stepWave(ctx, w)
 	}
 	if w.Completed && w.reported < 2 {
 		t.reportWave(ctx, w, true)
 	}
+	return plans
 }
 
 // reportWave reports the state of a wave to the operator.
@@ -79,31 +76,23 @@
 	}
 }
 
-// stepWave moves runs away from the next machines of a wave and orders the
+// stepWave moves runs away from the next machines of a wave and returns the
 // upkeep of those that are empty.
-func (t *term) stepWave(ctx context.Context, w *wave) {
+func (t *term) stepWave(ctx context.Context, w *wave) []plan {
 	view, places := t.viewWave(w)
 	if len(view.Left) == 0 {
 		w.Completed = true
 		t.keepWave(ctx, w)
 		t.logger.Info("wave completed", "wave", w.Number, "machines", len(w.Machines), "took", time.Since(w.Seen).Round(time.Millisecond))
-		return
+		return nil
 	}
-	empty := t.vacate(ctx, NextOfWave(view), places)
-	begun := 0
-	for _, name := range empty {
-		if view.Down+begun >= w.Cap || !t.mayOrder() {
-			break
-		}
-		// Asked again just before the order: the owner of the pool may have changed,
-		// and the new one doesn't know of the cordon.
-		if t.isEmpty(ctx, places[name]) && t.orderUpkeep(ctx, w, places[name]) {
-			begun++
+	var plans []plan
+	for _, name := range t.vacate(ctx, NextOfWave(view), places) {
+		if view.Down+len(plans) < w.Cap {
+			plans = append(plans, plan{kind: errandUpkeep, machine: places[name], wave: w})
 		}
 	}
-	if begun > 0 {
-		t.keepWave(ctx, w)
-	}
+	return plans
 }
 
 func (t *term) keepWave(ctx context.Context, w *wave) {
@@ -115,6 +104,16 @@
 	t.write(ctx, []store.Record{record})
 }
 
+// isDue reports whether the upkeep of a machine is asked for and hasn't begun.
+func (t *term) isDue(machine string) bool {
+	for _, w := range t.waves {
+		if w.Wave != nil && !w.Completed && slices.Contains(w.Machines, machine) && !slices.Contains(w.Begun, machine) {
+			return true
+		}
+	}
+	return false
+}
+
 // viewWave returns what the next step of a wave depends on, and the machines by
 // name.
 func (t *term) viewWave(w *wave) (WaveView, map[string]Machine) {
@@ -187,85 +186,3 @@
 	}
 	return empty
 }
-
-func (t *term) cordon(ctx context.Context, service string, hosts []string, vacate bool) []cell.HostReport {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
-	defer cancel()
-	reports, err := t.options.Cells.Cordon(ctx, service, hosts, cordonTime, vacate)
-	if err != nil {
-		t.logger.Info("hosts could not be cordoned", "service", service, "hosts", len(hosts), "err", err.Error())
-		return nil
-	}
-	return reports
-}
-
-// orderUpkeep sends a machine to its upkeep and reports whether it goes or may
-// go.
-func (t *term) orderUpkeep(ctx context.Context, w *wave, m Machine) bool {
-	name := m.Name
-	e := &errand{kind: errandUpkeep, since: t.options.Clock(), wave: w.Number}
-	orderCtx, cancel := context.WithTimeout(ctx, orderTime)
-	defer cancel()
-	verdict, err := t.options.Cloud.Upkeep(orderCtx, t.order(name), w.Number)
-	t.logOrder("upkeep", name, w.Number, "", verdict, err)
-	switch {
-	case err != nil:
-		e.doubtful = true
-		t.busy[name] = e
-		return true
-	case verdict == Accepted:
-		t.busy[name] = e
-		t.retire(ctx, m)
-		w.Begun = append(w.Begun, name)
-		return true
-	case verdict == NotDue || verdict == Invalid:
-		// The cloud doesn't count it to the wave.
-		w.Begun = append(w.Begun, name)
-		return false
-	default:
-		t.refused(verdict)
-		return false
-	}
-}
-
-func (t *term) order(machine string) Order {
-	return Order{Machine: machine, Holder: t.options.Node, Token: t.claim.Epoch}
-}
-
-// refused reacts to a verdict that concerns the holder.
-func (t *term) refused(verdict Verdict) {
-	if verdict == Fenced {
-		t.logger.Info("depot lost", "epoch", t.claim.Epoch, "why", "the cloud has seen a newer holder")
-		t.Depot.term = nil
-	}
-}
-
-func (t *term) logOrder(kind, machine string, wave int64, to string, verdict Verdict, err error) {
-	outcome := verdict.String()
-	if err != nil {
-		outcome = err.Error()
-	}
-	t.options.Set.GetOrCreateCounter(`rattanpath_depot_orders_total{kind="` + kind + `"}`).Inc()
-	t.logger.Info("machine ordered", "kind", kind, "machine", machine, "wave", wave, "to", to, "token", t.claim.Epoch, "listAge", t.options.Clock()-t.listedAt, "outcome", outcome)
-}
-
-// isEmpty cordons the host of a machine and reports whether nothing runs on it.
-func (t *term) isEmpty(ctx context.Context, m Machine) bool {
-	if m.Host == "" {
-		return true
-	}
-	reports := t.cordon(ctx, m.Pool, []string{m.Host}, false)
-	return len(reports) == 1 && reports[0].Runs == 0
-}
-
-// retire tells the owner of a pool that a machine is out of it.
-func (t *term) retire(ctx context.Context, m Machine) {
-	if m.Host == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTime)
-	defer cancel()
-	if err := t.options.Cells.Retire(ctx, m.Pool, []string{m.Host}); err != nil {
-		t.logger.Info("the owner was not told of a machine that left", "service", m.Pool, "machine", m.Name, "host", m.Host, "err", err.Error())
-	}
-}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -127,10 +127,13 @@
 }
 
 func newDepot(settings Settings, platform Platform, o *owner.Owner, finder *owner.Finder, queues *queue.Watcher, set *metrics.Set, logger logr.Logger) *depot.Depot {
+	var dialer net.Dialer
 	return depot.New(depot.Options{
 		Node:        settings.Name,
+		Address:     settings.PeerListen,
 		Cloud:       platform.Cloud,
 		Cells:       finder,
+		Holders:     depot.NewPeers(dialer.DialContext),
 		Tables:      queues,
 		Journal:     platform.Journal,
 		Clock:       platform.Clock,
@@ -152,6 +155,9 @@
 	if err := peers.Register(owner.RPCName, owner.NewService(o)); err != nil {
 		return err
 	}
+	if err := peers.Register(depot.RPCName, depot.NewService(machines)); err != nil {
+		return err
+	}
 	member.Shrunk = finder.TellOthers
 	loops.Go(queues.Run)
 	loops.Go(pools.Run)
--- a/shift/plan.go
+++ b/shift/plan.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"rattanpath/tasks"
 )
 
 // Host is a host of a pool as far as moving it is concerned.
@@ -11,11 +13,13 @@
 	Machine string
 	// Idle means that nothing runs on it.
 	Idle bool
-	// CPU is the capacity in thousandths of a core.
-	CPU int64
+	// Due means that the machine is due for upkeep.
+	Due  bool
+	Room tasks.Room
 }
 
-// Pool is a pool and what is asked of it.
+// Pool is a pool and what is asked of it. Processor time is in thousandths of a
+// core.
 type Pool struct {
 	Name string
 	// Standby means that the pool's machines are off.
@@ -23,13 +27,19 @@
 	Hosts   []Host
 	// Coming counts the machines that are on their way to the pool.
 	Coming int
-	// Least is the number of hosts that the pool always keeps.
+	// Least is the number of hosts that the pool always keeps, and Keep how many it
+	// doesn't give to standby.
 	Least int
-	// Used, Waiting and Asked are processor time that is in use, that ready tasks
-	// wait for, and that new jobs ask for each second, in thousandths of a core.
-	Used    int64
-	Waiting int64
-	Asked   int64
+	Keep  int
+	// Used is the room in use, Serving that part of it that serving tasks take, and
+	// Waiting what ready tasks wait for.
+	Used    tasks.Room
+	Serving tasks.Room
+	Waiting tasks.Room
+	// Asked is the processor time that new jobs ask for each second, and Soon what
+	// tasks other than serving ones will need once a machine has moved.
+	Asked int64
+	Soon  int64
 }
 
 // Move puts a machine into another pool.
@@ -48,12 +58,38 @@
 )
 
 // Wants returns how many hosts of a size a pool should have.
-func Wants(pool Pool, hostCPU int64) int {
-	if hostCPU <= 0 {
+func Wants(pool Pool, size tasks.Room) int {
+	if size.CPU <= 0 {
 		return pool.Least
 	}
-	demand := max(pool.Asked, pool.Used+int64(waitingShare*float64(pool.Waiting)))
-	return max(pool.Least, int(math.Ceil(headroom*float64(demand)/float64(hostCPU))))
+	asked := pool.Serving.CPU + max(pool.Asked, pool.Soon)
+	now := pool.Used.CPU + share(pool.Waiting.CPU)
+	wants := max(pool.Least, hostsFor(max(asked, now), size.CPU))
+	if size.MemMB > 0 {
+		wants = max(wants, hostsFor(pool.Used.MemMB+share(pool.Waiting.MemMB), size.MemMB))
+	}
+	if pool.Waiting.CPU > 0 && pool.idle() == 0 {
+		// What waits may fit on no host though there is room in all.
+		wants = max(wants, len(pool.Hosts)+1)
+	}
+	return wants
+}
+
+func share(waiting int64) int64 { return int64(waitingShare * float64(waiting)) }
+
+func hostsFor(demand, size int64) int {
+	return int(math.Ceil(headroom * float64(demand) / float64(size)))
+}
+
+// idle returns how many hosts of the pool are idle.
+func (p *Pool) idle() int {
+	count := 0
+	for _, host := range p.Hosts {
+		if host.Idle {
+			count++
+		}
+	}
+	return count
 }
 
 // state is a pool while moves are planned.
@@ -74,29 +110,48 @@
 	return min(len(s.idle), s.have()-s.want)
 }
 
-// Plan returns the moves that bring machines to the pools that miss some, at
-// most limit of them. Machines come from pools that have idle ones, and from
-// standby last.
+// Plan returns the moves that bring machines to the pools that miss some, and then
+// those that take machines that nobody misses to standby, at most limit in all.
+// Machines come from pools that have idle ones, and from standby last.
 func Plan(pools []Pool, limit int) []Move {
 	states := newStates(pools)
 	var moves []Move
 	for len(moves) < limit {
-		to := neediest(states)
-		from := richest(states)
+		to, from := neediest(states), richest(states)
 		if to == nil || from == nil {
-			return moves
+			break
+		}
+		moves = append(moves, from.give(to))
+	}
+	return append(moves, rest(states, limit-len(moves))...)
+}
+
+// rest returns the moves of idle hosts to standby.
+func rest(states []*state, limit int) []Move {
+	at := slices.IndexFunc(states, func(s *state) bool { return s.Standby })
+	if at < 0 {
+		return nil
+	}
+	var moves []Move
+	for _, s := range states {
+		for !s.Standby && len(moves) < limit && len(s.idle) > 0 && s.have() > max(s.want, s.Keep) {
+			moves = append(moves, s.give(states[at]))
 		}
-		host := from.idle[0]
-		from.idle = from.idle[1:]
-		from.Hosts = slices.DeleteFunc(slices.Clone(from.Hosts), func(h Host) bool { return h.Machine == host.Machine })
-		to.Coming++
-		moves = append(moves, Move{Machine: host.Machine, From: from.Name, To: to.Name})
 	}
 	return moves
 }
 
+// give takes an idle host of the pool to another.
+func (s *state) give(to *state) Move {
+	host := s.idle[0]
+	s.idle = s.idle[1:]
+	s.Hosts = slices.DeleteFunc(slices.Clone(s.Hosts), func(h Host) bool { return h.Machine == host.Machine })
+	to.Coming++
+	return Move{Machine: host.Machine, From: s.Name, To: to.Name}
+}
+
 func newStates(pools []Pool) []*state {
-	size := hostSize(pools)
+	size := sizeOf(pools)
 	var states []*state
 	for _, pool := range pools {
 		s := &state{Pool: pool, want: Wants(pool, size)}
@@ -105,26 +160,49 @@
 				s.idle = append(s.idle, host)
 			}
 		}
-		slices.SortFunc(s.idle, func(a, b Host) int { return cmp.Compare(a.Machine, b.Machine) })
+		slices.SortFunc(s.idle, func(a, b Host) int {
+			return cmp.Or(compareBools(a.Due, b.Due), cmp.Compare(a.Machine, b.Machine))
+		})
 		states = append(states, s)
 	}
 	slices.SortFunc(states, func(a, b *state) int { return cmp.Compare(a.Name, b.Name) })
 	return states
 }
 
-// hostSize returns the mean capacity of a host.
-func hostSize(pools []Pool) int64 {
-	var sum, count int64
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// HostSize returns the mean capacity of the hosts of all pools.
+func HostSize(pools map[string]*Pool) tasks.Room {
+	var all []Pool
+	for _, pool := range pools {
+		all = append(all, *pool)
+	}
+	return sizeOf(all)
+}
+
+func sizeOf(pools []Pool) tasks.Room {
+	var sum tasks.Room
+	var count int64
 	for _, pool := range pools {
 		for _, host := range pool.Hosts {
-			sum += host.CPU
+			sum = sum.Add(host.Room)
 			count++
 		}
 	}
 	if count == 0 {
-		return 0
+		return tasks.Room{}
 	}
-	return sum / count
+	return tasks.Room{CPU: sum.CPU / count, MemMB: sum.MemMB / count, GPU: sum.GPU / count}
 }
 
 // neediest returns the pool that misses the most hosts, or nil.
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -306,14 +306,14 @@
 	return false
 }
 
-// Work returns the processor time that one round of the job asks for by its
-// estimates, in thousandths of a core and milliseconds. Serving tasks don't
-// count.
-func (j *Job) Work() int64 {
+// Work returns the processor time that one round of the job asks for, in
+// thousandths of a core and milliseconds, if each task takes a time. Serving
+// tasks don't count.
+func (j *Job) Work(each time.Duration) int64 {
 	var work int64
 	for i := range j.Plan.Steps {
 		if step := &j.Plan.Steps[i]; !step.Lasting {
-			work += int64(step.Count) * step.Room.CPU * step.Estimate.Milliseconds()
+			work += int64(step.Count) * step.Room.CPU * each.Milliseconds()
 		}
 	}
 	return work
