depot: pools grow sooner and further at the beginning of a peak

Cause: at the beginning of a peak machines came in steps over three seconds, since growth was smoothed over half a second and bounded by the demand itself.

Change: growth is taken over 0.25 s against 1 s, for 3.5 s ahead and up to three times the demand; a pool keeps three hosts beyond those its steps are spread over.

--- a/depot/depot_test.go
+++ b/depot/depot_test.go
@@ -265,8 +265,8 @@
 				}
 				y.want("east", 2*testHosts)
 				time.Sleep(test.ordered - test.others)
-				if got := y.poolOf("east"); got != testHosts-leastHosts {
-					t.Errorf("got %d machines in the pool that waits %v after the depot changed hands, want %d: those back too that the first had moved", got, test.ordered, testHosts-leastHosts)
+				if got := y.poolOf("east"); got != testHosts-spareHosts {
+					t.Errorf("got %d machines in the pool that waits %v after the depot changed hands, want %d: those back too that the first had moved", got, test.ordered, testHosts-spareHosts)
 				}
 				cancel()
 				time.Sleep(3 * time.Second)
--- a/depot/moves.go
+++ b/depot/moves.go
@@ -9,10 +9,8 @@
 	// maxMoves bounds the moves of one round.
 	maxMoves = 24
 	// spareHosts is the number of hosts that a pool keeps beyond those that its
-	// steps must be spread over.
-	spareHosts = 1
-	// leastHosts is the number of hosts that a pool always keeps.
-	leastHosts = 2
+	// steps must be spread over: a peak begins on them.
+	spareHosts = 3
 )
 
 // runMoves returns the moves that bring machines to the pools that miss some, and
@@ -37,7 +35,7 @@
 			view.Waiting = p.report.Waiting
 			view.Asked = int64(p.asked)
 			view.Soon = int64(p.soon())
-			view.Least = max(leastHosts, p.report.Apart+spareHosts)
+			view.Least = p.report.Apart + spareHosts
 			view.Used = p.used()
 		} else if !service.Standby {
 			// Nothing is known of the pool: it keeps what it has.
--- a/depot/reports.go
+++ b/depot/reports.go
@@ -66,13 +66,13 @@
 	askedSpan = 2500 * time.Millisecond
 	// demandSpan is the time over which the demand is taken, and slowSpan that to
 	// which it is compared to see it grow.
-	demandSpan = 500 * time.Millisecond
-	slowSpan   = 1500 * time.Millisecond
+	demandSpan = 250 * time.Millisecond
+	slowSpan   = 1000 * time.Millisecond
 	// lead is the time for which growth is taken to go on: that in which a machine
 	// moves and is made use of.
-	lead = 2500 * time.Millisecond
+	lead = 3500 * time.Millisecond
 	// maxGrowth bounds what growth adds, as a part of the demand.
-	maxGrowth = 1.0
+	maxGrowth = 3.0
 )
 
 // note takes in a report and how the demand has changed since the last one.
