cell: orders without an answer are doubted after 250 ms

Change: after 250 ms without an answer the host is asked for its list at once, beside the hold that waits; a start that it doesn't show is stopped, which bars it, and the task goes elsewhere after another look. A hold that isn't answered 250 ms after its wait is sent again. Stops are tried again every 300 ms.

Ruled out: want of room (nothing waited), slow hosts.

The scenes of an unanswered start and of a lost hold failed before; the stand-in now leaves an unanswered order open for a second, as a host does.

--- a/cell/host.go
+++ b/cell/host.go
@@ -189,8 +189,7 @@
 			l.idle(ctx)
 			continue
 		}
-		sent := l.cell.options.Clock()
-		listing, err := l.cell.options.Hosts.Hold(ctx, info, order)
+		listing, sent, err := l.ask(ctx, info, order)
 		if ctx.Err() != nil {
 			return
 		}
@@ -204,6 +203,42 @@
 	}
 }
 
+// held is the outcome of a hold that was sent at a local time.
+type held struct {
+	listing lease.Listing
+	sent    time.Duration
+	err     error
+}
+
+// ask sends a hold, and another one if it isn't answered soon after its wait: the
+// first may be lost or carried out late. The first good answer counts.
+func (l *hostLoop) ask(ctx context.Context, info *pool.Host, order lease.Hold) (lease.Listing, time.Duration, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan held, 2)
+	send := func(order lease.Hold) {
+		sent := l.cell.options.Clock()
+		listing, err := l.cell.options.Hosts.Hold(ctx, info, order)
+		answers <- held{listing, sent, err}
+	}
+	go send(order)
+	again := time.NewTimer(order.Wait + doubtTime)
+	defer again.Stop()
+	for underWay := 1; ; {
+		select {
+		case <-again.C:
+			order.Wait = 0
+			underWay++
+			go send(order)
+		case a := <-answers:
+			underWay--
+			if a.err == nil || underWay == 0 {
+				return a.listing, a.sent, a.err
+			}
+		}
+	}
+}
+
 // idle waits until there is something to ask the host.
 func (l *hostLoop) idle(ctx context.Context) {
 	select {
--- a/cell/list.go
+++ b/cell/list.go
@@ -144,9 +144,9 @@
 			continue
 		}
 		switch {
-		case r.answered != 0 && r.answered < sent:
+		case r.answered != 0 && r.answered <= sent:
 			c.runOver(h, r, tasks.EndLost, "", "the host no longer has it")
-		case r.doubt != 0 && r.doubt < sent:
+		case r.doubt != 0 && r.doubt <= sent:
 			c.stopRun(h, r)
 		}
 	}
--- a/cell/order.go
+++ b/cell/order.go
@@ -13,10 +13,13 @@
 )
 
 const (
+	// doubtTime is the time without an answer after which an order counts as lost
+	// until the host's list tells: hosts answer within some milliseconds.
+	doubtTime = 250 * time.Millisecond
 	// sendTime is how long after its record was written a start may be sent.
 	sendTime = time.Second
 	// stopPause is the time between attempts to stop a run.
-	stopPause = 200 * time.Millisecond
+	stopPause = 50 * time.Millisecond
 	// refusedPause is how long a job waits after a host refused its task.
 	refusedPause = 100 * time.Millisecond
 )
@@ -38,7 +41,9 @@
 			return
 		}
 		begun, sent := time.Now(), c.options.Clock()
+		doubt := time.AfterFunc(doubtTime, func() { c.doubtStart(h, r) })
 		reply, err := c.options.Hosts.Start(ctx, info, order)
+		doubt.Stop()
 		c.options.Meters.Start.UpdateDuration(begun)
 		c.started(h, r, sentOrder{token: order.Token, at: sent}, reply, err)
 	})
@@ -71,6 +76,41 @@
 	}, h.info, true
 }
 
+// doubtStart looks whether a host has begun a run whose start it didn't answer.
+func (c *Cell) doubtStart(h *host, r *run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.doubtRun(h, r, "no answer yet")
+}
+
+func (c *Cell) doubtRun(h *host, r *run, why string) {
+	if h.runs[r.name] != r || r.answered != 0 || r.doubt != 0 {
+		return
+	}
+	r.doubt = c.options.Clock()
+	c.logger.Info("start not answered", "job", r.name.Job, "round", r.name.Round, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "why", why)
+	c.look(h)
+}
+
+// look asks a host for its runs and ends beside the hold that waits for ends. It
+// is called with the lock held.
+func (c *Cell) look(h *host) {
+	if h.info == nil {
+		return
+	}
+	order, info := lease.Hold{Token: c.token(h)}, h.info
+	if h.sure {
+		order.Seen = h.seen
+	}
+	c.goRun(func(ctx context.Context) {
+		sent := c.options.Clock()
+		listing, err := c.options.Hosts.Hold(ctx, info, order)
+		if err == nil && listing.Reason == lease.Accepted {
+			c.listed(h, listing, sent)
+		}
+	})
+}
+
 // started takes in a host's answer to a start.
 func (c *Cell) started(h *host, r *run, sent sentOrder, reply lease.Reply, err error) {
 	c.mu.Lock()
@@ -87,13 +127,12 @@
 		return
 	}
 	if err != nil {
-		r.doubt = now
-		c.logger.Info("start not answered", "job", r.name.Job, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "err", err.Error())
+		c.doubtRun(h, r, err.Error())
 		return
 	}
 	h.clock.Learn(reply.Clock, now)
 	if reply.Reason == lease.Accepted {
-		r.answered = now
+		r.answered, r.doubt = now, 0
 		r.entry.job.Shown(r.name, r.number)
 		c.stopRest(r.entry)
 		return
@@ -145,7 +184,9 @@
 			order, info := lease.Stop{Name: r.name, Run: r.number, Token: c.token(h)}, h.info
 			c.mu.Unlock()
 			sent := sentOrder{token: order.Token, at: c.options.Clock()}
-			reply, err := c.options.Hosts.Stop(ctx, info, order)
+			callCtx, cancel := context.WithTimeout(ctx, doubtTime)
+			reply, err := c.options.Hosts.Stop(callCtx, info, order)
+			cancel()
 			if ctx.Err() != nil || c.stopAnswered(h, r, sent, reply, err) {
 				return
 			}
@@ -181,6 +222,7 @@
 			// the next list shows.
 			r.doubt = 0
 			r.answered = c.options.Clock()
+			c.look(h)
 		}
 	}
 	return true
--- a/fake/runner.go
+++ b/fake/runner.go
@@ -65,8 +65,10 @@
 	// lateOrders is how many orders are carried out late and not answered.
 	lateOrders int
 	lateBy     time.Duration
-	stopTime   time.Duration
-	advisor    *Advisor
+	// lostHolds is how many holds get no answer.
+	lostHolds int
+	stopTime  time.Duration
+	advisor   *Advisor
 }
 
 // runKey names a run: a higher run of a task may begin while a lower one stops.
@@ -240,10 +242,7 @@
 	r.mu.Unlock()
 	switch {
 	case silent:
-		if err := core.Sleep(ctx, time.Second); err != nil {
-			return err
-		}
-		return errSilent
+		return unanswered(ctx)
 	case refuses:
 		return lease.ErrNotSent
 	default:
@@ -251,6 +250,21 @@
 	}
 }
 
+// DelayHolds makes the next holds get no answer.
+func (r *Runner) DelayHolds(holds int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lostHolds = holds
+}
+
+// unanswered spends the time after which a caller gives a call up.
+func unanswered(ctx context.Context) error {
+	if err := core.Sleep(ctx, time.Second); err != nil {
+		return err
+	}
+	return errSilent
+}
+
 // late carries an order out later if that is the host's fault now.
 func (r *Runner) late(order func()) bool {
 	r.mu.Lock()
@@ -283,7 +297,7 @@
 		return lease.Reply{}, err
 	}
 	if r.late(func() { r.start(order, room) }) {
-		return lease.Reply{}, errSilent
+		return lease.Reply{}, unanswered(ctx)
 	}
 	return r.start(order, room), nil
 }
@@ -386,7 +400,7 @@
 		return lease.Reply{}, err
 	}
 	if r.late(func() { r.stop(order) }) {
-		return lease.Reply{}, errSilent
+		return lease.Reply{}, unanswered(ctx)
 	}
 	return r.stop(order), nil
 }
@@ -432,6 +446,9 @@
 	if err := r.reach(ctx); err != nil {
 		return lease.Listing{}, err
 	}
+	if r.losesHold() {
+		return lease.Listing{}, core.Sleep(ctx, time.Hour)
+	}
 	deadline := time.Now().Add(order.Wait)
 	born := r.Info().Born
 	for {
@@ -453,6 +470,17 @@
 	}
 }
 
+// losesHold reports whether a hold gets no answer.
+func (r *Runner) losesHold() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lostHolds == 0 {
+		return false
+	}
+	r.lostHolds--
+	return true
+}
+
 func (r *Runner) hold(order lease.Hold) (lease.Listing, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
