--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -29,6 +29,8 @@
 	Usable bool
 	// Cordoned means that the host gets no new runs on the depot's wish.
 	Cordoned bool
+	// State is why the host gets no runs, or "usable".
+	State string
 }
 
 // Report is how the pool of a service stands.
@@ -78,6 +80,7 @@
 		Runs:     len(h.runs),
 		Usable:   h.usable(),
 		Cordoned: now.Before(h.cordonedUntil),
+		State:    h.state(now),
 	}
 	for _, r := range h.runs {
 		if r.entry != nil && r.entry.job.Step(r.name).Lasting {
--- /dev/null
+++ b/cell/view.go
@@ -0,0 +1,207 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rattanpath/place"
+	"rattanpath/tasks"
+	"rattanpath/views"
+)
+
+// maxListed bounds the jobs of a list.
+const maxListed = 500
+
+// View returns what the cell believes of itself.
+func (c *Cell) View() views.Cell {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return views.Cell{
+		Service: c.options.Service, Epoch: c.epoch, Confirmed: c.options.Clock() - c.confirmed,
+		Open: len(c.open), Kept: len(c.jobs),
+	}
+}
+
+// Jobs returns the jobs of the cell, the newest first, at most some hundreds.
+func (c *Cell) Jobs() ([]views.Job, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isLost() {
+		return nil, ErrNotOwner
+	}
+	now := time.Now()
+	var jobs []views.Job
+	for _, e := range c.jobs {
+		jobs = append(jobs, c.viewJob(e, now))
+	}
+	slices.SortFunc(jobs, func(a, b views.Job) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID, b.ID)) })
+	return jobs[:min(len(jobs), maxListed)], nil
+}
+
+func (c *Cell) viewJob(e *entry, now time.Time) views.Job {
+	view := views.Job{
+		ID: e.job.Key.ID, Queue: e.job.Key.Queue, Service: c.options.Service,
+		Phase: e.job.Phase.String(), Age: now.Sub(e.job.Accepted),
+	}
+	for _, round := range e.job.Rounds {
+		for _, step := range round.Steps {
+			for i := range step {
+				switch {
+				case step[i].Active():
+					view.Running++
+				case step[i].State == tasks.Done:
+					view.Done++
+				default:
+					view.Waiting++
+				}
+			}
+		}
+	}
+	return view
+}
+
+// Explain returns all that is known of a job, and what it waits for.
+func (c *Cell) Explain(id string) (views.JobDetail, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isLost() {
+		return views.JobDetail{}, ErrNotOwner
+	}
+	e := c.byID[id]
+	if e == nil {
+		return views.JobDetail{}, ErrUnknownJob
+	}
+	now := time.Now()
+	detail := views.JobDetail{Job: c.viewJob(e, now), Confirmed: c.options.Clock() - c.confirmed, Why: c.why(e, now)}
+	for _, round := range e.job.Rounds {
+		for step := range round.Steps {
+			for index := range round.Steps[step] {
+				name := tasks.Name{Job: id, Round: round.Number, Step: step, Index: index}
+				detail.Tasks = append(detail.Tasks, c.viewTask(e, name, &round.Steps[step][index]))
+			}
+		}
+	}
+	return detail, nil
+}
+
+func (c *Cell) viewTask(e *entry, name tasks.Name, task *tasks.Task) views.Task {
+	view := views.Task{
+		Round: name.Round, Step: name.Step, Index: name.Index,
+		State: task.State.String(), Run: task.Run, Failed: task.Failed,
+	}
+	if !task.Active() {
+		return view
+	}
+	view.Host = task.Host
+	h, r := c.runOf(e, name)
+	switch {
+	case r == nil:
+	case r.inherited:
+		view.Doubt = "started by an older owner; its host has not answered yet"
+	case r.doubt != 0:
+		view.Doubt = "the host has not answered the start"
+	case r.stopping:
+		view.Doubt = "being stopped"
+	case h.failed > 0:
+		view.Doubt = "the host does not answer"
+	}
+	if r != nil {
+		view.Percent = r.percent
+	}
+	return view
+}
+
+// why returns what a job waits for, or nothing.
+func (c *Cell) why(e *entry, now time.Time) string {
+	switch {
+	case e.job.Phase != tasks.Open:
+		return ""
+	case c.storeAway():
+		return "the store does not take writes"
+	case !e.kept:
+		return "the store has not confirmed the job yet"
+	case len(e.job.Rounds) == 0:
+		return "no round is due before " + e.job.Due(e.job.Next).UTC().Format(time.RFC3339)
+	case !hasReady(e.job):
+		return ""
+	case now.Before(e.notBefore):
+		return "a host refused a task a moment ago"
+	}
+	return c.whyNoHost(e, now)
+}
+
+// whyNoHost returns why the ready tasks of a job are on no host.
+func (c *Cell) whyNoHost(e *entry, now time.Time) string {
+	hosts := c.candidates(now)
+	if len(hosts) == 0 {
+		return "no host of the pool is usable"
+	}
+	for _, round := range e.job.Rounds {
+		for step := range round.Steps {
+			if !e.job.Ready(round, step) || !slices.ContainsFunc(round.Steps[step], func(t tasks.Task) bool { return t.State == tasks.Waiting }) {
+				continue
+			}
+			need := c.need(e, round, step, 0)
+			if need.Only != nil && len(need.Only) == 0 {
+				return "the advisor has allowed no host yet"
+			}
+			if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return place.Allowed(need, h) }) {
+				return whyNotAllowed(need, hosts)
+			}
+		}
+	}
+	return "it is next in turn"
+}
+
+// whyNotAllowed returns what keeps a task off all hosts.
+func whyNotAllowed(need place.Need, hosts []*place.Host) string {
+	if need.Step.Label != "" && !slices.ContainsFunc(hosts, func(h *place.Host) bool { return slices.Contains(h.Labels, need.Step.Label) }) {
+		return "no usable host has the label " + need.Step.Label
+	}
+	if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.Room.Fits(need.Step.Occupies()) }) {
+		return "a task is larger than any host"
+	}
+	if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.Free.Fits(need.Step.Occupies()) }) {
+		return "no host has room for a task"
+	}
+	return "each host with room has as many tasks of the step as it may"
+}
+
+// Pool returns what the cell believes of its hosts.
+func (c *Cell) Pool() (views.Pool, error) {
+	report, err := c.Report()
+	if err != nil {
+		return views.Pool{}, err
+	}
+	pool := views.Pool{Service: report.Service, Epoch: report.Epoch, WaitingCPU: report.Waiting.CPU}
+	for _, h := range report.Hosts {
+		pool.Hosts = append(pool.Hosts, views.Host{
+			ID: h.ID, CPU: h.Room.CPU, UsedCPU: h.Used.CPU, Runs: h.Runs, Lasting: h.Lasting, State: h.State,
+		})
+	}
+	slices.SortFunc(pool.Hosts, func(a, b views.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return pool, nil
+}
+
+// state returns why the host gets no runs, or "usable".
+func (h *host) state(now time.Time) string {
+	switch {
+	case !h.present:
+		return "its entry is gone"
+	case h.info.Draining:
+		return "draining"
+	case h.failed > 0:
+		return "does not answer"
+	case !h.fenced || !h.clock.Known():
+		return "has not answered this owner yet"
+	case now.Before(h.cordonedUntil):
+		return "cordoned"
+	case now.Before(h.sickUntil):
+		return "refused an order a moment ago"
+	case h.record.suspicion(now) > 0:
+		return "usable; runs failed or stood still there"
+	default:
+		return "usable"
+	}
+}
--- a/cmd/rattanpath/cmds/cmds.go
+++ b/cmd/rattanpath/cmds/cmds.go
@@ -32,6 +32,9 @@
 	Manage manageCommand `cmd:"" help:"Run a node that takes jobs in and runs them on the fleet, with the settings file that RATTANPATH_SETTINGS names."`
 	Config configCommand `cmd:"" help:"Check, show, explain, compare and publish declarations."`
 	Status statusCommand `cmd:"" help:"Show what every entry node is doing."`
+	Node   nodeCommand   `cmd:"" help:"Show what a managing node believes, and how old that is."`
+	Jobs   jobsCommand   `cmd:"" help:"List, explain and cancel jobs."`
+	Hosts  hostsCommand  `cmd:"" help:"Show the hosts of pools as the owners of services see them."`
 	Demo   demoCommand   `cmd:"" help:"Run a whole fleet on loopback in this process and show what held."`
 	Fake   fakeCommand   `cmd:"" help:"Run stand-ins of the platform; for trials only."`
 	Load   loadCommand   `cmd:"" help:"Send requests to entry nodes and audit the answers; for trials only."`
--- /dev/null
+++ b/cmd/rattanpath/cmds/jobs.go
@@ -0,0 +1,170 @@
+package cmds
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"rattanpath/query"
+	"rattanpath/views"
+)
+
+// manager names a managing node.
+type manager struct {
+	Node    string        `help:"Admin address of a managing node, IP:port." required:"" env:"RATTANPATH_NODE"`
+	Timeout time.Duration `help:"Time after which the node counts as unreachable." default:"3s"`
+}
+
+func (m *manager) client() *query.Client { return query.New(m.Timeout) }
+
+// jobsCommand shows and ends jobs.
+type jobsCommand struct {
+	List    jobsListCommand    `cmd:"" help:"List the jobs of a service, or of all, the newest first."`
+	Explain jobsExplainCommand `cmd:"" help:"Show all that is known of a job, and what it waits for."`
+	Cancel  jobsCancelCommand  `cmd:"" help:"Cancel a job."`
+}
+
+type jobsListCommand struct {
+	manager
+	Service string `help:"Only the jobs of this service."`
+}
+
+// Run prints the jobs.
+func (c *jobsListCommand) Run(e *env) error {
+	jobs, err := c.client().Jobs(e.ctx, c.Node, c.Service)
+	if err != nil {
+		return err
+	}
+	return e.print(jobs, jobsTable(jobs))
+}
+
+type jobsExplainCommand struct {
+	manager
+	ID string `arg:"" help:"The job's ID."`
+}
+
+// Run prints the job.
+func (c *jobsExplainCommand) Run(e *env) error {
+	detail, err := c.client().Explain(e.ctx, c.Node, c.ID)
+	if err != nil {
+		return err
+	}
+	return e.print(detail, jobText(detail))
+}
+
+type jobsCancelCommand struct {
+	manager
+	ID string `arg:"" help:"The job's ID."`
+}
+
+// Run cancels the job.
+func (c *jobsCancelCommand) Run(e *env) error {
+	job, err := c.client().Cancel(e.ctx, c.Node, c.ID)
+	if err != nil {
+		return err
+	}
+	return e.print(job, fmt.Sprintf("job %s of queue %s is cancelled; it was %s\n", job.ID, job.Queue, job.Phase))
+}
+
+// hostsCommand shows the hosts of pools.
+type hostsCommand struct {
+	manager
+	Service string `help:"Only the hosts of this service."`
+}
+
+// Run prints the hosts.
+func (c *hostsCommand) Run(e *env) error {
+	pools, err := c.client().Pools(e.ctx, c.Node, c.Service)
+	if err != nil {
+		return err
+	}
+	return e.print(pools, hostsTable(pools))
+}
+
+// newTable returns a writer of aligned columns.
+func newTable(text *strings.Builder) *tabwriter.Writer {
+	return tabwriter.NewWriter(text, 0, 0, 2, ' ', 0)
+}
+
+func jobsTable(jobs []views.Job) string {
+	var text strings.Builder
+	table := newTable(&text)
+	_, _ = fmt.Fprintln(table, "JOB\tSERVICE\tPHASE\tAGE\tWAITING\tRUNNING\tDONE\tQUEUE")
+	for _, job := range jobs {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", job.ID, job.Service, job.Phase, span(job.Age), job.Waiting, job.Running, job.Done, job.Queue)
+	}
+	_ = table.Flush()
+	return text.String()
+}
+
+func jobText(detail views.JobDetail) string {
+	var text strings.Builder
+	_, _ = fmt.Fprintf(&text, "job %s of queue %s, service %s: %s, taken in %s ago\n", detail.ID, detail.Queue, detail.Service, detail.Phase, span(detail.Age))
+	_, _ = fmt.Fprintf(&text, "its owner was last confirmed %s ago\n", span(detail.Confirmed))
+	if detail.Why != "" {
+		_, _ = fmt.Fprintf(&text, "it waits: %s\n", detail.Why)
+	}
+	table := newTable(&text)
+	if len(detail.Tasks) > 0 {
+		_, _ = fmt.Fprintln(table, "ROUND\tSTEP\tTASK\tSTATE\tRUN\tFAILED\tPERCENT\tHOST\tDOUBT")
+	}
+	for _, task := range detail.Tasks {
+		_, _ = fmt.Fprintf(table, "%d\t%d\t%d\t%s\t%d\t%d\t%d\t%s\t%s\n", task.Round, task.Step, task.Index, task.State, task.Run, task.Failed, task.Percent, task.Host, task.Doubt)
+	}
+	_ = table.Flush()
+	return text.String()
+}
+
+func hostsTable(pools []views.Pool) string {
+	var text strings.Builder
+	table := newTable(&text)
+	_, _ = fmt.Fprintln(table, "SERVICE\tHOST\tCORES\tUSED\tRUNS\tLASTING\tSTATE")
+	for _, pool := range pools {
+		for _, host := range pool.Hosts {
+			_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", pool.Service, host.ID, cores(host.CPU), cores(host.UsedCPU), host.Runs, host.Lasting, host.State)
+		}
+	}
+	_ = table.Flush()
+	return text.String()
+}
+
+// cores writes thousandths of a core as cores.
+func cores(cpu int64) string { return fmt.Sprintf("%.1f", float64(cpu)/1000) }
+
+// span writes a time that has passed.
+func span(d time.Duration) string {
+	if d < 0 {
+		return "never"
+	}
+	return d.Round(time.Millisecond).String()
+}
+
+// nodeCommand shows what a managing node believes.
+type nodeCommand struct {
+	manager
+}
+
+// Run prints the node's view.
+func (c *nodeCommand) Run(e *env) error {
+	node, err := c.client().Node(e.ctx, c.Node)
+	if err != nil {
+		return err
+	}
+	return e.print(node, nodeText(node))
+}
+
+func nodeText(node views.Node) string {
+	var text strings.Builder
+	_, _ = fmt.Fprintf(&text, "node %s\n", node.Node)
+	table := newTable(&text)
+	_, _ = fmt.Fprintf(table, "configuration\tversion %d\tread %s ago\n", node.Version, span(node.ConfigAge))
+	_, _ = fmt.Fprintf(table, "hosts\t\tread %s ago\n", span(node.HostsAge))
+	_, _ = fmt.Fprintf(table, "membership\t\tconfirmed %s ago\n", span(node.MembersAge))
+	_, _ = fmt.Fprintf(table, "depot\t%t\t\n", node.Depot)
+	for _, cell := range node.Cells {
+		_, _ = fmt.Fprintf(table, "cell %s\tepoch %d, %d of %d jobs open\tconfirmed %s ago\n", cell.Service, cell.Epoch, cell.Open, cell.Kept, span(cell.Confirmed))
+	}
+	_ = table.Flush()
+	return text.String()
+}
--- a/cmd/rattanpath/cmds/manage.go
+++ b/cmd/rattanpath/cmds/manage.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/go-logr/logr"
@@ -15,7 +17,9 @@
 )
 
 // manageCommand runs a node that takes jobs in and runs them on the fleet.
-type manageCommand struct{}
+type manageCommand struct {
+	AdminPort int `help:"Port on which operators are answered; 0 is the second of the internal ports."`
+}
 
 // Run starts the node, waits for a signal and stops it gracefully.
 func (c *manageCommand) Run(e *env) error {
@@ -23,6 +27,9 @@
 	if err != nil {
 		return err
 	}
+	if c.AdminPort != 0 {
+		settings.AdminListen = net.JoinHostPort(settings.IP, strconv.Itoa(c.AdminPort))
+	}
 	logger := core.NewLogger(e.out, settings.Name)
 	slog.SetDefault(slog.New(logr.ToSlogHandler(logger)))
 	app := engine.New(settings, platform.Connect(settings), logger)
@@ -51,6 +58,7 @@
 				logger.Error(err, "the settings file can't be used; the settings stay")
 				continue
 			}
+			again.AdminListen = settings.AdminListen
 			logger.Info("settings file read again", "changed", again != settings)
 		case <-ctx.Done():
 			return
--- a/cmd/rattanpath/cmds/status.go
+++ b/cmd/rattanpath/cmds/status.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"rattanpath/core"
@@ -66,7 +65,7 @@
 
 func statusTable(all []nodeStatus) string {
 	var text strings.Builder
-	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	table := newTable(&text)
 	_, _ = fmt.Fprintln(table, "NODE\tREADY\tREVISION\tLOG\tLOG AGE\tLIST AGE\tIN FLIGHT\tPEERS")
 	for _, node := range all {
 		if node.Status == nil {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -69,7 +69,7 @@
 			newHandler,
 			newServer,
 			newDepot,
-			newFigures,
+			newDesk,
 		),
 		fx.Invoke(start),
 	)
@@ -150,7 +150,7 @@
 
 // start orders the parts: at a stop the node first leaves the group, so that
 // others take its cells over while it still answers callers.
-func start(lifecycle fx.Lifecycle, settings Settings, loops *core.Loops, queues *queue.Watcher, pools *pool.Watcher, member *owner.Member, o *owner.Owner, finder *owner.Finder, machines *depot.Depot, figures *figures, server *intake.Server, logger logr.Logger) error {
+func start(lifecycle fx.Lifecycle, settings Settings, loops *core.Loops, queues *queue.Watcher, pools *pool.Watcher, member *owner.Member, o *owner.Owner, finder *owner.Finder, machines *depot.Depot, operators *desk, server *intake.Server, logger logr.Logger) error {
 	peers := link.NewServer(settings.PeerListen, func(conn net.Conn) net.Conn { return conn }, logger.WithName("peers"))
 	if err := peers.Register(owner.RPCName, owner.NewService(o)); err != nil {
 		return err
@@ -167,7 +167,7 @@
 	loops.Go(finder.Run)
 	loops.Go(machines.Run)
 	lifecycle.Append(fx.Hook{OnStart: peers.Start, OnStop: peers.Stop})
-	lifecycle.Append(fx.Hook{OnStart: figures.start, OnStop: figures.stop})
+	lifecycle.Append(fx.Hook{OnStart: operators.start, OnStop: operators.stop})
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			logger.Info("node starts", "callers", settings.CallerListen, "peers", settings.PeerListen, "store", settings.Store)
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -21,6 +21,7 @@
 	"rattanpath/fake"
 	"rattanpath/platform"
 	"rattanpath/pool"
+	"rattanpath/query"
 	"rattanpath/tasks"
 )
 
@@ -48,11 +49,13 @@
 	store   *fake.Store
 	judge   *fake.Judge
 	runners map[string]*fake.Runner
+	// operators are where nodes answer operators, by name.
+	operators map[string]string
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: fake.NewStore(), judge: fake.NewJudge(), runners: make(map[string]*fake.Runner)}
+	f := &fleet{t: t, store: fake.NewStore(), judge: fake.NewJudge(), runners: make(map[string]*fake.Runner), operators: make(map[string]string)}
 	f.store.Put("op", "config", []byte(testConfig))
 	for i := range 2 {
 		info := pool.Host{ID: fmt.Sprintf("h%d", i), Service: "s", Address: "127.0.0.1:1", Room: tasks.Room{CPU: 4000, MemMB: 1000}}
@@ -88,6 +91,7 @@
 		Partitions: 32, CallBytes: 1 << 20, StopGrace: time.Second, MaxLease: 6 * time.Second, KeepEnded: time.Minute,
 		HolderLease: time.Second, MoveTime: time.Second, UpkeepTime: time.Second,
 	}
+	f.operators[name] = settings.AdminListen
 	client := f.store.Client(name)
 	app := engine.New(settings, engine.Platform{
 		Journal: client, Group: client, Queues: client, Pools: client,
@@ -175,3 +179,49 @@
 		t.Error(fault)
 	}
 }
+
+// TestOperatorsView asks one node for what owners on both know of jobs, hosts and
+// themselves, and cancels a job that waits.
+func TestOperatorsView(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes seconds of real time")
+	}
+	f := newFleet(t)
+	first, callers := f.start("a")
+	second, _ := f.start("b")
+	large := strings.Replace(testBody, `"cpu":1000`, `"cpu":99000`, 1)
+	wait(t, "POST", callers, "/x/0000000000000001", testBody, 200, "")
+	wait(t, "GET", callers, "/x/0000000000000001", "", 200, "completed")
+	wait(t, "POST", callers, "/x/0000000000000002", large, 200, "")
+	client := query.New(time.Second)
+	for _, address := range f.operators {
+		jobs, err := client.Jobs(t.Context(), address, "s")
+		if err != nil || len(jobs) != 2 || jobs[0].ID != "0000000000000002" || jobs[0].Phase != "open" || jobs[1].Phase != "completed" {
+			t.Errorf("got jobs %+v and error %v, want the open one before the completed one", jobs, err)
+		}
+		detail, err := client.Explain(t.Context(), address, "0000000000000002")
+		if want := "a task is larger than any host"; err != nil || detail.Why != want {
+			t.Errorf("got %q and error %v, want that %s", detail.Why, err, want)
+		}
+		pools, err := client.Pools(t.Context(), address, "s")
+		if err != nil || len(pools) != 1 || len(pools[0].Hosts) != 2 || pools[0].Hosts[0].State != "usable" {
+			t.Errorf("got pools %+v and error %v, want two usable hosts", pools, err)
+		}
+		node, err := client.Node(t.Context(), address)
+		if err != nil || node.Version == 0 || node.ConfigAge < 0 || node.MembersAge < 0 {
+			t.Errorf("got %+v and error %v, want a node with a configuration and a membership", node, err)
+		}
+	}
+	if _, err := client.Explain(t.Context(), f.operators["a"], "00000000000000ff"); err == nil || !strings.Contains(err.Error(), "no such job") {
+		t.Errorf("got %v for an unknown job, want that there is none", err)
+	}
+	if job, err := client.Cancel(t.Context(), f.operators["b"], "0000000000000002"); err != nil || job.Phase != "open" {
+		t.Errorf("got %+v and error %v, want the open job cancelled", job, err)
+	}
+	wait(t, "GET", callers, "/x/0000000000000002", "", 200, "canceled")
+	for _, app := range []*fx.App{first, second} {
+		if err := app.Stop(t.Context()); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -5,6 +5,8 @@
 // Settings are the settings of one node, however the platform gives them.
 type Settings struct {
 	Name string
+	// IP is the node's own address.
+	IP string
 
 	// CallerListen takes callers' requests, HealthListen the balancer's question
 	// whether the node is ready, PeerListen other nodes' calls and AdminListen
--- a/owner/finder.go
+++ b/owner/finder.go
@@ -12,6 +12,8 @@
 	"rattanpath/core"
 	"rattanpath/link"
 	"rattanpath/store"
+	"rattanpath/tasks"
+	"rattanpath/views"
 )
 
 const (
@@ -35,6 +37,9 @@
 	MethodCordon  Method = "Cordon"
 	MethodRetire  Method = "Retire"
 	MethodHurry   Method = "Hurry"
+	MethodJobs    Method = "Jobs"
+	MethodExplain Method = "Explain"
+	MethodPool    Method = "Pool"
 )
 
 // Finder finds the owners of cells and calls them.
@@ -179,25 +184,25 @@
 	return answer, err != nil && !errors.As(err, &connect), err
 }
 
+// callLocal makes a call of this node's own service.
 func (f *Finder) callLocal(method Method, request *Request, answer *Answer) error {
-	switch method {
-	case MethodSubmit:
-		return f.local.Submit(request, answer)
-	case MethodStatus:
-		return f.local.Status(request, answer)
-	case MethodCancel:
-		return f.local.Cancel(request, answer)
-	case MethodPending:
-		return f.local.Pending(request, answer)
-	case MethodReport:
-		return f.local.Report(request, answer)
-	case MethodCordon:
-		return f.local.Cordon(request, answer)
-	case MethodRetire:
-		return f.local.Retire(request, answer)
-	default:
+	calls := map[Method]func(*Request, *Answer) error{
+		MethodSubmit:  f.local.Submit,
+		MethodStatus:  f.local.Status,
+		MethodCancel:  f.local.Cancel,
+		MethodPending: f.local.Pending,
+		MethodReport:  f.local.Report,
+		MethodCordon:  f.local.Cordon,
+		MethodRetire:  f.local.Retire,
+		MethodJobs:    f.local.Jobs,
+		MethodExplain: f.local.Explain,
+		MethodPool:    f.local.Pool,
+	}
+	call := calls[method]
+	if call == nil {
 		return errors.Errorf("owners don't answer %s", method)
 	}
+	return call(request, answer)
 }
 
 // Report asks how the pool of a service stands.
@@ -219,6 +224,34 @@
 	return outcomeError(answer, err)
 }
 
+// Jobs lists the jobs of a service.
+func (f *Finder) Jobs(ctx context.Context, service string) ([]views.Job, error) {
+	answer, _, err := f.attempt(ctx, MethodJobs, Request{Service: service})
+	return answer.Jobs, outcomeError(answer, err)
+}
+
+// Pool says what is believed of the hosts of a service.
+func (f *Finder) Pool(ctx context.Context, service string) (views.Pool, error) {
+	answer, _, err := f.attempt(ctx, MethodPool, Request{Service: service})
+	return answer.Pool, outcomeError(answer, err)
+}
+
+// Explain says all that the owner of a service knows of a job. The error is
+// cell.ErrUnknownJob if it knows none of that ID.
+func (f *Finder) Explain(ctx context.Context, service, id string) (views.JobDetail, error) {
+	answer, _, err := f.attempt(ctx, MethodExplain, Request{Service: service, Key: tasks.Key{ID: id}})
+	if err == nil && answer.Outcome == Unknown {
+		return views.JobDetail{}, cell.ErrUnknownJob
+	}
+	return answer.Detail, outcomeError(answer, err)
+}
+
+// Cancel ends a job of a service on an operator's wish.
+func (f *Finder) Cancel(ctx context.Context, service string, key tasks.Key) error {
+	answer := f.Call(ctx, MethodCancel, Request{Service: service, Key: key})
+	return outcomeError(answer, nil)
+}
+
 // TellOthers makes all other nodes look for partitions that this one gave up. It
 // doesn't wait for them.
 func (f *Finder) TellOthers() {
--- a/owner/group.go
+++ b/owner/group.go
@@ -44,7 +44,9 @@
 	membership store.Membership
 	held       []int
 	left       bool
-	changed    core.Signal
+	// renewed is when the membership was last confirmed.
+	renewed time.Time
+	changed core.Signal
 	// hurry asks for a renewal at once.
 	hurry chan struct{}
 	// Shrunk, if it is not nil, is called when this node has given partitions up,
@@ -74,6 +76,13 @@
 	return m.held
 }
 
+// Renewed returns when the membership was last confirmed; zero if it never was.
+func (m *Member) Renewed() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.renewed
+}
+
 // Changed returns a channel that is closed after the next renewal.
 func (m *Member) Changed() <-chan struct{} { return m.changed.Changed() }
 
@@ -139,6 +148,7 @@
 	}
 	m.membership.Generation = share.Generation
 	m.held = share.Partitions
+	m.renewed = time.Now()
 	m.changed.Notify()
 	return shrunk
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -13,6 +14,7 @@
 	"rattanpath/core"
 	"rattanpath/pool"
 	"rattanpath/queue"
+	"rattanpath/views"
 )
 
 const (
@@ -94,6 +96,16 @@
 	return nil
 }
 
+// Views returns what the cells of this node believe of themselves, by service.
+func (o *Owner) Views() []views.Cell {
+	var all []views.Cell
+	for _, c := range o.running() {
+		all = append(all, c.View())
+	}
+	slices.SortFunc(all, func(a, b views.Cell) int { return cmp.Compare(a.Service, b.Service) })
+	return all
+}
+
 // HoldsFleet reports whether the duty that no service has falls to this node.
 func (o *Owner) HoldsFleet() bool {
 	return slices.Contains(o.member.Held(), partitionOfFleet(o.partitions))
--- a/owner/service.go
+++ b/owner/service.go
@@ -7,7 +7,7 @@
 	"rattanpath/cell"
 )
 
-// Service answers other nodes over net/rpc.
+// Service answers other nodes over net/rpc, which gives its methods their shape.
 type Service struct {
 	owner *Owner
 }
@@ -15,98 +15,97 @@
 // NewService returns the service of a node's owner.
 func NewService(owner *Owner) *Service { return &Service{owner: owner} }
 
-// find returns the cell that a request is about, and the time that it has.
-func (s *Service) find(request *Request) (*cell.Cell, context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(context.Background(), request.Timeout)
-	return s.owner.Cell(request.Service), ctx, cancel
-}
+// minTimeout keeps the time of a call positive.
+const minTimeout = time.Millisecond
 
-// Submit takes a job in; net/rpc gives it its shape.
-func (s *Service) Submit(request *Request, answer *Answer) error {
-	c, ctx, cancel := s.find(request)
-	defer cancel()
+// ask makes a call of the cell that a request is about, if this node has it.
+func (s *Service) ask(request *Request, answer *Answer, call func(ctx context.Context, c *cell.Cell) error) error {
+	c := s.owner.Cell(request.Service)
 	if c == nil {
 		answer.Outcome = NotOwner
 		return nil
 	}
-	answer.Outcome = outcomeOf(c.Submit(ctx, request.Key, request.Plan, request.Policy))
+	ctx, cancel := context.WithTimeout(context.Background(), request.Timeout)
+	defer cancel()
+	answer.Outcome = outcomeOf(call(ctx, c))
 	return nil
 }
 
+// Submit takes a job in.
+func (s *Service) Submit(request *Request, answer *Answer) error {
+	return s.ask(request, answer, func(ctx context.Context, c *cell.Cell) error {
+		return c.Submit(ctx, request.Key, request.Plan, request.Policy)
+	})
+}
+
 // Status says how far a job is.
 func (s *Service) Status(request *Request, answer *Answer) error {
-	c, ctx, cancel := s.find(request)
-	defer cancel()
-	if c == nil {
-		answer.Outcome = NotOwner
-		return nil
-	}
-	status, err := c.Status(ctx, request.Key)
-	answer.Outcome, answer.Status = outcomeOf(err), status
-	return nil
+	return s.ask(request, answer, func(ctx context.Context, c *cell.Cell) (err error) {
+		answer.Status, err = c.Status(ctx, request.Key)
+		return err
+	})
 }
 
 // Cancel ends a job.
 func (s *Service) Cancel(request *Request, answer *Answer) error {
-	c, ctx, cancel := s.find(request)
-	defer cancel()
-	if c == nil {
-		answer.Outcome = NotOwner
-		return nil
-	}
-	answer.Outcome = outcomeOf(c.Cancel(ctx, request.Key))
-	return nil
+	return s.ask(request, answer, func(ctx context.Context, c *cell.Cell) error {
+		return c.Cancel(ctx, request.Key)
+	})
 }
 
 // Pending counts the jobs of a queue that have not begun.
 func (s *Service) Pending(request *Request, answer *Answer) error {
-	c, _, cancel := s.find(request)
-	defer cancel()
-	if c == nil {
-		answer.Outcome = NotOwner
-		return nil
-	}
-	count, err := c.Pending(request.Key.Queue)
-	answer.Outcome, answer.Pending = outcomeOf(err), count
-	return nil
+	return s.ask(request, answer, func(_ context.Context, c *cell.Cell) (err error) {
+		answer.Pending, err = c.Pending(request.Key.Queue)
+		return err
+	})
 }
 
 // Report says how the pool of a service stands.
 func (s *Service) Report(request *Request, answer *Answer) error {
-	c, _, cancel := s.find(request)
-	defer cancel()
-	if c == nil {
-		answer.Outcome = NotOwner
-		return nil
-	}
-	report, err := c.Report()
-	answer.Outcome, answer.Report = outcomeOf(err), report
-	return nil
+	return s.ask(request, answer, func(_ context.Context, c *cell.Cell) (err error) {
+		answer.Report, err = c.Report()
+		return err
+	})
 }
 
 // Cordon keeps new runs off hosts.
 func (s *Service) Cordon(request *Request, answer *Answer) error {
-	c, _, cancel := s.find(request)
-	defer cancel()
-	if c == nil {
-		answer.Outcome = NotOwner
-		return nil
-	}
-	hosts, err := c.Cordon(request.Hosts, request.Length, request.Vacate)
-	answer.Outcome, answer.Hosts = outcomeOf(err), hosts
-	return nil
+	return s.ask(request, answer, func(_ context.Context, c *cell.Cell) (err error) {
+		answer.Hosts, err = c.Cordon(request.Hosts, request.Length, request.Vacate)
+		return err
+	})
 }
 
 // Retire notes that the machines of hosts are out of the pool.
 func (s *Service) Retire(request *Request, answer *Answer) error {
-	c, _, cancel := s.find(request)
-	defer cancel()
-	if c == nil {
-		answer.Outcome = NotOwner
-		return nil
-	}
-	answer.Outcome = outcomeOf(c.Retire(request.Hosts))
-	return nil
+	return s.ask(request, answer, func(_ context.Context, c *cell.Cell) error {
+		return c.Retire(request.Hosts)
+	})
+}
+
+// Jobs lists the jobs of a service.
+func (s *Service) Jobs(request *Request, answer *Answer) error {
+	return s.ask(request, answer, func(_ context.Context, c *cell.Cell) (err error) {
+		answer.Jobs, err = c.Jobs()
+		return err
+	})
+}
+
+// Explain says all that is known of a job.
+func (s *Service) Explain(request *Request, answer *Answer) error {
+	return s.ask(request, answer, func(_ context.Context, c *cell.Cell) (err error) {
+		answer.Detail, err = c.Explain(request.Key.ID)
+		return err
+	})
+}
+
+// Pool says what is believed of the hosts of a service.
+func (s *Service) Pool(request *Request, answer *Answer) error {
+	return s.ask(request, answer, func(_ context.Context, c *cell.Cell) (err error) {
+		answer.Pool, err = c.Pool()
+		return err
+	})
 }
 
 // Hurry tells this node that another one has given partitions up.
@@ -114,6 +113,3 @@
 	s.owner.Hurry()
 	return nil
 }
-
-// minTimeout keeps the time of a call positive.
-const minTimeout = time.Millisecond
--- a/owner/wire.go
+++ b/owner/wire.go
@@ -8,6 +8,7 @@
 
 	"rattanpath/cell"
 	"rattanpath/tasks"
+	"rattanpath/views"
 )
 
 // RPCName is the name under which owners answer over net/rpc.
@@ -65,6 +66,10 @@
 	// Report is how the pool stands, and Hosts how the hosts that were asked for do.
 	Report cell.Report
 	Hosts  []cell.HostReport
+	// Jobs, Detail and Pool are for operators.
+	Jobs   []views.Job
+	Detail views.JobDetail
+	Pool   views.Pool
 }
 
 // outcomeOf returns the outcome for an error of a cell.
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -129,6 +129,15 @@
 	Cancelled
 )
 
+// String returns the word for the phase in logs.
+func (p Phase) String() string {
+	words := []string{"open", "completed", "failed", "cancelled"}
+	if int(p) >= len(words) {
+		return "unknown"
+	}
+	return words[p]
+}
+
 // State says what a task is doing.
 type State int
 
@@ -144,6 +153,15 @@
 	Done
 )
 
+// String returns the word for the state in logs.
+func (s State) String() string {
+	words := []string{"waiting", "starting", "running", "done"}
+	if int(s) >= len(words) {
+		return "unknown"
+	}
+	return words[s]
+}
+
 // Task is one task of a round.
 type Task struct {
 	State State
