scribe, trace: logs that never block, and the story of a job from them

Package scribe writes lines in the background: a kind has 200 lines a second (1,000 for failures), a reader that stands still costs no call any time, failures keep a quarter of the queue, and what was left out is told each second. Cells write a line for each end of a run and for each end of a job. rattanpath trace ID FILES puts the lines of a job, of its owner and of its hosts into the order of time.

--- a/cell/list.go
+++ b/cell/list.go
@@ -86,10 +86,11 @@
 
 func (c *Cell) logEnd(h *host, r *run, how tasks.How, why string) {
 	c.options.Meters.end(how)
-	if how == tasks.EndDone {
-		return
+	took := time.Duration(0)
+	if r.answered != 0 {
+		took = c.options.Clock() - r.answered
 	}
-	c.logger.Info("run ended", "job", r.name.Job, "round", r.name.Round, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "how", how.String(), "why", why)
+	c.logger.Info("run ended", "job", r.name.Job, "round", r.name.Round, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "how", how.String(), "why", why, "took", took.Round(time.Millisecond))
 }
 
 // takeEnds takes in the ends that a host lists.
--- a/cmd/rattanpath/cmds/cmds.go
+++ b/cmd/rattanpath/cmds/cmds.go
@@ -35,6 +35,7 @@
 	Node   nodeCommand   `cmd:"" help:"Show what a managing node believes, and how old that is."`
 	Jobs   jobsCommand   `cmd:"" help:"List, explain and cancel jobs."`
 	Hosts  hostsCommand  `cmd:"" help:"Show the hosts of pools as the owners of services see them."`
+	Trace  traceCommand  `cmd:"" help:"Tell the story of a job from the logs of nodes."`
 	Demo   demoCommand   `cmd:"" help:"Run a whole fleet on loopback in this process and show what held."`
 	Fake   fakeCommand   `cmd:"" help:"Run stand-ins of the platform; for trials only."`
 	Load   loadCommand   `cmd:"" help:"Send requests to entry nodes and audit the answers; for trials only."`
--- a/cmd/rattanpath/cmds/manage.go
+++ b/cmd/rattanpath/cmds/manage.go
@@ -11,9 +11,9 @@
 
 	"github.com/go-logr/logr"
 
-	"rattanpath/core"
 	"rattanpath/engine"
 	"rattanpath/platform"
+	"rattanpath/scribe"
 )
 
 // manageCommand runs a node that takes jobs in and runs them on the fleet.
@@ -30,7 +30,9 @@
 	if c.AdminPort != 0 {
 		settings.AdminListen = net.JoinHostPort(settings.IP, strconv.Itoa(c.AdminPort))
 	}
-	logger := core.NewLogger(e.out, settings.Name)
+	lines := scribe.New(e.out)
+	defer lines.Close()
+	logger := lines.Logger(settings.Name)
 	slog.SetDefault(slog.New(logr.ToSlogHandler(logger)))
 	app := engine.New(settings, platform.Connect(settings), logger)
 	startCtx, cancel := context.WithTimeout(e.ctx, app.StartTimeout())
