cell: holds wait for 300 ms while hosts leave calls unanswered

Change: for 5 s after an unanswered call holds wait for 300 ms only.

The scene fails without the shorter wait.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -125,6 +125,8 @@
 	// arrived is the processor time that jobs have asked for, by how long tasks of
 	// their queue take.
 	arrived int64
+	// lossAt is when a host last left a call unanswered; zero if none did.
+	lossAt time.Duration
 	// lengths are how long tasks of each queue have taken of late; none for a queue
 	// of which none has ended. Callers' guesses are too rough to count on.
 	lengths map[string]time.Duration
--- a/cell/host.go
+++ b/cell/host.go
@@ -20,6 +20,11 @@
 	holdPause = 300 * time.Millisecond
 	// noteWait is how long a hold waits for the store to note the last ends.
 	noteWait = 500 * time.Millisecond
+	// lossWait is the wait of a hold while hosts leave calls unanswered: ends are
+	// hidden for as long as a lost one waits. lossTime is how long after such a call
+	// others are expected.
+	lossWait = 300 * time.Millisecond
+	lossTime = 5 * time.Second
 	// sickTime is how long a host that refuses orders gets no more.
 	sickTime = time.Second
 )
@@ -227,6 +232,7 @@
 	for underWay := 1; ; {
 		select {
 		case <-again.C:
+			l.cell.noteLoss()
 			order.Wait = 0
 			underWay++
 			go send(order)
@@ -239,6 +245,13 @@
 	}
 }
 
+// noteLoss notes that a host has left a call unanswered.
+func (c *Cell) noteLoss() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lossAt = c.options.Clock()
+}
+
 // idle waits until there is something to ask the host.
 func (l *hostLoop) idle(ctx context.Context) {
 	select {
@@ -284,6 +297,9 @@
 		if filling, tails := h.sharing(); filling > 0 && len(tails) > 0 {
 			order.Wait = paceEvery
 		}
+		if c.lossAt != 0 && c.options.Clock()-c.lossAt < lossTime {
+			order.Wait = min(order.Wait, lossWait)
+		}
 	}
 	if h.seen < h.listed {
 		order.Wait = 0
--- a/cell/order.go
+++ b/cell/order.go
@@ -88,6 +88,7 @@
 		return
 	}
 	r.doubt = c.options.Clock()
+	c.lossAt = r.doubt
 	c.logger.Info("start not answered", "job", r.name.Job, "round", r.name.Round, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "why", why)
 	c.look(h)
 }
--- a/cell/scene_test.go
+++ b/cell/scene_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -340,6 +341,36 @@
 	})
 }
 
+// TestHoldsAreShortWhileCallsAreLost lets a host leave one hold after the other
+// unanswered: from the second on, an end is hidden for half a second at most.
+func TestHoldsAreShortWhileCallsAreLost(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.work = func(name tasks.Name, _ int) fake.Work {
+			if name.Job == "long" {
+				// It keeps the owner asking the host.
+				return fake.Work{Time: 30 * time.Second}
+			}
+			return fake.Work{Time: 300 * time.Millisecond}
+		}
+		n := w.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := w.submit(n, "long", simple(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		w.runners["h0"].DelayHolds(1)
+		time.Sleep(3 * time.Second)
+		for i := range 5 {
+			id := fmt.Sprint("short", i)
+			w.runners["h0"].DelayHolds(1)
+			if err := w.submit(n, id, simple(1, 1000)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(300*time.Millisecond + 2*lossWait + doubtTime)
+			w.wantPhase(n, id, tasks.Completed)
+		}
+	})
+}
+
 // TestStopMeetsLateStart lets a start be carried out just before the stop that
 // its owner sends since it got no answer: the task may not run elsewhere before
 // the host lists the end.
