--- /dev/null
+++ b/stage/stage_test.go
@@ -0,0 +1,38 @@
+package stage_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"rattanpath/engine"
+	"rattanpath/platform"
+	"rattanpath/stage"
+)
+
+// TestPlay plays all steps on loopback.
+func TestPlay(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes seconds of real time")
+	}
+	s, err := stage.New(t.Context(), stage.Options{
+		Nodes: 2, Hosts: 4, Platform: platform.Connect(engine.Settings{}),
+		EncodeConfig: platform.EncodeConfig, EncodeHost: platform.EncodeHost, EncodeJob: platform.EncodeJob,
+		Logger: logr.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := s.Play(t.Context(), &out); err != nil {
+		t.Errorf("got %v after\n%s", err, out.String())
+	}
+	if err := s.Close(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if want := "none twice at once"; !strings.Contains(out.String(), want) {
+		t.Errorf("got\n%s\nwant a report with %q", out.String(), want)
+	}
+}
