--- a/cell/claim.go
+++ b/cell/claim.go
@@ -41,6 +41,7 @@
 	c.adoptRuns()
 	c.logger.Info("cell claimed", "epoch", c.epoch, "before", taken.Before, "jobs", len(c.jobs), "open", len(c.open), "took", c.claimed-begun)
 	options.Meters.Claimed.Inc()
+	options.Meters.Claim.Update((c.claimed - begun).Seconds())
 	return c, nil
 }
 
--- a/cell/order.go
+++ b/cell/order.go
@@ -89,6 +89,7 @@
 	}
 	r.doubt = c.options.Clock()
 	c.lossAt = r.doubt
+	c.options.Meters.Doubts.Inc()
 	c.logger.Info("start not answered", "job", r.name.Job, "round", r.name.Round, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "why", why)
 	c.look(h)
 }
--- a/cell/pace.go
+++ b/cell/pace.go
@@ -28,6 +28,7 @@
 		h.share = pace.Next(h.share, tails)
 		h.pacedAt = now
 		if h.share != before {
+			c.options.Meters.Paces.Inc()
 			c.logger.Info("pace changed", "host", h.id, "share", h.share, "before", before, "filling", filling, "serving", len(tails))
 		}
 	}
--- a/cell/permit.go
+++ b/cell/permit.go
@@ -149,6 +149,7 @@
 		c.logger.Info("the advisor did not answer", "job", name.Job, "step", name.Step, "hosts", len(ids), "err", err.Error())
 		return
 	}
+	c.options.Meters.Advice.UpdateDuration(sent)
 	a.book.Note(asked, tickets, sent.Add(policy.Valid))
 	c.logger.Info("the advisor answered", "job", name.Job, "round", name.Round, "step", name.Step, "hosts", len(ids), "allowed", len(tickets), "took", time.Since(sent).Round(time.Millisecond))
 	kick(c.placeKick)
--- a/cell/stall.go
+++ b/cell/stall.go
@@ -63,6 +63,7 @@
 			continue
 		}
 		c.logger.Info("run stands still", "job", r.name.Job, "round", r.name.Round, "step", r.name.Step, "index", r.name.Index, "run", r.number, "host", h.id, "percent", r.percent, "still", p.still)
+		c.options.Meters.Stalls.Inc()
 		h.record.stalls = append(h.record.stalls, time.Now())
 		c.stopRun(h, r)
 	}
--- a/cell/write.go
+++ b/cell/write.go
@@ -24,7 +24,9 @@
 	}
 	if e.job.Phase != tasks.Open && c.open[e] {
 		delete(c.open, e)
-		c.logger.Info("job ended", "job", e.job.Key.ID, "queue", e.job.Key.Queue, "phase", e.job.Phase.String(), "took", e.job.Ended.Sub(e.job.Accepted).Round(time.Millisecond), "epoch", c.epoch)
+		took := e.job.Ended.Sub(e.job.Accepted)
+		c.options.Meters.jobEnded(e.job.Phase, took)
+		c.logger.Info("job ended", "job", e.job.Key.ID, "queue", e.job.Key.Queue, "phase", e.job.Phase.String(), "took", took.Round(time.Millisecond), "epoch", c.epoch)
 	}
 	kick(c.writeKick)
 }
--- a/engine/desk.go
+++ b/engine/desk.go
@@ -47,6 +47,10 @@
 		settings: settings, queues: queues, pools: pools, member: member, owner: o, finder: finder,
 		set: set, logger: logger.WithName("desk"),
 	}
+	set.NewGauge("rattanpath_config_age_seconds", func() float64 { return d.view().ConfigAge.Seconds() })
+	set.NewGauge("rattanpath_hosts_age_seconds", func() float64 { return d.view().HostsAge.Seconds() })
+	set.NewGauge("rattanpath_membership_age_seconds", func() float64 { return d.view().MembersAge.Seconds() })
+	set.NewGauge("rattanpath_cells", func() float64 { return float64(len(d.view().Cells)) })
 	d.server = &http.Server{Handler: d.routes(), ReadHeaderTimeout: deskHeaderTimeout, ErrorLog: core.StandardLog(d.logger)}
 	return d
 }
@@ -90,7 +94,9 @@
 }
 
 // node tells what this node believes.
-func (d *desk) node(w http.ResponseWriter, _ *http.Request) {
+func (d *desk) node(w http.ResponseWriter, _ *http.Request) { d.write(w, d.view()) }
+
+func (d *desk) view() views.Node {
 	view := views.Node{
 		Node: d.settings.Name, ConfigAge: -1, HostsAge: -1, MembersAge: -1,
 		Cells: d.owner.Views(), Depot: d.owner.HoldsFleet(),
@@ -104,7 +110,7 @@
 	if at := d.member.Renewed(); !at.IsZero() {
 		view.MembersAge = time.Since(at)
 	}
-	d.write(w, view)
+	return view
 }
 
 // services returns the names of the services, or of the one that is asked for.
--- /dev/null
+++ b/engine/events_test.go
@@ -0,0 +1,182 @@
+package engine_test
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// managing are the packages of a managing node.
+var managing = []string{"cell", "claim", "depot", "engine", "intake", "link", "owner", "pool", "queue", "scribe"}
+
+// event is a line that a node writes.
+type event struct {
+	Package string
+	Message string
+	Keys    []string
+}
+
+// eventsOf returns the lines that a call of a logger in a file writes.
+func eventsOf(name string, file *ast.File) []event {
+	var events []event
+	ast.Inspect(file, func(n ast.Node) bool {
+		call, ok := n.(*ast.CallExpr)
+		if !ok {
+			return true
+		}
+		selector, ok := call.Fun.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		first := 0
+		switch selector.Sel.Name {
+		case "Info", "Warn":
+		case "Error":
+			first = 1
+		default:
+			return true
+		}
+		if receiver := fmt.Sprint(exprName(selector.X)); !strings.HasSuffix(receiver, "logger") || len(call.Args) <= first {
+			return true
+		}
+		if message := literal(call.Args[first]); message != "" {
+			e := event{Package: name, Message: message}
+			for i := first + 1; i < len(call.Args); i += 2 {
+				e.Keys = append(e.Keys, literal(call.Args[i]))
+			}
+			events = append(events, e)
+		}
+		return true
+	})
+	return events
+}
+
+// exprName returns the last name of an expression such as c.logger.
+func exprName(e ast.Expr) string {
+	switch e := e.(type) {
+	case *ast.Ident:
+		return e.Name
+	case *ast.SelectorExpr:
+		return e.Sel.Name
+	default:
+		return ""
+	}
+}
+
+func literal(e ast.Expr) string {
+	lit, ok := e.(*ast.BasicLit)
+	if !ok || lit.Kind != token.STRING {
+		return ""
+	}
+	text, err := strconv.Unquote(lit.Value)
+	if err != nil {
+		return ""
+	}
+	return text
+}
+
+// parsed returns the sources of the managing packages, without tests.
+func parsed(t *testing.T) map[string][]*ast.File {
+	t.Helper()
+	files := make(map[string][]*ast.File)
+	for _, name := range managing {
+		paths, err := filepath.Glob(filepath.Join("..", name, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, path := range paths {
+			if strings.HasSuffix(path, "_test.go") {
+				continue
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			files[name] = append(files[name], file)
+		}
+	}
+	return files
+}
+
+const eventsPage = "../docs/EVENTS.md"
+
+// TestEventsAreListed compares the lines that nodes write with the page that
+// lists them; UPDATE_GOLDEN=1 rewrites its table.
+func TestEventsAreListed(t *testing.T) {
+	var rows []string
+	for name, files := range parsed(t) {
+		for _, file := range files {
+			for _, e := range eventsOf(name, file) {
+				rows = append(rows, fmt.Sprintf("| `%s` | %s | %s |\n", e.Message, e.Package, strings.Join(e.Keys, ", ")))
+			}
+		}
+	}
+	slices.Sort(rows)
+	want := strings.Join(slices.Compact(rows), "")
+	page := read(t, eventsPage)
+	const begin, end = "| line | package | keys |\n|---|---|---|\n", "\n## Metrics"
+	from, to := strings.Index(page, begin)+len(begin), strings.Index(page, end)
+	if from < len(begin) || to < from {
+		t.Fatalf("got no table of lines in %s, want one", eventsPage)
+	}
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		if err := os.WriteFile(eventsPage, []byte(page[:from]+want+page[to:]), fs.FileMode(0o644)); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if got := page[from:to]; got != want {
+		t.Errorf("got the table\n%s\nwant\n%s", got, want)
+	}
+}
+
+// TestMetricsAreListed compares the names of metrics in the sources with those
+// on the page.
+func TestMetricsAreListed(t *testing.T) {
+	inSources := make(map[string]bool)
+	for _, files := range parsed(t) {
+		for _, file := range files {
+			ast.Inspect(file, func(n ast.Node) bool {
+				if lit, ok := n.(*ast.BasicLit); ok {
+					if text := literal(lit); strings.HasPrefix(text, "rattanpath_") {
+						name, _, _ := strings.Cut(text, "{")
+						inSources[name] = true
+					}
+				}
+				return true
+			})
+		}
+	}
+	onPage := make(map[string]bool)
+	for _, name := range regexp.MustCompile("`(rattanpath_[a-z_]+)`").FindAllStringSubmatch(read(t, eventsPage), -1) {
+		onPage[name[1]] = true
+	}
+	for name := range inSources {
+		if !onPage[name] {
+			t.Errorf("got no word of %s in %s, want its unit and meaning", name, eventsPage)
+		}
+	}
+	for name := range onPage {
+		if !inSources[name] {
+			t.Errorf("got %s in %s, which no node serves", name, eventsPage)
+		}
+	}
+}
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
