cell, platform: a crowd doesn't take all of a node's time

Change: after a look the cell does other things for as long as it took; a room that no host has free isn't looked for again in the same look; urgencies are sorted without a map. Timers that are over 50 ms late doubt nothing.

--- a/cell/host.go
+++ b/cell/host.go
@@ -229,9 +229,16 @@
 	go send(order)
 	again := time.NewTimer(order.Wait + doubtTime)
 	defer again.Stop()
+	due := l.cell.options.Clock() + order.Wait + doubtTime
 	for underWay := 1; ; {
 		select {
 		case <-again.C:
+			if now := l.cell.options.Clock(); now-due > lagTime {
+				// This node is too busy to tell: the answer may have come.
+				due = now + doubtTime
+				again.Reset(doubtTime)
+				continue
+			}
 			l.cell.noteLoss()
 			order.Wait = 0
 			underWay++
--- a/cell/order.go
+++ b/cell/order.go
@@ -16,6 +16,8 @@
 	// doubtTime is the time without an answer after which an order counts as lost
 	// until the host's list tells: hosts answer within some milliseconds.
 	doubtTime = 250 * time.Millisecond
+	// lagTime is how late a timer may be for its node not to count as too busy.
+	lagTime = 50 * time.Millisecond
 	// sendTime is how long after its record was written a start may be sent.
 	sendTime = time.Second
 	// stopPause is the time between attempts to stop a run.
@@ -41,7 +43,7 @@
 			return
 		}
 		begun, sent := time.Now(), c.options.Clock()
-		doubt := time.AfterFunc(doubtTime, func() { c.doubtStart(h, r) })
+		doubt := time.AfterFunc(doubtTime, func() { c.doubtStart(h, r, sent+doubtTime) })
 		reply, err := c.options.Hosts.Start(ctx, info, order)
 		doubt.Stop()
 		c.options.Meters.Start.UpdateDuration(begun)
@@ -76,10 +78,16 @@
 	}, h.info, true
 }
 
-// doubtStart looks whether a host has begun a run whose start it didn't answer.
-func (c *Cell) doubtStart(h *host, r *run) {
+// doubtStart looks whether a host has begun a run whose start it had not answered
+// at a local time. If that time is past, this node is too busy to tell: the answer
+// may have come.
+func (c *Cell) doubtStart(h *host, r *run, due time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now := c.options.Clock(); now-due > lagTime {
+		time.AfterFunc(doubtTime, func() { c.doubtStart(h, r, now+doubtTime) })
+		return
+	}
 	c.doubtRun(h, r, "no answer yet")
 }
 
--- /dev/null
+++ b/cell/placing.go
@@ -0,0 +1,172 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"rattanpath/pace"
+	"rattanpath/place"
+	"rattanpath/tasks"
+)
+
+// placing is one look at what waits and what is free.
+type placing struct {
+	cell  *Cell
+	hosts []*place.Host
+	now   time.Time
+	// full are rooms that no host has free.
+	full []tasks.Room
+}
+
+// placeJob gives the waiting tasks of one job to hosts.
+func (p *placing) placeJob(e *entry) {
+	for _, round := range e.job.Rounds {
+		for step := range round.Steps {
+			if e.job.Policy.Advice != nil && e.job.Soon(round, step) {
+				p.cell.seekAdvice(e, round, step, p.hosts, p.now)
+			}
+			switch {
+			case !e.job.Ready(round, step) || p.isFull(e.job.Plan.Steps[step].Occupies()):
+			case e.job.Plan.Steps[step].Gang:
+				p.placeGang(e, round, step)
+			default:
+				p.placeStep(e, round, step)
+			}
+		}
+	}
+}
+
+// isFull reports whether it is known that no host has so much room.
+func (p *placing) isFull(room tasks.Room) bool {
+	return slices.ContainsFunc(p.full, func(full tasks.Room) bool { return room.Fits(full) })
+}
+
+// noteFull notes that a room was not found, if no host has it free: rooms only
+// shrink while tasks are placed.
+func (p *placing) noteFull(room tasks.Room) {
+	if !slices.ContainsFunc(p.hosts, func(h *place.Host) bool { return h.Free.Fits(room) }) {
+		p.full = append(p.full, room)
+	}
+}
+
+func (p *placing) placeStep(e *entry, round *tasks.Round, step int) {
+	for index := range round.Steps[step] {
+		if round.Steps[step][index].State != tasks.Waiting {
+			continue
+		}
+		picked := place.Pick(p.cell.need(e, round, step, index), p.hosts)
+		if picked == nil {
+			p.noteFull(e.job.Plan.Steps[step].Occupies())
+			return
+		}
+		name := tasks.Name{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
+		p.cell.assign(e, name, picked, p.now)
+	}
+}
+
+// placeGang gives all tasks of a gang to hosts, or none.
+func (p *placing) placeGang(e *entry, round *tasks.Round, step int) {
+	for i := range round.Steps[step] {
+		if round.Steps[step][i].State != tasks.Waiting {
+			return
+		}
+	}
+	for index, h := range pickGang(p.cell, e, round, step, p.hosts) {
+		name := tasks.Name{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
+		p.cell.assign(e, name, h, p.now)
+	}
+}
+
+// need returns what a task needs of its host.
+func (c *Cell) need(e *entry, round *tasks.Round, step, index int) place.Need {
+	task := &round.Steps[step][index]
+	return place.Need{
+		Step:    &e.job.Plan.Steps[step],
+		Avoid:   task.Avoid,
+		Careful: task.Failed+1 >= e.job.Policy.MaxAttempts,
+		Beside:  beside(round, step),
+		Only:    c.permitted(e, stepKey{round.Number, step}, time.Now()),
+	}
+}
+
+// beside counts the tasks of a step on each host.
+func beside(round *tasks.Round, step int) map[string]int {
+	counts := make(map[string]int)
+	for i := range round.Steps[step] {
+		if task := &round.Steps[step][i]; task.Active() {
+			counts[task.Host]++
+		}
+	}
+	return counts
+}
+
+// pickGang returns a host for each member, or none. A gang that is slow when
+// spread goes to one rack if any has room for it.
+func pickGang(c *Cell, e *entry, round *tasks.Round, step int, hosts []*place.Host) []*place.Host {
+	count := len(round.Steps[step])
+	racks := []string{""}
+	if e.job.Plan.Steps[step].RackBound {
+		racks = append(racksOf(hosts), "")
+	}
+	for _, rack := range racks {
+		within := hosts
+		if rack != "" {
+			within = slices.DeleteFunc(slices.Clone(hosts), func(h *place.Host) bool { return h.Rack != rack })
+		}
+		if picked := pickAll(c.need(e, round, step, 0), count, within); picked != nil {
+			return picked
+		}
+	}
+	return nil
+}
+
+func racksOf(hosts []*place.Host) []string {
+	var racks []string
+	for _, h := range hosts {
+		if h.Rack != "" && !slices.Contains(racks, h.Rack) {
+			racks = append(racks, h.Rack)
+		}
+	}
+	return racks
+}
+
+// pickAll returns a host for each of count equal tasks, or none. The hosts'
+// free room is as before when it returns.
+func pickAll(need place.Need, count int, hosts []*place.Host) []*place.Host {
+	var picked []*place.Host
+	defer func() {
+		for _, h := range picked {
+			h.Free = h.Free.Add(need.Step.Occupies())
+		}
+	}()
+	for range count {
+		h := place.Pick(need, hosts)
+		if h == nil {
+			return nil
+		}
+		h.Free = h.Free.Sub(need.Step.Occupies())
+		need.Beside[h.ID]++
+		picked = append(picked, h)
+	}
+	return picked
+}
+
+// assign gives a run of a task to a host. The start is sent once it is written.
+func (c *Cell) assign(e *entry, name tasks.Name, to *place.Host, now time.Time) {
+	h := c.hosts[to.ID]
+	step := e.job.Step(name)
+	to.Free = to.Free.Sub(step.Occupies())
+	switch {
+	case step.Fills:
+		to.Filling++
+	case step.Lasting:
+		to.Serving++
+	}
+	e.job.Assign(name, h.id, h.born, now)
+	task := e.job.Task(name)
+	r := &run{entry: e, name: name, number: task.Run, room: step.Occupies(), share: pace.Full}
+	h.runs[name] = r
+	c.options.Meters.Waited.Update(now.Sub(e.job.Due(name.Round)).Seconds())
+	c.logger.Info("run assigned", "job", name.Job, "round", name.Round, "step", name.Step, "index", name.Index, "run", r.number, "host", h.id, "failed", task.Failed, "suspicion", to.Suspicion)
+	c.touch(e, func() { c.sendStart(h, r) })
+}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -6,11 +6,15 @@
 	"slices"
 	"time"
 
-	"rattanpath/pace"
+	"rattanpath/core"
 	"rattanpath/place"
 	"rattanpath/tasks"
 )
 
+// placeShare is how many times as long as a look at what waits the cell then does
+// other things: with more work than room, looks could take all of a node's time.
+const placeShare = 1
+
 // loopPlace gives tasks to hosts whenever something has changed.
 func (c *Cell) loopPlace(ctx context.Context) {
 	for {
@@ -19,9 +23,13 @@
 		case <-ctx.Done():
 			return
 		}
+		begun := time.Now()
 		c.mu.Lock()
-		c.place(time.Now())
+		c.place(begun)
 		c.mu.Unlock()
+		if core.Sleep(ctx, placeShare*time.Since(begun)) != nil {
+			return
+		}
 	}
 }
 
@@ -35,15 +43,21 @@
 	if len(waiting) == 0 {
 		return
 	}
-	hosts := c.candidates(now)
-	for _, e := range waiting {
-		c.placeJob(e, hosts, now)
+	p := &placing{cell: c, hosts: c.candidates(now), now: now}
+	for _, w := range waiting {
+		p.placeJob(w.entry)
 	}
 }
 
+// waiter is a job with tasks to start.
+type waiter struct {
+	entry   *entry
+	urgency place.Urgency
+}
+
 // waiting returns the jobs with tasks to start, the most urgent first.
-func (c *Cell) waiting(now time.Time) []*entry {
-	var waiting []*entry
+func (c *Cell) waiting(now time.Time) []waiter {
+	var waiting []waiter
 	for e := range c.open {
 		if !e.defined && !e.dirty {
 			continue
@@ -52,21 +66,16 @@
 		if now.Before(e.notBefore) || e.job.Policy.Advice == nil && !hasReady(e.job) {
 			continue
 		}
-		waiting = append(waiting, e)
-	}
-	urgencies := make(map[*entry]place.Urgency, len(waiting))
-	for _, e := range waiting {
-		urgencies[e] = c.urgency(e, now)
+		waiting = append(waiting, waiter{entry: e, urgency: c.urgency(e, now)})
 	}
-	slices.SortFunc(waiting, func(a, b *entry) int {
-		ua, ub := urgencies[a], urgencies[b]
+	slices.SortFunc(waiting, func(a, b waiter) int {
 		switch {
-		case ua.Before(ub):
+		case a.urgency.Before(b.urgency):
 			return -1
-		case ub.Before(ua):
+		case b.urgency.Before(a.urgency):
 			return 1
 		default:
-			return a.job.Accepted.Compare(b.job.Accepted)
+			return a.entry.job.Accepted.Compare(b.entry.job.Accepted)
 		}
 	})
 	return waiting
@@ -143,144 +152,3 @@
 	slices.SortFunc(hosts, func(a, b *place.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return hosts
 }
-
-// placeJob gives the waiting tasks of one job to hosts.
-func (c *Cell) placeJob(e *entry, hosts []*place.Host, now time.Time) {
-	for _, round := range e.job.Rounds {
-		for step := range round.Steps {
-			if e.job.Policy.Advice != nil && e.job.Soon(round, step) {
-				c.seekAdvice(e, round, step, hosts, now)
-			}
-			if !e.job.Ready(round, step) {
-				continue
-			}
-			if e.job.Plan.Steps[step].Gang {
-				c.placeGang(e, round, step, hosts, now)
-				continue
-			}
-			c.placeStep(e, round, step, hosts, now)
-		}
-	}
-}
-
-// need returns what a task needs of its host.
-func (c *Cell) need(e *entry, round *tasks.Round, step, index int) place.Need {
-	task := &round.Steps[step][index]
-	return place.Need{
-		Step:    &e.job.Plan.Steps[step],
-		Avoid:   task.Avoid,
-		Careful: task.Failed+1 >= e.job.Policy.MaxAttempts,
-		Beside:  beside(round, step),
-		Only:    c.permitted(e, stepKey{round.Number, step}, time.Now()),
-	}
-}
-
-// beside counts the tasks of a step on each host.
-func beside(round *tasks.Round, step int) map[string]int {
-	counts := make(map[string]int)
-	for i := range round.Steps[step] {
-		if task := &round.Steps[step][i]; task.Active() {
-			counts[task.Host]++
-		}
-	}
-	return counts
-}
-
-func (c *Cell) placeStep(e *entry, round *tasks.Round, step int, hosts []*place.Host, now time.Time) {
-	for index := range round.Steps[step] {
-		if round.Steps[step][index].State != tasks.Waiting {
-			continue
-		}
-		picked := place.Pick(c.need(e, round, step, index), hosts)
-		if picked == nil {
-			return
-		}
-		name := tasks.Name{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
-		c.assign(e, name, picked, now)
-	}
-}
-
-// placeGang gives all tasks of a gang to hosts, or none.
-func (c *Cell) placeGang(e *entry, round *tasks.Round, step int, hosts []*place.Host, now time.Time) {
-	for i := range round.Steps[step] {
-		if round.Steps[step][i].State != tasks.Waiting {
-			return
-		}
-	}
-	picked := pickGang(c, e, round, step, hosts)
-	for index, h := range picked {
-		name := tasks.Name{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
-		c.assign(e, name, h, now)
-	}
-}
-
-// pickGang returns a host for each member, or none. A gang that is slow when
-// spread goes to one rack if any has room for it.
-func pickGang(c *Cell, e *entry, round *tasks.Round, step int, hosts []*place.Host) []*place.Host {
-	count := len(round.Steps[step])
-	racks := []string{""}
-	if e.job.Plan.Steps[step].RackBound {
-		racks = append(racksOf(hosts), "")
-	}
-	for _, rack := range racks {
-		within := hosts
-		if rack != "" {
-			within = slices.DeleteFunc(slices.Clone(hosts), func(h *place.Host) bool { return h.Rack != rack })
-		}
-		if picked := pickAll(c.need(e, round, step, 0), count, within); picked != nil {
-			return picked
-		}
-	}
-	return nil
-}
-
-func racksOf(hosts []*place.Host) []string {
-	var racks []string
-	for _, h := range hosts {
-		if h.Rack != "" && !slices.Contains(racks, h.Rack) {
-			racks = append(racks, h.Rack)
-		}
-	}
-	return racks
-}
-
-// pickAll returns a host for each of count equal tasks, or none. The hosts'
-// free room is as before when it returns.
-func pickAll(need place.Need, count int, hosts []*place.Host) []*place.Host {
-	var picked []*place.Host
-	defer func() {
-		for _, h := range picked {
-			h.Free = h.Free.Add(need.Step.Occupies())
-		}
-	}()
-	for range count {
-		h := place.Pick(need, hosts)
-		if h == nil {
-			return nil
-		}
-		h.Free = h.Free.Sub(need.Step.Occupies())
-		need.Beside[h.ID]++
-		picked = append(picked, h)
-	}
-	return picked
-}
-
-// assign gives a run of a task to a host. The start is sent once it is written.
-func (c *Cell) assign(e *entry, name tasks.Name, to *place.Host, now time.Time) {
-	h := c.hosts[to.ID]
-	step := e.job.Step(name)
-	to.Free = to.Free.Sub(step.Occupies())
-	switch {
-	case step.Fills:
-		to.Filling++
-	case step.Lasting:
-		to.Serving++
-	}
-	e.job.Assign(name, h.id, h.born, now)
-	task := e.job.Task(name)
-	r := &run{entry: e, name: name, number: task.Run, room: step.Occupies(), share: pace.Full}
-	h.runs[name] = r
-	c.options.Meters.Waited.Update(now.Sub(e.job.Due(name.Round)).Seconds())
-	c.logger.Info("run assigned", "job", name.Job, "round", name.Round, "step", name.Step, "index", name.Index, "run", r.number, "host", h.id, "failed", task.Failed, "suspicion", to.Suspicion)
-	c.touch(e, func() { c.sendStart(h, r) })
-}
