owner, platform: small nodes leave decisions to larger ones

Change: a node with less than 0.3 cores or 50 Mbit/s is in reserve: it joins the group when no other node has been seen in it for 1.5 s, and leaves it when others have been for 3 s. Where all nodes are small all join.

Ruled out before: looks at what waits, connections (both mended, neither was enough). Scenes: a reserve steps in and back; nodes in reserve only.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -80,7 +80,7 @@
 }
 
 func newMember(settings Settings, platform Platform, logger logr.Logger) *owner.Member {
-	return owner.NewMember(platform.Group, settings.Name, settings.PeerListen, settings.MinMemberTTL, logger)
+	return owner.NewMember(platform.Group, settings.Name, settings.PeerListen, settings.MinMemberTTL, settings.InReserve, logger)
 }
 
 // wanted lets the watcher of hosts ask the owner, which is made after it.
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -22,6 +22,9 @@
 	Cloud   string
 	Advisor string
 
+	// InReserve means that the node is too small to decide for services while others
+	// can.
+	InReserve bool
 	// Partitions is how many partitions a topic has.
 	Partitions int
 	// CallBytes bounds a write.
--- a/owner/group.go
+++ b/owner/group.go
@@ -44,6 +44,8 @@
 	membership store.Membership
 	held       []int
 	left       bool
+	// reserve is nil for a node that always is in the group.
+	reserve *reserve
 	// renewed is when the membership was last confirmed.
 	renewed time.Time
 	changed core.Signal
@@ -54,9 +56,10 @@
 	Shrunk func()
 }
 
-// NewMember returns a member of the group that answers at an address.
-func NewMember(group Group, node, address string, minTTL time.Duration, logger logr.Logger) *Member {
-	return &Member{
+// NewMember returns a member of the group that answers at an address. One in
+// reserve is in the group only while no other is.
+func NewMember(group Group, node, address string, minTTL time.Duration, inReserve bool, logger logr.Logger) *Member {
+	m := &Member{
 		group:  group,
 		logger: logger.WithName("owner"),
 		hurry:  make(chan struct{}, 1),
@@ -67,6 +70,11 @@
 			TTL:    max(memberTTL, minTTL),
 		},
 	}
+	if inReserve {
+		m.reserve = &reserve{}
+		m.membership.Member = reserveMark + m.membership.Member
+	}
+	return m
 }
 
 // Held returns the partitions that the store gives this node.
@@ -89,7 +97,7 @@
 // Run keeps the membership until ctx ends.
 func (m *Member) Run(ctx context.Context) {
 	for {
-		if m.renew(ctx) {
+		if m.stands(ctx) && m.renew(ctx) {
 			// The store gives the partitions to others once this node shows that it
 			// knows.
 			m.renew(ctx)
