--- a/admin/server.go
+++ b/admin/server.go
@@ -1,16 +1,11 @@
 package admin
 
 import (
-	"context"
-	"encoding/json"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
-	"github.com/pkg/errors"
 	"go.uber.org/fx"
 
 	"rattanpath/core"
@@ -22,8 +17,6 @@
 	"rattanpath/views"
 )
 
-const headerTimeout = 5 * time.Second
-
 func init() {
 	core.Modules.Register("admin", fx.Module("admin",
 		fx.Provide(newParts, New),
@@ -48,7 +41,7 @@
 	parts   *Parts
 	metrics *metrics.Set
 	logger  logr.Logger
-	server  *http.Server
+	server  *core.Operators
 }
 
 // New returns a server that listens once it is started.
@@ -59,7 +52,7 @@
 	router.HandleFunc(views.StatusPath, s.status).Methods(http.MethodGet)
 	router.HandleFunc(views.OutcomePath+"{RequestID}", s.outcome).Methods(http.MethodGet)
 	router.HandleFunc(views.MetricsPath, s.writeMetrics).Methods(http.MethodGet)
-	s.server = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: core.StandardLog(logger.WithName("http"))}
+	s.server = core.NewOperators(parts.Settings.AdminListen, router, s.logger)
 	set.NewGauge("rattanpath_control_received_bytes", func() float64 { return float64(traffic.Received()) })
 	set.NewGauge("rattanpath_control_sent_bytes", func() float64 { return float64(traffic.Sent()) })
 	set.NewGauge("rattanpath_revision", func() float64 { return float64(parts.revision()) })
@@ -68,28 +61,7 @@
 }
 
 func start(lifecycle fx.Lifecycle, server *Server) {
-	lifecycle.Append(fx.Hook{OnStart: server.start, OnStop: server.stop})
-}
-
-func (s *Server) start(ctx context.Context) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", s.parts.Settings.AdminListen)
-	if err != nil {
-		return errors.Wrap(err, "listening for operators")
-	}
-	s.logger.Info("listening for operators", "address", listener.Addr().String())
-	go s.run(listener)
-	return nil
-}
-
-func (s *Server) run(listener net.Listener) {
-	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		s.logger.Error(err, "no longer listening for operators")
-	}
-}
-
-func (s *Server) stop(context.Context) error {
-	return errors.Wrap(s.server.Close(), "closing operators' connections")
+	lifecycle.Append(fx.Hook{OnStart: server.server.Start, OnStop: server.server.Stop})
 }
 
 // health answers 200 if the node takes requests, else 503.
@@ -98,11 +70,11 @@
 	if !status.Ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	s.write(w, status)
+	s.server.Write(w, status)
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
-	s.write(w, s.parts.Status())
+	s.server.Write(w, s.parts.Status())
 }
 
 func (s *Server) outcome(w http.ResponseWriter, r *http.Request) {
@@ -110,16 +82,10 @@
 	if !known {
 		w.WriteHeader(http.StatusNotFound)
 	}
-	s.write(w, outcome)
+	s.server.Write(w, outcome)
 }
 
 func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	s.metrics.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
-
-func (s *Server) write(w http.ResponseWriter, value any) {
-	if err := json.NewEncoder(w).Encode(value); err != nil {
-		s.logger.Error(err, "an answer to an operator failed")
-	}
-}
--- a/engine/desk.go
+++ b/engine/desk.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
 	"net/http"
 	"time"
 
@@ -21,12 +19,8 @@
 	"rattanpath/views"
 )
 
-const (
-	// deskHeaderTimeout bounds the header of an operator's request.
-	deskHeaderTimeout = 3 * time.Second
-	// deskTime bounds the answer to an operator.
-	deskTime = 2 * time.Second
-)
+// deskTime bounds the answer to an operator.
+const deskTime = 2 * time.Second
 
 // desk answers operators: what the node believes, what the owners of services
 // know of jobs and hosts, and the metrics.
@@ -38,7 +32,7 @@
 	owner    *owner.Owner
 	finder   *owner.Finder
 	set      *metrics.Set
-	server   *http.Server
+	server   *core.Operators
 	logger   logr.Logger
 }
 
@@ -51,7 +45,7 @@
 	set.NewGauge("rattanpath_hosts_age_seconds", func() float64 { return d.view().HostsAge.Seconds() })
 	set.NewGauge("rattanpath_membership_age_seconds", func() float64 { return d.view().MembersAge.Seconds() })
 	set.NewGauge("rattanpath_cells", func() float64 { return float64(len(d.view().Cells)) })
-	d.server = &http.Server{Handler: d.routes(), ReadHeaderTimeout: deskHeaderTimeout, ErrorLog: core.StandardLog(d.logger)}
+	d.server = core.NewOperators(settings.AdminListen, d.routes(), d.logger)
 	return d
 }
 
@@ -66,35 +60,13 @@
 	return router
 }
 
-func (d *desk) start(ctx context.Context) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", d.settings.AdminListen)
-	if err != nil {
-		return errors.Wrap(err, "listening for operators")
-	}
-	d.logger.Info("listening for operators", "address", listener.Addr().String())
-	go d.run(listener)
-	return nil
-}
-
-// run serves until the server is closed.
-func (d *desk) run(listener net.Listener) {
-	if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		d.logger.Error(err, "no longer listening for operators")
-	}
-}
-
-func (d *desk) stop(context.Context) error {
-	return errors.Wrap(d.server.Close(), "closing operators' connections")
-}
-
 func (d *desk) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	d.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
 
 // node tells what this node believes.
-func (d *desk) node(w http.ResponseWriter, _ *http.Request) { d.write(w, d.view()) }
+func (d *desk) node(w http.ResponseWriter, _ *http.Request) { d.server.Write(w, d.view()) }
 
 func (d *desk) view() views.Node {
 	view := views.Node{
@@ -139,7 +111,7 @@
 		}
 		list = append(list, jobs...)
 	}
-	d.write(w, list)
+	d.server.Write(w, list)
 }
 
 func (d *desk) poolsOf(w http.ResponseWriter, r *http.Request) {
@@ -154,7 +126,7 @@
 		}
 		list = append(list, one)
 	}
-	d.write(w, list)
+	d.server.Write(w, list)
 }
 
 // find asks the owners of all services for a job.
@@ -180,7 +152,7 @@
 		d.fail(w, statusOf(err), err)
 		return
 	}
-	d.write(w, detail)
+	d.server.Write(w, detail)
 }
 
 func (d *desk) cancel(w http.ResponseWriter, r *http.Request) {
@@ -195,7 +167,7 @@
 		return
 	}
 	d.logger.Info("job cancelled by an operator", "job", detail.ID, "from", r.RemoteAddr)
-	d.write(w, detail.Job)
+	d.server.Write(w, detail.Job)
 }
 
 func statusOf(err error) int {
@@ -208,10 +180,3 @@
 func (d *desk) fail(w http.ResponseWriter, status int, err error) {
 	http.Error(w, err.Error(), status)
 }
-
-func (d *desk) write(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(value); err != nil {
-		d.logger.Error(err, "an answer to an operator failed")
-	}
-}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -167,7 +167,7 @@
 	loops.Go(finder.Run)
 	loops.Go(machines.Run)
 	lifecycle.Append(fx.Hook{OnStart: peers.Start, OnStop: peers.Stop})
-	lifecycle.Append(fx.Hook{OnStart: operators.start, OnStop: operators.stop})
+	lifecycle.Append(fx.Hook{OnStart: operators.server.Start, OnStop: operators.server.Stop})
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			logger.Info("node starts", "callers", settings.CallerListen, "peers", settings.PeerListen, "store", settings.Store)
--- a/engine/events_test.go
+++ b/engine/events_test.go
@@ -16,7 +16,7 @@
 )
 
 // managing are the packages of a managing node.
-var managing = []string{"cell", "claim", "depot", "engine", "intake", "link", "owner", "pool", "queue", "scribe"}
+var managing = []string{"cell", "claim", "core", "depot", "engine", "intake", "link", "owner", "pool", "queue", "scribe"}
 
 // event is a line that a node writes.
 type event struct {
--- a/owner/group.go
+++ b/owner/group.go
@@ -161,10 +161,17 @@
 	return shrunk
 }
 
-// Leave gives up all partitions, so that others take them at once.
+// Leave gives up all partitions for good, so that others take them at once.
 func (m *Member) Leave(ctx context.Context) {
 	m.mu.Lock()
 	m.left = true
+	m.mu.Unlock()
+	m.stepBack(ctx)
+}
+
+// stepBack gives up all partitions until the next renewal.
+func (m *Member) stepBack(ctx context.Context) {
+	m.mu.Lock()
 	m.held = nil
 	membership := m.membership
 	m.mu.Unlock()
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -65,19 +65,3 @@
 	}
 	return stands
 }
-
-// stepBack gives all partitions up for others that are there again.
-func (m *Member) stepBack(ctx context.Context) {
-	m.mu.Lock()
-	m.held = nil
-	membership := m.membership
-	m.mu.Unlock()
-	m.changed.Notify()
-	ctx, cancel := context.WithTimeout(ctx, leaveTime)
-	defer cancel()
-	if err := m.group.Leave(ctx, membership); err != nil {
-		m.logger.Info("the group could not be left; others wait for the membership to lapse", "err", err.Error())
-		return
-	}
-	m.tellOthers()
-}
