claim: two claims of one epoch are told apart

Where two nodes read the same end of a topic and claim the same epoch, the store may take the second for a repeat of the first and confirm it: two owners with one epoch and one token. In the stand-in it did.

Change: the number of a claim's first write comes from its node and nonce; writes go on from there.

The test lets two nodes claim after one read; it failed before (both had epoch 1).

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"rattanpath/core"
@@ -108,7 +109,9 @@
 		Records: []store.Record{claimed},
 		Writer:  writer,
 		Epoch:   c.Epoch,
-		At:      &at,
+		// The claims of two nodes must not pass for one that is repeated.
+		Sequence: c.first(),
+		At:       &at,
 	})
 	if errors.Is(err, store.ErrSequence) {
 		// Another node has claimed the same epoch.
@@ -117,6 +120,15 @@
 	return err
 }
 
+// sequenceBits bounds the number of the first write of a claim.
+const sequenceBits = 40
+
+// first returns the number of the first write of the claim, which differs between
+// claims.
+func (c *Claim) first() int64 {
+	return int64(xxhash.Sum64String(c.node+"/"+c.nonce) >> (64 - sequenceBits))
+}
+
 func (c *Claim) record(released bool) (store.Record, error) {
 	value, err := json.Marshal(record{Epoch: c.Epoch, Node: c.node, Nonce: c.nonce, Released: released})
 	return store.Record{Key: recordKey, Value: value}, errors.Wrap(err, "encoding a claim")
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -114,6 +114,45 @@
 	})
 }
 
+// slowJournal holds writes back until it is told to let them go.
+type slowJournal struct {
+	Journal
+	release chan struct{}
+}
+
+func (j *slowJournal) Append(ctx context.Context, write store.Write) (int64, error) {
+	<-j.release
+	return j.Journal.Append(ctx, write)
+}
+
+// TestClaimsOfOneEpochAreToldApart lets two nodes read the same end of a topic and
+// claim the same epoch: only one may have it, though the store takes a second write
+// under one number for a repeat of the first.
+func TestClaimsOfOneEpochAreToldApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.NewStore()
+		late := &slowJournal{Journal: s.Client("a"), release: make(chan struct{})}
+		claimed := make(chan *Claim, 1)
+		go func() {
+			c, err := Take(t.Context(), late, testTopic, "a", "nonce of a")
+			if err != nil {
+				t.Error(err)
+			}
+			claimed <- c
+		}()
+		synctest.Wait()
+		b := take(t, s.Client("b"), "b")
+		close(late.release)
+		a := <-claimed
+		if a == nil || a.Epoch <= b.Epoch {
+			t.Fatalf("got epoch %d for the later claim, want one above %d", a.Epoch, b.Epoch)
+		}
+		if _, err := b.NewWriter(s.Client("b"), testTopic, clock).Write(t.Context(), []store.Record{{Key: "k"}}); !Lost(err) {
+			t.Errorf("got %v for a write of the older claim, want it refused", err)
+		}
+	})
+}
+
 // TestWriteAfterAnUnsureOne gives up on a write that takes effect later, and
 // writes something else: both must be there.
 func TestWriteAfterAnUnsureOne(t *testing.T) {
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -44,7 +44,7 @@
 // NewWriter returns a writer for the topic that was claimed.
 func (c *Claim) NewWriter(journal Journal, topic string, clock core.Clock) *Writer {
 	// The claim itself was the first write.
-	return &Writer{journal: journal, topic: topic, epoch: c.Epoch, sequence: 1, clock: clock}
+	return &Writer{journal: journal, topic: topic, epoch: c.Epoch, sequence: c.first() + 1, clock: clock}
 }
 
 // NewSideWriter returns a writer for another topic to which only claimants of
