proxy, depot, cell: tests without races of their own

Cause of TestOtherHostIsTried failing once (404 NoService, no request at the host): the test's closed address was a port that had been freed, and the node under test got that very port, so that it asked itself. The port now stays bound without anybody listening.

--- a/cell/share_test.go
+++ b/cell/share_test.go
@@ -48,7 +48,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		w.wantPhase(n, "job", tasks.Open)
-		w.advisor.Takes = time.Millisecond
+		w.advisor.Hurry(time.Millisecond)
 		time.Sleep(5 * time.Second)
 		w.wantPhase(n, "job", tasks.Completed)
 	})
--- a/depot/depot_test.go
+++ b/depot/depot_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,11 +175,21 @@
 
 // Resign asks another depot, unless it is cut off.
 func (y *yard) Resign(ctx context.Context, address string, epoch int64) (map[string]time.Duration, error) {
-	if y.cut[address] {
+	y.mu.Lock()
+	cut, depot := y.cut[address], y.nodes[address]
+	y.mu.Unlock()
+	if cut {
 		<-ctx.Done()
 		return nil, errAway
 	}
-	return y.nodes[address].Resign(epoch), nil
+	return depot.Resign(epoch), nil
+}
+
+// cutOff keeps other nodes from asking one to resign.
+func (y *yard) cutOff(address string) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.cut[address] = true
 }
 
 // want makes a pool wait for the room of a number of hosts, and others for none.
@@ -199,7 +210,7 @@
 
 // post is a node that may hold the depot.
 type post struct {
-	holds bool
+	holds atomic.Bool
 	stop  context.CancelFunc
 }
 
@@ -210,14 +221,16 @@
 		Node: name, Address: name, Cloud: y, Cells: y, Holders: y, Tables: y,
 		Journal: s.Client(name),
 		Clock:   func() time.Duration { return time.Since(begun) },
-		Holds:   func() bool { return p.holds },
+		Holds:   p.holds.Load,
 		WaveStatus: func(number int64, completed bool) (string, []byte, error) {
 			return fmt.Sprint(number), []byte(fmt.Sprint(completed)), nil
 		},
 		StatusTopic: "status", HolderLease: testLease, MoveTime: testMove, UpkeepTime: testUpkeep,
 		Logger: logr.Discard(), Set: metrics.NewSet(),
 	})
+	y.mu.Lock()
 	y.nodes[name] = d
+	y.mu.Unlock()
 	ctx, p.stop = context.WithCancel(ctx)
 	go d.Run(ctx)
 	return p
@@ -235,11 +248,11 @@
 		// ordered when those that it did.
 		others, ordered time.Duration
 	}{
-		{"given up", func(_ *yard, _ *fake.Store, first *post) { first.holds = false }, time.Second, 4500 * time.Millisecond},
+		{"given up", func(_ *yard, _ *fake.Store, first *post) { first.holds.Store(false) }, time.Second, 4500 * time.Millisecond},
 		{"store lost", func(_ *yard, s *fake.Store, _ *post) { s.Fail("first", fake.Silent) }, time.Second, 4 * time.Second},
 		{"cut off", func(y *yard, s *fake.Store, _ *post) {
 			s.Fail("first", fake.Silent)
-			y.cut["first"] = true
+			y.cutOff("first")
 		}, 2 * time.Second, 6 * time.Second},
 	}
 	for _, test := range tests {
@@ -248,7 +261,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				y, s := newYard(t), fake.NewStore()
 				first, second := y.start(ctx, s, "first"), y.start(ctx, s, "second")
-				first.holds = true
+				first.holds.Store(true)
 				time.Sleep(time.Second)
 				y.want("west", 2)
 				time.Sleep(time.Second)
@@ -258,7 +271,7 @@
 				}
 				test.leave(y, s, first)
 				y.want("west", 8)
-				second.holds = true
+				second.holds.Store(true)
 				time.Sleep(test.others)
 				if got := y.moved(); got <= before {
 					t.Errorf("got %d orders %v after the depot changed hands, want more than the %d of the first holder", got, test.others, before)
@@ -298,11 +311,11 @@
 			y.delay = 400 * time.Millisecond
 			y.wave = &queue.Wave{Number: 1, Machines: []string{"m0", "m1", "m2", "m3"}, Within: 20 * time.Second, Cap: 2}
 			first, second := y.start(ctx, s, "first"), y.start(ctx, s, "second")
-			first.holds = true
+			first.holds.Store(true)
 			time.Sleep(500*time.Millisecond + offset)
 			s.Fail("first", fake.Silent)
-			y.cut["first"] = true
-			second.holds = true
+			y.cutOff("first")
+			second.holds.Store(true)
 			time.Sleep(20 * time.Second)
 			if got := y.moved(); got < 4 {
 				t.Errorf("got %d machines through their upkeep, want 4", got)
@@ -322,12 +335,12 @@
 			y, s := newYard(t), fake.NewStore()
 			y.delay = 300 * time.Millisecond
 			first, second := y.start(ctx, s, "first"), y.start(ctx, s, "second")
-			first.holds = true
+			first.holds.Store(true)
 			time.Sleep(time.Second)
 			y.want("west", 3*testHosts)
 			time.Sleep(offset)
 			s.Fail("first", fake.Silent)
-			second.holds = true
+			second.holds.Store(true)
 			time.Sleep(time.Second)
 			y.want("east", 3*testHosts)
 			time.Sleep(6 * time.Second)
--- a/fake/advisor.go
+++ b/fake/advisor.go
@@ -25,7 +25,10 @@
 
 // Advise implements cell.Advisor.
 func (a *Advisor) Advise(ctx context.Context, step tasks.Name, hosts []string) (map[string]string, error) {
-	if err := core.Sleep(ctx, a.Takes); err != nil {
+	a.mu.Lock()
+	takes := a.Takes
+	a.mu.Unlock()
+	if err := core.Sleep(ctx, takes); err != nil {
 		return nil, err
 	}
 	a.mu.Lock()
@@ -44,6 +47,13 @@
 	return tickets, nil
 }
 
+// Hurry sets the time of an answer.
+func (a *Advisor) Hurry(takes time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Takes = takes
+}
+
 // Asked returns how many questions were answered.
 func (a *Advisor) Asked() int {
 	a.mu.Lock()
--- a/proxy/fixture_test.go
+++ b/proxy/fixture_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -151,15 +153,23 @@
 	return startUpstream(t, upstream)
 }
 
-// closedAddress returns an address at which nobody listens.
+// closedAddress returns an address at which nobody listens. The port stays taken
+// until the test ends: a free one could become that of the node under test.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(socket)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
 }
 
 // startNode serves a handler in front of upstream addresses and returns its
