owner: operators' questions wait for an owner

Cause: TestOperatorsView failed once beside load: a node that has just started doesn't know the owners yet, and jobs, hosts and explain asked once. They now ask until an owner answers or their time is over, as callers' requests do.

--- a/owner/finder.go
+++ b/owner/finder.go
@@ -224,26 +224,27 @@
 	return outcomeError(answer, err)
 }
 
-// Jobs lists the jobs of a service.
+// Jobs lists the jobs of a service. Like Pool, Explain and Cancel it asks until
+// an owner answers or ctx ends.
 func (f *Finder) Jobs(ctx context.Context, service string) ([]views.Job, error) {
-	answer, _, err := f.attempt(ctx, MethodJobs, Request{Service: service})
-	return answer.Jobs, outcomeError(answer, err)
+	answer := f.Call(ctx, MethodJobs, Request{Service: service})
+	return answer.Jobs, outcomeError(answer, nil)
 }
 
 // Pool says what is believed of the hosts of a service.
 func (f *Finder) Pool(ctx context.Context, service string) (views.Pool, error) {
-	answer, _, err := f.attempt(ctx, MethodPool, Request{Service: service})
-	return answer.Pool, outcomeError(answer, err)
+	answer := f.Call(ctx, MethodPool, Request{Service: service})
+	return answer.Pool, outcomeError(answer, nil)
 }
 
 // Explain says all that the owner of a service knows of a job. The error is
 // cell.ErrUnknownJob if it knows none of that ID.
 func (f *Finder) Explain(ctx context.Context, service, id string) (views.JobDetail, error) {
-	answer, _, err := f.attempt(ctx, MethodExplain, Request{Service: service, Key: tasks.Key{ID: id}})
-	if err == nil && answer.Outcome == Unknown {
+	answer := f.Call(ctx, MethodExplain, Request{Service: service, Key: tasks.Key{ID: id}})
+	if answer.Outcome == Unknown {
 		return views.JobDetail{}, cell.ErrUnknownJob
 	}
-	return answer.Detail, outcomeError(answer, err)
+	return answer.Detail, outcomeError(answer, nil)
 }
 
 // Cancel ends a job of a service on an operator's wish.
