cell, tasks: what a step needs is worked out once

Found in reading the whole change: for each waiting task of a step the cell counted anew which hosts have tasks of it and which hosts the advisor allows, so that a wide step cost its square; five places counted waiting tasks for themselves; Widest in a pool's report was filled and never read.

Change: need is made once a step and kept up to date as tasks are given to hosts; the host that a task avoids is set for each. tasks.Round.Waiting counts for all. No choice changes; the tests of cell, place, depot and engine pass.

--- a/cell/permit.go
+++ b/cell/permit.go
@@ -94,13 +94,7 @@
 	if a.asking || now.Before(a.askAfter) || c.questions >= maxQuestions || c.options.Advisor == nil {
 		return
 	}
-	waiting := 0
-	for i := range round.Steps[step] {
-		if round.Steps[step][i].State == tasks.Waiting {
-			waiting++
-		}
-	}
-	asked := a.book.Ask(c.askable(c.need(e, round, step, 0), hosts), waiting, now)
+	asked := a.book.Ask(c.askable(c.need(e, round, step, now), hosts), round.Waiting(step), now)
 	if len(asked) == 0 {
 		return
 	}
--- a/cell/placing.go
+++ b/cell/placing.go
@@ -50,43 +50,57 @@
 }
 
 func (p *placing) placeStep(e *entry, round *tasks.Round, step int) {
+	if round.Waiting(step) == 0 {
+		return
+	}
+	need := p.cell.need(e, round, step, p.now)
 	for index := range round.Steps[step] {
-		if round.Steps[step][index].State != tasks.Waiting {
+		task := &round.Steps[step][index]
+		if task.State != tasks.Waiting {
 			continue
 		}
-		picked := place.Pick(p.cell.need(e, round, step, index), p.hosts)
+		need.Avoid, need.Careful = caution(e, task)
+		picked := place.Pick(need, p.hosts)
 		if picked == nil {
-			p.noteFull(e.job.Plan.Steps[step].Occupies())
+			p.noteFull(need.Step.Occupies())
 			return
 		}
-		name := tasks.Name{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
-		p.cell.assign(e, name, picked, p.now)
+		p.assign(e, round, step, index, picked)
+		need.Beside[picked.ID]++
 	}
 }
 
 // placeGang gives all tasks of a gang to hosts, or none.
 func (p *placing) placeGang(e *entry, round *tasks.Round, step int) {
-	for i := range round.Steps[step] {
-		if round.Steps[step][i].State != tasks.Waiting {
-			return
-		}
+	if round.Waiting(step) < len(round.Steps[step]) {
+		return
 	}
-	for index, h := range pickGang(p.cell, e, round, step, p.hosts) {
-		name := tasks.Name{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
-		p.cell.assign(e, name, h, p.now)
+	for index, h := range p.pickGang(e, round, step) {
+		p.assign(e, round, step, index, h)
 	}
 }
 
-// need returns what a task needs of its host.
-func (c *Cell) need(e *entry, round *tasks.Round, step, index int) place.Need {
-	task := &round.Steps[step][index]
-	return place.Need{
-		Step:    &e.job.Plan.Steps[step],
-		Avoid:   task.Avoid,
-		Careful: task.Failed+1 >= e.job.Policy.MaxAttempts,
-		Beside:  beside(round, step),
-		Only:    c.permitted(e, stepKey{round.Number, step}, time.Now()),
+func (p *placing) assign(e *entry, round *tasks.Round, step, index int, to *place.Host) {
+	name := tasks.Name{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
+	p.cell.assign(e, name, to, p.now)
+}
+
+// need returns what the first task of a step needs of its host; the others differ
+// in their caution.
+func (c *Cell) need(e *entry, round *tasks.Round, step int, now time.Time) place.Need {
+	need := place.Need{
+		Step:   &e.job.Plan.Steps[step],
+		Beside: beside(round, step),
+		Only:   c.permitted(e, stepKey{round.Number, step}, now),
 	}
+	need.Avoid, need.Careful = caution(e, &round.Steps[step][0])
+	return need
+}
+
+// caution returns the host on which a task failed, and whether it can't afford
+// another failure.
+func caution(e *entry, task *tasks.Task) (avoid string, careful bool) {
+	return task.Avoid, task.Failed+1 >= e.job.Policy.MaxAttempts
 }
 
 // beside counts the tasks of a step on each host.
@@ -102,18 +116,17 @@
 
 // pickGang returns a host for each member, or none. A gang that is slow when
 // spread goes to one rack if any has room for it.
-func pickGang(c *Cell, e *entry, round *tasks.Round, step int, hosts []*place.Host) []*place.Host {
-	count := len(round.Steps[step])
+func (p *placing) pickGang(e *entry, round *tasks.Round, step int) []*place.Host {
 	racks := []string{""}
 	if e.job.Plan.Steps[step].RackBound {
-		racks = append(racksOf(hosts), "")
+		racks = append(racksOf(p.hosts), "")
 	}
 	for _, rack := range racks {
-		within := hosts
+		within := p.hosts
 		if rack != "" {
-			within = slices.DeleteFunc(slices.Clone(hosts), func(h *place.Host) bool { return h.Rack != rack })
+			within = slices.DeleteFunc(slices.Clone(p.hosts), func(h *place.Host) bool { return h.Rack != rack })
 		}
-		if picked := pickAll(c.need(e, round, step, 0), count, within); picked != nil {
+		if picked := pickAll(p.cell.need(e, round, step, p.now), len(round.Steps[step]), within); picked != nil {
 			return picked
 		}
 	}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -84,13 +84,8 @@
 func hasReady(job *tasks.Job) bool {
 	for _, round := range job.Rounds {
 		for step := range round.Steps {
-			if !job.Ready(round, step) {
-				continue
-			}
-			for i := range round.Steps[step] {
-				if round.Steps[step][i].State == tasks.Waiting {
-					return true
-				}
+			if job.Ready(round, step) && round.Waiting(step) > 0 {
+				return true
 			}
 		}
 	}
--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -39,10 +39,8 @@
 	Hosts   []HostReport
 	// Serving is the room that serving tasks take.
 	Serving tasks.Room
-	// Waiting is the room that ready tasks wait for, and Widest the largest room
-	// of one of them.
+	// Waiting is the room that ready tasks wait for.
 	Waiting tasks.Room
-	Widest  tasks.Room
 	// Arrived is the processor time that jobs have asked for since the cell was
 	// claimed, in thousandths of a core and milliseconds.
 	Arrived int64
@@ -112,12 +110,8 @@
 			if !job.Ready(round, step) {
 				continue
 			}
-			for i := range round.Steps[step] {
-				if round.Steps[step][i].State == tasks.Waiting {
-					report.Waiting = report.Waiting.Add(need.Occupies())
-					report.Widest.CPU = max(report.Widest.CPU, need.Room.CPU)
-					report.Widest.MemMB = max(report.Widest.MemMB, need.Room.MemMB)
-				}
+			for range round.Waiting(step) {
+				report.Waiting = report.Waiting.Add(need.Occupies())
 			}
 		}
 	}
--- a/cell/view.go
+++ b/cell/view.go
@@ -139,10 +139,10 @@
 	}
 	for _, round := range e.job.Rounds {
 		for step := range round.Steps {
-			if !e.job.Ready(round, step) || !slices.ContainsFunc(round.Steps[step], func(t tasks.Task) bool { return t.State == tasks.Waiting }) {
+			if !e.job.Ready(round, step) || round.Waiting(step) == 0 {
 				continue
 			}
-			need := c.need(e, round, step, 0)
+			need := c.need(e, round, step, now)
 			if need.Only != nil && len(need.Only) == 0 {
 				return "the advisor has allowed no host yet"
 			}
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -189,6 +189,17 @@
 	Steps  [][]Task
 }
 
+// Waiting counts the tasks of a step that wait.
+func (r *Round) Waiting(step int) int {
+	count := 0
+	for i := range r.Steps[step] {
+		if r.Steps[step][i].State == Waiting {
+			count++
+		}
+	}
+	return count
+}
+
 // Job is a job and how far it is.
 type Job struct {
 	Key      Key
