--- a/fake/judge.go
+++ b/fake/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 
 	"rattanpath/lease"
@@ -90,7 +91,7 @@
 	if j.active[name] == nil {
 		j.active[name] = make(map[string]int)
 	}
-	j.active[name][host+"/"+itoa(run)] = run
+	j.active[name][host+"/"+strconv.Itoa(run)] = run
 	if len(j.active[name]) > 1 {
 		j.fault("task %+v runs twice at once: %v", name, j.active[name])
 	}
@@ -106,7 +107,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.ends[how]++
-	delete(j.active[name], host+"/"+itoa(run))
+	delete(j.active[name], host+"/"+strconv.Itoa(run))
 }
 
 // stopped sees that an order ended a run. Counted means that the run was at work
--- a/fake/runner.go
+++ b/fake/runner.go
@@ -174,59 +174,6 @@
 	return &info
 }
 
-// Drain makes the host say that it will leave.
-func (r *Runner) Drain() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.info.Draining = true
-}
-
-// Silence makes calls of the host get no answer, or arrive again.
-func (r *Runner) Silence(silent bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.silent = silent
-}
-
-// DelayOrders makes the next orders be carried out late and not answered.
-func (r *Runner) DelayOrders(orders int, by time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lateOrders, r.lateBy = orders, by
-}
-
-// SlowStops sets how long runs take to stop.
-func (r *Runner) SlowStops(length time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.stopTime = length
-}
-
-// Crash ends everything on the host; it refuses connections until Restart. Its
-// entry stays what it was.
-func (r *Runner) Crash() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, run := range r.runs {
-		run.timer.Stop()
-		r.judge.ended(r.info.ID, run.name, run.run, tasks.EndLost)
-	}
-	r.runs = make(map[runKey]*running)
-	r.ends = nil
-	r.refuses = true
-}
-
-// Restart begins the next life of a host that has crashed.
-func (r *Runner) Restart() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.refuses {
-		return
-	}
-	r.birth()
-	r.refuses = false
-}
-
 // clock returns what the host's clock shows.
 func (r *Runner) clock() time.Duration {
 	return (firstClock + time.Duration(float64(time.Since(r.born))*r.drift)).Truncate(time.Millisecond)
@@ -250,45 +197,16 @@
 	}
 }
 
-// DelayHolds makes the next holds get no answer.
-func (r *Runner) DelayHolds(holds int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lostHolds = holds
-}
-
-// unanswered spends the time after which a caller gives a call up.
-func unanswered(ctx context.Context) error {
-	if err := core.Sleep(ctx, time.Second); err != nil {
-		return err
+// meet takes in the token of an order and refuses one that is lower than another
+// before.
+func (r *Runner) meet(token int64) lease.Reply {
+	reply := lease.Reply{Clock: r.clock()}
+	if token < r.token {
+		reply.Reason = lease.RefusedFence
+		return reply
 	}
-	return errSilent
-}
-
-// late carries an order out later if that is the host's fault now.
-func (r *Runner) late(order func()) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lateOrders == 0 {
-		return false
-	}
-	r.lateOrders--
-	born := r.born
-	time.AfterFunc(r.lateBy, func() {
-		if r.takes(born) {
-			order()
-		}
-	})
-	return true
-}
-
-// takes reports whether an order that was sent to one life of the host is still
-// carried out: in that life, or in a later one that has listed its runs twice.
-// Nobody could guard against one that comes between a birth and the first call.
-func (r *Runner) takes(born time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.refuses && (r.born.Equal(born) || r.holds > 1)
+	r.token = token
+	return reply
 }
 
 // Start tells the host to start a run.
@@ -306,12 +224,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire()
-	reply := lease.Reply{Clock: r.clock()}
-	if order.Token < r.token {
-		reply.Reason = lease.RefusedFence
+	reply := r.meet(order.Token)
+	if reply.Reason != lease.Accepted {
 		return reply
 	}
-	r.token = order.Token
 	r.until = max(r.until, min(order.Until, r.clock()+maxHold))
 	switch {
 	case r.runs[runKey{order.Name, order.Run}] != nil:
@@ -409,12 +325,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire()
-	reply := lease.Reply{Clock: r.clock()}
-	if order.Token < r.token {
-		reply.Reason = lease.RefusedFence
+	reply := r.meet(order.Token)
+	if reply.Reason != lease.Accepted {
 		return reply
 	}
-	r.token = order.Token
 	r.barred[order.Name] = max(r.barred[order.Name], order.Run)
 	if run := r.runs[runKey{order.Name, order.Run}]; run != nil {
 		time.AfterFunc(r.stopTime, func() { r.finish(run, tasks.EndStopped) })
@@ -429,12 +343,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply := lease.Reply{Clock: r.clock()}
-	if order.Token < r.token {
-		reply.Reason = lease.RefusedFence
+	reply := r.meet(order.Token)
+	if reply.Reason != lease.Accepted {
 		return reply, nil
 	}
-	r.token = order.Token
 	if run := r.runs[runKey{order.Name, order.Run}]; run != nil {
 		run.share = order.Share
 	}
@@ -470,27 +382,14 @@
 	}
 }
 
-// losesHold reports whether a hold gets no answer.
-func (r *Runner) losesHold() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lostHolds == 0 {
-		return false
-	}
-	r.lostHolds--
-	return true
-}
-
 func (r *Runner) hold(order lease.Hold) (lease.Listing, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire()
-	listing := lease.Listing{Reply: lease.Reply{Clock: r.clock()}, Born: r.info.Born}
-	if order.Token < r.token {
-		listing.Reason = lease.RefusedFence
+	listing := lease.Listing{Reply: r.meet(order.Token), Born: r.info.Born}
+	if listing.Reason != lease.Accepted {
 		return listing, nil
 	}
-	r.token = order.Token
 	r.holds++
 	if order.Until > 0 {
 		r.until = max(r.until, min(order.Until, r.clock()+maxHold))
--- a/fake/store.go
+++ b/fake/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -425,4 +424,3 @@
 }
 
 // itoa returns a number as text.
-func itoa(n int) string { return strconv.Itoa(n) }
