--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -61,7 +61,8 @@
 	for _, h := range c.hosts {
 		if h.info != nil && !h.isRetired() {
 			report.Hosts = append(report.Hosts, c.reportHost(h, now))
-			report.Serving = report.Serving.Add(h.serving())
+			_, room := h.serving()
+			report.Serving = report.Serving.Add(room)
 		}
 	}
 	for e := range c.open {
@@ -71,32 +72,28 @@
 }
 
 func (c *Cell) reportHost(h *host, now time.Time) HostReport {
-	report := HostReport{
+	lasting, _ := h.serving()
+	return HostReport{
 		ID:       h.id,
 		Room:     h.info.Room,
 		Used:     h.used(),
 		Runs:     len(h.runs),
+		Lasting:  lasting,
 		Usable:   h.usable(),
 		Cordoned: now.Before(h.cordonedUntil),
 		State:    h.state(now),
 	}
-	for _, r := range h.runs {
-		if r.entry != nil && r.entry.job.Step(r.name).Lasting {
-			report.Lasting++
-		}
-	}
-	return report
 }
 
-// serving returns the room that serving tasks take on a host.
-func (h *host) serving() tasks.Room {
-	var sum tasks.Room
+// serving returns how many serving tasks are on a host, and the room they take.
+func (h *host) serving() (count int, room tasks.Room) {
 	for _, r := range h.runs {
 		if r.entry != nil && r.entry.job.Step(r.name).Lasting {
-			sum = sum.Add(r.room)
+			count++
+			room = room.Add(r.room)
 		}
 	}
-	return sum
+	return count, room
 }
 
 // reportWaiting adds the room that a job's ready tasks wait for.
--- a/depot/moves.go
+++ b/depot/moves.go
@@ -48,7 +48,11 @@
 		t.viewMachine(m, views)
 	}
 	now := t.options.Clock()
-	size := shift.HostSize(views)
+	var all []shift.Pool
+	for _, view := range views {
+		all = append(all, *view)
+	}
+	size := shift.HostSize(all)
 	var pools []shift.Pool
 	for _, service := range table.Services {
 		view := views[service.Name]
--- a/pool/host.go
+++ b/pool/host.go
@@ -36,16 +36,3 @@
 	}
 	return ""
 }
-
-// HasLabel reports whether the host has a label; every host has the empty one.
-func (h *Host) HasLabel(label string) bool {
-	if label == "" {
-		return true
-	}
-	for _, own := range h.Labels {
-		if own == label {
-			return true
-		}
-	}
-	return false
-}
--- a/shift/plan.go
+++ b/shift/plan.go
@@ -151,7 +151,7 @@
 }
 
 func newStates(pools []Pool) []*state {
-	size := sizeOf(pools)
+	size := HostSize(pools)
 	var states []*state
 	for _, pool := range pools {
 		s := &state{Pool: pool, want: Wants(pool, size)}
@@ -181,16 +181,8 @@
 	}
 }
 
-// HostSize returns the mean capacity of the hosts of all pools.
-func HostSize(pools map[string]*Pool) tasks.Room {
-	var all []Pool
-	for _, pool := range pools {
-		all = append(all, *pool)
-	}
-	return sizeOf(all)
-}
-
-func sizeOf(pools []Pool) tasks.Room {
+// HostSize returns the mean capacity of the hosts of pools.
+func HostSize(pools []Pool) tasks.Room {
 	var sum tasks.Room
 	var count int64
 	for _, pool := range pools {
--- a/shift/plan_test.go
+++ b/shift/plan_test.go
@@ -105,7 +105,7 @@
 					idle++
 				}
 			}
-			have, want := len(pool.Hosts)+pool.Coming, Wants(pool, sizeOf(pools))
+			have, want := len(pool.Hosts)+pool.Coming, Wants(pool, HostSize(pools))
 			if given[pool.Name] > idle {
 				t.Fatalf("got %d hosts given by %s, want at most its %d idle ones", given[pool.Name], pool.Name, idle)
 			}
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -227,30 +227,27 @@
 // rounds is how many rounds the job has in all.
 func (j *Job) rounds() int { return max(1, j.Plan.Repeats) }
 
-// due returns when a round is due.
-func (j *Job) due(round int) time.Time {
+// Due returns when a round is due.
+func (j *Job) Due(round int) time.Time {
 	if j.Plan.Repeats == 0 {
 		return j.Accepted
 	}
 	return j.Plan.First.Add(time.Duration(round) * j.Plan.Every)
 }
 
-// NextDue returns when the next round is due, and false if there is none.
-func (j *Job) NextDue() (time.Time, bool) {
+// nextDue returns when the next round is due, and false if there is none.
+func (j *Job) nextDue() (time.Time, bool) {
 	if j.Phase != Open || j.Next >= j.rounds() {
 		return time.Time{}, false
 	}
-	return j.due(j.Next), true
+	return j.Due(j.Next), true
 }
 
-// Due returns when a round of the job was due.
-func (j *Job) Due(round int) time.Time { return j.due(round) }
-
 // Advance begins the rounds that are due and reports whether any was.
 func (j *Job) Advance(now time.Time) bool {
 	begun := false
 	for {
-		due, more := j.NextDue()
+		due, more := j.nextDue()
 		if !more || due.After(now) {
 			return begun
 		}
--- a/tasks/life.go
+++ b/tasks/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -163,7 +164,7 @@
 }
 
 // gangRun marks a gang's run as counted.
-func gangRun(run int) string { return "run " + itoa(run) }
+func gangRun(run int) string { return "run " + strconv.Itoa(run) }
 
 // finishRounds drops the rounds that are done and completes the job after its
 // last.
--- a/tasks/record.go
+++ b/tasks/record.go
@@ -2,14 +2,11 @@
 
 import (
 	"encoding/json"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // Definition is the record of what never changes of a job.
 type Definition struct {
 	Key      Key
