sched: a report proves only what it was made after

Cause: a run that a heartbeat reported first counted as started when that heartbeat was sent, though it may have waited at the host for a second. An older report without the run, processed later, then "proved" it gone: the task was given away while the run went on (TWICE), and runs that had just ended were stopped as unexpected.

Change: readings of the host's clock, which stand in each reply, order the reports; older ones are passed over. A run is gone only if a report made after it had settled lacks it, or, after a restart or takeover, the first report that carried the new token. What a cell knows of a run is one explicit state instead of flags. Runs are keyed by task and number, so that an earlier run on the same host is neither overlooked nor mistaken for the current one. A stop accepted while the start was in flight settles the run. A late refusal keeps the bound of granted leases. Ends inferred without a word of the host are logged as "run lost", runs never started as "run not started".

--- a/fake/checker.go
+++ b/fake/checker.go
@@ -16,7 +16,13 @@
 	// activeRuns holds the active run numbers of each task, by host and run.
 	activeRuns map[tasks.ID]map[string]int
 	// completed holds the tasks with a completed run that was acknowledged.
-	completed    map[tasks.ID]bool
+	completed map[tasks.ID]bool
+	// doneRuns holds the numbers of completed runs, acknowledged or not, by task, and
+	// startsAfterDone the numbers of the runs started after one of them.
+	doneRuns        map[tasks.ID]map[int]bool
+	startsAfterDone map[tasks.ID]map[int][]int
+	// failures counts the acknowledged failed runs of each task.
+	failures     map[tasks.ID]int
 	violations   []string
 	starts       int
 	endsByReason map[tasks.EndReason]int
@@ -28,15 +34,20 @@
 	// MaxUnavailable returns how many serving tasks of a step may be unavailable at
 	// once because of stop commands. If it is nil or returns 0, there is no limit.
 	MaxUnavailable func(task tasks.ID) int
+	// MaxAttempts is how many runs of a task may fail, 0 for any number.
+	MaxAttempts int
 }
 
 // NewInvariantChecker returns a checker without observations.
 func NewInvariantChecker() *InvariantChecker {
 	return &InvariantChecker{
-		activeRuns:   make(map[tasks.ID]map[string]int),
-		completed:    make(map[tasks.ID]bool),
-		endsByReason: make(map[tasks.EndReason]int),
-		unavailable:  make(map[tasks.ID]map[int]bool),
+		activeRuns:      make(map[tasks.ID]map[string]int),
+		completed:       make(map[tasks.ID]bool),
+		doneRuns:        make(map[tasks.ID]map[int]bool),
+		startsAfterDone: make(map[tasks.ID]map[int][]int),
+		failures:        make(map[tasks.ID]int),
+		endsByReason:    make(map[tasks.EndReason]int),
+		unavailable:     make(map[tasks.ID]map[int]bool),
 	}
 }
 
@@ -99,6 +110,12 @@
 	if c.completed[task] {
 		c.reportViolation("task %+v: run %d started on %s after a completed run was acknowledged", task, run, host)
 	}
+	for done := range c.doneRuns[task] {
+		c.startsAfterDone[task][done] = append(c.startsAfterDone[task][done], run)
+	}
+	if c.MaxAttempts > 0 && c.failures[task] >= c.MaxAttempts {
+		c.reportViolation("task %+v: run %d started on %s after %d failed runs were acknowledged; the limit is %d", task, run, host, c.failures[task], c.MaxAttempts)
+	}
 	if !withinCapacity {
 		c.reportViolation("task %+v: run %d started on %s beyond the host's capacity", task, run, host)
 	}
@@ -109,6 +126,14 @@
 	defer c.mu.Unlock()
 	c.endsByReason[reason]++
 	delete(c.activeRuns[task], host+"/"+strconv.Itoa(run))
+	if reason != tasks.EndDone {
+		return
+	}
+	if c.doneRuns[task] == nil {
+		c.doneRuns[task] = make(map[int]bool)
+		c.startsAfterDone[task] = make(map[int][]int)
+	}
+	c.doneRuns[task][run] = true
 }
 
 // recordStop records that a stop command ended a run. Only a disruption counts
@@ -140,11 +165,17 @@
 }
 
 // recordAcknowledged records that a finished run was acknowledged, so the host
-// doesn't report it again.
+// doesn't report it again. A completed run must not have been repeated before that.
 func (c *InvariantChecker) recordAcknowledged(finished lease.FinishedRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if finished.Reason == tasks.EndDone {
+	switch finished.Reason {
+	case tasks.EndDone:
 		c.completed[finished.Task] = true
+		if runs := c.startsAfterDone[finished.Task][finished.Run]; len(runs) > 0 {
+			c.reportViolation("task %+v: runs %v started after run %d had completed, which was then acknowledged", finished.Task, runs, finished.Run)
+		}
+	case tasks.EndFailed:
+		c.failures[finished.Task]++
 	}
 }
--- a/fake/hostclient.go
+++ b/fake/hostclient.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"rattanpath/core"
 	"rattanpath/lease"
 	"rattanpath/pool"
 	"rattanpath/tasks"
@@ -18,6 +19,13 @@
 	partitioned map[string]bool
 	// TaskResources returns the resources that a task requires.
 	TaskResources func(task tasks.ID) tasks.Resources
+	latency       func(host string, command any) Latency
+}
+
+// Latency is the time that one call takes in each direction.
+type Latency struct {
+	Request time.Duration
+	Reply   time.Duration
 }
 
 // NewHostClient returns a client of the runners, which are keyed by host ID.
@@ -32,6 +40,24 @@
 	h.partitioned[id] = partitioned
 }
 
+// SetLatency sets a function that returns the latency of each call to a host, so that
+// calls overtake each other. Without one, calls take no extra time.
+func (h *HostClient) SetLatency(latency func(host string, command any) Latency) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.latency = latency
+}
+
+// latencyOf returns the latency of a call.
+func (h *HostClient) latencyOf(id string, command any) Latency {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.latency == nil {
+		return Latency{}
+	}
+	return h.latency(id, command)
+}
+
 // View returns the current records of all hosts.
 func (h *HostClient) View() pool.View {
 	view := pool.View{Hosts: make(map[string]*pool.Host), ReadAt: time.Now()}
@@ -55,38 +81,43 @@
 	return runner, nil
 }
 
-// Start implements lease.HostClient.
-func (h *HostClient) Start(ctx context.Context, host *pool.Host, command lease.StartCommand) (lease.Reply, error) {
-	runner, err := h.runner(ctx, host.ID)
+// call delivers a command to a host and returns its reply, each after the latency of
+// its direction.
+func call[Reply any](ctx context.Context, h *HostClient, id string, command any, deliver func(*Runner) (Reply, error)) (Reply, error) {
+	var none Reply
+	latency := h.latencyOf(id, command)
+	if err := core.Sleep(ctx, latency.Request); err != nil {
+		return none, err
+	}
+	runner, err := h.runner(ctx, id)
+	if err != nil {
+		return none, err
+	}
+	reply, err := deliver(runner)
 	if err != nil {
-		return lease.Reply{}, err
+		return none, err
 	}
-	return runner.Start(ctx, command, h.TaskResources(command.Task))
+	return reply, core.Sleep(ctx, latency.Reply)
+}
+
+// Start implements lease.HostClient.
+func (h *HostClient) Start(ctx context.Context, host *pool.Host, command lease.StartCommand) (lease.Reply, error) {
+	return call(ctx, h, host.ID, command, func(runner *Runner) (lease.Reply, error) {
+		return runner.Start(ctx, command, h.TaskResources(command.Task))
+	})
 }
 
 // Stop implements lease.HostClient.
 func (h *HostClient) Stop(ctx context.Context, host *pool.Host, command lease.StopCommand) (lease.Reply, error) {
-	runner, err := h.runner(ctx, host.ID)
-	if err != nil {
-		return lease.Reply{}, err
-	}
-	return runner.Stop(ctx, command)
+	return call(ctx, h, host.ID, command, func(runner *Runner) (lease.Reply, error) { return runner.Stop(ctx, command) })
 }
 
 // Pace implements lease.HostClient.
 func (h *HostClient) Pace(ctx context.Context, host *pool.Host, command lease.PaceCommand) (lease.Reply, error) {
-	runner, err := h.runner(ctx, host.ID)
-	if err != nil {
-		return lease.Reply{}, err
-	}
-	return runner.Pace(ctx, command)
+	return call(ctx, h, host.ID, command, func(runner *Runner) (lease.Reply, error) { return runner.Pace(ctx, command) })
 }
 
 // Heartbeat implements lease.HostClient.
 func (h *HostClient) Heartbeat(ctx context.Context, host *pool.Host, heartbeat lease.Heartbeat) (lease.HeartbeatReply, error) {
-	runner, err := h.runner(ctx, host.ID)
-	if err != nil {
-		return lease.HeartbeatReply{}, err
-	}
-	return runner.Heartbeat(ctx, heartbeat)
+	return call(ctx, h, host.ID, heartbeat, func(runner *Runner) (lease.HeartbeatReply, error) { return runner.Heartbeat(ctx, heartbeat) })
 }
--- a/lease/command.go
+++ b/lease/command.go
@@ -123,6 +123,9 @@
 	Incarnation int64
 	Runs        []Run
 	Finished    []FinishedRun
+	// MoreFinished is set if the host may have more finished runs than fit into the
+	// reply.
+	MoreFinished bool
 }
 
 // ErrNotSent means that no connection to the host could be made, so the command was
--- a/sched/chaos_test.go
+++ b/sched/chaos_test.go
@@ -21,9 +21,10 @@
 )
 
 // TestChaos runs jobs while hosts crash, stop responding and delay commands,
-// nodes lose the store and hosts, and the cell changes its owner at any time.
-// No task may run twice at once, start again after it was recorded as done, or
-// exceed its host's capacity. Once the faults are over, every job must end.
+// nodes lose the store and hosts, and the cell changes its owner at any time. With
+// every other seed, calls and their replies overtake each other. No task may run
+// twice at once, start again after it was recorded as done or had failed too often,
+// or exceed its host's capacity. Once the faults are over, every job must end.
 func TestChaos(t *testing.T) {
 	for i := range *chaosSeeds {
 		seed := *chaosFirst + uint64(i)
@@ -46,6 +47,8 @@
 	nodes  []*node
 	claims int
 	jobs   []string
+	// overtaking is set while calls and replies take random times.
+	overtaking bool
 }
 
 const (
@@ -68,6 +71,7 @@
 		}
 		return profile
 	}
+	c.overtaking = c.seed%2 == 0
 	c.takeOver()
 	start := time.Now()
 	for time.Since(start) < faultTime {
@@ -87,7 +91,27 @@
 	c.claims++
 	name := fmt.Sprintf("n%d", c.random.IntN(chaosNodes))
 	c.store.SetFailure(name, fake.NoFailure)
-	c.nodes = append(c.nodes, c.claim(name))
+	n := c.claim(name)
+	n.hosts.SetLatency(c.latency(rand.New(rand.NewPCG(c.seed, uint64(c.claims)))))
+	c.nodes = append(c.nodes, n)
+}
+
+// latency returns a function that draws the latency of calls. Most take a few
+// milliseconds; some requests are held up, and some replies are processed late, as
+// on an overloaded node.
+func (c *chaos) latency(random *rand.Rand) func(string, any) fake.Latency {
+	draw := func(slowPercent, slowMax int) time.Duration {
+		if random.IntN(100) < slowPercent {
+			return time.Duration(random.IntN(slowMax)) * time.Millisecond
+		}
+		return time.Duration(random.IntN(5000)) * time.Microsecond
+	}
+	return func(string, any) fake.Latency {
+		if !c.overtaking {
+			return fake.Latency{}
+		}
+		return fake.Latency{Request: draw(5, 400), Reply: draw(15, 1000)}
+	}
 }
 
 // randomAction injects a random fault, cancels a job or submits one.
@@ -143,6 +167,7 @@
 
 // stopFaults ends all faults.
 func (c *chaos) stopFaults() {
+	c.overtaking = false
 	time.Sleep(7 * time.Second)
 	for i := range chaosNodes {
 		name := fmt.Sprintf("n%d", i)
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -129,9 +129,9 @@
 		e.job.ForEachActive(func(taskID tasks.ID, task *tasks.Task) {
 			task.AssignedAt = time.Now()
 			h := c.host(task.Host)
-			h.runs[taskID] = &run{
-				entry: e, id: taskID, number: task.Run,
-				resources: e.job.Step(taskID).RequiredResources(), unverified: true, inherited: true, share: unknownShare,
+			h.runs[runKey{taskID, task.Run}] = &run{
+				entry: e, id: taskID, number: task.Run, state: runInherited,
+				resources: e.job.Step(taskID).RequiredResources(), inherited: true, share: unknownShare,
 			}
 		})
 	}
--- a/sched/command.go
+++ b/sched/command.go
@@ -29,10 +29,10 @@
 	refusalRetryDelay = 100 * time.Millisecond
 )
 
-// sentCommand is the token and send time of a command in flight.
+// sentCommand is the token and send time of a command or heartbeat in flight.
 type sentCommand struct {
 	token int64
-	// at is local time.
+	// at is local time. The host acts on the command at that time or later.
 	at time.Duration
 }
 
@@ -61,15 +61,15 @@
 	defer c.mu.Unlock()
 	now := c.options.Clock()
 	task := r.entry.job.Task(r.id)
-	current := h.runs[r.id] == r && task != nil && task.Run == r.number
+	current := h.runs[r.key()] == r && task != nil && task.Run == r.number
 	if !current {
 		return lease.StartCommand{}, nil, false
 	}
-	if r.entry.job.Phase != tasks.Open || now-persistedAt > maxStartDelay || c.isLost() || !h.clock.Synced() || r.stopping {
-		c.endRun(h, r, tasks.EndLost, "", "not sent")
+	if r.entry.job.Phase != tasks.Open || now-persistedAt > maxStartDelay || c.isLost() || !h.clock.Synced() {
+		c.dropRun(h, r, "not sent")
 		return lease.StartCommand{}, nil, false
 	}
-	r.sent = true
+	r.state = runStarting
 	return lease.StartCommand{
 		Task:        r.id,
 		Run:         r.number,
@@ -97,9 +97,10 @@
 // markUnconfirmed records that it is unknown whether a host has started a run,
 // and requests a report from the host. c.mu must be held.
 func (c *Cell) markUnconfirmed(h *host, r *run, reason string) {
-	if h.runs[r.id] != r || r.startedAt != 0 || r.unconfirmedSince != 0 {
+	if h.runs[r.key()] != r || r.state != runStarting {
 		return
 	}
+	r.state = runUnconfirmed
 	r.unconfirmedSince = c.options.Clock()
 	c.lastLostReplyAt = r.unconfirmedSince
 	c.options.Metrics.UnconfirmedStarts.Inc()
@@ -118,7 +119,7 @@
 		heartbeat.Acknowledged = h.acknowledgedSequence
 	}
 	c.spawn(func(ctx context.Context) {
-		sent := c.options.Clock()
+		sent := sentCommand{token: heartbeat.Token, at: c.options.Clock()}
 		reply, err := c.options.HostClient.Heartbeat(ctx, info, heartbeat)
 		if err == nil && reply.Reason == lease.Accepted {
 			c.handleHeartbeat(h, reply, sent)
@@ -130,42 +131,52 @@
 func (c *Cell) handleStartReply(h *host, r *run, sent sentCommand, reply lease.Reply, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.checkRestart(h, reply.HostTime, sent.at)
-	if h.runs[r.id] != r {
+	current := c.observeClock(h, reply.HostTime, sent)
+	if h.runs[r.key()] != r {
 		return
 	}
-	now := c.options.Clock()
 	wake(h.wake)
-	if errors.Is(err, lease.ErrNotSent) {
+	switch {
+	case errors.Is(err, lease.ErrNotSent):
 		h.backoffUntil = time.Now().Add(refusalBackoff)
-		c.endRun(h, r, tasks.EndLost, "", "no connection to the host")
-		return
-	}
-	if err != nil {
+		c.dropRun(h, r, "no connection to the host")
+	case err != nil:
 		c.markUnconfirmed(h, r, err.Error())
-		return
+	case reply.Reason == lease.Accepted:
+		c.handleStarted(h, r, reply.HostTime, current)
+	default:
+		c.handleStartRefused(h, r, sent.token, reply.Reason)
 	}
-	h.clock.Observe(reply.HostTime, now)
-	if reply.Reason == lease.Accepted {
-		r.startedAt, r.unconfirmedSince = now, 0
-		r.entry.job.MarkRunning(r.id, r.number)
-		c.stopEndedJob(r.entry)
-		return
+}
+
+// handleStarted handles a host's confirmation that it has started a run. If it
+// isn't current, the host has restarted and the next report shows whether it has
+// the run.
+func (c *Cell) handleStarted(h *host, r *run, hostTime time.Duration, current bool) {
+	r.markStarted(c.options.Clock())
+	if current && r.awaitsStart() {
+		r.settle(hostTime)
 	}
-	c.logger.Info("start command refused", "job", r.id.Job, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "reason", reply.Reason.String())
+	r.entry.job.MarkRunning(r.id, r.number)
+	c.stopEndedJob(r.entry)
+}
+
+// handleStartRefused handles a host's refusal to start a run.
+func (c *Cell) handleStartRefused(h *host, r *run, token int64, reason lease.Reason) {
+	c.logger.Info("start command refused", "job", r.id.Job, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "reason", reason.String())
 	r.entry.retryAfter = time.Now().Add(refusalRetryDelay)
-	switch reply.Reason {
+	switch reason {
 	case lease.RefusedFenced:
-		c.handleFenced(h, sent.token)
+		c.handleFenced(h, token)
 	case lease.RefusedLeaseExpired:
-		h.clock = lease.Clock{}
+		h.clock.Reset(c.options.MaxLease)
 		h.synced = false
 	case lease.RefusedTicket:
 		r.entry.adviceOf(stepKey{r.id.Round, r.id.Step}).cache.Delete(h.ticketHost())
 	case lease.RefusedIncarnation, lease.RefusedBusy, lease.RefusedCapacity:
 		h.backoffUntil = time.Now().Add(refusalBackoff)
 	}
-	c.endRun(h, r, tasks.EndLost, "", "refused: "+reply.Reason.String())
+	c.dropRun(h, r, "refused: "+reason.String())
 }
 
 // stopEndedJob stops the remaining runs of a job if it has ended. c.mu must be
@@ -179,7 +190,7 @@
 		if h == nil {
 			return
 		}
-		if r := h.runs[taskID]; r != nil && r.number == task.Run {
+		if r := h.runs[runKey{taskID, task.Run}]; r != nil {
 			c.stopRun(h, r)
 		}
 	})
@@ -188,7 +199,7 @@
 // stopRun sends stop commands for a run until the host has replied. Its
 // resources are freed once the host reports the end. c.mu must be held.
 func (c *Cell) stopRun(h *host, r *run) {
-	if r.stopping || r.unverified || !r.sent || h.info == nil {
+	if r.stopping || !r.isVerified() || r.state == runPlanned || h.info == nil {
 		return
 	}
 	r.stopping = true
@@ -217,32 +228,35 @@
 func (c *Cell) handleStopReply(h *host, r *run, sent sentCommand, reply lease.Reply, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.checkRestart(h, reply.HostTime, sent.at)
-	if h.runs[r.id] != r {
+	current := c.observeClock(h, reply.HostTime, sent)
+	if h.runs[r.key()] != r {
 		return true
 	}
 	if err != nil || reply.Reason == lease.RefusedBusy {
 		return false
 	}
-	h.clock.Observe(reply.HostTime, c.options.Clock())
 	wake(h.wake)
 	switch reply.Reason {
 	case lease.RefusedFenced:
 		return c.handleFenced(h, sent.token)
 	case lease.RefusedIncarnation:
-		c.endRun(h, r, tasks.EndLost, "", "another host answers at the address")
+		c.loseRun(h, r, lossReplaced)
 	case lease.Accepted, lease.RefusedStaleRun:
-		if r.unconfirmedSince != 0 {
-			// From now on the host refuses a delayed start. The next report shows
-			// whether the start had arrived before.
-			r.unconfirmedSince = 0
-			r.startedAt = c.options.Clock()
-			c.requestReport(h)
-		}
+		c.handleStopped(h, r, reply.HostTime, current)
 	}
 	return true
 }
 
+// handleStopped handles a host's confirmation of a stop command. From now on the
+// host refuses a delayed start, so the next report shows whether the start had
+// arrived before.
+func (c *Cell) handleStopped(h *host, r *run, hostTime time.Duration, current bool) {
+	if current && r.awaitsStart() {
+		r.settle(hostTime)
+		c.requestReport(h)
+	}
+}
+
 // handleFenced handles a host's refusal of an outdated token and reports
 // whether the cell is lost. It is not if the command was for an earlier
 // incarnation of the host.
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -156,7 +156,7 @@
 		h.retiredIncarnation, h.retiredAt = h.currentIncarnation(), time.Now()
 		h.synced = false
 		c.logger.Info("host retired", "host", id, "runs", len(h.runs))
-		c.endAllRuns(h, "the machine was taken out of the pool")
+		c.loseAllRuns(h, lossRetired)
 	}
 	return nil
 }
@@ -206,10 +206,11 @@
 	if !task.Active() || h == nil {
 		return nil, nil
 	}
-	if r := h.runs[taskID]; r != nil && r.number == task.Run {
-		return h, r
+	r := h.runs[runKey{taskID, task.Run}]
+	if r == nil {
+		return nil, nil
 	}
-	return nil, nil
+	return h, r
 }
 
 // evictCordoned stops the runs of a cordoned host: serving tasks as their step
--- /dev/null
+++ b/sched/end.go
@@ -0,0 +1,84 @@
+package sched
+
+import (
+	"time"
+
+	"rattanpath/tasks"
+)
+
+// lossReason is why a run counts as over although its host has not reported its
+// end.
+type lossReason string
+
+const (
+	// lossUnlisted means that a report made after the run had begun lacks it.
+	lossUnlisted lossReason = "the host no longer has it"
+	// lossRestarted means that the new incarnation of the host doesn't have the run.
+	lossRestarted lossReason = "not on the host after its restart"
+	// lossTakeover means that the host didn't report the run to its new owner.
+	lossTakeover lossReason = "not on the host after the takeover"
+	// lossReplaced means that another host has the address.
+	lossReplaced lossReason = "the address belongs to another host"
+	// lossRetired means that the machine controller has moved the machine or started
+	// its maintenance.
+	lossRetired lossReason = "the machine was taken out of the pool"
+	// lossLease means that every lease granted by this owner has expired.
+	lossLease lossReason = "the lease has expired"
+	// lossInheritedLease means that every lease granted by previous owners has
+	// expired.
+	lossInheritedLease lossReason = "all leases of previous owners have expired"
+)
+
+// endRun records the end of a run that its host has reported.
+func (c *Cell) endRun(h *host, r *run, reason tasks.EndReason, checkpoint string) {
+	if c.removeRun(h, r, reason, checkpoint) {
+		c.logger.Info("run ended", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "took", c.sinceStart(r))
+	}
+}
+
+// dropRun records that a run never started, for a reason that is logged.
+func (c *Cell) dropRun(h *host, r *run, why string) {
+	if c.removeRun(h, r, tasks.EndLost, "") {
+		c.logger.Info("run not started", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "why", why)
+	}
+}
+
+// loseRun records that a run is over although its host has not reported its end.
+// Its log message is its own, so that the limit on common messages can't hide it.
+func (c *Cell) loseRun(h *host, r *run, why lossReason) {
+	if c.removeRun(h, r, tasks.EndLost, "") {
+		c.options.Metrics.recordLoss(why)
+		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "why", string(why), "took", c.sinceStart(r))
+	}
+}
+
+// loseAllRuns records that all runs of a host are over.
+func (c *Cell) loseAllRuns(h *host, why lossReason) {
+	for _, r := range h.runs {
+		c.loseRun(h, r, why)
+	}
+}
+
+// removeRun frees the resources of a run that is over and updates its job. It
+// reports whether the run was the current one of a task.
+func (c *Cell) removeRun(h *host, r *run, reason tasks.EndReason, checkpoint string) bool {
+	if h.runs[r.key()] == r {
+		delete(h.runs, r.key())
+	}
+	wake(c.scheduleWake)
+	if r.entry == nil || !r.entry.job.EndRun(r.id, r.number, reason, checkpoint, time.Now()) {
+		return false
+	}
+	c.options.Metrics.recordEnd(reason)
+	c.stopEndedJob(r.entry)
+	c.markDirty(r.entry, nil)
+	return true
+}
+
+// sinceStart returns the time since a run started, or 0 if that isn't known.
+func (c *Cell) sinceStart(r *run) time.Duration {
+	if r.startedBy == 0 {
+		return 0
+	}
+	return (c.options.Clock() - r.startedBy).Round(time.Millisecond)
+}
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -71,6 +71,7 @@
 			policy: tasks.Policy{Service: testService, MaxAttempts: 3},
 		}
 		tc.checker.MaxUnavailable = tc.maxUnavailable
+		tc.checker.MaxAttempts = tc.policy.MaxAttempts
 		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 500 * time.Millisecond} }
 		for i := range hosts {
 			tc.addHost(fmt.Sprintf("h%d", i), 1-0.02*float64(i%2))
--- a/sched/health.go
+++ b/sched/health.go
@@ -44,10 +44,10 @@
 // recordRunTime adds the duration of a run that this owner started to the
 // average of its queue.
 func (c *Cell) recordRunTime(r *run) {
-	if r.inherited || r.startedAt == 0 {
+	if r.inherited || r.startedBy == 0 {
 		return
 	}
-	duration := c.options.Clock() - r.startedAt
+	duration := c.options.Clock() - r.startedBy
 	queue := r.entry.job.Key.Queue
 	if mean := c.meanRunTimes[queue]; mean != 0 {
 		duration = mean + time.Duration(runTimeWeight*float64(duration-mean))
--- a/sched/host.go
+++ b/sched/host.go
@@ -32,56 +32,19 @@
 	refusalBackoff = time.Second
 )
 
-// run is a run that occupies resources of a host.
-type run struct {
-	// entry is the job, or nil for a run that belongs to no known job.
-	entry     *jobEntry
-	id        tasks.ID
-	number    int
-	resources tasks.Resources
-	// sent is set once the start command has been or is being sent. startedAt is
-	// when the host confirmed the start.
-	sent      bool
-	startedAt time.Duration
-	// unconfirmedSince is when the start command timed out or failed with unknown
-	// outcome; zero if it didn't.
-	unconfirmedSince time.Duration
-	// stopping is set while stop commands are sent.
-	stopping bool
-	// unverified is set for a run of a previous owner until the host has reported
-	// whether it has the run.
-	unverified bool
-	// inherited is set if a previous owner started the run.
-	inherited bool
-	// percent is the progress that the host last reported. firstReportedAt is
-	// when the host first reported the run, and progressedAt when percent last
-	// rose.
-	percent         int
-	firstReportedAt time.Duration
-	progressedAt    time.Duration
-	// tailLatency is the response time of a serving task that its host last
-	// reported.
-	tailLatency time.Duration
-	// share is the CPU share of the run, in percent of full speed, or
-	// unknownShare. pacePending is set while a command to change it is in flight.
-	share       int
-	pacePending bool
-}
-
-// fullPercent is the progress of a serving task that is ready, and of any other
-// task that is done.
-const fullPercent = 100
-
 // host is the state of a host as this cell knows it.
 type host struct {
 	id    string
 	info  *pool.Host
 	clock lease.Clock
-	runs  map[tasks.ID]*run
+	runs  map[runKey]*run
 	// inPool reports whether the pool lists the host.
 	inPool bool
 	// synced is set once the host has reported its runs to this epoch.
 	synced bool
+	// reportedAt is the reading of the host's clock in the newest report that was
+	// processed, 0 if there is none from the current incarnation.
+	reportedAt time.Duration
 	// missedHeartbeats counts the failed heartbeats since the last successful
 	// one.
 	missedHeartbeats int
@@ -123,7 +86,7 @@
 func (c *Cell) host(id string) *host {
 	h := c.hosts[id]
 	if h == nil {
-		h = &host{id: id, runs: make(map[tasks.ID]*run), wake: make(chan struct{}, 1), share: pace.FullShare}
+		h = &host{id: id, runs: make(map[runKey]*run), wake: make(chan struct{}, 1), share: pace.FullShare}
 		c.hosts[id] = h
 	}
 	return h
@@ -207,37 +170,36 @@
 			l.waitIdle(ctx)
 			continue
 		}
-		reply, sent, err := l.sendHeartbeat(ctx, info, heartbeat)
+		result := l.sendHeartbeat(ctx, info, heartbeat)
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil || reply.Reason != lease.Accepted {
-			l.cell.handleHeartbeatFailure(l.host, heartbeat.Token, reply.Reason, err)
+		if result.err != nil || result.reply.Reason != lease.Accepted {
+			l.cell.handleHeartbeatFailure(l.host, info, heartbeat.Token, result)
 			_ = core.Sleep(ctx, heartbeatRetryDelay)
 			continue
 		}
-		persisted := l.cell.handleHeartbeat(l.host, reply, sent)
+		persisted := l.cell.handleHeartbeat(l.host, result.reply, result.sent)
 		l.waitPersisted(ctx, persisted)
 	}
 }
 
-// heartbeatResult is the outcome of a heartbeat and the local time at which it
-// was sent.
+// heartbeatResult is the outcome of a heartbeat.
 type heartbeatResult struct {
 	reply lease.HeartbeatReply
-	sent  time.Duration
+	sent  sentCommand
 	err   error
 }
 
 // sendHeartbeat sends a heartbeat, and a second one if there is no reply soon
 // after its wait: the first may be lost or delayed. It returns the first
 // successful reply.
-func (l *hostLoop) sendHeartbeat(ctx context.Context, info *pool.Host, heartbeat lease.Heartbeat) (lease.HeartbeatReply, time.Duration, error) {
+func (l *hostLoop) sendHeartbeat(ctx context.Context, info *pool.Host, heartbeat lease.Heartbeat) heartbeatResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan heartbeatResult, 2)
 	send := func(heartbeat lease.Heartbeat) {
-		sent := l.cell.options.Clock()
+		sent := sentCommand{token: heartbeat.Token, at: l.cell.options.Clock()}
 		reply, err := l.cell.options.HostClient.Heartbeat(ctx, info, heartbeat)
 		results <- heartbeatResult{reply, sent, err}
 	}
@@ -262,7 +224,7 @@
 		case result := <-results:
 			inFlight--
 			if result.err == nil || inFlight == 0 {
-				return result.reply, result.sent, result.err
+				return result
 			}
 		}
 	}
@@ -364,22 +326,22 @@
 	return c.claimedAt + longest
 }
 
-// handleHeartbeatFailure handles a heartbeat that the host refused or that
-// failed.
-func (c *Cell) handleHeartbeatFailure(h *host, token int64, reason lease.Reason, err error) {
+// handleHeartbeatFailure handles a heartbeat to the host at the address in info
+// that was refused or failed.
+func (c *Cell) handleHeartbeatFailure(h *host, info *pool.Host, token int64, result heartbeatResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h.missedHeartbeats++
 	h.ackValid = false
 	if h.missedHeartbeats == 1 {
-		c.logger.Info("host heartbeat failed", "host", h.id, "runs", len(h.runs), "refusal", reason.String(), "err", errorText(err))
+		c.logger.Info("host heartbeat failed", "host", h.id, "runs", len(h.runs), "refusal", result.reply.Reason.String(), "err", errorText(result.err))
 	}
-	switch reason {
-	case lease.RefusedFenced:
+	switch {
+	case result.reply.Reason == lease.RefusedFenced:
 		c.handleFenced(h, token)
-	case lease.RefusedIncarnation:
+	case result.reply.Reason == lease.RefusedIncarnation && h.info.Address == info.Address:
 		// Another incarnation has the address, so this one and its runs are gone.
-		c.endAllRuns(h, "the address belongs to another host")
+		c.loseAllRuns(h, lossReplaced)
 	}
 }
 
@@ -398,10 +360,10 @@
 		expired := h.clock.Expired(now)
 		for _, r := range h.runs {
 			switch {
-			case r.unverified && now > inheritedUntil:
-				c.endRun(h, r, tasks.EndLost, "", "all leases of previous owners have expired")
-			case !r.unverified && r.sent && expired && h.missedHeartbeats > 0:
-				c.endRun(h, r, tasks.EndLost, "", "the lease has expired")
+			case r.state == runInherited && now > inheritedUntil:
+				c.loseRun(h, r, lossInheritedLease)
+			case r.state != runInherited && r.state != runPlanned && expired && h.missedHeartbeats > 0:
+				c.loseRun(h, r, lossLease)
 			}
 		}
 		if h.info == nil && len(h.runs) == 0 {
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -57,3 +57,8 @@
 func (m *Metrics) recordEnd(reason tasks.EndReason) {
 	m.set.GetOrCreateCounter(`rattanpath_cell_ends_total{how="` + reason.String() + `"}`).Inc()
 }
+
+// recordLoss counts a run that is over although its host has not reported its end.
+func (m *Metrics) recordLoss(why lossReason) {
+	m.set.GetOrCreateCounter(`rattanpath_cell_lost_runs_total{why="` + string(why) + `"}`).Inc()
+}
--- /dev/null
+++ b/sched/report_test.go
@@ -0,0 +1,71 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"rattanpath/fake"
+	"rattanpath/lease"
+	"rattanpath/tasks"
+)
+
+// slowReplies delays the replies of a host to chosen calls.
+type slowReplies struct {
+	// starts holds the delay of the reply to a start by job.
+	starts map[string]time.Duration
+	// report is the delay of the reply to the first heartbeat that the host answers
+	// at once.
+	report time.Duration
+}
+
+func (s *slowReplies) latency(_ string, command any) fake.Latency {
+	switch command := command.(type) {
+	case lease.StartCommand:
+		return fake.Latency{Reply: s.starts[command.Task.Job]}
+	case lease.Heartbeat:
+		if command.Wait == 0 {
+			delay := s.report
+			s.report = 0
+			return fake.Latency{Reply: delay}
+		}
+	}
+	return fake.Latency{}
+}
+
+// TestOlderReportIsProcessedLater has two heartbeats in flight. The host answers the
+// one that asks for a report at once before a run begins, and the one that waits
+// after that, but the replies arrive in the opposite order. The older report lacks
+// the run, which must not count as gone.
+func TestOlderReportIsProcessedLater(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.profileOf = func(taskID tasks.ID, _ int) fake.RunProfile {
+			if taskID.Job == "short" {
+				return fake.RunProfile{Duration: 500 * time.Millisecond}
+			}
+			return fake.RunProfile{Duration: 20 * time.Second}
+		}
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		// The end of this run makes the host answer the waiting heartbeat.
+		if err := tc.submit(n, "short", simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		slow := &slowReplies{
+			starts: map[string]time.Duration{"unconfirmed": 300 * time.Millisecond, "late": 900 * time.Millisecond},
+			report: 700 * time.Millisecond,
+		}
+		n.hosts.SetLatency(slow.latency)
+		// Its start gets no reply in time, so that the owner requests a report.
+		if err := tc.submit(n, "unconfirmed", simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(270 * time.Millisecond)
+		if err := tc.submit(n, "late", simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		if got := tc.checker.Starts(); got != 3 {
+			t.Errorf("got %d starts, want 3", got)
+		}
+	})
+}
--- /dev/null
+++ b/sched/run.go
@@ -0,0 +1,107 @@
+package sched
+
+import (
+	"time"
+
+	"rattanpath/tasks"
+)
+
+// runState is what this cell knows of a run on its host.
+type runState int
+
+const (
+	// runPlanned means that no start command has been sent.
+	runPlanned runState = iota
+	// runStarting means that the reply to the start command is awaited.
+	runStarting
+	// runUnconfirmed means that the start command got no reply: it may have taken
+	// effect, or may still do so.
+	runUnconfirmed
+	// runSettled means that the host has started the run, or refuses to start it from
+	// now on. A report made after settledAt that lacks the run proves that it is over.
+	runSettled
+	// runUnverified means that the host has since restarted. The first report after a
+	// heartbeat with the new token tells whether the new incarnation has the run.
+	runUnverified
+	// runInherited means that a previous owner may have started the run. The first
+	// report to this owner tells whether the host has it.
+	runInherited
+)
+
+// runKey identifies a run. A host may still have an earlier run of a task.
+type runKey struct {
+	task   tasks.ID
+	number int
+}
+
+// run is a run that occupies resources of a host.
+type run struct {
+	// entry is the job, or nil for a run that belongs to no known job.
+	entry     *jobEntry
+	id        tasks.ID
+	number    int
+	resources tasks.Resources
+	state     runState
+	// settledAt is a reading of the host's clock, see runSettled.
+	settledAt time.Duration
+	// startedBy is a local time by which the run had started: when its start was
+	// confirmed or it was first reported. It serves for durations only.
+	startedBy time.Duration
+	// unconfirmedSince is the local time at which the state became runUnconfirmed.
+	unconfirmedSince time.Duration
+	// stopping is set while stop commands are sent.
+	stopping bool
+	// inherited is set if a previous owner started the run.
+	inherited bool
+	// percent is the progress that the host last reported. firstReportedAt and
+	// progressedAt are the readings of the host's clock in the first report of the run
+	// and in the last one in which percent had risen.
+	percent         int
+	firstReportedAt time.Duration
+	progressedAt    time.Duration
+	// tailLatency is the response time of a serving task that its host last
+	// reported.
+	tailLatency time.Duration
+	// share is the CPU share of the run, in percent of full speed, or
+	// unknownShare. pacePending is set while a command to change it is in flight.
+	share       int
+	pacePending bool
+}
+
+// fullPercent is the progress of a serving task that is ready, and of any other
+// task that is done.
+const fullPercent = 100
+
+func (r *run) key() runKey { return runKey{r.id, r.number} }
+
+// isVerified reports whether the run belongs to the current incarnation of its
+// host and to this owner.
+func (r *run) isVerified() bool { return r.state != runUnverified && r.state != runInherited }
+
+// awaitsStart reports whether a start command was sent whose effect is unknown.
+func (r *run) awaitsStart() bool { return r.state == runStarting || r.state == runUnconfirmed }
+
+// settle records that from a reading of the host's clock on, reports show whether
+// the host has the run.
+func (r *run) settle(hostTime time.Duration) {
+	r.state, r.settledAt = runSettled, hostTime
+}
+
+// markStarted records that the host has started the run, at the latest at the
+// local time now.
+func (r *run) markStarted(now time.Duration) {
+	if r.startedBy == 0 {
+		r.startedBy = now
+	}
+}
+
+// restartHost records that the host has restarted. Readings of its old clock can't
+// be compared with new ones, and what was asked of the old incarnation no longer
+// holds.
+func (r *run) restartHost() {
+	r.firstReportedAt, r.progressedAt, r.percent = 0, 0, 0
+	r.stopping = false
+	if r.awaitsStart() || r.state == runSettled {
+		r.state = runUnverified
+	}
+}
--- a/sched/stall.go
+++ b/sched/stall.go
@@ -36,21 +36,22 @@
 	return p.percent < fullPercent && p.idle > max(minStallTime, stallFactor*perPercent)
 }
 
-// recordProgress records the progress that a host reported at a local time.
-func (r *run) recordProgress(percent int, at time.Duration) {
+// recordProgress records the progress that a host reported at a reading of its
+// clock.
+func (r *run) recordProgress(percent int, hostTime time.Duration) {
 	if r.firstReportedAt == 0 {
-		r.firstReportedAt, r.progressedAt = at, at
+		r.firstReportedAt, r.progressedAt = hostTime, hostTime
 	}
 	if percent > r.percent {
-		r.progressedAt = at
+		r.progressedAt = hostTime
 	}
 	r.percent = percent
 }
 
-// stopStalled stops the stalled runs of a host. It skips members of a gang,
-// which wait for each other, and best-effort tasks, which yield to serving
-// tasks: their stalls don't indicate a fault of the host.
-func (c *Cell) stopStalled(h *host, now time.Duration) {
+// stopStalled stops the runs of a host that are stalled at a reading of its clock.
+// It skips members of a gang, which wait for each other, and best-effort tasks,
+// which yield to serving tasks: their stalls don't indicate a fault of the host.
+func (c *Cell) stopStalled(h *host, hostTime time.Duration) {
 	for _, r := range h.runs {
 		if r.entry == nil || r.stopping || r.firstReportedAt == 0 || r.entry.job.Phase != tasks.Open {
 			continue
@@ -59,7 +60,7 @@
 		if step.Gang || step.Fills {
 			continue
 		}
-		p := progress{percent: r.percent, active: r.progressedAt - r.firstReportedAt, idle: now - r.progressedAt, estimate: step.Estimate}
+		p := progress{percent: r.percent, active: r.progressedAt - r.firstReportedAt, idle: hostTime - r.progressedAt, estimate: step.Estimate}
 		if !p.isStalled() {
 			continue
 		}
--- a/sched/view.go
+++ b/sched/view.go
@@ -97,9 +97,11 @@
 	h, r := c.runOf(e, taskID)
 	switch {
 	case r == nil:
-	case r.unverified:
+	case r.state == runInherited:
 		view.Doubt = "started by an older owner; its host has not answered yet"
-	case r.unconfirmedSince != 0:
+	case r.state == runUnverified:
+		view.Doubt = "the host has restarted and not reported its runs yet"
+	case r.state == runUnconfirmed:
 		view.Doubt = "the host has not answered the start"
 	case r.stopping:
 		view.Doubt = "being stopped"
