sched: the node's link bounds writes and start commands

Cause: on a link of 2 Mbit/s one burst of jobs made writes that took longer than their timeout and start commands that filled the link for seconds.

Change: NewLink derives from the link's rate how many bytes one write may have (100 ms of the link) and paces start commands (40% of it).

Result: TestBurstOnSlowLink fails before (30 leases expired) and passes after.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -106,6 +106,7 @@
 		MaxLease:     settings.MaxLease,
 		JobRetention: settings.JobRetention,
 		BatchBytes:   int(batchFraction * float64(settings.CallBytes)),
+		Link:         sched.NewLink(settings.LinkRate),
 		Logger:       logger,
 		Metrics:      sched.NewMetrics(set),
 	}, logger)
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -27,6 +27,8 @@
 	Partitions int
 	// CallBytes is the largest size of a write to the store.
 	CallBytes int
+	// LinkRate is the bandwidth of the node's link in bytes per second, 0 if unknown.
+	LinkRate int64
 	// MinMemberTTL is the lower bound of the TTL of a group membership.
 	MinMemberTTL time.Duration
 
--- /dev/null
+++ b/sched/bandwidth.go
@@ -0,0 +1,76 @@
+package sched
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// startShare is the share of a node's link for start commands. The rest is left to
+	// lease renewals, stops, writes and callers' requests.
+	startShare = 0.4
+	// startQueueTime is for how long start commands may keep their share of the link
+	// busy. While more are planned, no further runs are assigned.
+	startQueueTime = 200 * time.Millisecond
+	// maxWriteTime is how long the link may be busy with one write: everything that is
+	// sent meanwhile waits behind it.
+	maxWriteTime = 100 * time.Millisecond
+	// startOverhead is the size of a start command without its spec, in bytes.
+	startOverhead = 500
+	// minBurst is the smallest limit on the bytes of one write, and of start commands
+	// sent at once. A job's records and a start command with the longest spec fit.
+	minBurst = 16 << 10
+)
+
+// Link limits what the cells of a node send at once, so that lease renewals and the
+// ends of runs don't wait behind new work.
+type Link struct {
+	starts *rate.Limiter
+	// startQueue is the size of the start commands that may wait, and batch the size
+	// limit of a write, both in bytes.
+	startQueue int
+	batch      int
+}
+
+// NewLink returns the limits for a link of a rate in bytes per second, or no limits
+// if the rate is 0.
+func NewLink(bytesPerSecond int64) *Link {
+	if bytesPerSecond <= 0 {
+		return &Link{}
+	}
+	bytesIn := func(d time.Duration) int { return max(minBurst, int(float64(bytesPerSecond)*d.Seconds())) }
+	startRate := startShare * float64(bytesPerSecond)
+	return &Link{
+		starts:     rate.NewLimiter(rate.Limit(startRate), bytesIn(maxWriteTime/2)),
+		startQueue: max(minBurst, int(startRate*startQueueTime.Seconds())),
+		batch:      bytesIn(maxWriteTime),
+	}
+}
+
+// startDelay reserves the transfer of a start command and returns how long to wait
+// before sending it.
+func (l *Link) startDelay(bytes int) time.Duration {
+	if l.starts == nil {
+		return 0
+	}
+	return l.starts.ReserveN(time.Now(), min(bytes, l.starts.Burst())).Delay()
+}
+
+// startQueueFull reports whether no further run may be assigned before planned start
+// commands have been sent.
+func (c *Cell) startQueueFull() bool {
+	limit := c.options.Link.startQueue
+	return limit > 0 && c.plannedBytes >= limit
+}
+
+// batchBytes returns the size limit of a write that the store limits to largest bytes.
+func (l *Link) batchBytes(largest int) int {
+	if l.batch == 0 {
+		return largest
+	}
+	return min(largest, l.batch)
+}
+
+// startSize returns the size of a run's start command in bytes.
+func (r *run) startSize() int { return startOverhead + len(r.entry.job.Plan.Spec) }
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -80,8 +80,10 @@
 	JobRetention time.Duration
 	// BatchBytes limits the size of one write.
 	BatchBytes int
-	Logger     logr.Logger
-	Metrics    *Metrics
+	// Link limits what all cells of the node send.
+	Link    *Link
+	Logger  logr.Logger
+	Metrics *Metrics
 }
 
 // jobEntry is a job and the state of its records in the store.
@@ -131,6 +133,8 @@
 	// failingSince is when writes began to fail; zero if the last one succeeded.
 	failingSince time.Time
 	stopped      bool
+	// plannedBytes is the size of the start commands that have not been sent.
+	plannedBytes int
 	// submittedCPU is the CPU time requested by submitted jobs in
 	// millicore-milliseconds, estimated from the mean run time of their queue.
 	submittedCPU int64
--- a/sched/command.go
+++ b/sched/command.go
@@ -40,7 +40,11 @@
 // must be held.
 func (c *Cell) sendStart(h *host, r *run) {
 	persistedAt := c.options.Clock()
+	delay := c.options.Link.startDelay(r.startSize())
 	c.spawn(func(ctx context.Context) {
+		if delay > 0 && core.Sleep(ctx, delay) != nil {
+			return
+		}
 		command, info, ok := c.startCommand(h, r, persistedAt)
 		if !ok {
 			return
@@ -70,6 +74,7 @@
 		return lease.StartCommand{}, nil, false
 	}
 	r.state = runStarting
+	c.plannedBytes -= r.startSize()
 	return lease.StartCommand{
 		Task:        r.id,
 		Run:         r.number,
--- a/sched/end.go
+++ b/sched/end.go
@@ -64,6 +64,9 @@
 func (c *Cell) removeRun(h *host, r *run, reason tasks.EndReason, checkpoint string) bool {
 	if h.runs[r.key()] == r {
 		delete(h.runs, r.key())
+		if r.state == runPlanned {
+			c.plannedBytes -= r.startSize()
+		}
 	}
 	wake(c.scheduleWake)
 	if r.entry == nil || !r.entry.job.EndRun(r.id, r.number, reason, checkpoint, time.Now()) {
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"rattanpath/claim"
 	"rattanpath/core"
 	"rattanpath/fake"
 	"rattanpath/pool"
@@ -40,13 +41,19 @@
 	start     time.Time
 	logOutput io.Writer
 	// plans holds the plans of all jobs by ID.
-	plans         sync.Map
+	plans sync.Map
+	// mu protects submittedJobs.
+	mu            sync.Mutex
 	submittedJobs int
 	// stallingHost is the host on which every run stalls.
 	stallingHost string
 	// policy is the policy of the queue. advisor may be nil.
 	policy  tasks.Policy
 	advisor *fake.Advisor
+	// wrapJournal, if not nil, wraps the journal of each node. linkRate is the link
+	// rate that nodes are told, in bytes per second.
+	wrapJournal func(claim.Journal) claim.Journal
+	linkRate    int64
 }
 
 // node is a node that has claimed the cell and may have lost it since.
@@ -138,12 +145,16 @@
 		MaxLease:     testLease,
 		JobRetention: 2 * time.Minute,
 		BatchBytes:   1 << 20,
+		Link:         NewLink(tc.linkRate),
 		Logger:       logger,
 		Metrics:      NewMetrics(metrics.NewSet()),
 	}
 	if tc.advisor != nil {
 		options.Advisor = tc.advisor
 	}
+	if tc.wrapJournal != nil {
+		options.Journal = tc.wrapJournal(options.Journal)
+	}
 	c := tc.claimCell(options)
 	n.cell = c
 	c.SetHosts(n.hosts.View())
@@ -190,7 +201,9 @@
 // submit submits a job with a timeout of a second.
 func (tc *testCluster) submit(n *node, id string, plan tasks.Plan) error {
 	tc.plans.Store(id, plan)
+	tc.mu.Lock()
 	tc.submittedJobs++
+	tc.mu.Unlock()
 	ctx, cancel := context.WithTimeout(tc.ctx, time.Second)
 	defer cancel()
 	return n.cell.Submit(ctx, tasks.Key{Queue: testQueue, ID: id}, plan, tc.policy)
--- /dev/null
+++ b/sched/link_test.go
@@ -0,0 +1,132 @@
+package sched
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"rattanpath/claim"
+	"rattanpath/core"
+	"rattanpath/fake"
+	"rattanpath/lease"
+	"rattanpath/store"
+	"rattanpath/tasks"
+)
+
+const (
+	// slowLinkRate is 2 Mbit/s, in bytes per second.
+	slowLinkRate = 250_000
+	// callOverhead is the size of a call without its variable content, in bytes.
+	callOverhead = 200
+	// longSpec is the size of the largest spec, in bytes.
+	longSpec = 4000
+)
+
+// outboundLink sends the bytes of a node one after the other.
+type outboundLink struct {
+	mu sync.Mutex
+	// rate is in bytes per second.
+	rate int64
+	// idleAt is when all bytes so far will have been sent.
+	idleAt time.Time
+}
+
+// transfer queues a number of bytes and returns the time until they have been sent. A
+// caller that gives up does not take its bytes back.
+func (l *outboundLink) transfer(bytes int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.idleAt.Before(now) {
+		l.idleAt = now
+	}
+	l.idleAt = l.idleAt.Add(time.Duration(bytes) * time.Second / time.Duration(l.rate))
+	return time.Until(l.idleAt)
+}
+
+// latency returns the latency of a call to a host.
+func (l *outboundLink) latency(_ string, command any) fake.Latency {
+	bytes := callOverhead
+	if start, ok := command.(lease.StartCommand); ok {
+		bytes += len(start.Spec)
+	}
+	return fake.Latency{Request: l.transfer(bytes)}
+}
+
+// linkedJournal is a journal whose writes go through a link.
+type linkedJournal struct {
+	claim.Journal
+	link *outboundLink
+}
+
+func (j *linkedJournal) Append(ctx context.Context, write store.Write) (int64, error) {
+	bytes := callOverhead
+	for _, record := range write.Records {
+		bytes += len(record.Key) + len(record.Value)
+	}
+	if err := core.Sleep(ctx, j.link.transfer(bytes)); err != nil {
+		return 0, err
+	}
+	return j.Journal.Append(ctx, write)
+}
+
+// TestBurstOnSlowLink gives the owner a link of 2 Mbit/s, serving tasks, and a burst
+// of jobs whose records and start commands are several times what the link carries in
+// that time. No lease may expire, and once the burst is over every accepted job must
+// end.
+func TestBurstOnSlowLink(t *testing.T) {
+	runCluster(t, 40, func(tc *testCluster) {
+		link := &outboundLink{rate: slowLinkRate}
+		tc.wrapJournal = func(journal claim.Journal) claim.Journal { return &linkedJournal{journal, link} }
+		tc.linkRate = slowLinkRate
+		tc.profileOf = func(taskID tasks.ID, _ int) fake.RunProfile {
+			return fake.RunProfile{Serving: taskID.Job == "serving", Duration: 600 * time.Millisecond}
+		}
+		n := tc.claim("a")
+		n.hosts.SetLatency(link.latency)
+		time.Sleep(100 * time.Millisecond)
+		if err := tc.submit(n, "serving", servingPlan(30, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		accepted := tc.submitBurst(n, 5*time.Second, 50*time.Millisecond)
+		time.Sleep(30 * time.Second)
+		if got := tc.checker.Ends(tasks.EndLeaseExpired); got != 0 {
+			t.Errorf("got %d runs whose lease expired, want 0", got)
+		}
+		ids := accepted()
+		if len(ids) == 0 {
+			t.Error("got no accepted job, want some")
+		}
+		for _, id := range ids {
+			tc.wantPhase(n, id, tasks.Completed)
+		}
+	})
+}
+
+// submitBurst submits a wide job with a long spec every interval. It returns a
+// function that returns the accepted ones.
+func (tc *testCluster) submitBurst(n *node, duration, interval time.Duration) func() []string {
+	var mu sync.Mutex
+	var accepted []string
+	start := time.Now()
+	for i := 0; time.Since(start) < duration; i++ {
+		id := fmt.Sprintf("burst%d", i)
+		plan := simplePlan(12, 500)
+		plan.Spec = string(make([]byte, longSpec))
+		go func() {
+			if tc.submit(n, id, plan) == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				accepted = append(accepted, id)
+			}
+		}()
+		time.Sleep(interval)
+	}
+	return func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return accepted
+	}
+}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -61,6 +61,9 @@
 		if task.State != tasks.Waiting {
 			continue
 		}
+		if p.cell.startQueueFull() {
+			return
+		}
 		reqs.AvoidHost, reqs.LastAttempt = retryConstraints(e, task)
 		picked := place.Pick(reqs, p.hosts)
 		if picked == nil {
@@ -74,7 +77,7 @@
 
 // placeGang assigns all tasks of a gang to hosts, or none.
 func (p *schedulePass) placeGang(e *jobEntry, round *tasks.Round, step int) {
-	if round.Waiting(step) < len(round.Steps[step]) {
+	if round.Waiting(step) < len(round.Steps[step]) || p.cell.startQueueFull() {
 		return
 	}
 	for index, h := range p.pickGang(e, round, step) {
@@ -182,6 +185,7 @@
 	task := e.job.Task(taskID)
 	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare}
 	h.runs[r.key()] = r
+	c.plannedBytes += r.startSize()
 	c.options.Metrics.TaskWaitSeconds.Update(now.Sub(e.job.DueTime(taskID.Round)).Seconds())
 	c.logger.Info("run assigned", "job", taskID.Job, "round", taskID.Round, "step", taskID.Step, "index", taskID.Index, "run", r.number, "host", h.id, "failed", task.Failures, "suspicion", target.RecentFailures)
 	c.markDirty(e, func() { c.sendStart(h, r) })
--- a/sched/write.go
+++ b/sched/write.go
@@ -91,8 +91,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var b batch
-	size := 0
-	for len(c.dirtyJobs) > 0 && size < c.options.BatchBytes {
+	size, limit := 0, c.options.Link.batchBytes(c.options.BatchBytes)
+	for len(c.dirtyJobs) > 0 && size < limit {
 		e := c.dirtyJobs[0]
 		c.dirtyJobs = c.dirtyJobs[1:]
 		e.dirty = false
