place, sched: newest first while a pool can't keep up; refuse what comes too late

Cause: in a peak above what the pool carries, jobs went by their latest start, and up to half a critical path beyond it, so that nearly each started when it was just too late. On a tight link, jobs were accepted that nobody could start.

Change: place.ChooseOrder compares the time to work off the backlog with the slack of the waiting jobs, and picks EarliestFirst or NewestFirst. Passes compare by pointer and pause three times their length.

--- a/owner/client.go
+++ b/owner/client.go
@@ -147,7 +147,7 @@
 			case NotOwner:
 			case Uncertain:
 				maybeExecuted = true
-			case StoreUnavailable:
+			case StoreUnavailable, Overloaded:
 				if !maybeExecuted {
 					return response
 				}
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -32,11 +32,14 @@
 	UnknownJob
 	// IDConflict means that another queue of the service has a job with the same ID.
 	IDConflict
+	// Overloaded means that the owner would start the job too late; the call had no
+	// effect.
+	Overloaded
 )
 
 // String returns the name of the outcome for logs.
 func (o Outcome) String() string {
-	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken"}
+	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded"}
 	if int(o) >= len(names) {
 		return "invalid"
 	}
@@ -83,6 +86,8 @@
 		return NotOwner
 	case errors.Is(err, sched.ErrStoreUnavailable):
 		return StoreUnavailable
+	case errors.Is(err, sched.ErrOverloaded):
+		return Overloaded
 	case errors.Is(err, sched.ErrUnknownJob):
 		return UnknownJob
 	case errors.Is(err, sched.ErrIDConflict):
--- /dev/null
+++ b/place/order.go
@@ -0,0 +1,92 @@
+package place
+
+import (
+	"cmp"
+	"time"
+)
+
+// Urgency describes a job with waiting tasks for the order of placement.
+type Urgency struct {
+	Priority int
+	// Begun means that the job has serving tasks, or that some of its work would be
+	// wasted if the rest came too late.
+	Begun bool
+	// Late means that the job can no longer meet its objective.
+	Late bool
+	// Accepted is when the job was accepted or became due, and LatestStart when the
+	// rest of it must start to meet the objective.
+	Accepted    time.Time
+	LatestStart time.Time
+	// Backlog is the CPU time of the waiting tasks that could start now, in
+	// millicore-milliseconds.
+	Backlog int64
+}
+
+// Order is the order in which jobs are placed.
+type Order int
+
+// The orders of placement.
+const (
+	// EarliestFirst places the job with the earliest latest start first. Every job
+	// meets its objective if the pool can work off the backlog in time.
+	EarliestFirst Order = iota
+	// NewestFirst places jobs that have begun first, and then the newest. If the pool
+	// can't keep up, EarliestFirst starts each job when it is just too late.
+	NewestFirst
+)
+
+// slackShare is the share of the mean slack of the waiting jobs within which the pool
+// must be able to work off the backlog. More jobs arrive meanwhile.
+const slackShare = 0.5
+
+// ChooseOrder returns the order for jobs that share a CPU capacity in millicores. Late
+// jobs count as well: while some wait, the pool can't keep up.
+func ChooseOrder(jobs []*Urgency, capacity int64) Order {
+	var backlog int64
+	var slack time.Duration
+	count := 0
+	for _, job := range jobs {
+		backlog += job.Backlog
+		if !job.Begun {
+			slack += job.LatestStart.Sub(job.Accepted)
+			count++
+		}
+	}
+	if count == 0 || capacity <= 0 {
+		return EarliestFirst
+	}
+	drain := time.Duration(backlog/capacity) * time.Millisecond
+	if float64(drain) > slackShare*float64(slack)/float64(count) {
+		return NewestFirst
+	}
+	return EarliestFirst
+}
+
+// Compare compares two jobs: by priority; then jobs that can still meet their
+// objective come before those that can't, since finishing a late job earlier gains
+// little; then by the order.
+func (o Order) Compare(a, b *Urgency) int {
+	switch {
+	case a.Priority != b.Priority:
+		return cmp.Compare(a.Priority, b.Priority)
+	case a.Late != b.Late:
+		return compareBool(b.Late, a.Late)
+	case o == NewestFirst && !a.Late && a.Begun != b.Begun:
+		return compareBool(a.Begun, b.Begun)
+	case o == NewestFirst && !a.Late && !a.Begun:
+		return b.Accepted.Compare(a.Accepted)
+	}
+	return cmp.Or(a.LatestStart.Compare(b.LatestStart), a.Accepted.Compare(b.Accepted))
+}
+
+// compareBool orders true before false.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/place/pick.go
+++ b/place/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"rattanpath/tasks"
 )
@@ -112,26 +111,3 @@
 	}
 	return best
 }
-
-// Urgency orders jobs for placement: by priority; then jobs that can still meet
-// their objective before those that can't, since finishing a late job earlier gains
-// little; then by latest start.
-type Urgency struct {
-	Priority int
-	// Late means that the job can no longer meet its objective.
-	Late bool
-	// LatestStart is when the rest of the job must start to meet the objective.
-	LatestStart time.Time
-}
-
-// Before reports whether the job is placed before the other.
-func (u Urgency) Before(other Urgency) bool {
-	switch {
-	case u.Priority != other.Priority:
-		return u.Priority < other.Priority
-	case u.Late != other.Late:
-		return other.Late
-	default:
-		return u.LatestStart.Before(other.LatestStart)
-	}
-}
--- a/place/pick_test.go
+++ b/place/pick_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 
@@ -109,21 +108,3 @@
 		})
 	}
 }
-
-// TestUrgencyOrder checks the order by priority, lateness and latest start.
-func TestUrgencyOrder(t *testing.T) {
-	now := time.Now()
-	order := []Urgency{
-		{Priority: 0, LatestStart: now},
-		{Priority: 0, LatestStart: now.Add(time.Second)},
-		{Priority: 0, Late: true, LatestStart: now.Add(-time.Second)},
-		{Priority: 1, LatestStart: now.Add(-time.Minute)},
-	}
-	for i := range order {
-		for j := range order {
-			if got, want := order[i].Before(order[j]), i < j; got != want {
-				t.Errorf("got %v for %+v before %+v, want %v", got, order[i], order[j], want)
-			}
-		}
-	}
-}
--- a/sched/bandwidth.go
+++ b/sched/bandwidth.go
@@ -13,6 +13,10 @@
 	// startQueueTime is for how long start commands may keep their share of the link
 	// busy. While more are planned, no further runs are assigned.
 	startQueueTime = 200 * time.Millisecond
+	// maxStartBacklog is for how long the start commands of accepted jobs may keep their
+	// share of the link busy. Callers of further jobs are told at once that they would
+	// come too late.
+	maxStartBacklog = 4 * time.Second
 	// maxWriteTime is how long the link may be busy with one write: everything that is
 	// sent meanwhile waits behind it.
 	maxWriteTime = 100 * time.Millisecond
@@ -27,10 +31,12 @@
 // ends of runs don't wait behind new work.
 type Link struct {
 	starts *rate.Limiter
-	// startQueue is the size of the start commands that may wait, and batch the size
-	// limit of a write, both in bytes.
-	startQueue int
-	batch      int
+	// startQueue is the size of the start commands that may be planned, startBacklog
+	// that of the accepted jobs' ones, and batch the size limit of a write, all in
+	// bytes.
+	startQueue   int
+	startBacklog int
+	batch        int
 }
 
 // NewLink returns the limits for a link of a rate in bytes per second, or no limits
@@ -42,9 +48,10 @@
 	bytesIn := func(d time.Duration) int { return max(minBurst, int(float64(bytesPerSecond)*d.Seconds())) }
 	startRate := startShare * float64(bytesPerSecond)
 	return &Link{
-		starts:     rate.NewLimiter(rate.Limit(startRate), bytesIn(maxWriteTime/2)),
-		startQueue: max(minBurst, int(startRate*startQueueTime.Seconds())),
-		batch:      bytesIn(maxWriteTime),
+		starts:       rate.NewLimiter(rate.Limit(startRate), bytesIn(maxWriteTime/2)),
+		startQueue:   max(minBurst, int(startRate*startQueueTime.Seconds())),
+		startBacklog: max(minBurst, int(startRate*maxStartBacklog.Seconds())),
+		batch:        bytesIn(maxWriteTime),
 	}
 }
 
@@ -72,5 +79,26 @@
 	return min(largest, l.batch)
 }
 
-// startSize returns the size of a run's start command in bytes.
-func (r *run) startSize() int { return startOverhead + len(r.entry.job.Plan.Spec) }
+// startBacklogFull reports whether no further job may be accepted before start
+// commands of the others have been sent.
+func (c *Cell) startBacklogFull() bool {
+	limit := c.options.Link.startBacklog
+	return limit > 0 && c.backlogBytes >= limit
+}
+
+// startSize returns the size of a start command of the job in bytes.
+func (e *jobEntry) startSize() int { return startOverhead + len(e.job.Plan.Spec) }
+
+// addBacklog counts the tasks of an open job that have not been started.
+func (c *Cell) addBacklog(e *jobEntry) {
+	e.unstarted = e.job.UnassignedTasks()
+	c.backlogBytes += e.unstarted * e.startSize()
+}
+
+// reduceBacklog counts tasks of a job as started, or as dropped because the job has
+// ended. Repeated runs of a task count once.
+func (c *Cell) reduceBacklog(e *jobEntry, count int) {
+	count = min(count, e.unstarted)
+	e.unstarted -= count
+	c.backlogBytes -= count * e.startSize()
+}
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -55,6 +55,8 @@
 	// ErrStoreUnavailable means that the store doesn't accept writes; nothing was
 	// changed.
 	ErrStoreUnavailable = errors.New("the store can't be reached")
+	// ErrOverloaded means that the job would be started too late; nothing was changed.
+	ErrOverloaded = errors.New("too many tasks wait to be started")
 	// ErrUncertain means that the change may or may not be persisted, now or
 	// later.
 	ErrUncertain = errors.New("the store did not confirm the change in time")
@@ -103,6 +105,8 @@
 	// retryAfter is the earliest time for the next attempt after a host refused a
 	// task.
 	retryAfter time.Time
+	// unstarted is the number of tasks that were never started.
+	unstarted int
 	// advice holds the advisor's decisions by step.
 	advice map[stepKey]*stepAdvice
 }
@@ -133,8 +137,10 @@
 	// failingSince is when writes began to fail; zero if the last one succeeded.
 	failingSince time.Time
 	stopped      bool
-	// plannedBytes is the size of the start commands that have not been sent.
+	// plannedBytes is the size of the start commands of assigned runs that have not
+	// been sent, and backlogBytes that of all tasks that were never started.
 	plannedBytes int
+	backlogBytes int
 	// submittedCPU is the CPU time requested by submitted jobs in
 	// millicore-milliseconds, estimated from the mean run time of their queue.
 	submittedCPU int64
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -119,6 +119,7 @@
 	c.byID[e.job.Key.ID] = e
 	if e.job.Phase == tasks.Open {
 		c.open[e] = true
+		c.addBacklog(e)
 	}
 }
 
--- a/sched/command.go
+++ b/sched/command.go
@@ -40,7 +40,7 @@
 // must be held.
 func (c *Cell) sendStart(h *host, r *run) {
 	persistedAt := c.options.Clock()
-	delay := c.options.Link.startDelay(r.startSize())
+	delay := c.options.Link.startDelay(r.entry.startSize())
 	c.spawn(func(ctx context.Context) {
 		if delay > 0 && core.Sleep(ctx, delay) != nil {
 			return
@@ -74,7 +74,8 @@
 		return lease.StartCommand{}, nil, false
 	}
 	r.state = runStarting
-	c.plannedBytes -= r.startSize()
+	c.plannedBytes -= r.entry.startSize()
+	c.reduceBacklog(r.entry, 1)
 	return lease.StartCommand{
 		Task:        r.id,
 		Run:         r.number,
--- a/sched/end.go
+++ b/sched/end.go
@@ -65,7 +65,7 @@
 	if h.runs[r.key()] == r {
 		delete(h.runs, r.key())
 		if r.state == runPlanned {
-			c.plannedBytes -= r.startSize()
+			c.plannedBytes -= r.entry.startSize()
 		}
 	}
 	wake(c.scheduleWake)
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -22,9 +22,9 @@
 			c.mu.Unlock()
 			return ErrIDConflict
 		}
-		if c.storeUnavailable() {
+		if err := c.admissionError(); err != nil {
 			c.mu.Unlock()
-			return ErrStoreUnavailable
+			return err
 		}
 		e = &jobEntry{job: tasks.NewJob(key, plan, policy, time.Now())}
 		c.addJob(e)
@@ -42,6 +42,18 @@
 	return c.awaitPersisted(ctx, persisted)
 }
 
+// admissionError returns why no new job can be accepted at present, or nil.
+func (c *Cell) admissionError() error {
+	switch {
+	case c.storeUnavailable():
+		return ErrStoreUnavailable
+	case c.startBacklogFull():
+		return ErrOverloaded
+	default:
+		return nil
+	}
+}
+
 // awaitPersisted waits until a change is persisted.
 func (c *Cell) awaitPersisted(ctx context.Context, persisted <-chan struct{}) error {
 	select {
--- a/sched/link_test.go
+++ b/sched/link_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rattanpath/claim"
 	"rattanpath/core"
 	"rattanpath/fake"
@@ -73,8 +75,8 @@
 
 // TestBurstOnSlowLink gives the owner a link of 2 Mbit/s, serving tasks, and a burst
 // of jobs whose records and start commands are several times what the link carries in
-// that time. No lease may expire, and once the burst is over every accepted job must
-// end.
+// that time. No lease may expire, jobs that can't be started in time must be refused
+// at once, and once the burst is over every accepted job must end.
 func TestBurstOnSlowLink(t *testing.T) {
 	runCluster(t, 40, func(tc *testCluster) {
 		link := &outboundLink{rate: slowLinkRate}
@@ -90,43 +92,58 @@
 			t.Fatal(err)
 		}
 		time.Sleep(2 * time.Second)
-		accepted := tc.submitBurst(n, 5*time.Second, 50*time.Millisecond)
-		time.Sleep(30 * time.Second)
+		b := &burst{cluster: tc, owner: n}
+		b.submit(5*time.Second, 50*time.Millisecond)
+		time.Sleep(maxStartBacklog + 10*time.Second)
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		if got := tc.checker.Ends(tasks.EndLeaseExpired); got != 0 {
 			t.Errorf("got %d runs whose lease expired, want 0", got)
 		}
-		ids := accepted()
-		if len(ids) == 0 {
-			t.Error("got no accepted job, want some")
+		if len(b.accepted) == 0 || b.refused == 0 {
+			t.Errorf("got %d jobs accepted and %d refused, want some of each", len(b.accepted), b.refused)
+		}
+		if b.slowestRefusal > 0 {
+			t.Errorf("got a refusal after %v, want all at once", b.slowestRefusal)
 		}
-		for _, id := range ids {
+		for _, id := range b.accepted {
 			tc.wantPhase(n, id, tasks.Completed)
 		}
 	})
 }
 
-// submitBurst submits a wide job with a long spec every interval. It returns a
-// function that returns the accepted ones.
-func (tc *testCluster) submitBurst(n *node, duration, interval time.Duration) func() []string {
-	var mu sync.Mutex
-	var accepted []string
+// burst submits wide jobs with long specs and records what becomes of them.
+type burst struct {
+	cluster *testCluster
+	owner   *node
+
+	mu             sync.Mutex
+	accepted       []string
+	refused        int
+	slowestRefusal time.Duration
+}
+
+// submit submits a job every interval.
+func (b *burst) submit(duration, interval time.Duration) {
 	start := time.Now()
 	for i := 0; time.Since(start) < duration; i++ {
-		id := fmt.Sprintf("burst%d", i)
-		plan := simplePlan(12, 500)
-		plan.Spec = string(make([]byte, longSpec))
-		go func() {
-			if tc.submit(n, id, plan) == nil {
-				mu.Lock()
-				defer mu.Unlock()
-				accepted = append(accepted, id)
-			}
-		}()
+		go b.submitJob(fmt.Sprintf("burst%d", i))
 		time.Sleep(interval)
 	}
-	return func() []string {
-		mu.Lock()
-		defer mu.Unlock()
-		return accepted
+}
+
+func (b *burst) submitJob(id string) {
+	plan := simplePlan(12, 500)
+	plan.Spec = string(make([]byte, longSpec))
+	start := time.Now()
+	err := b.cluster.submit(b.owner, id, plan)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case err == nil:
+		b.accepted = append(b.accepted, id)
+	case errors.Is(err, ErrOverloaded):
+		b.refused++
+		b.slowestRefusal = max(b.slowestRefusal, time.Since(start))
 	}
 }
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -185,7 +185,7 @@
 	task := e.job.Task(taskID)
 	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare}
 	h.runs[r.key()] = r
-	c.plannedBytes += r.startSize()
+	c.plannedBytes += e.startSize()
 	c.options.Metrics.TaskWaitSeconds.Update(now.Sub(e.job.DueTime(taskID.Round)).Seconds())
 	c.logger.Info("run assigned", "job", taskID.Job, "round", taskID.Round, "step", taskID.Step, "index", taskID.Index, "run", r.number, "host", h.id, "failed", task.Failures, "suspicion", target.RecentFailures)
 	c.markDirty(e, func() { c.sendStart(h, r) })
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -14,7 +14,7 @@
 // schedulePauseFactor is the pause after a scheduling pass as a multiple of its
 // duration. Without it, passes could use all of a node's CPU time while
 // more tasks wait than the hosts have capacity for.
-const schedulePauseFactor = 1
+const schedulePauseFactor = 3
 
 // loopSchedule runs a scheduling pass whenever something has changed.
 func (c *Cell) loopSchedule(ctx context.Context) {
@@ -45,6 +45,7 @@
 		return
 	}
 	p := &schedulePass{cell: c, hosts: c.candidates(now), now: now}
+	sortByUrgency(toPlace, p.hosts)
 	for _, j := range toPlace {
 		p.placeJob(j.entry)
 	}
@@ -56,31 +57,45 @@
 	urgency place.Urgency
 }
 
-// jobsToPlace returns the jobs with tasks to start, in the order of their
-// urgency.
-func (c *Cell) jobsToPlace(now time.Time) []jobToPlace {
-	var toPlace []jobToPlace
+// jobsToPlace returns the jobs with tasks to start.
+func (c *Cell) jobsToPlace(now time.Time) []*jobToPlace {
+	var toPlace []*jobToPlace
 	for e := range c.open {
 		if !e.definitionWritten && !e.dirty {
 			continue
 		}
 		e.job.StartDueRounds(now)
-		if now.Before(e.retryAfter) || e.job.Policy.Advice == nil && !hasStartableTask(e.job) {
+		if now.Before(e.retryAfter) {
 			continue
 		}
-		toPlace = append(toPlace, jobToPlace{entry: e, urgency: c.urgency(e, now)})
+		waiting, begun := e.job.WaitingCPUTime()
+		if waiting == 0 && e.job.Policy.Advice == nil {
+			continue
+		}
+		j := &jobToPlace{entry: e, urgency: c.urgency(e, now)}
+		j.urgency.Backlog, j.urgency.Begun = waiting, begun || e.job.LongRunning()
+		toPlace = append(toPlace, j)
+	}
+	return toPlace
+}
+
+// sortByUrgency sorts jobs by the order in which they are placed on hosts.
+func sortByUrgency(jobs []*jobToPlace, hosts []*place.Host) {
+	var urgencies []*place.Urgency
+	for _, j := range jobs {
+		urgencies = append(urgencies, &j.urgency)
+	}
+	var capacity int64
+	for _, h := range hosts {
+		capacity += h.Capacity.CPU
 	}
-	slices.SortFunc(toPlace, func(a, b jobToPlace) int {
-		switch {
-		case a.urgency.Before(b.urgency):
-			return -1
-		case b.urgency.Before(a.urgency):
-			return 1
-		default:
-			return a.entry.job.Accepted.Compare(b.entry.job.Accepted)
+	order := place.ChooseOrder(urgencies, capacity)
+	slices.SortFunc(jobs, func(a, b *jobToPlace) int {
+		if compared := order.Compare(&a.urgency, &b.urgency); compared != 0 {
+			return compared
 		}
+		return cmp.Compare(a.entry.job.Key.ID, b.entry.job.Key.ID)
 	})
-	return toPlace
 }
 
 func hasStartableTask(job *tasks.Job) bool {
@@ -94,7 +109,8 @@
 	return false
 }
 
-// urgency returns the scheduling priority of a job.
+// urgency returns the scheduling priority of a job, without what its waiting tasks
+// add to it.
 func (c *Cell) urgency(e *jobEntry, now time.Time) place.Urgency {
 	start := e.job.Accepted
 	if len(e.job.Rounds) > 0 {
@@ -103,20 +119,17 @@
 	total, remaining := e.job.CriticalPath()
 	objective := time.Duration(e.job.Policy.Stretch*float64(total)) + e.job.Policy.Target
 	latestStart := start.Add(objective - remaining)
-	// A job that is late by less than this may have had too long an estimate.
-	slack := time.Duration(latenessFraction * float64(total))
-	late := !e.job.LongRunning() && now.After(latestStart.Add(slack)) && now.Before(start.Add(maxLateTime))
-	return place.Urgency{Priority: e.job.Policy.Priority, Late: late, LatestStart: latestStart}
+	return place.Urgency{
+		Priority:    e.job.Policy.Priority,
+		Late:        !e.job.LongRunning() && now.After(latestStart) && now.Before(start.Add(maxLateTime)),
+		Accepted:    start,
+		LatestStart: latestStart,
+	}
 }
 
-const (
-	// latenessFraction is the fraction of the job's critical path by which it
-	// must be late before other jobs go first.
-	latenessFraction = 0.5
-	// maxLateTime is the time after which a late job no longer yields to others,
-	// so that it completes eventually.
-	maxLateTime = 15 * time.Second
-)
+// maxLateTime is the time after which a late job no longer yields to others, so that
+// it completes eventually.
+const maxLateTime = 15 * time.Second
 
 // candidates returns the hosts to which runs can be assigned now, ordered by
 // ID.
--- a/sched/write.go
+++ b/sched/write.go
@@ -24,6 +24,7 @@
 	}
 	if e.job.Phase != tasks.Open && c.open[e] {
 		delete(c.open, e)
+		c.reduceBacklog(e, e.unstarted)
 		took := e.job.Ended.Sub(e.job.Accepted)
 		c.options.Metrics.recordJob(e.job.Phase, took)
 		c.logger.Info("job ended", "job", e.job.Key.ID, "queue", e.job.Key.Queue, "phase", e.job.Phase.String(), "took", took.Round(time.Millisecond), "epoch", c.epoch)
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -350,6 +350,37 @@
 	return total
 }
 
+// UnassignedTasks returns the number of tasks that wait for a host or for other tasks,
+// in the rounds in progress or, before the first, in one round.
+func (j *Job) UnassignedTasks() int {
+	count := 0
+	for step := range j.Plan.Steps {
+		if len(j.Rounds) == 0 {
+			count += j.Plan.Steps[step].Count
+		}
+		for _, round := range j.Rounds {
+			count += round.Waiting(step)
+		}
+	}
+	return count
+}
+
+// WaitingCPUTime returns the CPU time of the tasks that wait for nothing but a host,
+// in millicore-milliseconds by the estimates, and whether any task has been assigned.
+func (j *Job) WaitingCPUTime() (waiting int64, begun bool) {
+	for _, round := range j.Rounds {
+		for step := range round.Steps {
+			count := round.Waiting(step)
+			begun = begun || count < len(round.Steps[step])
+			if count > 0 && j.DependenciesDone(round, step) {
+				spec := &j.Plan.Steps[step]
+				waiting += int64(count) * spec.Room.CPU * max(1, spec.Estimate.Milliseconds())
+			}
+		}
+	}
+	return waiting, begun
+}
+
 // CriticalPath returns the estimated length of the critical path of a round, and
 // that of the steps not yet done in the first round in progress.
 func (j *Job) CriticalPath() (total, remaining time.Duration) {
