sched: a step lasts as long as its slowest task

Cause: the critical path added up callers' estimates of a single task, while a step of eight tasks ends with the slowest of them. Jobs counted as late that still had seconds, and went to the end of the queue.

Change: each queue learns the ratio of a step's longest run time to the estimate, and critical paths are scaled by it. A pool keeps up if it works off the backlog within the mean slack, not within half of it.

TestCriticalPathFollowsSlowestTask fails before (500 ms instead of 1.5 s).

--- a/place/order.go
+++ b/place/order.go
@@ -35,12 +35,9 @@
 	NewestFirst
 )
 
-// slackShare is the share of the mean slack of the waiting jobs within which the pool
-// must be able to work off the backlog. More jobs arrive meanwhile.
-const slackShare = 0.5
-
-// ChooseOrder returns the order for jobs that share a CPU capacity in millicores. Late
-// jobs count as well: while some wait, the pool can't keep up.
+// ChooseOrder returns the order for jobs that share a CPU capacity in millicores: the
+// pool keeps up if it can work off the backlog within the mean slack of the jobs that
+// have not begun. Late jobs count as well: while some wait, it does not.
 func ChooseOrder(jobs []*Urgency, capacity int64) Order {
 	var backlog int64
 	var slack time.Duration
@@ -56,7 +53,7 @@
 		return EarliestFirst
 	}
 	drain := time.Duration(backlog/capacity) * time.Millisecond
-	if float64(drain) > slackShare*float64(slack)/float64(count) {
+	if drain > slack/time.Duration(count) {
 		return NewestFirst
 	}
 	return EarliestFirst
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -105,6 +105,8 @@
 	// retryAfter is the earliest time for the next attempt after a host refused a
 	// task.
 	retryAfter time.Time
+	// longestRuns holds the longest run time so far of each step with a task done.
+	longestRuns map[stepKey]time.Duration
 	// unstarted is the number of tasks that were never started.
 	unstarted int
 	// advice holds the advisor's decisions by step.
@@ -151,6 +153,9 @@
 	// run has finished are missing: callers' estimates are too rough to be used
 	// instead.
 	meanRunTimes map[string]time.Duration
+	// stepRatios is the moving average, by queue, of the longest run time of a step's
+	// tasks relative to the estimate.
+	stepRatios map[string]float64
 	// advisorCalls is the number of calls to the advisor in flight.
 	advisorCalls int
 
@@ -178,6 +183,7 @@
 		open:         make(map[*jobEntry]bool),
 		hosts:        make(map[string]*host),
 		meanRunTimes: make(map[string]time.Duration),
+		stepRatios:   make(map[string]float64),
 		writeWake:    make(chan struct{}, 1),
 		scheduleWake: make(chan struct{}, 1),
 		releasing:    make(chan struct{}),
--- a/sched/cell_test.go
+++ b/sched/cell_test.go
@@ -430,3 +430,30 @@
 		}
 	})
 }
+
+// TestCriticalPathFollowsSlowestTask runs jobs of which one task takes three times the
+// estimate: the expected length of a job must approach that of its slowest task.
+func TestCriticalPathFollowsSlowestTask(t *testing.T) {
+	runCluster(t, 4, func(tc *testCluster) {
+		tc.profileOf = func(taskID tasks.ID, _ int) fake.RunProfile {
+			if taskID.Index == 3 {
+				return fake.RunProfile{Duration: 1500 * time.Millisecond}
+			}
+			return fake.RunProfile{Duration: 400 * time.Millisecond}
+		}
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		for i := range 5 {
+			if err := tc.submit(n, fmt.Sprint("job", i), simplePlan(4, 500)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		n.cell.mu.Lock()
+		defer n.cell.mu.Unlock()
+		got, _ := n.cell.criticalPath(n.cell.byID["job0"])
+		if want := 1500 * time.Millisecond; got < want*9/10 || got > want*11/10 {
+			t.Errorf("got a critical path of %v, want about %v", got, want)
+		}
+	})
+}
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rattanpath/lease"
+	"rattanpath/tasks"
 )
 
 // handleHeartbeat processes the reply to a heartbeat. The returned channel is
@@ -87,6 +88,9 @@
 		if r := h.runs[runKey{f.Task, f.Run}]; r != nil {
 			c.recordEnd(h, r, f.Reason)
 			c.endRun(h, r, f.Reason, f.Checkpoint)
+			if r.entry != nil && f.Reason == tasks.EndDone {
+				c.recordStepTime(r)
+			}
 		}
 	}
 	h.reportedSequence = highest
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -116,7 +116,7 @@
 	if len(e.job.Rounds) > 0 {
 		start = e.job.DueTime(e.job.Rounds[0].Number)
 	}
-	total, remaining := e.job.CriticalPath()
+	total, remaining := c.criticalPath(e)
 	objective := time.Duration(e.job.Policy.Stretch*float64(total)) + e.job.Policy.Target
 	latestStart := start.Add(objective - remaining)
 	return place.Urgency{
