sched: ask a host before giving up the runs of a previous owner

Cause: an owner that could not reach a host recorded at its release that the host's leases had expired. The record was also wrong for a host that had to be asked anew after a restart or a late refusal: it took the lease of the owner before.

Change: runs of previous owners are given up once the host has missed a heartbeat or 750 ms have passed. The record tells only of hosts that never answered this owner, or whose clock it knows.

Result: TestTakeoverAsksBeforeGivingUp fails before (2 starts) and passes after; TestReleaseAfterRestart fails with the old condition (0 s instead of over 2.25 s).

--- a/sched/claim.go
+++ b/sched/claim.go
@@ -100,12 +100,7 @@
 	now := c.options.Clock()
 	record := leaseRecord{Epoch: c.epoch, Remaining: make(map[string]time.Duration)}
 	for id, h := range c.hosts {
-		if len(h.runs) == 0 {
-			continue
-		}
-		if !h.synced {
-			record.Remaining[id] = max(0, c.inheritedLeaseEnd(h)-now)
-		} else if remaining, known := h.clock.Remaining(now); known && h.missedHeartbeats > 0 {
+		if remaining, known := c.remainingLease(h, now); known {
 			record.Remaining[id] = remaining
 		}
 	}
@@ -113,6 +108,21 @@
 	return store.Record{Key: leasesKey, Value: value}, errors.Wrap(err, "encoding the unexpired leases")
 }
 
+// remainingLease returns how long leases may still be valid on a host with runs that
+// this owner can't reach. It is unknown for others.
+func (c *Cell) remainingLease(h *host, now time.Duration) (remaining time.Duration, known bool) {
+	switch {
+	case len(h.runs) == 0:
+		return 0, false
+	case h.onlyInheritedRuns():
+		return max(0, c.inheritedLeaseEnd(h)-now), true
+	case h.missedHeartbeats > 0:
+		return h.clock.Remaining(now)
+	default:
+		return 0, false
+	}
+}
+
 // addJob adds a job to the indexes.
 func (c *Cell) addJob(e *jobEntry) {
 	c.jobs[e.job.Key] = e
--- a/sched/host.go
+++ b/sched/host.go
@@ -152,6 +152,17 @@
 	return used
 }
 
+// onlyInheritedRuns reports whether the host has never answered this owner since it
+// took over runs there: this owner has then granted no lease.
+func (h *host) onlyInheritedRuns() bool {
+	for _, r := range h.runs {
+		if r.state != runInherited {
+			return false
+		}
+	}
+	return true
+}
+
 // hostLoop sends heartbeats to one host.
 type hostLoop struct {
 	cell *Cell
@@ -352,6 +363,16 @@
 	return err.Error()
 }
 
+// firstReplyTime is how long after a takeover a host may take to answer its new owner.
+const firstReplyTime = 750 * time.Millisecond
+
+// hadTimeToAnswer reports whether a host has not answered this owner although it had
+// the time to. A run whose lease has expired may have ended before, which only its host
+// can tell.
+func (c *Cell) hadTimeToAnswer(h *host) bool {
+	return h.missedHeartbeats > 0 || c.options.Clock()-c.claimedAt > firstReplyTime
+}
+
 // expireLeases ends the runs of hosts on which every lease has expired.
 func (c *Cell) expireLeases() {
 	now := c.options.Clock()
@@ -360,7 +381,7 @@
 		expired := h.clock.Expired(now)
 		for _, r := range h.runs {
 			switch {
-			case r.state == runInherited && now > inheritedUntil:
+			case r.state == runInherited && now > inheritedUntil && c.hadTimeToAnswer(h):
 				c.loseRun(h, r, lossInheritedLease)
 			case r.state != runInherited && r.state != runPlanned && expired && h.missedHeartbeats > 0:
 				c.loseRun(h, r, lossLease)
--- a/sched/report_test.go
+++ b/sched/report_test.go
@@ -69,3 +69,58 @@
 		}
 	})
 }
+
+// TestTakeoverAsksBeforeGivingUp has an owner lose touch with a host, on which a run
+// then ends, and release the cell with a record that the host's leases have expired.
+// The next owner, whose calls are slow, must hear of the end from the host and not
+// start the task again.
+func TestTakeoverAsksBeforeGivingUp(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 2 * time.Second} }
+		a := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := tc.submit(a, "job", simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		host := a.hostOf("job", 0)
+		a.hosts.SetPartitioned(host, true)
+		a.stop()
+		<-a.done
+		time.Sleep(3 * time.Second)
+		b := tc.claim("b")
+		b.hosts.SetLatency(func(string, any) fake.Latency { return fake.Latency{Reply: 300 * time.Millisecond} })
+		b.cell.mu.Lock()
+		b.cell.unexpiredLeases = map[string]time.Duration{host: 0}
+		b.cell.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		tc.wantPhase(b, "job", tasks.Completed)
+		if got := tc.checker.Starts(); got != 1 {
+			t.Errorf("got %d starts, want 1", got)
+		}
+	})
+}
+
+// TestReleaseAfterRestart has a host restart and a new run on it before the owner
+// loses touch with the host and stops. The record of unexpired leases must not say
+// that the new run's lease is over.
+func TestReleaseAfterRestart(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 20 * time.Second} }
+		n := tc.claim("a")
+		time.Sleep(15 * time.Second)
+		if err := tc.submit(n, "job", simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		n.cell.mu.Lock()
+		h := n.cell.hosts["h0"]
+		h.synced, h.missedHeartbeats = false, 1
+		got, known := n.cell.remainingLease(h, n.cell.options.Clock())
+		h.synced, h.missedHeartbeats = true, 0
+		n.cell.mu.Unlock()
+		if known && got < maxLease/2 {
+			t.Errorf("got %v until the lease is over, want at least %v, or unknown", got, maxLease/2)
+		}
+	})
+}
