intake, owner: an overloaded owner gets no bodies

Cause: every entry node forwarded the whole job to the owner, which refused it. With the callers' repeats the bodies filled the owner's inbound link: dials and heartbeats took seconds and leases of serving tasks lapsed.

Change: after a refusal for overload an entry node refuses jobs of that service itself until callers come back, once the owner has said that it doesn't know the job. Attempts of a forwarded call back off from 30 to 120 ms.

TestOverloadedServiceGetsNoBodies.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -63,6 +63,8 @@
 	metrics *metrics.Set
 	router  *mux.Router
 	history serviceHistory
+	// overloaded holds the services that accept no jobs at present.
+	overloaded overloadedServices
 }
 
 // NewHandler returns a handler for callers' requests.
@@ -176,7 +178,7 @@
 		x.writeAck(response)
 		return
 	}
-	x.writeAck(x.callOwner(owner.MethodSubmit, plan))
+	x.writeAck(x.submitPlan(plan))
 }
 
 func (x *exchange) writeAck(response owner.Response) {
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -157,3 +159,33 @@
 		t.Errorf("got status %d, want 200 and a new job submitted to the new service", got)
 	}
 }
+
+// TestOverloadedServiceGetsNoBodies submits jobs to an overloaded service: after the
+// first refusal, bodies must stay here until callers return. A job that was accepted
+// must not be refused.
+func TestOverloadedServiceGetsNoBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _, client := newTestHandler(newTestConfig(1, "one"))
+		const accepted, other = "00000000000000aa", "00000000000000bb"
+		if got := send(h, "POST", "/x/"+accepted, "job").Code; got != 200 {
+			t.Fatalf("got status %d, want 200", got)
+		}
+		client.outcome = owner.Overloaded
+		if got := send(h, "POST", "/x/"+other, "job").Code; got != 503 {
+			t.Errorf("got status %d from an overloaded owner, want 503", got)
+		}
+		client.outcome, client.calls = owner.Done, nil
+		for id, want := range map[string]int{accepted: 200, other: 503} {
+			if got := send(h, "POST", "/x/"+id, "job").Code; got != want {
+				t.Errorf("got status %d for job %s, want %d", got, id, want)
+			}
+		}
+		if slices.Contains(client.calls, "Submit one") {
+			t.Errorf("got calls %v while the owner was overloaded, want no submission", client.calls)
+		}
+		time.Sleep(retryAfter)
+		if got := send(h, "POST", "/x/"+other, "job").Code; got != 200 {
+			t.Errorf("got status %d after the time to wait, want 200", got)
+		}
+	})
+}
--- a/owner/client.go
+++ b/owner/client.go
@@ -19,9 +19,10 @@
 const (
 	// attemptTimeout limits one attempt of a call.
 	attemptTimeout = 700 * time.Millisecond
-	// retryDelay is the time between two attempts, during which another node may
-	// take over the cell.
-	retryDelay = 30 * time.Millisecond
+	// minRetryDelay and maxRetryDelay bound the backoff between two attempts, during
+	// which another node may take over the cell. Each attempt sends the whole request.
+	minRetryDelay = 30 * time.Millisecond
+	maxRetryDelay = 120 * time.Millisecond
 )
 
 // Method is the name of an RPC method of owners.
@@ -139,6 +140,7 @@
 func (c *Client) Call(ctx context.Context, method Method, request Request) Response {
 	maybeExecuted := false
 	last := Response{Outcome: NotOwner}
+	delay := minRetryDelay
 	for {
 		response, maybeSent, err := c.attempt(ctx, method, request)
 		maybeExecuted = maybeExecuted || maybeSent
@@ -160,9 +162,10 @@
 		case c.refresh <- struct{}{}:
 		default:
 		}
-		if core.Sleep(ctx, retryDelay) != nil {
+		if core.Sleep(ctx, delay) != nil {
 			break
 		}
+		delay = min(2*delay, maxRetryDelay)
 	}
 	if maybeExecuted {
 		return Response{Outcome: Uncertain}
