infra: as many moves a round as the cloud accepts

Cause: a round planned at most 24 moves, some 72 a second, so that at 1,100 machines a peak got its hosts over 6 s while the cloud accepts far more.

Change: the limit of a round follows the cloud's rate from the settings, and is never below 24.

TestMovesLimit.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -142,6 +142,7 @@
 		IsLeader:            supervisor.OwnsFleetPartition,
 		WaveStatus:          platform.WaveStatus,
 		StatusTopic:         platform.StatusTopic,
+		OrdersPerSecond:     settings.OrdersPerSecond,
 		MachineLease:        settings.MachineLease,
 		MoveDuration:        settings.MoveDuration,
 		MaintenanceDuration: settings.MaintenanceDuration,
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -38,6 +38,9 @@
 	MaxLease time.Duration
 	// JobRetention is how long the status of an ended job must be available.
 	JobRetention time.Duration
+	// OrdersPerSecond is the number of orders for machines that the cloud accepts from
+	// all nodes, 0 if unknown.
+	OrdersPerSecond float64
 	// MachineLease is how long a machine is reserved for the leader that last ordered
 	// it: another leader must not order it within that time.
 	MachineLease time.Duration
--- a/infra/controller.go
+++ b/infra/controller.go
@@ -86,6 +86,8 @@
 	// operator. It is written to StatusTopic.
 	WaveStatus  func(number int64, completed bool) (key string, value []byte, err error)
 	StatusTopic string
+	// OrdersPerSecond is the number of orders that the cloud accepts, 0 if unknown.
+	OrdersPerSecond float64
 	// MachineLease is how long after an order for a machine no other leader may
 	// send orders for it.
 	MachineLease        time.Duration
--- a/infra/controller_test.go
+++ b/infra/controller_test.go
@@ -359,3 +359,14 @@
 		})
 	}
 }
+
+// TestMovesLimit checks that a round of moves follows what the cloud accepts, so that a
+// large fleet's pools grow as fast as it allows.
+func TestMovesLimit(t *testing.T) {
+	for rate, want := range map[float64]int{0: minMovesLimit, 64: minMovesLimit, 600: 150} {
+		leader := &term{Controller: &Controller{options: Options{OrdersPerSecond: rate}}}
+		if got := leader.movesLimit(); got != want {
+			t.Errorf("got %d moves a round for %v orders a second, want %d", got, rate, want)
+		}
+	}
+}
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// maxMovesPerRound bounds the moves of one call of reconcile.
-	maxMovesPerRound = 24
+	// minMovesLimit is the smallest limit on the moves of one call of reconcile.
+	minMovesLimit = 24
 	// spareHosts is the number of hosts that a pool keeps in addition to those
 	// that its steps must be spread over. They absorb the start of a load peak.
 	spareHosts = 3
@@ -18,12 +18,18 @@
 func (t *term) planMoves(config *queue.Config) []plannedOrder {
 	pools, machines := t.poolInputs(config)
 	var orders []plannedOrder
-	for _, move := range alloc.Plan(pools, maxMovesPerRound) {
+	for _, move := range alloc.Plan(pools, t.movesLimit()) {
 		orders = append(orders, plannedOrder{kind: moveOperation, machine: machines[move.Machine], toPool: move.To})
 	}
 	return orders
 }
 
+// movesLimit returns how many moves one call of reconcile may plan: as many as the cloud
+// accepts in reconcileInterval.
+func (t *term) movesLimit() int {
+	return max(minMovesLimit, int(t.options.OrdersPerSecond*reconcileInterval.Seconds()))
+}
+
 // poolInputs returns the input for planning moves, and the machines by name.
 func (t *term) poolInputs(config *queue.Config) ([]alloc.Pool, map[string]Machine) {
 	machines := make(map[string]Machine, len(t.machines))
