sched: jobs are refused only while starts wait for the link

Cause: the backlog of start commands also counted tasks that wait for hosts, so that jobs which fit no host would have kept all others out.

Change: further jobs are refused only if start commands waited for the link within the last second.

Result: TestJobsThatWaitForHostsAreNotRefused fails before, passes after.

--- a/sched/bandwidth.go
+++ b/sched/bandwidth.go
@@ -17,6 +17,9 @@
 	// share of the link busy. Callers of further jobs are told at once that they would
 	// come too late.
 	maxStartBacklog = 4 * time.Second
+	// busyLinkMemory is how long after start commands last waited for the link it counts
+	// as busy.
+	busyLinkMemory = time.Second
 	// maxWriteTime is how long the link may be busy with one write: everything that is
 	// sent meanwhile waits behind it.
 	maxWriteTime = 100 * time.Millisecond
@@ -64,13 +67,6 @@
 	return l.starts.ReserveN(time.Now(), min(bytes, l.starts.Burst())).Delay()
 }
 
-// startQueueFull reports whether no further run may be assigned before planned start
-// commands have been sent.
-func (c *Cell) startQueueFull() bool {
-	limit := c.options.Link.startQueue
-	return limit > 0 && c.plannedBytes >= limit
-}
-
 // batchBytes returns the size limit of a write that the store limits to largest bytes.
 func (l *Link) batchBytes(largest int) int {
 	if l.batch == 0 {
@@ -79,11 +75,26 @@
 	return min(largest, l.batch)
 }
 
+// startQueueFull reports whether no further run may be assigned before planned start
+// commands have been sent.
+func (c *Cell) startQueueFull() bool {
+	limit := c.options.Link.startQueue
+	if limit == 0 || c.plannedBytes < limit {
+		return false
+	}
+	c.startQueueFullAt = c.options.Clock()
+	return true
+}
+
 // startBacklogFull reports whether no further job may be accepted before start
-// commands of the others have been sent.
+// commands of the others have been sent. Tasks that wait for hosts rather than for the
+// link don't matter.
 func (c *Cell) startBacklogFull() bool {
 	limit := c.options.Link.startBacklog
-	return limit > 0 && c.backlogBytes >= limit
+	if limit == 0 || c.backlogBytes < limit || c.startQueueFullAt == 0 {
+		return false
+	}
+	return c.options.Clock()-c.startQueueFullAt < busyLinkMemory
 }
 
 // startSize returns the size of a start command of the job in bytes.
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -143,6 +143,9 @@
 	// been sent, and backlogBytes that of all tasks that were never started.
 	plannedBytes int
 	backlogBytes int
+	// startQueueFullAt is when assignment last waited for planned start commands; zero
+	// if it never did.
+	startQueueFullAt time.Duration
 	// submittedCPU is the CPU time requested by submitted jobs in
 	// millicore-milliseconds, estimated from the mean run time of their queue.
 	submittedCPU int64
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -37,10 +37,10 @@
 // firstReplyTime is how long after a takeover a host may take to answer its new owner.
 const firstReplyTime = 750 * time.Millisecond
 
-// hadTimeToAnswer reports whether a host has not answered this owner although it had
-// the time to. A run whose lease has expired may have ended before, which only its host
-// can tell.
-func (c *Cell) hadTimeToAnswer(h *host) bool {
+// isUnresponsive reports whether a host with runs of a previous owner has not answered
+// this owner in time. Such a run may have ended before its lease expired, which only the
+// host can tell.
+func (c *Cell) isUnresponsive(h *host) bool {
 	return h.missedHeartbeats > 0 || c.options.Clock()-c.claimedAt > firstReplyTime
 }
 
@@ -52,7 +52,7 @@
 		expired := h.clock.Expired(now)
 		for _, r := range h.runs {
 			switch {
-			case r.state == runInherited && now > inheritedUntil && c.hadTimeToAnswer(h):
+			case r.state == runInherited && now > inheritedUntil && c.isUnresponsive(h):
 				c.loseRun(h, r, lossInheritedLease)
 			case r.state != runInherited && r.state != runPlanned && expired && h.missedHeartbeats > 0:
 				c.loseRun(h, r, lossLease)
--- a/sched/link_test.go
+++ b/sched/link_test.go
@@ -147,3 +147,24 @@
 		b.slowestRefusal = max(b.slowestRefusal, time.Since(start))
 	}
 }
+
+// TestJobsThatWaitForHostsAreNotRefused submits jobs that no host has room for: their
+// start commands don't wait for the link, so that further jobs must be accepted.
+func TestJobsThatWaitForHostsAreNotRefused(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.linkRate = slowLinkRate
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		plan := simplePlan(200, 2*hostCPU)
+		plan.Spec = string(make([]byte, longSpec))
+		for i := range 3 {
+			if err := tc.submit(n, fmt.Sprint("large", i), plan); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if err := tc.submit(n, "small", simplePlan(1, 1000)); err != nil {
+			t.Errorf("got %v, want the job accepted", err)
+		}
+	})
+}
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -72,9 +72,9 @@
 		if waiting == 0 && e.job.Policy.Advice == nil {
 			continue
 		}
-		j := &jobToPlace{entry: e, urgency: c.urgency(e, now)}
-		j.urgency.Backlog, j.urgency.Begun = waiting, begun || e.job.LongRunning()
-		toPlace = append(toPlace, j)
+		urgency := c.urgency(e, now)
+		urgency.Backlog, urgency.Begun = waiting, begun || e.job.LongRunning()
+		toPlace = append(toPlace, &jobToPlace{entry: e, urgency: urgency})
 	}
 	return toPlace
 }
