--- a/sched/bandwidth.go
+++ b/sched/bandwidth.go
@@ -17,9 +17,9 @@
 	// share of the link busy. Callers of further jobs are told at once that they would
 	// come too late.
 	maxStartBacklog = 4 * time.Second
-	// busyLinkMemory is how long after start commands last waited for the link it counts
-	// as busy.
-	busyLinkMemory = time.Second
+	// busyLinkMemory is how long after start commands last waited for the link, or after a
+	// takeover, the link counts as busy.
+	busyLinkMemory = 10 * time.Second
 	// maxWriteTime is how long the link may be busy with one write: everything that is
 	// sent meanwhile waits behind it.
 	maxWriteTime = 100 * time.Millisecond
@@ -88,13 +88,13 @@
 
 // startBacklogFull reports whether no further job may be accepted before start
 // commands of the others have been sent. Tasks that wait for hosts rather than for the
-// link don't matter.
+// link don't matter for longer than busyLinkMemory.
 func (c *Cell) startBacklogFull() bool {
 	limit := c.options.Link.startBacklog
-	if limit == 0 || c.backlogBytes < limit || c.startQueueFullAt == 0 {
+	if limit == 0 || c.backlogBytes < limit {
 		return false
 	}
-	return c.options.Clock()-c.startQueueFullAt < busyLinkMemory
+	return c.options.Clock()-max(c.startQueueFullAt, c.claimedAt) < busyLinkMemory
 }
 
 // startSize returns the size of a start command of the job in bytes.
--- a/sched/link_test.go
+++ b/sched/link_test.go
@@ -154,7 +154,7 @@
 	runCluster(t, 1, func(tc *testCluster) {
 		tc.linkRate = slowLinkRate
 		n := tc.claim("a")
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(busyLinkMemory)
 		plan := simplePlan(200, 2*hostCPU)
 		plan.Spec = string(make([]byte, longSpec))
 		for i := range 3 {
