sched: a lost run that succeeded counts, and a silent host is called again

And a host whose runs had all been lost was never called again, so that it stayed unusable until its next incarnation.

Change: a success that a host reports counts unless the task has been assigned again. A host that stopped answering is called until it answers or its record is gone.

--- a/sched/end.go
+++ b/sched/end.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rattanpath/lease"
 	"rattanpath/tasks"
 )
 
@@ -52,6 +53,19 @@
 	}
 }
 
+// recoverDone accepts a success that a host reports of a run that counted as lost, unless
+// its task has been assigned again: what was done must not be done twice.
+func (c *Cell) recoverDone(h *host, f lease.FinishedRun) {
+	e := c.byID[f.Task.Job]
+	if e == nil || f.Reason != tasks.EndDone || !e.job.RecoverDone(f.Task, f.Run, time.Now()) {
+		return
+	}
+	c.logger.Info("lost run had succeeded", "job", f.Task.Job, "round", f.Task.Round, "step", f.Task.Step, "index", f.Task.Index, "run", f.Run, "host", h.id)
+	c.stopEndedJob(e)
+	c.markDirty(e, nil)
+	wake(c.scheduleWake)
+}
+
 // loseAllRuns records that all runs of a host are over.
 func (c *Cell) loseAllRuns(h *host, why lossReason) {
 	for _, r := range h.runs {
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -85,12 +85,15 @@
 	highest := h.reportedSequence
 	for _, f := range finished {
 		highest = max(highest, f.Sequence)
-		if r := h.runs[runKey{f.Task, f.Run}]; r != nil {
-			c.recordEnd(h, r, f.Reason)
-			c.endRun(h, r, f.Reason, f.Checkpoint)
-			if r.entry != nil && f.Reason == tasks.EndDone {
-				c.recordStepTime(r)
-			}
+		r := h.runs[runKey{f.Task, f.Run}]
+		if r == nil {
+			c.recoverDone(h, f)
+			continue
+		}
+		c.recordEnd(h, r, f.Reason)
+		c.endRun(h, r, f.Reason, f.Checkpoint)
+		if r.entry != nil && f.Reason == tasks.EndDone {
+			c.recordStepTime(r)
 		}
 	}
 	h.reportedSequence = highest
--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -134,6 +134,13 @@
 	}
 }
 
+// isUpToDate reports whether the host has answered and has no end to acknowledge. A host
+// that stopped answering is called until it does, or its record is gone: it can't be used
+// before, and may still report ends of runs that count as lost.
+func (h *host) isUpToDate() bool {
+	return h.synced && h.missedHeartbeats == 0 && h.acknowledgedSequence == h.reportedSequence
+}
+
 // nextHeartbeat returns the next heartbeat, its host, and whether it is due.
 // The host is nil if it has left the pool and has no runs.
 func (l *hostLoop) nextHeartbeat() (lease.Heartbeat, *pool.Host, bool) {
@@ -145,7 +152,7 @@
 		delete(c.hosts, h.id)
 		return lease.Heartbeat{}, nil, false
 	}
-	if len(h.runs) == 0 && (h.isRetired() || h.synced && h.acknowledgedSequence == h.reportedSequence) {
+	if len(h.runs) == 0 && (h.isRetired() || h.isUpToDate()) {
 		h.ackValid = false
 		return lease.Heartbeat{}, h.info, false
 	}
--- a/sched/report_test.go
+++ b/sched/report_test.go
@@ -124,3 +124,26 @@
 		}
 	})
 }
+
+// TestLostRunThatSucceededIsNotRepeated lets a run end while its owner can't reach the
+// host, until the lease has expired and the run counts as lost. No other host has room.
+// Once the host answers again, its word that the run has succeeded must count.
+func TestLostRunThatSucceededIsNotRepeated(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 2 * time.Second} }
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := tc.submit(n, "job", simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		n.hosts.SetPartitioned("h0", true)
+		time.Sleep(8 * time.Second)
+		n.hosts.SetPartitioned("h0", false)
+		time.Sleep(3 * time.Second)
+		tc.wantPhase(n, "job", tasks.Completed)
+		if got := tc.checker.Starts(); got != 1 {
+			t.Errorf("got %d starts, want 1", got)
+		}
+	})
+}
--- a/tasks/runs.go
+++ b/tasks/runs.go
@@ -113,6 +113,23 @@
 	return true
 }
 
+// RecoverDone records that a run which counted as lost had succeeded, and reports whether
+// the state changed: it ignores a run whose task has been assigned again or ended, and
+// steps whose runs don't end alone.
+func (j *Job) RecoverDone(id ID, run int, now time.Time) bool {
+	task := j.Task(id)
+	if j.Phase != Open || task == nil || task.Run != run || task.State != Waiting {
+		return false
+	}
+	if step := j.Step(id); step.Lasting || step.Gang {
+		return false
+	}
+	j.Started = true
+	j.markDone(id)
+	j.finishRounds(now)
+	return true
+}
+
 // setCheckpoint stores a checkpoint, which all members of a gang share.
 func (j *Job) setCheckpoint(id ID, checkpoint string) {
 	if !j.Step(id).Gang {
