--- a/sched/chaos_test.go
+++ b/sched/chaos_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,7 +49,7 @@
 	claims int
 	jobs   []string
 	// overtaking is set while calls and replies take random times.
-	overtaking bool
+	overtaking atomic.Bool
 }
 
 const (
@@ -71,7 +72,7 @@
 		}
 		return profile
 	}
-	c.overtaking = c.seed%2 == 0
+	c.overtaking.Store(c.seed%2 == 0)
 	c.takeOver()
 	start := time.Now()
 	for time.Since(start) < faultTime {
@@ -107,7 +108,7 @@
 		return time.Duration(random.IntN(5000)) * time.Microsecond
 	}
 	return func(string, any) fake.Latency {
-		if !c.overtaking {
+		if !c.overtaking.Load() {
 			return fake.Latency{}
 		}
 		return fake.Latency{Request: draw(5, 400), Reply: draw(15, 1000)}
@@ -167,7 +168,7 @@
 
 // stopFaults ends all faults.
 func (c *chaos) stopFaults() {
-	c.overtaking = false
+	c.overtaking.Store(false)
 	time.Sleep(7 * time.Second)
 	for i := range chaosNodes {
 		name := fmt.Sprintf("n%d", i)
