sched: a lost run says how long its host still answered

Cause: `run lost` had the time until the owner learnt of the loss, which is the time until the host is back. Whether the host went away right after the start of the run, or much later, could not be seen; that tells a task that crashes its hosts from one that was beside it. Change: key `answered`, the time after the start of the run at which the host last answered, kept over a restart of the host. Measured: go test ./sched ./engine ./trace green.

--- a/sched/command.go
+++ b/sched/command.go
@@ -163,6 +163,9 @@
 // the run.
 func (c *Cell) handleStarted(h *host, r *run, hostTime time.Duration, current bool) {
 	r.markStarted(c.options.Clock())
+	if current {
+		h.answeredAt = c.options.Clock()
+	}
 	if current && r.awaitsStart() {
 		r.settle(hostTime)
 	}
--- a/sched/end.go
+++ b/sched/end.go
@@ -49,7 +49,7 @@
 func (c *Cell) loseRun(h *host, r *run, why lossReason) {
 	if c.removeRun(h, r, tasks.EndLost, "") {
 		c.options.Metrics.recordLoss(why)
-		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "why", string(why), "took", c.sinceStart(r))
+		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "why", string(why), "took", c.sinceStart(r), "answered", r.answeredFor(h))
 	}
 }
 
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -24,6 +24,7 @@
 		return nil
 	}
 	h.ackValid = true
+	h.answeredAt = c.options.Clock()
 	persisted := c.processFinished(h, reply.Finished)
 	if reply.HostTime > h.reportedAt {
 		c.processRuns(h, reply, sent)
@@ -73,7 +74,7 @@
 	h.reportedAt = 0
 	h.acknowledgedSequence, h.reportedSequence = 0, 0
 	for _, r := range h.runs {
-		r.restartHost()
+		r.restartHost(r.answeredFor(h))
 	}
 }
 
--- a/sched/run.go
+++ b/sched/run.go
@@ -47,6 +47,8 @@
 	// startedBy is a local time by which the run had started: when its start was
 	// confirmed or it was first reported. It serves for durations only.
 	startedBy time.Duration
+	// survived is what answeredFor returned when the host restarted.
+	survived time.Duration
 	// unconfirmedSince is the local time at which the state became runUnconfirmed.
 	unconfirmedSince time.Duration
 	// stopping is set while stop commands are sent.
@@ -95,10 +97,24 @@
 	}
 }
 
-// restartHost records that the host has restarted. Readings of its old clock can't
-// be compared with new ones, and what was asked of the old incarnation no longer
-// holds.
-func (r *run) restartHost() {
+// answeredFor returns how long after the start of the run its host last answered, at
+// least, or 0 if that isn't known.
+func (r *run) answeredFor(h *host) time.Duration {
+	switch {
+	case r.startedBy == 0:
+		return 0
+	case r.state == runUnverified:
+		return r.survived
+	default:
+		return max(0, h.answeredAt-r.startedBy)
+	}
+}
+
+// restartHost records that the host has restarted, after it last answered the given time
+// after the start of the run. Readings of its old clock can't be compared with new ones,
+// and what was asked of the old incarnation no longer holds.
+func (r *run) restartHost(answeredFor time.Duration) {
+	r.survived = answeredFor
 	r.firstReportedAt, r.progressedAt, r.percent = 0, 0, 0
 	r.stopping = false
 	if r.awaitsStart() || r.state == runSettled {
