sched, fake: a task that crashes its hosts, red

The fake host crashes under such a task 10 ms after its start and is back after 3 s; the checker holds that no task is started three times more after three hosts have crashed under it.

--- a/fake/checker.go
+++ b/fake/checker.go
@@ -22,10 +22,14 @@
 	doneRuns        map[tasks.ID]map[int]bool
 	startsAfterDone map[tasks.ID]map[int][]int
 	// failures counts the acknowledged failed runs of each task.
-	failures     map[tasks.ID]int
-	violations   []string
-	starts       int
-	endsByReason map[tasks.EndReason]int
+	failures map[tasks.ID]int
+	// crashes counts the hosts that crashed because of a task, and startsAfterCrashes the
+	// starts of the task since maxCrashes hosts did.
+	crashes            map[tasks.ID]int
+	startsAfterCrashes map[tasks.ID]int
+	violations         []string
+	starts             int
+	endsByReason       map[tasks.EndReason]int
 	// invalidTickets counts the start commands without a valid ticket.
 	invalidTickets int
 	// unavailable holds the indices of the tasks of each step that were stopped and
@@ -41,13 +45,48 @@
 // NewInvariantChecker returns a checker without observations.
 func NewInvariantChecker() *InvariantChecker {
 	return &InvariantChecker{
-		activeRuns:      make(map[tasks.ID]map[string]int),
-		completed:       make(map[tasks.ID]bool),
-		doneRuns:        make(map[tasks.ID]map[int]bool),
-		startsAfterDone: make(map[tasks.ID]map[int][]int),
-		failures:        make(map[tasks.ID]int),
-		endsByReason:    make(map[tasks.EndReason]int),
-		unavailable:     make(map[tasks.ID]map[int]bool),
+		activeRuns:         make(map[tasks.ID]map[string]int),
+		completed:          make(map[tasks.ID]bool),
+		doneRuns:           make(map[tasks.ID]map[int]bool),
+		startsAfterDone:    make(map[tasks.ID]map[int][]int),
+		failures:           make(map[tasks.ID]int),
+		crashes:            make(map[tasks.ID]int),
+		endsByReason:       make(map[tasks.EndReason]int),
+		unavailable:        make(map[tasks.ID]map[int]bool),
+		startsAfterCrashes: make(map[tasks.ID]int),
+	}
+}
+
+const (
+	// maxCrashes is how many hosts a task may crash before it counts as one that crashes
+	// every host.
+	maxCrashes = 3
+	// maxStartsAfterCrashes is how often such a task may still be started.
+	maxStartsAfterCrashes = 2
+)
+
+// recordCrash records that a task has crashed its host.
+func (c *InvariantChecker) recordCrash(task tasks.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes[task]++
+}
+
+// Crashes returns the number of hosts that a task has crashed.
+func (c *InvariantChecker) Crashes(task tasks.ID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashes[task]
+}
+
+// checkCrashes reports a start of a task that has crashed too many hosts.
+func (c *InvariantChecker) checkCrashes(host string, task tasks.ID, run int) {
+	if c.crashes[task] < maxCrashes {
+		return
+	}
+	c.startsAfterCrashes[task]++
+	if c.startsAfterCrashes[task] > maxStartsAfterCrashes {
+		c.reportViolation("task %+v: run %d started on %s after the task had crashed %d hosts", task, run, host, c.crashes[task])
 	}
 }
 
@@ -116,6 +155,7 @@
 	if c.MaxAttempts > 0 && c.failures[task] >= c.MaxAttempts {
 		c.reportViolation("task %+v: run %d started on %s after %d failed runs were acknowledged; the limit is %d", task, run, host, c.failures[task], c.MaxAttempts)
 	}
+	c.checkCrashes(host, task, run)
 	if !withinCapacity {
 		c.reportViolation("task %+v: run %d started on %s beyond the host's capacity", task, run, host)
 	}
--- a/fake/runner.go
+++ b/fake/runner.go
@@ -34,6 +34,9 @@
 	StartupTime time.Duration
 	// Stalls means that the run's progress stops at half of its duration.
 	Stalls bool
+	// CrashesHost means that the run crashes its host shortly after its start. The host
+	// is back some seconds later.
+	CrashesHost bool
 	// Interference is how strongly the run slows the serving runs of its host at a full
 	// share, in the unit of TailLatency's argument.
 	Interference float64
@@ -276,6 +279,9 @@
 		time.AfterFunc(profile.StartupTime, func() { r.markServing(run) })
 	}
 	run.timer = time.AfterFunc(duration, func() { r.finishRun(run, profile.EndReason) })
+	if profile.CrashesHost {
+		time.AfterFunc(crashDelay, func() { r.crashUnder(run) })
+	}
 	r.runs[runKey{command.Task, command.Run}] = run
 	var used tasks.Resources
 	for _, other := range r.runs {
--- a/fake/runner_faults.go
+++ b/fake/runner_faults.go
@@ -51,6 +51,26 @@
 	r.down = true
 }
 
+const (
+	// crashDelay is the time from the start of a run that crashes its host to the crash.
+	crashDelay = 10 * time.Millisecond
+	// crashDowntime is how long the host is then down.
+	crashDowntime = 3 * time.Second
+)
+
+// crashUnder crashes the host because of a run, unless that has ended.
+func (r *Runner) crashUnder(run *taskRun) {
+	r.mu.Lock()
+	active := r.runs[runKey{run.task, run.run}] == run
+	r.mu.Unlock()
+	if !active {
+		return
+	}
+	r.checker.recordCrash(run.task)
+	r.Crash()
+	time.AfterFunc(crashDowntime, r.Restart)
+}
+
 // Restart starts a new incarnation of a crashed host.
 func (r *Runner) Restart() {
 	r.mu.Lock()
--- /dev/null
+++ b/sched/crash_test.go
@@ -0,0 +1,149 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rattanpath/fake"
+	"rattanpath/tasks"
+)
+
+// crashingTask is the task that crashes its hosts in these tests.
+var crashingTask = tasks.ID{Job: "crashing"}
+
+// useCrashingTask makes one task crash each host that starts it.
+func (tc *testCluster) useCrashingTask(profileOf func(tasks.ID, int) fake.RunProfile) {
+	tc.profileOf = func(taskID tasks.ID, run int) fake.RunProfile {
+		profile := profileOf(taskID, run)
+		profile.CrashesHost = taskID == crashingTask
+		return profile
+	}
+}
+
+func halfSecondRun(tasks.ID, int) fake.RunProfile {
+	return fake.RunProfile{Duration: 500 * time.Millisecond}
+}
+
+// submitAll submits jobs that use the whole pool and, among them, the one whose first task
+// crashes its hosts.
+func (tc *testCluster) submitAll(n *node, crashing tasks.Plan) (innocent []string) {
+	tc.t.Helper()
+	for i := range 12 {
+		id := fmt.Sprintf("job%02d", i)
+		if err := tc.submit(n, id, simplePlan(4, 1000)); err != nil {
+			tc.t.Fatal(err)
+		}
+		innocent = append(innocent, id)
+		if i != 5 {
+			continue
+		}
+		if err := tc.submit(n, crashingTask.Job, crashing); err != nil {
+			tc.t.Fatal(err)
+		}
+	}
+	return innocent
+}
+
+// wantGivenUp checks that the crashing job has failed, and every other one is completed.
+func (tc *testCluster) wantGivenUp(n *node, innocent []string) {
+	tc.t.Helper()
+	tc.wantPhase(n, crashingTask.Job, tasks.Failed)
+	for _, id := range innocent {
+		tc.wantPhase(n, id, tasks.Completed)
+	}
+	if got := tc.checker.Crashes(crashingTask); got < 2 {
+		tc.t.Errorf("got %d hosts crashed by the task, want at least 2", got)
+	}
+}
+
+// TestCrashingTaskIsGivenUp guards against a task that crashes one host after the other,
+// and against blaming those that shared a host with it.
+func TestCrashingTaskIsGivenUp(t *testing.T) {
+	plans := map[string]tasks.Plan{
+		"single": simplePlan(3, 1000),
+		"gang":   gangPlan(3, 1000),
+	}
+	for name, plan := range plans {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 6, func(tc *testCluster) {
+				tc.useCrashingTask(halfSecondRun)
+				n := tc.claim("a")
+				time.Sleep(100 * time.Millisecond)
+				innocent := tc.submitAll(n, plan)
+				time.Sleep(40 * time.Second)
+				tc.wantGivenUp(n, innocent)
+			})
+		})
+	}
+}
+
+// gangPlan returns a plan with one gang.
+func gangPlan(count int, cpu int64) tasks.Plan {
+	plan := simplePlan(count, cpu)
+	plan.Steps[0].Gang = true
+	return plan
+}
+
+// TestCrashingTaskIsGivenUpByNewOwners guards against owners that forget what a task has
+// done: the owner is killed after each crash, before it learns that the host is gone.
+func TestCrashingTaskIsGivenUpByNewOwners(t *testing.T) {
+	runCluster(t, 6, func(tc *testCluster) {
+		tc.useCrashingTask(halfSecondRun)
+		n := tc.claim("n0")
+		time.Sleep(100 * time.Millisecond)
+		innocent := tc.submitAll(n, simplePlan(3, 1000))
+		for crashes := range 8 {
+			for waited := 0; tc.checker.Crashes(crashingTask) <= crashes && waited < 120; waited++ {
+				time.Sleep(50 * time.Millisecond)
+			}
+			n.stop()
+			n = tc.claim(fmt.Sprintf("n%d", crashes+1))
+		}
+		time.Sleep(40 * time.Second)
+		tc.wantGivenUp(n, innocent)
+	})
+}
+
+// TestCrashingServingTaskIsGivenUp guards against a serving task that crashes its hosts, and
+// against giving up serving tasks that a host took along.
+func TestCrashingServingTaskIsGivenUp(t *testing.T) {
+	runCluster(t, 6, func(tc *testCluster) {
+		tc.useCrashingTask(func(taskID tasks.ID, run int) fake.RunProfile {
+			return fake.RunProfile{Serving: true, StartupTime: 200 * time.Millisecond}
+		})
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		for _, id := range []string{"serving", crashingTask.Job} {
+			if err := tc.submit(n, id, servingPlan(4, 1000)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(40 * time.Second)
+		tc.wantPhase(n, crashingTask.Job, tasks.Failed)
+		tc.wantPhase(n, "serving", tasks.Open)
+	})
+}
+
+// TestHostsThatCrashByThemselvesFailNoJob crashes hosts again and again under serving tasks
+// that have run for a while: none of them is to blame.
+func TestHostsThatCrashByThemselvesFailNoJob(t *testing.T) {
+	runCluster(t, 3, func(tc *testCluster) {
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile {
+			return fake.RunProfile{Serving: true, StartupTime: 200 * time.Millisecond}
+		}
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := tc.submit(n, "serving", servingPlan(3, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		for i := range 18 {
+			time.Sleep(5 * time.Second)
+			runner := tc.runners[fmt.Sprintf("h%d", i%3)]
+			runner.Crash()
+			time.AfterFunc(time.Second, runner.Restart)
+		}
+		time.Sleep(10 * time.Second)
+		tc.wantPhase(n, "serving", tasks.Open)
+	})
+}
