tasks, place, sched: a task that crashes its hosts is given up

Cause: nothing counted a run that went down with its host against its task. The runs of a crashed host became free at the same moment and were packed onto the next host together, so that counting alone would have blamed the innocent ones as well. Change: a run counts as crashed if its host went away unasked (restarted, replaced, silent until its leases expired) and had last answered within 500 ms of the start of the run. The count is part of the task's record, so that a new owner knows it; a run that makes progress after that time clears it. After the fourth its job fails; a serving task is abandoned while its siblings go on serving, since stopping them would exceed what their step allows.

--- a/fake/checker.go
+++ b/fake/checker.go
@@ -27,9 +27,11 @@
 	// starts of the task since maxCrashes hosts did.
 	crashes            map[tasks.ID]int
 	startsAfterCrashes map[tasks.ID]int
-	violations         []string
-	starts             int
-	endsByReason       map[tasks.EndReason]int
+	// hostCrashes counts the crashes of hosts that had a run of a task, for any cause.
+	hostCrashes  map[tasks.ID]int
+	violations   []string
+	starts       int
+	endsByReason map[tasks.EndReason]int
 	// invalidTickets counts the start commands without a valid ticket.
 	invalidTickets int
 	// unavailable holds the indices of the tasks of each step that were stopped and
@@ -54,6 +56,7 @@
 		endsByReason:       make(map[tasks.EndReason]int),
 		unavailable:        make(map[tasks.ID]map[int]bool),
 		startsAfterCrashes: make(map[tasks.ID]int),
+		hostCrashes:        make(map[tasks.ID]int),
 	}
 }
 
@@ -65,8 +68,22 @@
 	maxStartsAfterCrashes = 2
 )
 
-// recordCrash records that a task has crashed its host.
-func (c *InvariantChecker) recordCrash(task tasks.ID) {
+// recordHostCrash records that a host has crashed while it had a run of a task.
+func (c *InvariantChecker) recordHostCrash(task tasks.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hostCrashes[task]++
+}
+
+// HostCrashes returns the number of hosts that have crashed while they had a run of a task.
+func (c *InvariantChecker) HostCrashes(task tasks.ID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hostCrashes[task]
+}
+
+// recordCrashByTask records that a task has crashed its host.
+func (c *InvariantChecker) recordCrashByTask(task tasks.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.crashes[task]++
--- a/place/pick.go
+++ b/place/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rattanpath/tasks"
 )
@@ -19,8 +20,19 @@
 	// ServingTasks and BestEffortTasks count the tasks of these kinds on the host.
 	ServingTasks    int
 	BestEffortTasks int
+	// QuietIn is how long until a crash of the host could only be due to a task started
+	// there from then on: no run of the host is fresh, and the host hasn't just crashed.
+	QuietIn time.Duration
+	// Suspects counts the fresh runs of tasks under which hosts have crashed.
+	Suspects int
+	// Reserved means that only tasks that need isolation are started on the host.
+	Reserved bool
 }
 
+// FreshTime is how long a run counts as fresh after its start. If its host crashes before,
+// the run may be the cause.
+const FreshTime = 500 * time.Millisecond
+
 // Requirements describes what a task requires of its host.
 type Requirements struct {
 	Step *tasks.Step
@@ -32,14 +44,19 @@
 	SiblingsByHost map[string]int
 	// AllowedHosts are the IDs of the hosts that the advisor allows; nil allows all.
 	AllowedHosts map[string]bool
+	// Crashed means that a host has crashed under the task, and Isolated that the task is
+	// not to be started beside fresh runs, nor others beside it while it is fresh.
+	Crashed  bool
+	Isolated bool
 }
 
 // Costs rank the feasible hosts of a task. The last three are charged for each recent
-// failure, sibling and colocated task. One unit of a larger cost outweighs one unit of
+// failure, sibling and colocated task, suspectCost for each suspect. One unit of a larger cost outweighs one unit of
 // each smaller one together.
 const (
 	remoteDataCost    = 1000.0
 	avoidedHostCost   = 400.0
+	suspectCost       = 200.0
 	recentFailureCost = 100.0
 	siblingCost       = 8.0
 	colocationCost    = 20.0
@@ -57,14 +74,20 @@
 		return false
 	case step.MaxPerHost > 0 && req.SiblingsByHost[host.ID] >= step.MaxPerHost:
 		return false
+	case req.Isolated:
+		return host.QuietIn <= 0
 	}
-	return true
+	return !host.Reserved
 }
 
 // Cost returns the cost of running a task on a feasible host; lower is better.
 func Cost(req Requirements, host *Host) float64 {
 	step := req.Step
 	cost := idleCPUShare(step, host)
+	if req.Crashed {
+		// A crash should take few other runs along.
+		cost = 1 - cost + suspectCost*float64(host.Suspects)
+	}
 	if step.DataRack != "" && host.Rack != step.DataRack {
 		cost += remoteDataCost
 	}
@@ -97,6 +120,22 @@
 	return float64(host.Free.CPU-step.RequiredResources().CPU) / float64(host.Capacity.CPU)
 }
 
+// Place updates the host for a task that is placed on it.
+func (h *Host) Place(req Requirements) {
+	h.Free = h.Free.Sub(req.Step.RequiredResources())
+	h.QuietIn = FreshTime
+	switch {
+	case req.Step.Fills:
+		h.BestEffortTasks++
+	case req.Step.Lasting:
+		h.ServingTasks++
+	}
+	if req.Crashed {
+		h.Suspects++
+	}
+	h.Reserved = h.Reserved || req.Isolated
+}
+
 // Pick returns the feasible host with the lowest cost, or nil if there is none.
 func Pick(req Requirements, hosts []*Host) *Host {
 	var best *Host
--- a/sched/chaos_test.go
+++ b/sched/chaos_test.go
@@ -70,6 +70,7 @@
 		if random.IntN(20) == 0 && run < 3 {
 			profile.EndReason = tasks.EndFailed
 		}
+		profile.CrashesHost = c.crashesHosts(taskID)
 		return profile
 	}
 	c.overtaking.Store(c.seed%2 == 0)
@@ -85,6 +86,29 @@
 	c.check()
 }
 
+// crashesHosts reports whether a task crashes each host that starts it, with every third
+// seed.
+func (c *chaos) crashesHosts(taskID tasks.ID) bool {
+	return c.seed%3 == 0 && xxhash.Sum64String(fmt.Sprint(c.seed, taskID))%50 == 0
+}
+
+// minHostCrashes is how many hosts must have crashed while they had a run of a task before
+// the task may be given up.
+const minHostCrashes = 2
+
+// mayFail reports whether a job has a task under which hosts have crashed.
+func (c *chaos) mayFail(id string) bool {
+	plan, _ := c.plans.Load(id)
+	for step, spec := range plan.(tasks.Plan).Steps {
+		for index := range spec.Count {
+			if c.checker.HostCrashes(tasks.ID{Job: id, Step: step, Index: index}) >= minHostCrashes {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // owner returns the node that claimed the cell last.
 func (c *chaos) owner() *node { return c.nodes[len(c.nodes)-1] }
 
@@ -187,6 +211,9 @@
 		if err != nil || got.Phase == tasks.Open {
 			c.t.Errorf("got phase %v and error %v of job %s at the end, want an ended job", got.Phase, err, id)
 		}
+		if got.Phase == tasks.Failed && !c.mayFail(id) {
+			c.t.Errorf("got job %s failed, want it done: its tasks don't fail too often, nor have %d hosts crashed under one", id, minHostCrashes)
+		}
 	}
 	if len(c.jobs) == 0 || c.checker.Starts() == 0 {
 		c.t.Errorf("got %d accepted jobs and %d starts, want at least one each", len(c.jobs), c.checker.Starts())
--- a/sched/end.go
+++ b/sched/end.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rattanpath/lease"
+	"rattanpath/place"
 	"rattanpath/tasks"
 )
 
@@ -47,10 +48,37 @@
 // loseRun records that a run is over although its host has not reported its end.
 // Its log message is its own, so that the limit on common messages can't hide it.
 func (c *Cell) loseRun(h *host, r *run, why lossReason) {
-	if c.removeRun(h, r, tasks.EndLost, "") {
+	reason := tasks.EndLost
+	if h.crashedUnder(r, why, time.Now()) {
+		reason = tasks.EndCrashed
+	}
+	if c.removeRun(h, r, reason, "") {
 		c.options.Metrics.recordLoss(why)
-		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "why", string(why), "took", c.sinceStart(r), "answered", r.answeredFor(h))
+		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "why", string(why), "took", c.sinceStart(r), "answered", r.answeredFor(h))
+		c.logGivenUp(r, reason)
+	}
+}
+
+// logGivenUp logs that the last crash was one too many for a task.
+func (c *Cell) logGivenUp(r *run, reason tasks.EndReason) {
+	task := r.entry.job.Task(r.id)
+	if reason != tasks.EndCrashed || task == nil || !task.CrashesHosts() {
+		return
+	}
+	c.options.Metrics.TasksGivenUp.Inc()
+	c.logger.Info("task given up", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "runs", task.Run, "crashes", task.Crashes)
+}
+
+// crashedUnder reports whether the loss of a run looks as if the run had crashed its host:
+// the host went away right after the start, and nobody had asked it to.
+func (h *host) crashedUnder(r *run, why lossReason, now time.Time) bool {
+	switch why {
+	case lossRestarted, lossReplaced, lossLease, lossInheritedLease:
+	default:
+		return false
 	}
+	leaving := now.Before(h.cordonedUntil) || h.info != nil && h.info.Draining
+	return !leaving && r.state != runPlanned && r.answeredFor(h) < place.FreshTime
 }
 
 // recoverDone accepts a success that a host reports of a run that counted as lost, unless
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -69,6 +69,7 @@
 	c.logger.Info("host restarted", "host", h.id, "before", h.incarnation, "born", incarnation, "runs", len(h.runs))
 	h.incarnation = incarnation
 	h.restarts++
+	h.restartedAt = c.options.Clock()
 	h.clock.Reset(c.options.MaxLease)
 	h.synced, h.ackValid = false, false
 	h.reportedAt = 0
@@ -137,7 +138,8 @@
 	if r.state != runSettled {
 		r.settle(hostTime)
 	}
-	r.markStarted(c.options.Clock())
+	now := c.options.Clock()
+	r.markStarted(now)
 	r.recordProgress(active.Percent, hostTime)
 	r.tailLatency = time.Duration(active.Load * float64(time.Millisecond))
 	if r.entry == nil {
@@ -145,6 +147,9 @@
 	}
 	r.entry.job.MarkRunning(r.id, r.number)
 	r.entry.job.SaveCheckpoint(r.id, r.number, active.Checkpoint)
+	if r.percent > 0 && r.freshFor(now) == 0 && r.entry.job.MarkStable(r.id, r.number) {
+		c.markDirty(r.entry, nil)
+	}
 	c.stopEndedJob(r.entry)
 }
 
@@ -162,10 +167,20 @@
 	case r.state == runUnverified:
 		c.loseRun(h, r, lossRestarted)
 	case r.state == runInherited:
-		c.loseRun(h, r, lossTakeover)
+		c.loseRun(h, r, takeoverLoss(r, report.Incarnation))
 	}
 }
 
+// takeoverLoss returns why a run of a previous owner is over that its host, in the given
+// incarnation, didn't report to this one.
+func takeoverLoss(r *run, incarnation int64) lossReason {
+	task := r.entry.job.Task(r.id)
+	if task != nil && task.HostIncarnation != 0 && incarnation != 0 && task.HostIncarnation != incarnation {
+		return lossRestarted
+	}
+	return lossTakeover
+}
+
 // stopUnexpected stops a run that this cell has not assigned to the host, which
 // reported it at a reading of its clock.
 func (c *Cell) stopUnexpected(h *host, active lease.Run, hostTime time.Duration) {
--- a/sched/host.go
+++ b/sched/host.go
@@ -29,9 +29,10 @@
 	// one.
 	missedHeartbeats int
 	// incarnation is that of the last reply, 0 if unknown. restarts counts its
-	// changes in this epoch.
+	// changes in this epoch, and restartedAt is the local time of the last one.
 	incarnation int64
 	restarts    int64
+	restartedAt time.Duration
 	// retiredIncarnation is the incarnation that the machine controller retired
 	// at retiredAt; 0 means none.
 	retiredIncarnation int64
@@ -62,6 +63,9 @@
 	loopRunning bool
 }
 
+// restartSettleTime is how long after a restart a host may well crash again by itself.
+const restartSettleTime = 5 * time.Second
+
 // host returns the state of a host, which is created if missing.
 func (c *Cell) host(id string) *host {
 	h := c.hosts[id]
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -22,10 +22,11 @@
 	ClaimSeconds  *metrics.Histogram
 	AdviceSeconds *metrics.Histogram
 	// UnconfirmedStarts counts start commands that timed out or failed with
-	// unknown outcome, Stalls stalled runs, and PaceChanges changes of the share
-	// of best-effort tasks.
+	// unknown outcome, Stalls stalled runs, TasksGivenUp tasks that crashed too many
+	// hosts, and PaceChanges changes of the share of best-effort tasks.
 	UnconfirmedStarts *metrics.Counter
 	Stalls            *metrics.Counter
+	TasksGivenUp      *metrics.Counter
 	PaceChanges       *metrics.Counter
 
 	set *metrics.Set
@@ -43,6 +44,7 @@
 		AdviceSeconds:     set.NewHistogram("rattanpath_cell_advice_seconds"),
 		UnconfirmedStarts: set.NewCounter("rattanpath_cell_doubts_total"),
 		Stalls:            set.NewCounter("rattanpath_cell_stalls_total"),
+		TasksGivenUp:      set.NewCounter("rattanpath_cell_given_up_tasks_total"),
 		PaceChanges:       set.NewCounter("rattanpath_cell_paces_total"),
 		set:               set,
 	}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -64,14 +64,17 @@
 		if p.cell.startQueueFull() {
 			return
 		}
-		reqs.AvoidHost, reqs.LastAttempt = retryConstraints(e, task)
+		reqs := ofTask(reqs, e, task)
 		picked := place.Pick(reqs, p.hosts)
-		if picked == nil {
+		switch {
+		case picked != nil:
+			picked.Place(reqs)
+			reqs.SiblingsByHost[picked.ID]++
+			p.assign(e, round, step, index, picked)
+		case !reqs.Isolated:
 			p.markUnsatisfiable(reqs.Step.RequiredResources())
 			return
 		}
-		p.assign(e, round, step, index, picked)
-		reqs.SiblingsByHost[picked.ID]++
 	}
 }
 
@@ -80,7 +83,13 @@
 	if round.Waiting(step) < len(round.Steps[step]) || p.cell.startQueueFull() {
 		return
 	}
-	for index, h := range p.pickGang(e, round, step) {
+	reqs := p.cell.requirements(e, round, step, p.now)
+	var members []place.Requirements
+	for index := range round.Steps[step] {
+		members = append(members, ofTask(reqs, e, &round.Steps[step][index]))
+	}
+	for index, h := range p.pickGang(&e.job.Plan.Steps[step], members) {
+		h.Place(members[index])
 		p.assign(e, round, step, index, h)
 	}
 }
@@ -90,22 +99,23 @@
 	p.cell.assign(e, taskID, target, p.now)
 }
 
-// requirements returns the requirements of the first task of a step. The other
-// tasks differ in their retry constraints only.
+// requirements returns what all tasks of a step require.
 func (c *Cell) requirements(e *jobEntry, round *tasks.Round, step int, now time.Time) place.Requirements {
-	reqs := place.Requirements{
+	return place.Requirements{
 		Step:           &e.job.Plan.Steps[step],
 		SiblingsByHost: siblingsByHost(round, step),
 		AllowedHosts:   c.allowedHosts(e, stepKey{round.Number, step}, now),
 	}
-	reqs.AvoidHost, reqs.LastAttempt = retryConstraints(e, &round.Steps[step][0])
-	return reqs
 }
 
-// retryConstraints returns the host on which a task failed, and whether the
-// next attempt is the last.
-func retryConstraints(e *jobEntry, task *tasks.Task) (avoid string, lastAttempt bool) {
-	return task.AvoidHost, task.Failures+1 >= e.job.Policy.MaxAttempts
+// ofTask adds to the requirements of a step what one of its tasks requires after earlier
+// runs. The counts by host stay those of the step.
+func ofTask(reqs place.Requirements, e *jobEntry, task *tasks.Task) place.Requirements {
+	reqs.AvoidHost = task.AvoidHost
+	reqs.LastAttempt = task.Failures+1 >= e.job.Policy.MaxAttempts
+	reqs.Crashed = task.Crashes > 0
+	reqs.Isolated = task.NeedsIsolation()
+	return reqs
 }
 
 // siblingsByHost counts the active tasks of a step on each host.
@@ -121,9 +131,9 @@
 
 // pickGang returns a host for each member, or nil. A rack-bound gang goes to a
 // single rack if one has the capacity.
-func (p *schedulePass) pickGang(e *jobEntry, round *tasks.Round, step int) []*place.Host {
+func (p *schedulePass) pickGang(step *tasks.Step, members []place.Requirements) []*place.Host {
 	racks := []string{""}
-	if e.job.Plan.Steps[step].RackBound {
+	if step.RackBound {
 		racks = append(racksOf(p.hosts), "")
 	}
 	for _, rack := range racks {
@@ -131,7 +141,7 @@
 		if rack != "" {
 			candidates = slices.DeleteFunc(slices.Clone(p.hosts), func(h *place.Host) bool { return h.Rack != rack })
 		}
-		if picked := pickAll(p.cell.requirements(e, round, step, p.now), len(round.Steps[step]), candidates); picked != nil {
+		if picked := place.PickAll(members, candidates); picked != nil {
 			return picked
 		}
 	}
@@ -148,45 +158,17 @@
 	return racks
 }
 
-// pickAll returns hosts for count identical tasks, or nil. It leaves the hosts'
-// free capacity unchanged.
-func pickAll(reqs place.Requirements, count int, hosts []*place.Host) []*place.Host {
-	var picked []*place.Host
-	defer func() {
-		for _, h := range picked {
-			h.Free = h.Free.Add(reqs.Step.RequiredResources())
-		}
-	}()
-	for range count {
-		h := place.Pick(reqs, hosts)
-		if h == nil {
-			return nil
-		}
-		h.Free = h.Free.Sub(reqs.Step.RequiredResources())
-		reqs.SiblingsByHost[h.ID]++
-		picked = append(picked, h)
-	}
-	return picked
-}
-
 // assign assigns a new run of a task to a host. The start command is sent once
 // the assignment is persisted.
 func (c *Cell) assign(e *jobEntry, taskID tasks.ID, target *place.Host, now time.Time) {
 	h := c.hosts[target.ID]
 	step := e.job.Step(taskID)
-	target.Free = target.Free.Sub(step.RequiredResources())
-	switch {
-	case step.Fills:
-		target.BestEffortTasks++
-	case step.Lasting:
-		target.ServingTasks++
-	}
 	e.job.Assign(taskID, h.id, h.incarnation, now)
 	task := e.job.Task(taskID)
 	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare}
 	h.runs[r.key()] = r
 	c.plannedBytes += e.startSize()
 	c.options.Metrics.TaskWaitSeconds.Update(now.Sub(e.job.DueTime(taskID.Round)).Seconds())
-	c.logger.Info("run assigned", "job", taskID.Job, "round", taskID.Round, "step", taskID.Step, "index", taskID.Index, "run", r.number, "host", h.id, "failed", task.Failures, "suspicion", target.RecentFailures)
+	c.logger.Info("run assigned", "job", taskID.Job, "round", taskID.Round, "step", taskID.Step, "index", taskID.Index, "run", r.number, "host", h.id, "failed", task.Failures, "crashes", task.Crashes, "suspicion", target.RecentFailures)
 	c.markDirty(e, func() { c.sendStart(h, r) })
 }
--- a/sched/run.go
+++ b/sched/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rattanpath/place"
 	"rattanpath/tasks"
 )
 
@@ -110,6 +111,15 @@
 	}
 }
 
+// freshFor returns how long the run still counts as fresh at a local time, see
+// place.FreshTime.
+func (r *run) freshFor(now time.Duration) time.Duration {
+	if r.startedBy == 0 {
+		return place.FreshTime
+	}
+	return max(0, r.startedBy+place.FreshTime-now)
+}
+
 // restartHost records that the host has restarted, after it last answered the given time
 // after the start of the run. Readings of its old clock can't be compared with new ones,
 // and what was asked of the old incarnation no longer holds.
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -46,11 +46,42 @@
 	}
 	p := &schedulePass{cell: c, hosts: c.candidates(now), now: now}
 	sortByUrgency(toPlace, p.hosts)
+	place.Reserve(c.isolatedTasks(toPlace, now), p.hosts)
 	for _, j := range toPlace {
 		p.placeJob(j.entry)
 	}
 }
 
+// isolatedTasks returns the requirements of the ready tasks that need isolation.
+func (c *Cell) isolatedTasks(jobs []*jobToPlace, now time.Time) []place.Requirements {
+	var isolated []place.Requirements
+	for _, j := range jobs {
+		if !j.entry.job.Crashed {
+			continue
+		}
+		for _, round := range j.entry.job.Rounds {
+			for step := range round.Steps {
+				isolated = append(isolated, c.isolatedOfStep(j.entry, round, step, now)...)
+			}
+		}
+	}
+	return isolated
+}
+
+func (c *Cell) isolatedOfStep(e *jobEntry, round *tasks.Round, step int, now time.Time) []place.Requirements {
+	if round.Waiting(step) == 0 || !e.job.DependenciesDone(round, step) {
+		return nil
+	}
+	var isolated []place.Requirements
+	reqs := c.requirements(e, round, step, now)
+	for index := range round.Steps[step] {
+		if task := &round.Steps[step][index]; task.State == tasks.Waiting && task.NeedsIsolation() {
+			isolated = append(isolated, ofTask(reqs, e, task))
+		}
+	}
+	return isolated
+}
+
 // jobToPlace is a job with tasks to start.
 type jobToPlace struct {
 	entry   *jobEntry
@@ -136,30 +167,53 @@
 func (c *Cell) candidates(now time.Time) []*place.Host {
 	var hosts []*place.Host
 	for _, h := range c.hosts {
-		if !h.usable() || now.Before(h.backoffUntil) || now.Before(h.cordonedUntil) {
+		if h.usable() && !now.Before(h.backoffUntil) && !now.Before(h.cordonedUntil) {
+			hosts = append(hosts, c.candidate(h, now))
+		}
+	}
+	slices.SortFunc(hosts, func(a, b *place.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return hosts
+}
+
+// candidate describes a host and what it runs.
+func (c *Cell) candidate(h *host, now time.Time) *place.Host {
+	candidate := &place.Host{
+		ID:             h.id,
+		Rack:           h.info.Rack(),
+		Labels:         h.info.Labels,
+		Capacity:       h.info.Capacity,
+		Free:           h.info.Capacity.Sub(h.used()),
+		RecentFailures: h.history.recentFailures(now),
+	}
+	clock := c.options.Clock()
+	if h.restarts > 0 {
+		candidate.QuietIn = max(0, h.restartedAt+restartSettleTime-clock)
+	}
+	for _, r := range h.runs {
+		freshFor := r.freshFor(clock)
+		candidate.QuietIn = max(candidate.QuietIn, freshFor)
+		if r.entry == nil {
 			continue
 		}
-		candidate := &place.Host{
-			ID:             h.id,
-			Rack:           h.info.Rack(),
-			Labels:         h.info.Labels,
-			Capacity:       h.info.Capacity,
-			Free:           h.info.Capacity.Sub(h.used()),
-			RecentFailures: h.history.recentFailures(now),
+		if freshFor > 0 && r.entry.job.Crashed {
+			addSuspect(candidate, r)
 		}
-		for _, r := range h.runs {
-			if r.entry == nil {
-				continue
-			}
-			step := r.entry.job.Step(r.id)
-			if step.Fills {
-				candidate.BestEffortTasks++
-			} else if step.Lasting {
-				candidate.ServingTasks++
-			}
+		step := r.entry.job.Step(r.id)
+		if step.Fills {
+			candidate.BestEffortTasks++
+		} else if step.Lasting {
+			candidate.ServingTasks++
 		}
-		hosts = append(hosts, candidate)
 	}
-	slices.SortFunc(hosts, func(a, b *place.Host) int { return cmp.Compare(a.ID, b.ID) })
-	return hosts
+	return candidate
+}
+
+// addSuspect counts a fresh run if hosts have crashed under its task.
+func addSuspect(candidate *place.Host, r *run) {
+	task := r.entry.job.Task(r.id)
+	if task == nil || task.Crashes == 0 {
+		return
+	}
+	candidate.Suspects++
+	candidate.Reserved = candidate.Reserved || task.NeedsIsolation()
 }
--- a/sched/view.go
+++ b/sched/view.go
@@ -144,7 +144,7 @@
 			if !e.job.DependenciesDone(round, step) || round.Waiting(step) == 0 {
 				continue
 			}
-			reqs := c.requirements(e, round, step, now)
+			reqs := ofTask(c.requirements(e, round, step, now), e, firstWaiting(round.Steps[step]))
 			if reqs.AllowedHosts != nil && len(reqs.AllowedHosts) == 0 {
 				return "the advisor has allowed no host yet"
 			}
@@ -156,6 +156,11 @@
 	return "it is next in turn"
 }
 
+// firstWaiting returns the first waiting task of a step that has one.
+func firstWaiting(step []tasks.Task) *tasks.Task {
+	return &step[slices.IndexFunc(step, func(task tasks.Task) bool { return task.State == tasks.Waiting })]
+}
+
 // infeasibleReason returns why no host can run a task.
 func infeasibleReason(reqs place.Requirements, hosts []*place.Host) string {
 	if reqs.Step.Label != "" && !slices.ContainsFunc(hosts, func(h *place.Host) bool { return slices.Contains(h.Labels, reqs.Step.Label) }) {
@@ -167,6 +172,9 @@
 	if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.Free.CanFit(reqs.Step.RequiredResources()) }) {
 		return "no host has room for a task"
 	}
+	if reqs.Isolated {
+		return "hosts crashed under a task: it waits for one on which nothing has just started"
+	}
 	return "each host with room has as many tasks of the step as it may"
 }
 
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -153,11 +153,13 @@
 	Running
 	// Done means that a run has succeeded.
 	Done
+	// Abandoned means that the task crashes its hosts and isn't started any more.
+	Abandoned
 )
 
 // String returns the state as it is written to logs.
 func (s State) String() string {
-	names := []string{"waiting", "starting", "running", "done"}
+	names := []string{"waiting", "starting", "running", "done", "abandoned"}
 	if int(s) >= len(names) {
 		return "unknown"
 	}
@@ -174,6 +176,9 @@
 	HostIncarnation int64
 	// Failures counts the failed runs.
 	Failures int
+	// Crashes counts the hosts that crashed, or fell silent, right after the start of a
+	// run, since a run last went on for a while.
+	Crashes int
 	// Checkpoint is the last checkpoint.
 	Checkpoint string
 	// AssignedAt is when the run was assigned. It isn't persisted, so a node that
@@ -187,6 +192,23 @@
 // Active reports whether a run of the task may be executing.
 func (t *Task) Active() bool { return t.State == Starting || t.State == Running }
 
+const (
+	// maxCrashes is how many hosts may crash in a row right after they started a task
+	// before it is given up.
+	maxCrashes = 4
+	// isolationCrashes is the number of such crashes from which on the task is started
+	// only where nothing else has just started, so that the next crash is its own.
+	isolationCrashes = 2
+)
+
+// NeedsIsolation reports whether the task must not be started beside others that have just
+// started.
+func (t *Task) NeedsIsolation() bool { return t.Crashes >= isolationCrashes }
+
+// CrashesHosts reports whether so many hosts have crashed under the task that it is given
+// up.
+func (t *Task) CrashesHosts() bool { return t.Crashes >= maxCrashes }
+
 // Round is one execution of all steps of a job.
 type Round struct {
 	Number int
@@ -221,6 +243,8 @@
 	NextRound int
 	// Started means that a host has reported a run of the job.
 	Started bool
+	// Crashed means that a host has crashed right after the start of a run of the job.
+	Crashed bool
 }
 
 // NewJob returns a job that was accepted at now.
--- a/tasks/record.go
+++ b/tasks/record.go
@@ -28,6 +28,7 @@
 	Failures        int    `json:"F,omitempty"`
 	Checkpoint      string `json:"C,omitempty"`
 	AvoidHost       string `json:"A,omitempty"`
+	Crashes         int    `json:"D,omitempty"`
 }
 
 // progress is the stored mutable part of a job.
@@ -70,6 +71,7 @@
 	record := taskRecord{
 		Round: round, Step: step, Index: index,
 		State: task.State, Run: task.Run, Failures: task.Failures, Checkpoint: task.Checkpoint, AvoidHost: task.AvoidHost,
+		Crashes: task.Crashes,
 	}
 	if task.Active() {
 		record.Host = task.Host
@@ -120,6 +122,8 @@
 	*task = Task{
 		State: record.State, Run: record.Run, Host: record.Host, HostIncarnation: record.HostIncarnation,
 		Failures: record.Failures, Checkpoint: record.Checkpoint, AvoidHost: record.AvoidHost,
+		Crashes: record.Crashes,
 	}
+	j.Crashed = j.Crashed || record.Crashes > 0
 	return nil
 }
--- a/tasks/runs.go
+++ b/tasks/runs.go
@@ -25,11 +25,14 @@
 	EndGangIncomplete
 	// EndLost means that the run no longer executes, for an unknown reason.
 	EndLost
+	// EndCrashed means that the host crashed, or fell silent, right after the start of
+	// the run.
+	EndCrashed
 )
 
 // String returns the reason as it is written to logs.
 func (r EndReason) String() string {
-	names := []string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}
+	names := []string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "crashed"}
 	if int(r) >= len(names) {
 		return "unknown"
 	}
@@ -103,6 +106,8 @@
 		task.State = Waiting
 		task.Failures++
 		task.AvoidHost = task.Host
+	case reason == EndCrashed:
+		j.countCrash(id, now)
 	default:
 		task.State = Waiting
 	}
@@ -113,6 +118,36 @@
 	return true
 }
 
+// countCrash counts a host that crashed under a task. The job of a task that crashes its
+// hosts fails, unless the other tasks of its step go on serving without it.
+func (j *Job) countCrash(id ID, now time.Time) {
+	task, step := j.Task(id), j.Step(id)
+	task.State = Waiting
+	task.Crashes++
+	j.Crashed = true
+	if !step.Gang {
+		task.AvoidHost = task.Host
+	}
+	switch {
+	case !task.CrashesHosts():
+	case step.Lasting && !step.Gang:
+		task.State = Abandoned
+	default:
+		j.finish(Failed, now)
+	}
+}
+
+// MarkStable records that a run has gone on for a while without harm to its host, and
+// reports whether the state changed: it ignores a run that isn't the task's active one.
+func (j *Job) MarkStable(id ID, run int) bool {
+	task := j.Task(id)
+	if task == nil || task.Run != run || !task.Active() || task.Crashes == 0 {
+		return false
+	}
+	task.Crashes = 0
+	return true
+}
+
 // RecoverDone records that a run which counted as lost had succeeded, and reports whether
 // the state changed: it ignores a run whose task has been assigned again or ended, and
 // steps whose runs don't end alone.
