tasks, place, sched: a task under which a host crashed is started alone at once

Cause: the second start went beside others, and its crash took them along and made suspects of them. Runs whose start got no answer counted as crashed if their silent host was back as another incarnation, though they may never have begun; and a busy owner that processed replies late measured its own lateness as time that the host had survived. Change: isolation from the first crash on, which makes the count of suspects needless; only a run counts of which there is a sign that it began (confirmed, reported, the connection broke, or started by a previous owner); how long its host survived is told by the host's clock.

--- a/place/pick.go
+++ b/place/pick.go
@@ -23,8 +23,6 @@
 	// QuietIn is how long until a crash of the host could only be due to a task started
 	// there from then on: no run of the host is fresh, and the host hasn't just crashed.
 	QuietIn time.Duration
-	// Suspects counts the fresh runs of tasks under which hosts have crashed.
-	Suspects int
 	// Reserved means that only tasks that need isolation are started on the host.
 	Reserved bool
 }
@@ -44,19 +42,17 @@
 	SiblingsByHost map[string]int
 	// AllowedHosts are the IDs of the hosts that the advisor allows; nil allows all.
 	AllowedHosts map[string]bool
-	// Crashed means that a host has crashed under the task, and Isolated that the task is
-	// not to be started beside fresh runs, nor others beside it while it is fresh.
-	Crashed  bool
+	// Isolated means that a host has crashed under the task: it is not to be started beside
+	// fresh runs, nor others beside it while it is fresh.
 	Isolated bool
 }
 
 // Costs rank the feasible hosts of a task. The last three are charged for each recent
-// failure, sibling and colocated task, suspectCost for each suspect. One unit of a larger cost outweighs one unit of
+// failure, sibling and colocated task. One unit of a larger cost outweighs one unit of
 // each smaller one together.
 const (
 	remoteDataCost    = 1000.0
 	avoidedHostCost   = 400.0
-	suspectCost       = 200.0
 	recentFailureCost = 100.0
 	siblingCost       = 8.0
 	colocationCost    = 20.0
@@ -84,9 +80,9 @@
 func Cost(req Requirements, host *Host) float64 {
 	step := req.Step
 	cost := idleCPUShare(step, host)
-	if req.Crashed {
-		// A crash should take few other runs along.
-		cost = 1 - cost + suspectCost*float64(host.Suspects)
+	if req.Isolated {
+		// A further crash should take few other runs along.
+		cost = 1 - cost
 	}
 	if step.DataRack != "" && host.Rack != step.DataRack {
 		cost += remoteDataCost
@@ -130,9 +126,6 @@
 	case req.Step.Lasting:
 		h.ServingTasks++
 	}
-	if req.Crashed {
-		h.Suspects++
-	}
 	h.Reserved = h.Reserved || req.Isolated
 }
 
--- a/sched/command.go
+++ b/sched/command.go
@@ -150,6 +150,7 @@
 		h.backoffUntil = time.Now().Add(refusalBackoff)
 		c.dropRun(h, r, "no connection to the host")
 	case err != nil:
+		r.startBroke = !isTimeout(err)
 		c.markUnconfirmed(h, r, err.Error())
 	case reply.Reason == lease.Accepted:
 		c.handleStarted(h, r, reply.HostTime, current)
@@ -158,16 +159,22 @@
 	}
 }
 
+// isTimeout reports whether a call failed because its reply took too long.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // handleStarted handles a host's confirmation that it has started a run. If it
 // isn't current, the host has restarted and the next report shows whether it has
 // the run.
 func (c *Cell) handleStarted(h *host, r *run, hostTime time.Duration, current bool) {
 	r.markStarted(c.options.Clock())
 	if current {
-		h.answeredAt = c.options.Clock()
-	}
-	if current && r.awaitsStart() {
-		r.settle(hostTime)
+		h.answeredAt = max(h.answeredAt, hostTime)
+		if r.awaitsStart() {
+			r.settle(hostTime)
+		}
 	}
 	r.entry.job.MarkRunning(r.id, r.number)
 	c.stopEndedJob(r.entry)
--- a/sched/end.go
+++ b/sched/end.go
@@ -78,7 +78,7 @@
 		return false
 	}
 	leaving := now.Before(h.cordonedUntil) || h.info != nil && h.info.Draining
-	return !leaving && r.state != runPlanned && r.answeredFor(h) < place.FreshTime
+	return !leaving && r.mayHaveStarted() && r.answeredFor(h) < place.FreshTime
 }
 
 // recoverDone accepts a success that a host reports of a run that counted as lost, unless
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	h.ackValid = true
-	h.answeredAt = c.options.Clock()
+	h.answeredAt = max(h.answeredAt, reply.HostTime)
 	persisted := c.processFinished(h, reply.Finished)
 	if reply.HostTime > h.reportedAt {
 		c.processRuns(h, reply, sent)
@@ -67,16 +67,16 @@
 // still reach the new one until that has seen the higher token.
 func (c *Cell) hostRestarted(h *host, incarnation int64) {
 	c.logger.Info("host restarted", "host", h.id, "before", h.incarnation, "born", incarnation, "runs", len(h.runs))
+	for _, r := range h.runs {
+		r.restartHost(r.answeredFor(h))
+	}
 	h.incarnation = incarnation
 	h.restarts++
 	h.restartedAt = c.options.Clock()
 	h.clock.Reset(c.options.MaxLease)
 	h.synced, h.ackValid = false, false
-	h.reportedAt = 0
+	h.reportedAt, h.answeredAt = 0, 0
 	h.acknowledgedSequence, h.reportedSequence = 0, 0
-	for _, r := range h.runs {
-		r.restartHost(r.answeredFor(h))
-	}
 }
 
 // processFinished processes the finished runs that a host reports.
--- a/sched/host.go
+++ b/sched/host.go
@@ -22,8 +22,8 @@
 	// reportedAt is the reading of the host's clock in the newest report that was
 	// processed, 0 if there is none from the current incarnation.
 	reportedAt time.Duration
-	// answeredAt is the local time of the last report or confirmed start, 0 if there is
-	// none.
+	// answeredAt is the latest reading of the host's clock in a report or a confirmation
+	// of a start, 0 if there is none from the current incarnation.
 	answeredAt time.Duration
 	// missedHeartbeats counts the failed heartbeats since the last successful
 	// one.
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -113,7 +113,6 @@
 func ofTask(reqs place.Requirements, e *jobEntry, task *tasks.Task) place.Requirements {
 	reqs.AvoidHost = task.AvoidHost
 	reqs.LastAttempt = task.Failures+1 >= e.job.Policy.MaxAttempts
-	reqs.Crashed = task.Crashes > 0
 	reqs.Isolated = task.NeedsIsolation()
 	return reqs
 }
--- a/sched/run.go
+++ b/sched/run.go
@@ -54,6 +54,8 @@
 	unconfirmedSince time.Duration
 	// stopping is set while stop commands are sent.
 	stopping bool
+	// startBroke is set if the connection broke after the start command was sent.
+	startBroke bool
 	// inherited is set if a previous owner started the run.
 	inherited bool
 	// percent is the progress that the host last reported. firstReportedAt and
@@ -84,6 +86,10 @@
 // awaitsStart reports whether a start command was sent whose effect is unknown.
 func (r *run) awaitsStart() bool { return r.state == runStarting || r.state == runUnconfirmed }
 
+// mayHaveStarted reports whether there is a sign that the host has started the run. A
+// command without an answer is none: a host that is silent may not have got it.
+func (r *run) mayHaveStarted() bool { return r.startedBy != 0 || r.startBroke || r.inherited }
+
 // settle records that from a reading of the host's clock on, reports show whether
 // the host has the run.
 func (r *run) settle(hostTime time.Duration) {
@@ -98,16 +104,16 @@
 	}
 }
 
-// answeredFor returns how long after the start of the run its host last answered, at
-// least, or 0 if that isn't known.
+// answeredFor returns how long after the start of the run its host last answered, on the
+// host's clock and at least, or 0 if that isn't known.
 func (r *run) answeredFor(h *host) time.Duration {
 	switch {
 	case r.startedBy == 0:
 		return 0
-	case r.state == runUnverified:
-		return r.survived
+	case r.state == runSettled:
+		return max(0, h.answeredAt-r.settledAt)
 	default:
-		return max(0, h.answeredAt-r.startedBy)
+		return r.survived
 	}
 }
 
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -196,7 +196,8 @@
 			continue
 		}
 		if freshFor > 0 && r.entry.job.Crashed {
-			addSuspect(candidate, r)
+			task := r.entry.job.Task(r.id)
+			candidate.Reserved = candidate.Reserved || task != nil && task.NeedsIsolation()
 		}
 		step := r.entry.job.Step(r.id)
 		if step.Fills {
@@ -207,13 +208,3 @@
 	}
 	return candidate
 }
-
-// addSuspect counts a fresh run if hosts have crashed under its task.
-func addSuspect(candidate *place.Host, r *run) {
-	task := r.entry.job.Task(r.id)
-	if task == nil || task.Crashes == 0 {
-		return
-	}
-	candidate.Suspects++
-	candidate.Reserved = candidate.Reserved || task.NeedsIsolation()
-}
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -192,18 +192,13 @@
 // Active reports whether a run of the task may be executing.
 func (t *Task) Active() bool { return t.State == Starting || t.State == Running }
 
-const (
-	// maxCrashes is how many hosts may crash in a row right after they started a task
-	// before it is given up.
-	maxCrashes = 4
-	// isolationCrashes is the number of such crashes from which on the task is started
-	// only where nothing else has just started, so that the next crash is its own.
-	isolationCrashes = 2
-)
+// maxCrashes is how many hosts may crash in a row right after they started a task before
+// it is given up.
+const maxCrashes = 4
 
-// NeedsIsolation reports whether the task must not be started beside others that have just
-// started.
-func (t *Task) NeedsIsolation() bool { return t.Crashes >= isolationCrashes }
+// NeedsIsolation reports whether a host has crashed under the task, which is then started
+// only where a further crash can be put down to it.
+func (t *Task) NeedsIsolation() bool { return t.Crashes > 0 }
 
 // CrashesHosts reports whether so many hosts have crashed under the task that it is given
 // up.
