claim, sched, infra: an ownership counts from when its claim was sent

A cell and the machine controller took the end of their claim as the time of their last confirmed write. A node that was suspended during the claim, or read a large cell over a slow link, believed to own it for seconds after it woke, though another node may have claimed it meanwhile: a cell then renews leases, past the time for which its successor waits, and a controller sends orders. Change: a claim says when it was sent, and not at all if an earlier attempt made it; a cell confirms such a claim by a write at once. Evidence: TestClaimAnsweredLateGrantsNothing fails before; TestClaimCountsFromItsSending. go test ./claim ./infra ./sched ./owner ./node green.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -44,6 +44,9 @@
 	Epoch int64
 	// Records holds the newest record of each key at the time of the claim.
 	Records []store.Record
+	// SentAt is a reading of the clock before the claim was appended: the ownership can't be
+	// taken as confirmed any later. It is 0 if an earlier attempt appended the claim.
+	SentAt time.Duration
 	// PreviousNode is the previous owner, or empty. PreviousReleased means that it had
 	// released the topic.
 	PreviousNode     string
@@ -56,9 +59,9 @@
 // Acquire claims a topic. The nonce must be unique to a claim and stay the same when
 // that claim is retried. While others write to the topic, it retries up to
 // maxAttempts times.
-func Acquire(ctx context.Context, journal Journal, topic, node, nonce string) (*Claim, error) {
+func Acquire(ctx context.Context, journal Journal, topic, node, nonce string, clock core.Clock) (*Claim, error) {
 	for range maxAttempts {
-		c, err := tryAcquire(ctx, journal, topic, node, nonce)
+		c, err := tryAcquire(ctx, journal, topic, node, nonce, clock)
 		if err == nil {
 			return c, nil
 		}
@@ -72,7 +75,7 @@
 	return nil, errors.Errorf("claiming topic %s: too many conflicting writes", topic)
 }
 
-func tryAcquire(ctx context.Context, journal Journal, topic, node, nonce string) (*Claim, error) {
+func tryAcquire(ctx context.Context, journal Journal, topic, node, nonce string, clock core.Clock) (*Claim, error) {
 	snapshot, err := journal.Newest(ctx, topic)
 	if err != nil {
 		return nil, err
@@ -95,6 +98,7 @@
 		return c, nil
 	}
 	c.Epoch = current.Epoch + 1
+	c.SentAt = clock()
 	return c, c.appendClaim(ctx, journal, topic, snapshot.Next)
 }
 
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -18,7 +18,7 @@
 
 func acquire(t *testing.T, journal Journal, node string) *Claim {
 	t.Helper()
-	c, err := Acquire(t.Context(), journal, testTopic, node, node+time.Now().String())
+	c, err := Acquire(t.Context(), journal, testTopic, node, node+time.Now().String(), clock)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -48,19 +48,41 @@
 	})
 }
 
+// slowJournal answers appends late.
+type slowJournal struct{ Journal }
+
+func (j slowJournal) Append(ctx context.Context, write store.Write) (int64, error) {
+	offset, err := j.Journal.Append(ctx, write)
+	time.Sleep(10 * time.Second)
+	return offset, err
+}
+
+// TestClaimCountsFromItsSending guards against an owner that was suspended during its claim
+// and takes the ownership as confirmed when it wakes.
+func TestClaimCountsFromItsSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.NewStore()
+		before := clock()
+		c := acquire(t, slowJournal{s.Client("a")}, "a")
+		if got := c.SentAt - before; got < 0 || got > time.Second {
+			t.Errorf("got a claim sent %v after the call, want at most a second", got)
+		}
+	})
+}
+
 // TestAcquireRetryAfterLostResponse checks that a retry with the same nonce finds the
 // claim whose response was lost.
 func TestAcquireRetryAfterLostResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := fake.NewStore()
 		s.LoseResponses("a", 1, time.Millisecond)
-		if _, err := Acquire(t.Context(), s.Client("a"), testTopic, "a", "nonce"); err == nil {
+		if _, err := Acquire(t.Context(), s.Client("a"), testTopic, "a", "nonce", clock); err == nil {
 			t.Fatal("got no error for a lost response, want one")
 		}
 		time.Sleep(time.Second)
-		c, err := Acquire(t.Context(), s.Client("a"), testTopic, "a", "nonce")
-		if err != nil || c.Epoch != 1 {
-			t.Fatalf("got claim %v and error %v, want epoch 1", c, err)
+		c, err := Acquire(t.Context(), s.Client("a"), testTopic, "a", "nonce", clock)
+		if err != nil || c.Epoch != 1 || c.SentAt != 0 {
+			t.Fatalf("got claim %+v and error %v, want epoch 1, sent at an unknown time", c, err)
 		}
 		if _, err := c.NewWriter(s.Client("a"), testTopic, clock).Write(t.Context(), []store.Record{{Key: "k", Value: []byte("1")}}); err != nil {
 			t.Errorf("got %v, want a write under the claim to succeed", err)
@@ -136,7 +158,7 @@
 		blocked := &blockedJournal{Journal: s.Client("a"), release: make(chan struct{})}
 		claimed := make(chan *Claim, 1)
 		go func() {
-			c, err := Acquire(t.Context(), blocked, testTopic, "a", "nonce of a")
+			c, err := Acquire(t.Context(), blocked, testTopic, "a", "nonce of a", clock)
 			if err != nil {
 				t.Error(err)
 			}
--- a/infra/controller.go
+++ b/infra/controller.go
@@ -191,7 +191,7 @@
 func (c *Controller) acquire(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	acquired, err := claim.Acquire(ctx, c.options.Journal, topic, c.options.Node, uuid.NewString())
+	acquired, err := claim.Acquire(ctx, c.options.Journal, topic, c.options.Node, uuid.NewString(), c.options.Clock)
 	if err != nil {
 		c.logger.Info("failed to claim the machine controller leadership", "err", err.Error())
 		return
@@ -202,7 +202,7 @@
 		claim:        acquired,
 		writer:       acquired.NewWriter(c.options.Journal, topic, c.options.Clock),
 		statusWriter: acquired.NewSecondaryWriter(c.options.Journal, c.options.StatusTopic, c.options.Clock),
-		confirmedAt:  now,
+		confirmedAt:  acquired.SentAt,
 		intents:      intents{Machines: make(map[string]*intent)},
 		waves:        make(map[int64]*wave),
 		pools:        make(map[string]*poolState),
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -209,6 +209,8 @@
 	c.mu.Unlock()
 	writeCtx, stopWrites := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWrites()
+	// A claim that took long is confirmed at once.
+	wake(c.writeWake)
 	writesDone := make(chan struct{})
 	go func() {
 		defer close(writesDone)
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -26,7 +26,7 @@
 // loads their records. For the nonce see claim.Acquire.
 func Claim(ctx context.Context, options Options, nonce string) (*Cell, error) {
 	start := options.Clock()
-	acquired, err := claim.Acquire(ctx, options.Journal, Topic(options.Service), options.Node, nonce)
+	acquired, err := claim.Acquire(ctx, options.Journal, Topic(options.Service), options.Node, nonce, options.Clock)
 	if err != nil {
 		return nil, err
 	}
@@ -37,7 +37,7 @@
 	c.writer.OnRetry = c.writeFailed
 	c.load(acquired.Records)
 	c.claimedAt = options.Clock()
-	c.confirmedAt = c.claimedAt
+	c.confirmedAt = acquired.SentAt
 	c.inheritRuns()
 	c.logger.Info("cell claimed", "epoch", c.epoch, "before", acquired.PreviousNode, "jobs", len(c.jobs), "open", len(c.open), "took", c.claimedAt-start)
 	options.Metrics.Claims.Inc()
--- a/sched/freeze_test.go
+++ b/sched/freeze_test.go
@@ -64,3 +64,26 @@
 		})
 	}
 }
+
+// TestClaimAnsweredLateGrantsNothing guards against an owner that was suspended during its
+// claim and renews leases when it wakes, though another node may own the cell by then.
+func TestClaimAnsweredLateGrantsNothing(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		var hold atomic.Int64
+		hold.Store(int64(ownershipTimeout + time.Second))
+		tc.wrapJournal = func(journal claim.Journal) claim.Journal { return heldJournal{journal, &hold} }
+		n := tc.claim("a")
+		valid := func() bool {
+			n.cell.mu.Lock()
+			defer n.cell.mu.Unlock()
+			return n.cell.ownershipValid()
+		}
+		if valid() {
+			t.Error("got valid ownership after a claim that was answered late, want none before a write")
+		}
+		time.Sleep(200 * time.Millisecond)
+		if !valid() {
+			t.Error("got no valid ownership after the first write, want it")
+		}
+	})
+}
