sched: an acknowledgement is for the incarnation that was just heard

Callers could see a task run again after its success. Cause: the heartbeat that acknowledges ends goes out once they are persisted, up to half a second after the host reported them. A host that restarts under its ID in between takes the acknowledgement for its own, counts its ends anew from 1 and forgets those of new runs; the owner, which then notices the restart, finds neither run nor end and starts the task again. Change: ends are acknowledged within 100 ms of a report; after that a report is asked for first. Ends that are persisted already are passed over, so that this costs one call and no write. Evidence: TestAcknowledgementIsForOneIncarnation fails before.

--- a/sched/command.go
+++ b/sched/command.go
@@ -123,10 +123,7 @@
 	if h.info == nil {
 		return
 	}
-	heartbeat, info := lease.Heartbeat{Token: c.token(h)}, h.info
-	if h.ackValid {
-		heartbeat.Acknowledged = h.acknowledgedSequence
-	}
+	heartbeat, info := lease.Heartbeat{Token: c.token(h), Acknowledged: c.acknowledgement(h)}, h.info
 	c.spawn(func(ctx context.Context) {
 		sent := sentCommand{token: heartbeat.Token, at: c.options.Clock()}
 		reply, err := c.options.HostClient.Heartbeat(ctx, info, heartbeat)
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"rattanpath/lease"
@@ -24,6 +25,7 @@
 		return nil
 	}
 	h.ackValid = true
+	h.heardAt = c.options.Clock()
 	h.answeredAt = max(h.answeredAt, reply.HostTime)
 	persisted := c.processFinished(h, reply.Finished)
 	if reply.HostTime > h.reportedAt {
@@ -79,8 +81,10 @@
 	h.acknowledgedSequence, h.reportedSequence = 0, 0
 }
 
-// processFinished processes the finished runs that a host reports.
+// processFinished processes the finished runs that a host reports. It returns nil if all of
+// them are persisted already.
 func (c *Cell) processFinished(h *host, finished []lease.FinishedRun) <-chan struct{} {
+	finished = slices.DeleteFunc(finished, func(f lease.FinishedRun) bool { return f.Sequence <= h.acknowledgedSequence })
 	if len(finished) == 0 {
 		return nil
 	}
--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -17,6 +17,9 @@
 	// heartbeatRetryDelay is the time between heartbeats while a host doesn't
 	// respond.
 	heartbeatRetryDelay = 300 * time.Millisecond
+	// maxAckAge is how long after a report of a host its finished runs may be
+	// acknowledged: no host restarts within that time.
+	maxAckAge = 100 * time.Millisecond
 	// ackWait is how long the next heartbeat is delayed for the store to persist
 	// the runs that the last one reported as finished.
 	ackWait = 500 * time.Millisecond
@@ -156,10 +159,7 @@
 		h.ackValid = false
 		return lease.Heartbeat{}, h.info, false
 	}
-	heartbeat := lease.Heartbeat{Token: c.token(h)}
-	if h.ackValid {
-		heartbeat.Acknowledged = h.acknowledgedSequence
-	}
+	heartbeat := lease.Heartbeat{Token: c.token(h), Acknowledged: c.acknowledgement(h)}
 	if h.synced && h.missedHeartbeats == 0 {
 		heartbeat.Wait = heartbeatWait
 		if bestEffort, tailLatencies := h.paceInputs(); bestEffort > 0 && len(tailLatencies) > 0 {
@@ -169,7 +169,7 @@
 			heartbeat.Wait = min(heartbeat.Wait, lossyHeartbeatWait)
 		}
 	}
-	if h.acknowledgedSequence < h.reportedSequence {
+	if heartbeat.Acknowledged < h.reportedSequence {
 		heartbeat.Wait = 0
 	}
 	// The lease of a host that doesn't respond is not renewed: otherwise it would
@@ -180,6 +180,16 @@
 	return heartbeat, h.info, true
 }
 
+// acknowledgement returns the highest sequence number of a finished run that the host may
+// forget, or 0 if it may have restarted since its last report: a new incarnation would forget
+// its own runs.
+func (c *Cell) acknowledgement(h *host) int64 {
+	if !h.ackValid || c.options.Clock()-h.heardAt > maxAckAge {
+		return 0
+	}
+	return h.acknowledgedSequence
+}
+
 // handleHeartbeatFailure handles a heartbeat to the host at the address in info
 // that was refused or failed.
 func (c *Cell) handleHeartbeatFailure(h *host, info *pool.Host, token int64, result heartbeatResult) {
--- a/sched/report_test.go
+++ b/sched/report_test.go
@@ -1,9 +1,11 @@
 package sched
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"rattanpath/claim"
 	"rattanpath/fake"
 	"rattanpath/lease"
 	"rattanpath/tasks"
@@ -147,3 +149,35 @@
 		}
 	})
 }
+
+// TestAcknowledgementIsForOneIncarnation guards against a task that runs again after its
+// success: a host restarts between two heartbeats, and the second one, which acknowledges ends
+// of the old incarnation, makes the new one forget its own.
+func TestAcknowledgementIsForOneIncarnation(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		var hold atomic.Int64
+		tc.wrapJournal = func(journal claim.Journal) claim.Journal { return heldJournal{journal, &hold} }
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := tc.submit(n, "first", simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond)
+		// The run ends after 500 ms; the answer to the write of its end takes 180 ms, which is
+		// less than the time to the next look at the records of hosts.
+		hold.Store(int64(180 * time.Millisecond))
+		time.Sleep(250 * time.Millisecond)
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 100 * time.Millisecond} }
+		go func() { _ = tc.submit(n, "second", simplePlan(1, 1000)) }()
+		time.Sleep(50 * time.Millisecond)
+		tc.runners["h0"].Crash()
+		tc.runners["h0"].Restart()
+		time.Sleep(10 * time.Second)
+		for _, id := range []string{"first", "second"} {
+			tc.wantPhase(n, id, tasks.Completed)
+		}
+		if got := tc.checker.Starts(); got != 2 {
+			t.Errorf("got %d starts, want 2", got)
+		}
+	})
+}
