pool, platform: record when a host wrote its record

Cause: a host's capacity may shrink while it runs, and only its record shows it.

Change: each host has the time after which its record was written: when the last read that returned all records was sent. A read that stopped short of the topic's end doesn't count; its end was ignored so far.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -93,7 +93,7 @@
 
 func newPoolWatcher(platform Platform, logger logr.Logger) (*pool.Watcher, *supervisorRef) {
 	ref := &supervisorRef{}
-	return pool.NewWatcher(platform.Pools, platform.HostTopic, platform.DecodeHost, ref.hasCells, logger), ref
+	return pool.NewWatcher(platform.Pools, platform.HostTopic, platform.DecodeHost, ref.hasCells, platform.Clock, logger), ref
 }
 
 func newSupervisor(settings Settings, platform Platform, member *owner.Member, config *queue.Watcher, pools *pool.Watcher, ref *supervisorRef, set *metrics.Set, logger logr.Logger) *owner.Supervisor {
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -36,6 +36,9 @@
 	StopGrace time.Duration
 	// MaxLease is the longest lease that a host grants.
 	MaxLease time.Duration
+	// MaxRecordAge is how old a host's record may be when a run is started on it, 0 if
+	// there is no limit.
+	MaxRecordAge time.Duration
 	// JobRetention is how long the status of an ended job must be available.
 	JobRetention time.Duration
 	// OrdersPerSecond is the number of orders for machines that the cloud accepts from
--- a/fake/store.go
+++ b/fake/store.go
@@ -289,7 +289,7 @@
 			c.store.mu.Unlock()
 			return store.Batch{}, store.ErrExpired
 		}
-		batch := store.Batch{Records: slices.Clone(t.records[from-t.first:]), Next: t.end}
+		batch := store.Batch{Records: slices.Clone(t.records[from-t.first:]), Next: t.end, End: t.end}
 		c.store.mu.Unlock()
 		remaining := time.Until(deadline)
 		if len(batch.Records) > 0 || remaining <= 0 {
--- a/lease/clock.go
+++ b/lease/clock.go
@@ -61,6 +61,13 @@
 	*c = Clock{leaseBeforeSync: maxLease}
 }
 
+// Since returns an upper bound of the time that has passed since the host's clock showed
+// a reading.
+func (c *Clock) Since(hostTime, now time.Duration) time.Duration {
+	elapsed := c.hostTime + now - c.localTime - hostTime
+	return max(0, time.Duration(float64(elapsed)/MinClockRate))
+}
+
 // minHostTime returns a lower bound of the host's clock.
 func (c *Clock) minHostTime(now time.Duration) time.Duration {
 	return c.hostTime + time.Duration(float64(now-c.localTime)*MinClockRate)
--- a/pool/host.go
+++ b/pool/host.go
@@ -23,6 +23,10 @@
 	Draining bool
 	// Remaining is the minimum time before a draining host shuts down.
 	Remaining time.Duration
+	// HostTime is the reading of the host's clock when it wrote the record, and
+	// WrittenAfter one of this node's clock before that; each is 0 if unknown.
+	HostTime     time.Duration
+	WrittenAfter time.Duration
 }
 
 // rackLabelPrefix is the prefix of the label that names a host's rack.
--- a/pool/watch.go
+++ b/pool/watch.go
@@ -48,11 +48,15 @@
 	reader Reader
 	topic  string
 	decode Decode
+	clock  core.Clock
 	logger logr.Logger
 
-	mu           sync.Mutex
-	view         View
-	nextOffset   int64
+	mu         sync.Mutex
+	view       View
+	nextOffset int64
+	// completeAt is the reading of clock at which the last read that returned all
+	// records was sent, 0 if none did.
+	completeAt   time.Duration
 	loaded       bool
 	missingSince map[string]time.Time
 	active       func() bool
@@ -60,12 +64,13 @@
 }
 
 // NewWatcher returns a watcher of a topic. It reads while active returns true.
-func NewWatcher(reader Reader, topic string, decode Decode, active func() bool, logger logr.Logger) *Watcher {
+func NewWatcher(reader Reader, topic string, decode Decode, active func() bool, clock core.Clock, logger logr.Logger) *Watcher {
 	return &Watcher{
 		reader:       reader,
 		topic:        topic,
 		decode:       decode,
 		active:       active,
+		clock:        clock,
 		logger:       logger.WithName("pool"),
 		view:         View{Hosts: make(map[string]*Host)},
 		missingSince: make(map[string]time.Time),
@@ -104,6 +109,7 @@
 	if !w.loaded {
 		return w.reload(ctx)
 	}
+	sent := w.clock()
 	batch, err := w.reader.Read(ctx, w.topic, w.nextOffset, 0)
 	if errors.Is(err, store.ErrExpired) {
 		return w.reload(ctx)
@@ -120,12 +126,16 @@
 	}
 	changed = w.removeExpired() || changed
 	w.nextOffset = batch.Next
+	if batch.Next >= batch.End {
+		w.completeAt = sent
+	}
 	w.notify(changed)
 	return nil
 }
 
 // reload reads all host records.
 func (w *Watcher) reload(ctx context.Context) error {
+	sent := w.clock()
 	snapshot, err := w.reader.Newest(ctx, w.topic)
 	if err != nil {
 		return err
@@ -144,7 +154,7 @@
 		}
 	}
 	w.removeExpired()
-	w.nextOffset = snapshot.Next
+	w.nextOffset, w.completeAt = snapshot.Next, sent
 	w.loaded = true
 	w.notify(true)
 	return nil
@@ -187,6 +197,13 @@
 	}
 	delete(w.missingSince, record.Key)
 	previous := w.view.Hosts[record.Key]
+	switch {
+	case record.Offset >= w.nextOffset:
+		// No earlier read returned the record.
+		host.WrittenAfter = w.completeAt
+	case previous != nil:
+		host.WrittenAfter = previous.WrittenAfter
+	}
 	w.view.Hosts[record.Key] = host
 	return previous == nil || !equalHosts(previous, host)
 }
--- a/store/store.go
+++ b/store/store.go
@@ -43,8 +43,10 @@
 // Batch holds consecutive records in append order.
 type Batch struct {
 	Records []Record
-	// Next is the offset after the last record.
+	// Next is the offset after the last record, and End the offset after the last one
+	// of the topic.
 	Next int64
+	End  int64
 }
 
 // Membership is a request to join or leave a group that shares a topic's
