sched: no start by a record that may no longer be true

A host's capacity may shrink while it runs. From contactMs and one heartbeat later, no start may bring the host over it.

Cause: runs were assigned by the newest record of a host, however old. If the owner's reads of the host records failed while its writes went on, or the host itself didn't reach the store, starts went out by the old capacity without end. A run whose assignment waited for the store was never checked again.

Change: no run is assigned to a host whose newest record is older than contactMs and one heartbeat, less 500 ms for the start command to arrive (4 to 6 s). That is as late as truth allows: a host that shrinks right after a record counts that long after it, and a younger record can't be too large. The age is the host's own, not that of the last read, so that one silent host doesn't stop the others and a read that finds nothing new proves nothing. It is the smaller of two bounds, by this node's reads and by the host's clock; after a takeover only the second tells, and no start waits for a new record. Leases, ends and stops go on. Without the two settings there is no limit.

A planned run is started as long as the record by which it was assigned is that young; after that it must fit by the newest one. It isn't dropped at the first sight of a shrunken capacity: that would split gangs (TestShrinkDoesNotSplitGang fails with 4 of 12 members started if it is), and the rule gives the time.

The fake host shrinks, grows, falls silent, and writes a record every 1.5 s. The checker reports a start beyond all that the host had in the last 4.5 s, per resource, counted from when the command was sent if it took effect late; a capacity that never changed is held as before.

TestShrunkenHostGetsNoRuns (more in use than the capacity; growing again; gangs, best-effort tasks, reports and reasons) passed before.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -104,6 +104,7 @@
 		Advisor:      platform.Advisor,
 		Clock:        platform.Clock,
 		MaxLease:     settings.MaxLease,
+		MaxRecordAge: settings.MaxRecordAge,
 		JobRetention: settings.JobRetention,
 		BatchBytes:   int(batchFraction * float64(settings.CallBytes)),
 		Link:         sched.NewLink(settings.LinkRate),
--- a/fake/hostclient.go
+++ b/fake/hostclient.go
@@ -20,6 +20,14 @@
 	// TaskResources returns the resources that a task requires.
 	TaskResources func(task tasks.ID) tasks.Resources
 	latency       func(host string, command any) Latency
+	// clock is the node's clock. readAt is its reading at the last read of the host
+	// records, 0 if there was none, seen the time of each record that was read, and
+	// writtenAfter the reading after which that record was written.
+	clock        core.Clock
+	readAt       time.Duration
+	seen         map[string]time.Time
+	writtenAfter map[string]time.Duration
+	recordsDown  bool
 }
 
 // Latency is the time that one call takes in each direction.
@@ -30,7 +38,20 @@
 
 // NewHostClient returns a client of the runners, which are keyed by host ID.
 func NewHostClient(runners map[string]*Runner, taskResources func(task tasks.ID) tasks.Resources) *HostClient {
-	return &HostClient{runners: runners, partitioned: make(map[string]bool), TaskResources: taskResources}
+	return &HostClient{
+		runners: runners, partitioned: make(map[string]bool), TaskResources: taskResources,
+		clock: core.BootClock, seen: make(map[string]time.Time), writtenAfter: make(map[string]time.Duration),
+	}
+}
+
+// SetClock sets the node's clock.
+func (h *HostClient) SetClock(clock core.Clock) { h.clock = clock }
+
+// SetRecordsDown sets whether the node can't read the host records.
+func (h *HostClient) SetRecordsDown(down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.recordsDown = down
 }
 
 // SetPartitioned sets whether the node's calls to a host time out.
@@ -58,12 +79,23 @@
 	return h.latency(id, command)
 }
 
-// View returns the current records of all hosts.
+// View reads the newest records of all hosts. Its ReadAt is zero if that fails.
 func (h *HostClient) View() pool.View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.recordsDown {
+		return pool.View{}
+	}
 	view := pool.View{Hosts: make(map[string]*pool.Host), ReadAt: time.Now()}
 	for id, runner := range h.runners {
-		view.Hosts[id] = runner.Info()
+		record := runner.record()
+		if !h.seen[id].Equal(record.at) {
+			h.seen[id], h.writtenAfter[id] = record.at, h.readAt
+		}
+		record.info.WrittenAfter = h.writtenAfter[id]
+		view.Hosts[id] = &record.info
 	}
+	h.readAt = h.clock()
 	return view
 }
 
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -78,6 +78,9 @@
 	Clock   core.Clock
 	// MaxLease is the longest lease that a host grants.
 	MaxLease time.Duration
+	// MaxRecordAge is how old the record of a host may be when it starts a run: it may
+	// have shrunk since. 0 means that there is no limit.
+	MaxRecordAge time.Duration
 	// JobRetention is how long the state of an ended job can be queried.
 	JobRetention time.Duration
 	// BatchBytes limits the size of one write.
--- a/sched/command.go
+++ b/sched/command.go
@@ -72,7 +72,7 @@
 	if !current {
 		return lease.StartCommand{}, nil, false
 	}
-	if r.entry.job.Phase != tasks.Open || now-persistedAt > maxStartDelay || !c.ownershipValid() || !h.clock.Synced() {
+	if !c.maySendStart(h, r, persistedAt) {
 		c.dropRun(h, r, "not sent")
 		return lease.StartCommand{}, nil, false
 	}
@@ -90,6 +90,20 @@
 	}, h.info, true
 }
 
+// maySendStart reports whether the start command of a run whose record was persisted at a
+// local time may still be sent.
+func (c *Cell) maySendStart(h *host, r *run, persistedAt time.Duration) bool {
+	now := c.options.Clock()
+	switch {
+	case r.entry.job.Phase != tasks.Open || now-persistedAt > maxStartDelay:
+		return false
+	case !c.ownershipValid() || !h.clock.Synced():
+		return false
+	default:
+		return c.hasRoom(h, r, now)
+	}
+}
+
 // handleStartTimeout handles a start command that got no reply by due, a local
 // time. If the timer fired late, this node is overloaded and the reply may have
 // arrived, so it waits once more.
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -80,7 +80,7 @@
 		Lasting:  serving,
 		Usable:   h.usable(),
 		Cordoned: now.Before(h.cordonedUntil),
-		State:    h.state(now),
+		State:    c.hostState(h, now),
 	}
 }
 
--- a/sched/run.go
+++ b/sched/run.go
@@ -43,6 +43,8 @@
 	number    int
 	resources tasks.Resources
 	state     runState
+	// recordTime is that of the host's record when the run was assigned.
+	recordTime time.Duration
 	// settledAt is a reading of the host's clock, see runSettled.
 	settledAt time.Duration
 	// startedBy is a local time by which the run had started: when its start was
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -167,7 +167,7 @@
 func (c *Cell) candidates(now time.Time) []*place.Host {
 	var hosts []*place.Host
 	for _, h := range c.hosts {
-		if h.usable() && !now.Before(h.backoffUntil) && !now.Before(h.cordonedUntil) {
+		if h.usable() && !now.Before(h.backoffUntil) && !now.Before(h.cordonedUntil) && c.hasRecentRecord(h) {
 			hosts = append(hosts, c.candidate(h, now))
 		}
 	}
--- a/sched/view.go
+++ b/sched/view.go
@@ -167,7 +167,7 @@
 		return "no usable host has the label " + reqs.Step.Label
 	}
 	if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.Capacity.CanFit(reqs.Step.RequiredResources()) }) {
-		return "a task is larger than any host"
+		return "a task is larger than any host at present"
 	}
 	if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.Free.CanFit(reqs.Step.RequiredResources()) }) {
 		return "no host has room for a task"
@@ -194,8 +194,8 @@
 	return pool, nil
 }
 
-// state returns "usable" or the reason why no runs are assigned to the host.
-func (h *host) state(now time.Time) string {
+// hostState returns "usable" or the reason why no runs are assigned to the host.
+func (c *Cell) hostState(h *host, now time.Time) string {
 	switch {
 	case !h.inPool:
 		return "its entry is gone"
@@ -209,6 +209,8 @@
 		return "cordoned"
 	case now.Before(h.backoffUntil):
 		return "refused an order a moment ago"
+	case !c.hasRecentRecord(h):
+		return "its entry is out of date"
 	case h.history.recentFailures(now) > 0:
 		return "usable; runs failed or stood still there"
 	default:
