pool: a record after silence is a change

Cause: cells learned of a record that differs in nothing but its age at their next look, up to 500 ms later; after an outage, hosts stay without new runs for as long.

Change: the first read after an outage, and the first record of a host after 2.5 s of silence, count as a change.

Result: TestRecordAfterSilenceIsAChange fails without it.

--- a/pool/watch.go
+++ b/pool/watch.go
@@ -23,6 +23,9 @@
 	// outageThreshold is the time without a successful read after which records
 	// may have expired because of an outage of the store.
 	outageThreshold = time.Second
+	// silenceThreshold is the time between two records of a host after which the second
+	// counts as a change: the host may have counted as gone silent.
+	silenceThreshold = 2500 * time.Millisecond
 )
 
 // Reader reads host records from the store.
@@ -119,8 +122,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.recordRead()
-	changed := false
+	changed := w.recordRead()
 	for _, record := range batch.Records {
 		changed = w.apply(record) || changed
 	}
@@ -160,18 +162,20 @@
 	return nil
 }
 
-// recordRead records a successful read. During an outage of the store, the
-// records of live hosts may have expired, so the grace period of missing records
-// restarts after it.
-func (w *Watcher) recordRead() {
+// recordRead records a successful read and reports whether it is the first after an
+// outage. During an outage of the store, the records of live hosts may have expired, so
+// the grace period of missing records restarts after it.
+func (w *Watcher) recordRead() (afterOutage bool) {
 	now := time.Now()
-	if !w.view.ReadAt.IsZero() && now.Sub(w.view.ReadAt) > outageThreshold {
+	afterOutage = !w.view.ReadAt.IsZero() && now.Sub(w.view.ReadAt) > outageThreshold
+	if afterOutage {
 		w.logger.Info("host records can be read again", "after", now.Sub(w.view.ReadAt).Round(time.Millisecond))
 		for id := range w.missingSince {
 			w.missingSince[id] = now
 		}
 	}
 	w.view.ReadAt = now
+	return afterOutage
 }
 
 func (w *Watcher) notify(changed bool) {
@@ -205,7 +209,7 @@
 		host.WrittenAfter = previous.WrittenAfter
 	}
 	w.view.Hosts[record.Key] = host
-	return previous == nil || !equalHosts(previous, host)
+	return previous == nil || !equalHosts(previous, host) || host.WrittenAfter-previous.WrittenAfter > silenceThreshold
 }
 
 func equalHosts(a, b *Host) bool {
--- a/pool/watch_test.go
+++ b/pool/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -82,3 +83,51 @@
 		}
 	}
 }
+
+// TestRecordAfterSilenceIsAChange checks that an unchanged record counts as a change if
+// the one before is old, or reads have failed for long, and only then.
+func TestRecordAfterSilenceIsAChange(t *testing.T) {
+	synctest.Test(t, testRecordAfterSilence)
+}
+
+func testRecordAfterSilence(t *testing.T) {
+	reader := &fakeReader{limit: 10}
+	now := time.Second
+	decode := func(id string, _ []byte) (*pool.Host, error) { return &pool.Host{ID: id}, nil }
+	watcher := pool.NewWatcher(reader, "hosts", decode, nil, func() time.Duration { return now }, logr.Discard())
+	refresh := func() bool {
+		changed := watcher.Changed()
+		if err := watcher.Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	reader.write("a")
+	refresh()
+	for _, test := range []struct {
+		silence time.Duration
+		want    bool
+	}{{1500 * time.Millisecond, false}, {1500 * time.Millisecond, false}, {4 * time.Second, true}, {1500 * time.Millisecond, false}} {
+		// Reads go on while the host writes nothing.
+		for range int(test.silence / (300 * time.Millisecond)) {
+			now += 300 * time.Millisecond
+			time.Sleep(300 * time.Millisecond)
+			if refresh() {
+				t.Error("got a change without a record, want none")
+			}
+		}
+		reader.write("a")
+		if got := refresh(); got != test.want {
+			t.Errorf("got change %v for a record after %v, want %v", got, test.silence, test.want)
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if !refresh() {
+		t.Error("got no change at the first read after 1.5 s without one, want one")
+	}
+}
