alloc: a test that a pool of shrunken hosts grows

Moves are planned by the machines' capacity, which may be more than the hosts have left. A pool whose hosts are full by what they have left still gets a machine while tasks wait. The test passed at once; no change.

--- a/alloc/plan_test.go
+++ b/alloc/plan_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// TestShrunkenPoolGrows checks that a pool whose hosts have shrunk to a quarter, and are
+// full, gets a machine for its waiting tasks: by the capacity of its machines it would
+// have enough.
+func TestShrunkenPoolGrows(t *testing.T) {
+	shrunken, spare := testPool("shrunken", 4, 0), testPool("spare", 2, 2)
+	shrunken.Used, shrunken.Waiting = tasks.Resources{CPU: testCPU}, tasks.Resources{CPU: testCPU / 10}
+	shrunken.ForecastCPU = shrunken.Used.CPU + shrunken.Waiting.CPU
+	spare.Standby = true
+	want := []Move{{"spare0", "spare", "shrunken"}}
+	if got := Plan([]Pool{shrunken, spare}, 10); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // TestPlanInvariants checks for generated pools that no pool releases a busy
 // host, falls below its required hosts or grows beyond them, and that planning
 // all moves at once yields as many moves as planning them one by one.
