sink: the rate limit and the count of dropped lines are per message and reason

Change: each value of `why` has a limit of its own, at most 16 of them for a message at a time; all more share one, since some are texts of errors. Reasons that are not in use make room. `log lines dropped` has the reason. A message writes at most 17 times the limit in a second.

Result: TestRateLimitPerReason and TestDistinctReasonsAreBounded fail on the code before (the one line of the rare reason behind 3,000 others is lost: got 0, want 1) and pass after; ./sink passes 3 times with -race.

--- a/sink/writer.go
+++ b/sink/writer.go
@@ -44,7 +44,7 @@
 		lines:   make(chan []byte, maxQueuedLines),
 		closed:  make(chan struct{}),
 		done:    make(chan struct{}),
-		limiter: rateLimiter{counts: make(map[string]*lineCount)},
+		limiter: newRateLimiter(),
 	}
 	w.textHandler = slog.NewTextHandler(w, nil)
 	go w.run()
@@ -115,7 +115,7 @@
 func (w *Writer) reportDropped() {
 	logger := slog.New(w.textHandler)
 	for _, d := range w.limiter.takeDropped() {
-		logger.Warn("log lines dropped", "kind", d.message, "count", d.count, "why", "rate limit exceeded")
+		logger.Warn("log lines dropped", "kind", d.message, "count", d.count, "reason", d.reason, "why", "rate limit exceeded")
 	}
 	if dropped := w.dropped.Swap(0); dropped > 0 {
 		logger.Warn("log lines dropped", "count", dropped, "why", "output too slow")
--- a/sink/writer_test.go
+++ b/sink/writer_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 )
 
@@ -57,6 +58,69 @@
 	})
 }
 
+// logLost logs a line as for a lost run.
+func logLost(logger logr.Logger, why string, number int) {
+	logger.Info("run lost", "run", number, "why", why)
+}
+
+// TestRateLimitPerReason checks that a line with a rare reason is written although the
+// same message with a common reason exceeds its rate, and that dropped lines are
+// reported by reason.
+func TestRateLimitPerReason(t *testing.T) {
+	const common, rare = "the address belongs to another host", "the host no longer has it"
+	synctest.Test(t, func(t *testing.T) {
+		var out syncBuffer
+		w := New(&out)
+		logger := w.Logger("n1")
+		for i := range 3000 {
+			logLost(logger, common, i)
+		}
+		logLost(logger, rare, 3000)
+		time.Sleep(reportInterval + 500*time.Millisecond)
+		w.Close()
+		for why, want := range map[string]int{common: messageRate, rare: 1} {
+			if got := strings.Count(out.String(), fmt.Sprintf("why=%q", why)); got != want {
+				t.Errorf("got %d lines with why=%q, want %d", got, why, want)
+			}
+		}
+		if want := fmt.Sprintf(`kind="run lost" count=%d reason=%q why="rate limit exceeded"`, 3000-messageRate, common); !strings.Contains(out.String(), want) {
+			t.Errorf("got no line with %s, want one", want)
+		}
+	})
+}
+
+// TestDistinctReasonsAreBounded checks that a message whose lines all have different
+// reasons, such as errors, stays within its rates, that the dropped lines are all
+// counted, and that a common reason has a limit of its own again in the next second.
+func TestDistinctReasonsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out syncBuffer
+		w := New(&out)
+		logger := w.Logger("n1")
+		for i := range 3000 {
+			logLost(logger, fmt.Sprintf("error %d", i), i)
+		}
+		if got := len(w.limiter.messages["run lost"].reasons); got > maxReasons {
+			t.Errorf("got the counts of %d reasons, want at most %d", got, maxReasons)
+		}
+		time.Sleep(reportInterval + 500*time.Millisecond)
+		if got, want := strings.Count(out.String(), `msg="run lost"`), maxReasons+messageRate; got != want {
+			t.Errorf("got %d lines with different reasons, want %d", got, want)
+		}
+		if want := fmt.Sprintf(`count=%d reason=%q`, 3000-maxReasons-messageRate, otherReasons); !strings.Contains(out.String(), want) {
+			t.Errorf("got no line with %s, want one", want)
+		}
+		for i := range messageRate {
+			logLost(logger, "the lease has expired", i)
+			logLost(logger, fmt.Sprintf("another error %d", i), i)
+		}
+		w.Close()
+		if got := strings.Count(out.String(), `why="the lease has expired"`); got != messageRate {
+			t.Errorf("got %d lines of the common reason, want %d", got, messageRate)
+		}
+	})
+}
+
 // TestLoggingDoesNotBlock logs to a pipe without a reader. Calls must not block, an
 // error must be kept when the queue has no space for other lines, and the dropped
 // lines must be reported once the pipe is read.
