lease: a reply processed after a later one is no restart of the host

Cause: the lower bound of a host's clock at a time before its last reading was computed with the lowest rate of clocks, where the highest is the bound. A reply to a call sent more than 100 ms before the last reading counted as a restart: `host restarted` in the log, all runs of the host unverified, one fencing token used up. Tokens stand still after 999 of them, so that a true restart would no longer fence off earlier commands.

Change: MaxClockRate bounds the clock of the past. The scene also requires that its host did not restart.

--- a/lease/clock.go
+++ b/lease/clock.go
@@ -2,8 +2,11 @@
 
 import "time"
 
-// MinClockRate is the lowest rate of a host's clock relative to real time.
-const MinClockRate = 0.98
+// MinClockRate and MaxClockRate bound the rate of a host's clock relative to real time.
+const (
+	MinClockRate = 0.98
+	MaxClockRate = 1.02
+)
 
 // Clock estimates a host's clock from its replies. Local times are readings of a
 // monotonic clock that keeps running while this machine is suspended.
@@ -68,9 +71,14 @@
 	return max(0, time.Duration(float64(elapsed)/MinClockRate))
 }
 
-// minHostTime returns a lower bound of the host's clock.
+// minHostTime returns a lower bound of the host's clock at a local time, which may be
+// before the last reading.
 func (c *Clock) minHostTime(now time.Duration) time.Duration {
-	return c.hostTime + time.Duration(float64(now-c.localTime)*MinClockRate)
+	rate := MinClockRate
+	if now < c.localTime {
+		rate = MaxClockRate
+	}
+	return c.hostTime + time.Duration(float64(now-c.localTime)*rate)
 }
 
 // Remaining returns how long until all granted leases have certainly expired, or
--- a/sched/report_test.go
+++ b/sched/report_test.go
@@ -69,6 +69,11 @@
 		if got := tc.checker.Starts(); got != 3 {
 			t.Errorf("got %d starts, want 3", got)
 		}
+		n.cell.mu.Lock()
+		defer n.cell.mu.Unlock()
+		if got := n.cell.hosts["h0"].restarts; got != 0 {
+			t.Errorf("got %d restarts of the host, want 0: the older report would count for nothing in any case", got)
+		}
 	})
 }
 
