tasks: the rounds in progress of a job are bounded

Cause: all rounds that are due started at once. A caller's job of 4,096 tasks with "repeats": and no interval let the owner allocate until the process was gone, and then each node that took the cell over.

Change: a further round starts only while the rounds in progress have at most 16,384 tasks together; one always starts. The others follow as rounds end.

Result: TestRoundsInProgressAreBounded fails before (33,000 tasks in progress) and passes after.

--- a/tasks/job.go
+++ b/tasks/job.go
@@ -266,12 +266,31 @@
 	return j.DueTime(j.NextRound), true
 }
 
-// StartDueRounds starts the rounds that are due and reports whether there were any.
+// maxTasksInProgress limits the tasks of the rounds in progress of a job, so that one
+// with many rounds due at once can't use up the memory. One round always starts.
+const maxTasksInProgress = 16384
+
+// taskCount returns the number of tasks of a round.
+func (j *Job) taskCount() int {
+	count := 0
+	for i := range j.Plan.Steps {
+		count += j.Plan.Steps[i].Count
+	}
+	return count
+}
+
+// canStartRound reports whether one more round in progress is within the limit.
+func (j *Job) canStartRound() bool {
+	return len(j.Rounds) == 0 || (len(j.Rounds)+1)*j.taskCount() <= maxTasksInProgress
+}
+
+// StartDueRounds starts the rounds that are due, as far as the limit allows, and
+// reports whether it started any.
 func (j *Job) StartDueRounds(now time.Time) bool {
 	started := false
 	for {
 		due, more := j.nextDueTime()
-		if !more || due.After(now) {
+		if !more || due.After(now) || !j.canStartRound() {
 			return started
 		}
 		round := &Round{Number: j.NextRound, Steps: make([][]Task, len(j.Plan.Steps))}
--- a/tasks/runs_test.go
+++ b/tasks/runs_test.go
@@ -191,6 +191,30 @@
 	}
 }
 
+// TestRoundsInProgressAreBounded checks that a job with many rounds due at once starts
+// no more than its limit of tasks, starts the others as rounds end, and completes.
+func TestRoundsInProgressAreBounded(t *testing.T) {
+	const tasksPerRound = 1000
+	const rounds = 2*maxTasksInProgress/tasksPerRound + 1
+	plan := Plan{Steps: []Step{{Count: tasksPerRound}}, Repeats: rounds, First: testTime}
+	job := NewJob(Key{ID: "job"}, plan, Policy{MaxAttempts: 1}, testTime)
+	for range rounds + 1 {
+		job.StartDueRounds(testTime)
+		if job.Phase != Open {
+			break
+		}
+		if got := len(job.Rounds) * tasksPerRound; got == 0 || got > maxTasksInProgress {
+			t.Fatalf("got %d tasks in progress, want 1 to %d", got, maxTasksInProgress)
+		}
+		for i := range tasksPerRound {
+			runTask(job, ID{Job: "job", Round: job.Rounds[0].Number, Index: i}, EndDone)
+		}
+	}
+	if job.Phase != Completed {
+		t.Errorf("got phase %v with %d rounds started, want %v", job.Phase, job.NextRound, Completed)
+	}
+}
+
 // modelTask is the reference model of one task.
 type modelTask struct {
 	runs, failed, crashes int
