tasks, owner: a value that is not known has a text, below zero too

Cause: the texts of phases, states, ends and outcomes panicked for a negative value, which a record of the store or the reply of another node may hold.

Change: these have the text of other unknown values.

--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -40,7 +40,7 @@
 // String returns the name of the outcome for logs.
 func (o Outcome) String() string {
 	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded"}
-	if int(o) >= len(names) {
+	if o < 0 || int(o) >= len(names) {
 		return "invalid"
 	}
 	return names[o]
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -134,7 +134,7 @@
 // String returns the phase as it is written to logs.
 func (p Phase) String() string {
 	names := []string{"open", "completed", "failed", "cancelled"}
-	if int(p) >= len(names) {
+	if p < 0 || int(p) >= len(names) {
 		return "unknown"
 	}
 	return names[p]
@@ -160,7 +160,7 @@
 // String returns the state as it is written to logs.
 func (s State) String() string {
 	names := []string{"waiting", "starting", "running", "done", "abandoned"}
-	if int(s) >= len(names) {
+	if s < 0 || int(s) >= len(names) {
 		return "unknown"
 	}
 	return names[s]
--- a/tasks/runs.go
+++ b/tasks/runs.go
@@ -33,7 +33,7 @@
 // String returns the reason as it is written to logs.
 func (r EndReason) String() string {
 	names := []string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "crashed"}
-	if int(r) >= len(names) {
+	if r < 0 || int(r) >= len(names) {
 		return "unknown"
 	}
 	return names[r]
--- a/tasks/runs_test.go
+++ b/tasks/runs_test.go
@@ -215,6 +215,18 @@
 	}
 }
 
+// TestUnknownStatesHaveNames checks that a phase, state or reason that isn't known,
+// such as one of another version, has a text.
+func TestUnknownStatesHaveNames(t *testing.T) {
+	for _, value := range []int{-1, 100} {
+		for _, got := range []string{Phase(value).String(), State(value).String(), EndReason(value).String()} {
+			if want := "unknown"; got != want {
+				t.Errorf("got %q for value %d, want %q", got, value, want)
+			}
+		}
+	}
+}
+
 // modelTask is the reference model of one task.
 type modelTask struct {
 	runs, failed, crashes int
