tasks, owner: a plan that can't be run is an error, in records and in calls

Cause: only the bodies of callers were checked. The record of a job, or a call of another node, with a negative count, a count too large, a dependency out of range or a task with a negative index made the node panic (net/rpc doesn't recover, and each node that takes the cell over reads the record again); one without steps and many repeats let it allocate without end.

Change: Plan.CheckSteps is called for the records of jobs, of which a bad one is logged and skipped, and for Submit. A job that was only cancelled has no steps.

--- a/owner/service.go
+++ b/owner/service.go
@@ -32,8 +32,12 @@
 	return nil
 }
 
-// Submit submits a job.
+// Submit submits a job. A plan that can't be run is an error: it may come from a node
+// of another version.
 func (s *Service) Submit(request *Request, response *Response) error {
+	if err := request.Plan.CheckSteps(); err != nil {
+		return err
+	}
 	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) error {
 		return c.Submit(ctx, request.Key, request.Plan, request.Policy)
 	})
--- /dev/null
+++ b/owner/service_test.go
@@ -0,0 +1,94 @@
+package owner
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"rattanpath/fake"
+	"rattanpath/sched"
+	"rattanpath/tasks"
+)
+
+const testService = "s"
+
+// newTestService returns the RPC service of a node that has claimed one cell, which
+// doesn't run.
+func newTestService(t *testing.T) *Service {
+	t.Helper()
+	start := time.Now()
+	cell, err := sched.Claim(t.Context(), sched.Options{
+		Service:    testService,
+		Node:       "n",
+		Journal:    fake.NewStore().Client("n"),
+		HostClient: fake.NewHostClient(nil, nil),
+		Clock:      func() time.Duration { return time.Since(start) },
+		MaxLease:   time.Second,
+		BatchBytes: 1 << 20,
+		Link:       sched.NewLink(0),
+		Logger:     logr.Discard(),
+		Metrics:    sched.NewMetrics(metrics.NewSet()),
+	}, "nonce")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewService(&Supervisor{runners: map[string]*cellRunner{testService: {cell: cell}}})
+}
+
+func submitRequest(steps ...tasks.Step) Request {
+	return Request{Service: testService, Key: tasks.Key{Queue: "q/", ID: "job"}, Plan: tasks.Plan{Steps: steps}, Timeout: minTimeout}
+}
+
+// TestSubmitRejectsInvalidPlans checks that a plan that can't be run is an error, and
+// that the node and its cell go on.
+func TestSubmitRejectsInvalidPlans(t *testing.T) {
+	for _, steps := range [][]tasks.Step{
+		nil,
+		{{Count: -1}},
+		{{Count: 1 << 50}},
+		{{Count: 1, After: []int{0}}},
+		{{Count: 1}, {Count: 1, After: []int{-1}}},
+		{{Count: 1, After: []int{1}}, {Count: 1, After: []int{0}}},
+	} {
+		service := newTestService(t)
+		request, response := submitRequest(steps...), Response{}
+		if err := service.Submit(&request, &response); err == nil {
+			t.Errorf("got outcome %v for steps %v, want an error", response.Outcome, steps)
+		}
+		if err := service.Jobs(&request, &response); err != nil || len(response.Jobs) != 0 {
+			t.Errorf("got jobs %v, error %v after an invalid plan, want none", response.Jobs, err)
+		}
+	}
+}
+
+// FuzzService checks that no request of another node makes a method panic, nor a
+// response its String method.
+func FuzzService(f *testing.F) {
+	var data bytes.Buffer
+	if err := gob.NewEncoder(&data).Encode(submitRequest(tasks.Step{Count: 1})); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data.Bytes())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var response Response
+		if gob.NewDecoder(bytes.NewReader(data)).Decode(&response) == nil {
+			_ = response.Outcome.String() + response.Status.Phase.String()
+		}
+		var request Request
+		if gob.NewDecoder(bytes.NewReader(data)).Decode(&request) != nil {
+			return
+		}
+		service := newTestService(t)
+		request.Service, request.Timeout = testService, minTimeout
+		for _, method := range []func(*Request, *Response) error{
+			service.Submit, service.Jobs, service.Explain, service.Report, service.Pool, service.Pending,
+			service.Cordon, service.Retire, service.Status, service.Cancel,
+		} {
+			_ = method(&request, &Response{})
+		}
+	})
+}
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -1,6 +1,10 @@
 package tasks
 
-import "time"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // Key identifies a job.
 type Key struct {
@@ -97,6 +101,34 @@
 	Every time.Duration `json:",omitempty"`
 }
 
+// MaxTasks is the maximum number of tasks of a round.
+const MaxTasks = 4096
+
+// CheckSteps returns an error if a step can't be run: one without tasks or one that
+// depends on itself or a later one, or if there are no steps or too many tasks.
+func (p *Plan) CheckSteps() error {
+	if len(p.Steps) == 0 {
+		return errors.New("the job has no steps")
+	}
+	total := 0
+	for i := range p.Steps {
+		step := &p.Steps[i]
+		if step.Count <= 0 {
+			return errors.Errorf("step %d has a count of %d; it must be above 0", i, step.Count)
+		}
+		if step.Count > MaxTasks-total {
+			return errors.Errorf("the job has more than %d tasks", MaxTasks)
+		}
+		total += step.Count
+		for _, dependency := range step.After {
+			if dependency < 0 || dependency >= i {
+				return errors.Errorf("step %d depends on step %d, which isn't an earlier one", i, dependency)
+			}
+		}
+	}
+	return nil
+}
+
 // Policy is the configuration of the job's queue.
 type Policy struct {
 	Service string
@@ -306,13 +338,18 @@
 // Task returns the task with the given ID, or nil if its round isn't in progress.
 func (j *Job) Task(id ID) *Task {
 	for _, round := range j.Rounds {
-		if round.Number == id.Round && id.Step < len(round.Steps) && id.Index < len(round.Steps[id.Step]) {
+		if round.Number == id.Round && round.has(id) {
 			return &round.Steps[id.Step][id.Index]
 		}
 	}
 	return nil
 }
 
+// has reports whether the round has a task with the step and index of the ID.
+func (r *Round) has(id ID) bool {
+	return id.Step >= 0 && id.Step < len(r.Steps) && id.Index >= 0 && id.Index < len(r.Steps[id.Step])
+}
+
 // StepTasks returns all tasks of the same step and round as the given task, or nil
 // if the round isn't in progress.
 func (j *Job) StepTasks(id ID) []Task {
--- a/tasks/record.go
+++ b/tasks/record.go
@@ -89,6 +89,10 @@
 	if err := json.Unmarshal(definition, &d); err != nil {
 		return nil, errors.Wrap(err, "decoding the definition of a job")
 	}
+	onlyCancelled := d.PreCancelled && len(d.Plan.Steps) == 0
+	if err := d.Plan.CheckSteps(); err != nil && !onlyCancelled {
+		return nil, errors.Wrapf(err, "the definition of job %s", d.Key.ID)
+	}
 	job := &Job{Key: d.Key, Plan: d.Plan, Policy: d.Policy, Accepted: d.Accepted, PreCancelled: d.PreCancelled}
 	if progressData == nil {
 		return job, nil
