tasks, place: the CPU time of jobs doesn't overflow

Cause: count, CPU and estimate of a step were multiplied as integers. One job that asks for more than there is anywhere made the backlog of its whole service negative, and with it the order of placement and the demand of the pool wrong.

Change: the CPU time of a job is limited, and the sums over jobs are floats.

--- a/place/order.go
+++ b/place/order.go
@@ -41,21 +41,21 @@
 // pool keeps up if it can work off the backlog within the mean slack of the jobs that
 // have not begun. Late jobs count as well: while some wait, it does not.
 func ChooseOrder(jobs []*Urgency, capacity int64) Order {
-	var backlog int64
-	var slack time.Duration
+	// Sums of what callers ask for may exceed an int64.
+	var backlog, slack float64
 	count := 0
 	for _, job := range jobs {
-		backlog += job.Backlog
+		backlog += float64(job.Backlog)
 		if !job.Begun {
-			slack += job.LatestStart.Sub(job.Accepted)
+			slack += float64(job.LatestStart.Sub(job.Accepted))
 			count++
 		}
 	}
 	if count == 0 || capacity <= 0 {
 		return EarliestFirst
 	}
-	drain := time.Duration(backlog/capacity) * time.Millisecond
-	if drain > slack/time.Duration(count) {
+	drain := backlog / float64(capacity) * float64(time.Millisecond)
+	if drain > slack/float64(count) {
 		return NewestFirst
 	}
 	return EarliestFirst
--- a/place/order_test.go
+++ b/place/order_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -46,6 +47,21 @@
 	}
 }
 
+// TestChooseOrderOfHugeBacklog checks that jobs whose CPU time is beyond all bounds count
+// as more than a pool can work off.
+func TestChooseOrderOfHugeBacklog(t *testing.T) {
+	now := time.Now()
+	var jobs []*Urgency
+	for range 3 {
+		jobs = append(jobs, &Urgency{Accepted: now, LatestStart: now.Add(time.Second), Backlog: math.MaxInt64})
+	}
+	for _, capacity := range []int64{1, 8000} {
+		if got := ChooseOrder(jobs, capacity); got != NewestFirst {
+			t.Errorf("got order %v for a capacity of %d, want %v", got, capacity, NewestFirst)
+		}
+	}
+}
+
 // TestCompareIsConsistent checks on generated jobs that both orders are strict weak
 // orders, which sorting requires.
 func TestCompareIsConsistent(t *testing.T) {
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -419,12 +419,22 @@
 	var total int64
 	for i := range j.Plan.Steps {
 		if step := &j.Plan.Steps[i]; !step.Lasting {
-			total += int64(step.Count) * step.Room.CPU * perTask.Milliseconds()
+			total = min(total+step.cpuTime(step.Count, perTask), maxCPUTime)
 		}
 	}
 	return total
 }
 
+// maxCPUTime limits the CPU time of a job, in millicore-milliseconds, so that sums of
+// two don't overflow.
+const maxCPUTime = 1 << 60
+
+// cpuTime returns the CPU time of a number of tasks of the step.
+func (s *Step) cpuTime(count int, perTask time.Duration) int64 {
+	product := float64(count) * float64(s.Room.CPU) * float64(perTask.Milliseconds())
+	return int64(min(product, maxCPUTime))
+}
+
 // UnassignedTasks returns the number of tasks that wait for a host or for other tasks,
 // in the rounds in progress or, before the first, in one round.
 func (j *Job) UnassignedTasks() int {
@@ -449,7 +459,7 @@
 			begun = begun || count < len(round.Steps[step])
 			if count > 0 && j.DependenciesDone(round, step) {
 				spec := &j.Plan.Steps[step]
-				waiting += int64(count) * spec.Room.CPU * max(1, spec.Estimate.Milliseconds())
+				waiting = min(waiting+spec.cpuTime(count, max(time.Millisecond, spec.Estimate)), maxCPUTime)
 			}
 		}
 	}
