--- a/tasks/job.go
+++ b/tasks/job.go
@@ -101,8 +101,8 @@
 	Every time.Duration `json:",omitempty"`
 }
 
-// MaxTasks is the maximum number of tasks of a round.
-const MaxTasks = 4096
+// maxTasks is the maximum number of tasks of a round.
+const maxTasks = 4096
 
 // CheckSteps returns an error if a step can't be run: one without tasks or one that
 // depends on itself or a later one, or if there are no steps or too many tasks.
@@ -116,8 +116,8 @@
 		if step.Count <= 0 {
 			return errors.Errorf("step %d has a count of %d; it must be above 0", i, step.Count)
 		}
-		if step.Count > MaxTasks-total {
-			return errors.Errorf("the job has more than %d tasks", MaxTasks)
+		if step.Count > maxTasks-total {
+			return errors.Errorf("the job has more than %d tasks", maxTasks)
 		}
 		total += step.Count
 		for _, dependency := range step.After {
