--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -215,7 +215,7 @@
 
 func (e *Exchanger) applyResponse(response *Response) error {
 	if len(response.Hosts) > 0 {
-		e.rosterCache.UpdateFromPeer(response.Hosts, time.Now().Add(-response.HostsAge))
+		e.rosterCache.UpdateFromPeer(response.Hosts, time.Now().Add(-max(0, response.HostsAge)))
 	}
 	if len(response.Entries) > 0 {
 		return e.replica.ApplyEntries(response.Entries)
