tasks, place, sched: a gang is not isolated

Callers of a gang would have waited for ever: after a host had crashed under some of its members, each of them needed a host without fresh runs for itself, and there are seldom as many hosts as members. Found by review. Change: only tasks that start one by one are isolated. The crashes of members count as before, and the job fails whichever member is to blame; what shares a host with a gang that crashes hosts is isolated itself afterwards. Evidence: TestGangSurvivesCrashOfItsHosts fails before with 1, 2 and 6 hosts; TestCrashingTaskIsGivenUp/gang passes as before.

--- a/fake/runner_faults.go
+++ b/fake/runner_faults.go
@@ -52,6 +52,15 @@
 	r.down = true
 }
 
+// BreakGangs ends all runs of the host, as if other members of their gangs had ended.
+func (r *Runner) BreakGangs() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.runs {
+		r.endRun(run, tasks.EndGangBroken)
+	}
+}
+
 const (
 	// crashDelay is the time from the start of a run that crashes its host to the crash.
 	crashDelay = 10 * time.Millisecond
--- a/place/gang.go
+++ b/place/gang.go
@@ -1,47 +1,25 @@
 package place
 
-import (
-	"maps"
-	"slices"
-)
+import "maps"
 
-// PickAll returns a host for each of several tasks of a step that start together, or nil.
-// It leaves the hosts and the counts of siblings as they are.
-func PickAll(reqs []Requirements, hosts []*Host) []*Host {
-	if len(reqs) == 0 {
-		return nil
-	}
-	siblings := maps.Clone(reqs[0].SiblingsByHost)
-	trial := make([]Host, len(hosts))
-	candidates := make([]*Host, len(hosts))
-	for i, h := range hosts {
-		trial[i] = *h
-		candidates[i] = &trial[i]
-	}
-	picked := make([]*Host, len(reqs))
-	for _, i := range isolatedFirst(reqs) {
-		req := reqs[i]
-		req.SiblingsByHost = siblings
-		h := Pick(req, candidates)
+// PickAll returns hosts for count identical tasks that start together, or nil. It leaves the
+// hosts and the counts of siblings as they are.
+func PickAll(req Requirements, count int, hosts []*Host) []*Host {
+	var picked []*Host
+	defer func() {
+		for _, h := range picked {
+			h.Free = h.Free.Add(req.Step.RequiredResources())
+		}
+	}()
+	req.SiblingsByHost = maps.Clone(req.SiblingsByHost)
+	for range count {
+		h := Pick(req, hosts)
 		if h == nil {
 			return nil
 		}
-		h.Place(req)
-		siblings[h.ID]++
-		picked[i] = hosts[slices.Index(candidates, h)]
+		h.Free = h.Free.Sub(req.Step.RequiredResources())
+		req.SiblingsByHost[h.ID]++
+		picked = append(picked, h)
 	}
 	return picked
 }
-
-// isolatedFirst returns the indexes of tasks, those that need isolation first.
-func isolatedFirst(reqs []Requirements) []int {
-	var isolated, others []int
-	for i := range reqs {
-		if reqs[i].Isolated {
-			isolated = append(isolated, i)
-		} else {
-			others = append(others, i)
-		}
-	}
-	return append(isolated, others...)
-}
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -168,3 +168,29 @@
 		tc.wantPhase(n, "serving", tasks.Open)
 	})
 }
+
+// TestGangSurvivesCrashOfItsHosts guards against a gang that waits for ever after a host
+// crashed under it: there aren't as many hosts as members that would have to be alone.
+func TestGangSurvivesCrashOfItsHosts(t *testing.T) {
+	for _, hosts := range []int{1, 2, 6} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			runCluster(t, hosts, func(tc *testCluster) {
+				tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 5 * time.Second} }
+				n := tc.claim("a")
+				time.Sleep(100 * time.Millisecond)
+				if err := tc.submit(n, "gang", gangPlan(5*hosts, 1000)); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(50 * time.Millisecond)
+				runner := tc.runners[n.hostOf("gang", 0)]
+				runner.Crash()
+				time.AfterFunc(time.Second, runner.Restart)
+				for _, other := range tc.runners {
+					other.BreakGangs()
+				}
+				time.Sleep(30 * time.Second)
+				tc.wantPhase(n, "gang", tasks.Completed)
+			})
+		})
+	}
+}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -83,13 +83,9 @@
 	if round.Waiting(step) < len(round.Steps[step]) || p.cell.startQueueFull() {
 		return
 	}
-	reqs := p.cell.requirements(e, round, step, p.now)
-	var members []place.Requirements
-	for index := range round.Steps[step] {
-		members = append(members, ofTask(reqs, e, &round.Steps[step][index]))
-	}
-	for index, h := range p.pickGang(&e.job.Plan.Steps[step], members) {
-		h.Place(members[index])
+	reqs := ofTask(p.cell.requirements(e, round, step, p.now), e, &round.Steps[step][0])
+	for index, h := range p.pickGang(reqs, len(round.Steps[step])) {
+		h.Place(reqs)
 		p.assign(e, round, step, index, h)
 	}
 }
@@ -113,7 +109,7 @@
 func ofTask(reqs place.Requirements, e *jobEntry, task *tasks.Task) place.Requirements {
 	reqs.AvoidHost = task.AvoidHost
 	reqs.LastAttempt = task.Failures+1 >= e.job.Policy.MaxAttempts
-	reqs.Isolated = task.NeedsIsolation()
+	reqs.Isolated = reqs.Step.Isolates(task)
 	return reqs
 }
 
@@ -130,9 +126,9 @@
 
 // pickGang returns a host for each member, or nil. A rack-bound gang goes to a
 // single rack if one has the capacity.
-func (p *schedulePass) pickGang(step *tasks.Step, members []place.Requirements) []*place.Host {
+func (p *schedulePass) pickGang(reqs place.Requirements, count int) []*place.Host {
 	racks := []string{""}
-	if step.RackBound {
+	if reqs.Step.RackBound {
 		racks = append(racksOf(p.hosts), "")
 	}
 	for _, rack := range racks {
@@ -140,7 +136,7 @@
 		if rack != "" {
 			candidates = slices.DeleteFunc(slices.Clone(p.hosts), func(h *place.Host) bool { return h.Rack != rack })
 		}
-		if picked := place.PickAll(members, candidates); picked != nil {
+		if picked := place.PickAll(reqs, count, candidates); picked != nil {
 			return picked
 		}
 	}
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -75,7 +75,7 @@
 	var isolated []place.Requirements
 	reqs := c.requirements(e, round, step, now)
 	for index := range round.Steps[step] {
-		if task := &round.Steps[step][index]; task.State == tasks.Waiting && task.NeedsIsolation() {
+		if task := &round.Steps[step][index]; task.State == tasks.Waiting && reqs.Step.Isolates(task) {
 			isolated = append(isolated, ofTask(reqs, e, task))
 		}
 	}
@@ -197,7 +197,7 @@
 		}
 		if freshFor > 0 && r.entry.job.Crashed {
 			task := r.entry.job.Task(r.id)
-			candidate.Reserved = candidate.Reserved || task != nil && task.NeedsIsolation()
+			candidate.Reserved = candidate.Reserved || task != nil && r.entry.job.Step(r.id).Isolates(task)
 		}
 		step := r.entry.job.Step(r.id)
 		if step.Fills {
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -90,6 +90,11 @@
 	return s.Room
 }
 
+// Isolates reports whether a task of the step must be started alone, so that a further crash
+// can be put down to it. A gang isn't isolated: its members start together, and its job fails
+// whichever of them is to blame.
+func (s *Step) Isolates(task *Task) bool { return task.Crashes > 0 && !s.Gang }
+
 // Plan is a job as the caller submits it.
 type Plan struct {
 	Spec  string
@@ -228,10 +233,6 @@
 // it is given up.
 const maxCrashes = 4
 
-// NeedsIsolation reports whether a host has crashed under the task, which is then started
-// only where a further crash can be put down to it.
-func (t *Task) NeedsIsolation() bool { return t.Crashes > 0 }
-
 // CrashesHosts reports whether so many hosts have crashed under the task that it is given
 // up.
 func (t *Task) CrashesHosts() bool { return t.Crashes >= maxCrashes }
