lease: a host's clock is bounded by when calls were sent

Cause: the age of a host's record after a takeover was told from the time at which a reply was processed, as if the host had read its clock just then. A reply that was processed 3 s late made a record of the same reading look new, and a run could start beyond a capacity that had shrunk. Change: a reading was taken after its call was sent; the best of these bounds, carried on at the highest rate of a host's clock, bounds every other reading. Evidence: TestReadAfter replaces TestSince, with replies up to 3 s late, which Since got wrong by as much.

--- a/lease/clock.go
+++ b/lease/clock.go
@@ -14,6 +14,10 @@
 	hostTime  time.Duration
 	localTime time.Duration
 	synced    bool
+	// calledHostTime is the reading in the reply to a call that was sent at calledAt. Of
+	// all replies it is the one that tells best when a reading was taken at the earliest.
+	calledHostTime time.Duration
+	calledAt       time.Duration
 	// maxExpiry is the latest lease expiry sent in any command.
 	maxExpiry time.Duration
 	// leaseBeforeSync is the longest lease that may have been granted between a
@@ -31,10 +35,17 @@
 // to go back.
 const clockRounding = 2 * time.Millisecond
 
-// Observe records a reading of the host's clock that was received at the given local
-// time. It ignores 0 and readings below the current lower bound.
-func (c *Clock) Observe(hostTime, received time.Duration) {
-	if hostTime <= 0 || (c.synced && c.minHostTime(received) > hostTime) {
+// Observe records a reading of the host's clock in the reply to a call that was sent and
+// answered at the given local times. It ignores 0 and readings below the current lower
+// bound.
+func (c *Clock) Observe(hostTime, sent, received time.Duration) {
+	if hostTime <= 0 {
+		return
+	}
+	if !c.synced || sent > c.ReadAfter(hostTime) {
+		c.calledHostTime, c.calledAt = hostTime, sent
+	}
+	if c.synced && c.minHostTime(received) > hostTime {
 		return
 	}
 	c.hostTime, c.localTime, c.synced = hostTime, received, true
@@ -64,11 +75,14 @@
 	*c = Clock{leaseBeforeSync: maxLease}
 }
 
-// Since returns an upper bound of the time that has passed since the host's clock showed
-// a reading.
-func (c *Clock) Since(hostTime, now time.Duration) time.Duration {
-	elapsed := c.hostTime + now - c.localTime - hostTime
-	return max(0, time.Duration(float64(elapsed)/MinClockRate))
+// ReadAfter returns a lower bound of the local time at which the host's clock showed a
+// reading. The clock must be synced.
+func (c *Clock) ReadAfter(hostTime time.Duration) time.Duration {
+	rate := MaxClockRate
+	if hostTime < c.calledHostTime {
+		rate = MinClockRate
+	}
+	return c.calledAt + time.Duration(float64(hostTime-c.calledHostTime)/rate) - clockRounding
 }
 
 // minHostTime returns a lower bound of the host's clock at a local time, which may be
--- a/lease/clock_test.go
+++ b/lease/clock_test.go
@@ -5,20 +5,24 @@
 	"time"
 )
 
-// TestSince checks that Since never returns less than the time that has passed, whatever
-// the rate of the host's clock.
-func TestSince(t *testing.T) {
-	for _, rate := range []float64{MinClockRate, 1} {
+// TestReadAfter checks that ReadAfter is never later than the time at which a reading was
+// taken, nor much earlier, whatever the rate of the host's clock and however late replies are
+// processed.
+func TestReadAfter(t *testing.T) {
+	for _, rate := range []float64{MinClockRate, 1, MaxClockRate} {
 		hostTime := func(local time.Duration) time.Duration {
-			return 5*time.Second + time.Duration(float64(local)*rate)
+			return (5*time.Second + time.Duration(float64(local)*rate)).Truncate(time.Millisecond)
 		}
-		var clock Clock
-		clock.Observe(hostTime(10*time.Second), 10*time.Second)
-		for _, passed := range []time.Duration{0, time.Second, 8 * time.Second} {
-			now := 12 * time.Second
-			got := clock.Since(hostTime(now-passed), now)
-			if most := passed + 300*time.Millisecond; got < passed || got > most {
-				t.Errorf("rate %v: got %v, want %v to %v", rate, got, passed, most)
+		for _, late := range []time.Duration{0, 240 * time.Millisecond, 3 * time.Second} {
+			var clock Clock
+			clock.Observe(hostTime(9*time.Second), 8*time.Second, 9*time.Second+late)
+			clock.Observe(hostTime(10*time.Second), 10*time.Second-5*time.Millisecond, 10*time.Second+late)
+			clock.Observe(hostTime(9500*time.Millisecond), 7*time.Second, 11*time.Second+late)
+			for _, at := range []time.Duration{4 * time.Second, 10 * time.Second, 12 * time.Second} {
+				got := clock.ReadAfter(hostTime(at))
+				if least := at - 300*time.Millisecond; got > at || got < least {
+					t.Errorf("rate %v, %v late: got %v, want %v to %v", rate, late, got, least, at)
+				}
 			}
 		}
 	}
@@ -38,7 +42,7 @@
 		}
 		for _, lag := range []time.Duration{0, 10 * time.Millisecond, 200 * time.Millisecond, time.Second, 5 * time.Second} {
 			var clock Clock
-			clock.Observe(read(latest), latest)
+			clock.Observe(read(latest), latest, latest)
 			sent := latest - lag
 			if clock.Restarted(read(sent), sent) {
 				t.Errorf("got a restart from a reply made %v before the last one at rate %v, want none", lag, rate)
--- a/sched/capacity.go
+++ b/sched/capacity.go
@@ -18,13 +18,13 @@
 // recordTime returns a lower bound of the local time at which a host wrote its record.
 // Two clocks show it: this node's, but not for a record that was there at the first
 // read, and the host's, whose estimate drifts while the host isn't called.
-func (h *host) recordTime(now time.Duration) time.Duration {
+func (h *host) recordTime() time.Duration {
 	written := unknownTime
 	if h.info.WrittenAfter > 0 {
 		written = h.info.WrittenAfter
 	}
 	if h.info.HostTime > 0 && h.info.Incarnation == h.incarnation && h.clock.Synced() {
-		written = max(written, now-h.clock.Since(h.info.HostTime, now))
+		written = max(written, h.clock.ReadAfter(h.info.HostTime))
 	}
 	return written
 }
@@ -37,8 +37,7 @@
 
 // hasRecentRecord reports whether runs may be assigned by the record of a host.
 func (c *Cell) hasRecentRecord(h *host) bool {
-	now := c.options.Clock()
-	return c.isRecent(h.recordTime(now), now)
+	return c.isRecent(h.recordTime(), c.options.Clock())
 }
 
 // hasRoom reports whether a planned run may still be started on its host. It may while
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -47,7 +47,7 @@
 		c.hostRestarted(h, 0)
 		return false
 	}
-	h.clock.Observe(hostTime, c.options.Clock())
+	h.clock.Observe(hostTime, sent.at, c.options.Clock())
 	return hostTime > 0
 }
 
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -161,7 +161,7 @@
 	e.job.Assign(taskID, h.id, h.incarnation, now)
 	task := e.job.Task(taskID)
 	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare}
-	r.recordTime = h.recordTime(c.options.Clock())
+	r.recordTime = h.recordTime()
 	h.runs[r.key()] = r
 	c.plannedBytes += e.startSize()
 	c.options.Metrics.TaskWaitSeconds.Update(now.Sub(e.job.DueTime(taskID.Round)).Seconds())
