sched: the record of a former incarnation starts nothing

Cause: the age of a host's record was taken from this node's reads even if the record was of an incarnation that the owner knew to be over. A host that came back with less capacity got runs by its old record. Change: such a record has no age, so that the host waits for its first new one. Evidence: TestRecordOfFormerIncarnationStartsNothing fails before.

--- a/sched/capacity.go
+++ b/sched/capacity.go
@@ -17,8 +17,12 @@
 
 // recordTime returns a lower bound of the local time at which a host wrote its record.
 // Two clocks show it: this node's, but not for a record that was there at the first
-// read, and the host's, whose estimate drifts while the host isn't called.
+// read, and the host's, whose estimate drifts while the host isn't called. The record of a
+// former incarnation tells nothing of this one.
 func (h *host) recordTime() time.Duration {
+	if h.info.Incarnation != 0 && h.incarnation != 0 && h.info.Incarnation != h.incarnation {
+		return unknownTime
+	}
 	written := unknownTime
 	if h.info.WrittenAfter > 0 {
 		written = h.info.WrittenAfter
--- a/sched/capacity_test.go
+++ b/sched/capacity_test.go
@@ -212,3 +212,30 @@
 		tc.wantPhase(b, "long", tasks.Open)
 	})
 }
+
+// TestRecordOfFormerIncarnationStartsNothing guards against starts beyond the capacity of a
+// host that is back as a smaller one, while only the record of its former incarnation is known.
+func TestRecordOfFormerIncarnationStartsNothing(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 6 * time.Second} }
+		n := tc.claim("a")
+		time.Sleep(5 * time.Second)
+		// A run makes the owner call the host.
+		tc.mustSubmit(n, "probe", simplePlan(1, 50))
+		time.Sleep(2500 * time.Millisecond)
+		runner := tc.runners["h0"]
+		runner.Crash()
+		runner.SetCapacity(cpu(1000))
+		n.hosts.SetRecordsDown(true)
+		runner.Restart()
+		time.Sleep(1300 * time.Millisecond)
+		tc.mustSubmit(n, "job", simplePlan(8, 900))
+		time.Sleep(700 * time.Millisecond)
+		if got := runner.Used().CPU; got > 1000 {
+			t.Errorf("got %d millicores in use, want at most the 1000 that the incarnation has", got)
+		}
+		n.hosts.SetRecordsDown(false)
+		time.Sleep(70 * time.Second)
+		tc.wantPhase(n, "job", tasks.Completed)
+	})
+}
