sched: ends are acknowledged to who reported them, in time

Cause, found by review of the change before: the second try of a heartbeat repeated an acknowledgement more than a second old; a report that a busy owner processed late counted as new; and on a host whose runs end all the time, each report had new ends to wait for, so that by then it was too old to acknowledge the former ones once store writes took 100 ms: some waited for 4 to 11 s. Change: a second try acknowledges nothing; a report is as old as the host's clock says; ends that are persisted are acknowledged before others are waited for. A report that was asked for at once may be acknowledged by the next call also if it took longer. Evidence: TestRetriedHeartbeatAcknowledgesNothing and TestBusyHostIsAcknowledged fail before.

--- a/fake/runner_faults.go
+++ b/fake/runner_faults.go
@@ -52,6 +52,17 @@
 	r.down = true
 }
 
+// OldestUnacknowledged returns the sequence number of the oldest end that the host reports, 0
+// if there is none.
+func (r *Runner) OldestUnacknowledged() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.finished) == 0 {
+		return 0
+	}
+	return r.finished[0].Sequence
+}
+
 // BreakGangs ends all runs of the host, as if other members of their gangs had ended.
 func (r *Runner) BreakGangs() {
 	r.mu.Lock()
--- a/sched/command.go
+++ b/sched/command.go
@@ -37,6 +37,8 @@
 	token int64
 	// at is local time. The host acts on the command at that time or later.
 	at time.Duration
+	// waits is set for a heartbeat whose reply the host may delay.
+	waits bool
 }
 
 // sendStart sends the start command of a run whose record is persisted. c.mu
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -25,7 +25,7 @@
 		return nil
 	}
 	h.ackValid = true
-	h.heardAt = c.options.Clock()
+	h.ackUntil = c.ackDeadline(h, reply.HostTime, sent)
 	h.answeredAt = max(h.answeredAt, reply.HostTime)
 	persisted := c.processFinished(h, reply.Finished)
 	if reply.HostTime > h.reportedAt {
@@ -34,6 +34,18 @@
 	return persisted
 }
 
+// ackDeadline returns until when the ends in a report, made at a reading of the host's clock,
+// may be acknowledged: the host must not have restarted since. The reply to a call that asked
+// for a report at once may be acknowledged by the next call even if it took longer, since
+// asking again would gain nothing.
+func (c *Cell) ackDeadline(h *host, hostTime time.Duration, sent sentCommand) time.Duration {
+	deadline := h.clock.ReadAfter(hostTime) + maxAckAge
+	if now := c.options.Clock(); !sent.waits && now-sent.at < maxReportTime {
+		deadline = max(deadline, now+nextCallTime)
+	}
+	return deadline
+}
+
 // observeClock records the host's clock in the reply to a command and reports
 // whether the reply is from the current incarnation as far as its clock shows. A
 // restart may show here before any report: without this, the sequence number of
--- a/sched/host.go
+++ b/sched/host.go
@@ -37,9 +37,9 @@
 	// at retiredAt; 0 means none.
 	retiredIncarnation int64
 	retiredAt          time.Time
-	// heardAt is the local time at which the last report of the current incarnation was
-	// processed.
-	heardAt time.Duration
+	// ackUntil is the local time until which ends that the last report of the current
+	// incarnation listed may be acknowledged.
+	ackUntil time.Duration
 	// ackValid is set once the current incarnation has replied since the host was
 	// last idle or unresponsive. Until then, acknowledgedSequence may belong to an
 	// earlier incarnation.
--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -17,9 +17,13 @@
 	// heartbeatRetryDelay is the time between heartbeats while a host doesn't
 	// respond.
 	heartbeatRetryDelay = 300 * time.Millisecond
-	// maxAckAge is how long after a report of a host its finished runs may be
-	// acknowledged: no host restarts within that time.
+	// maxAckAge is how long after a host has made a report the ends in it may be
+	// acknowledged: hosts take longer to restart.
 	maxAckAge = 100 * time.Millisecond
+	// maxReportTime is how long a report that was asked for at once may take to be
+	// processed, and nextCallTime how soon the next call follows.
+	maxReportTime = time.Second
+	nextCallTime  = 10 * time.Millisecond
 	// ackWait is how long the next heartbeat is delayed for the store to persist
 	// the runs that the last one reported as finished.
 	ackWait = 500 * time.Millisecond
@@ -58,10 +62,21 @@
 			continue
 		}
 		persisted := l.cell.handleHeartbeat(l.host, result.reply, result.sent)
-		l.waitPersisted(ctx, persisted)
+		if !l.hasAcknowledgement(heartbeat.Acknowledged) {
+			l.waitPersisted(ctx, persisted)
+		}
 	}
 }
 
+// hasAcknowledgement reports whether more ends are persisted than the last heartbeat
+// acknowledged. These are acknowledged before others are waited for, so that a host that
+// always has new ends isn't left with the old ones.
+func (l *hostLoop) hasAcknowledgement(acknowledged int64) bool {
+	l.cell.mu.Lock()
+	defer l.cell.mu.Unlock()
+	return l.host.ackValid && l.host.acknowledgedSequence > acknowledged
+}
+
 // heartbeatResult is the outcome of a heartbeat.
 type heartbeatResult struct {
 	reply lease.HeartbeatReply
@@ -77,7 +92,7 @@
 	defer cancel()
 	results := make(chan heartbeatResult, 2)
 	send := func(heartbeat lease.Heartbeat) {
-		sent := sentCommand{token: heartbeat.Token, at: l.cell.options.Clock()}
+		sent := sentCommand{token: heartbeat.Token, at: l.cell.options.Clock(), waits: heartbeat.Wait > 0}
 		reply, err := l.cell.options.HostClient.Heartbeat(ctx, info, heartbeat)
 		results <- heartbeatResult{reply, sent, err}
 	}
@@ -96,7 +111,7 @@
 				continue
 			}
 			l.cell.recordLostReply()
-			heartbeat.Wait = 0
+			heartbeat.Wait, heartbeat.Acknowledged = 0, 0
 			inFlight++
 			go send(heartbeat)
 		case result := <-results:
@@ -184,7 +199,7 @@
 // forget, or 0 if it may have restarted since its last report: a new incarnation would forget
 // its own runs.
 func (c *Cell) acknowledgement(h *host) int64 {
-	if !h.ackValid || c.options.Clock()-h.heardAt > maxAckAge {
+	if !h.ackValid || c.options.Clock() > h.ackUntil {
 		return 0
 	}
 	return h.acknowledgedSequence
--- a/sched/report_test.go
+++ b/sched/report_test.go
@@ -186,3 +186,62 @@
 		}
 	})
 }
+
+// TestRetriedHeartbeatAcknowledgesNothing guards against the same with the second try of a
+// heartbeat, which goes out more than a second after the report.
+func TestRetriedHeartbeatAcknowledgesNothing(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.profileOf = func(id tasks.ID, _ int) fake.RunProfile {
+			durations := map[string]time.Duration{"long": 30 * time.Second, "first": 500 * time.Millisecond, "second": 20 * time.Millisecond}
+			return fake.RunProfile{Duration: durations[id.Job]}
+		}
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		for _, id := range []string{"long", "first"} {
+			tc.mustSubmit(n, id, simplePlan(1, 1000))
+		}
+		time.Sleep(300 * time.Millisecond)
+		// The heartbeat that acknowledges the end of first gets lost; its second try follows
+		// when the host has just restarted.
+		tc.runners["h0"].DropHeartbeats(1)
+		time.Sleep(1805*time.Millisecond - time.Since(tc.start))
+		tc.runners["h0"].Crash()
+		tc.runners["h0"].Restart()
+		go func() { _ = tc.submit(n, "second", simplePlan(1, 1000)) }()
+		time.Sleep(10 * time.Second)
+		tc.wantPhase(n, "second", tasks.Completed)
+		if got := tc.checker.Starts(); got != 4 {
+			t.Errorf("got %d starts, want 4, of which two are of long", got)
+		}
+	})
+}
+
+// TestBusyHostIsAcknowledged guards against a host whose runs end all the time and whose ends
+// are never acknowledged because each report has new ones to wait for.
+func TestBusyHostIsAcknowledged(t *testing.T) {
+	for _, latency := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(latency.String(), func(t *testing.T) {
+			runCluster(t, 1, func(tc *testCluster) {
+				tc.profileOf = func(id tasks.ID, _ int) fake.RunProfile {
+					return fake.RunProfile{Duration: 300*time.Millisecond + time.Duration(id.Index%40)*7*time.Millisecond}
+				}
+				n := tc.claim("a")
+				time.Sleep(100 * time.Millisecond)
+				tc.store.SetExtraLatency(latency)
+				tc.mustSubmit(n, "job", simplePlan(2000, 200))
+				var oldest int64
+				longest, since := time.Duration(0), time.Now()
+				for range 600 {
+					time.Sleep(20 * time.Millisecond)
+					if current := tc.runners["h0"].OldestUnacknowledged(); current != oldest || current == 0 {
+						oldest, since = current, time.Now()
+					}
+					longest = max(longest, time.Since(since))
+				}
+				if most := 4*latency + 500*time.Millisecond; longest > most {
+					t.Errorf("got an end unacknowledged for %v, want at most %v", longest, most)
+				}
+			})
+		})
+	}
+}
