sched: what counts as a crash is told by hosts and their clocks

Cause, found by review: a task that crashed its host without a word, not even a broken connection, never counted, and was started 29 times in 90 s. A long task whose host four new owners in a row could not reach was given up, though no host had crashed. A report that was processed late cleared the count. An isolated task behind another one of its step that found no host was never reached, so that its host stayed reserved and the pool stood still. Change: a host that is back as another incarnation counts for every run that was sent to it; one that is silent counts only if it had begun the run, and never for a previous owner's run. Only the host's clock tells whether a run has outlived its start. Isolated tasks are looked for to the end of their step. `jobs explain` says that a task was given up.

--- a/fake/runner_faults.go
+++ b/fake/runner_faults.go
@@ -84,10 +84,14 @@
 	r.mu.Lock()
 	active := r.runs[runKey{run.task, run.run}] == run
 	r.mu.Unlock()
-	if !active {
-		return
+	if active {
+		r.CrashUnder(run.task)
 	}
-	r.checker.recordCrashByTask(run.task)
+}
+
+// CrashUnder crashes the host because of a task. It is back some seconds later.
+func (r *Runner) CrashUnder(task tasks.ID) {
+	r.checker.recordCrashByTask(task)
 	r.Crash()
 	time.AfterFunc(crashDowntime, r.Restart)
 }
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -1,11 +1,16 @@
 package sched
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rattanpath/fake"
+	"rattanpath/lease"
+	"rattanpath/pool"
 	"rattanpath/tasks"
 )
 
@@ -194,3 +199,69 @@
 		})
 	}
 }
+
+// crashingClient crashes the host that starts the crashing task before it can answer.
+type crashingClient struct {
+	lease.HostClient
+	cluster *testCluster
+	// silent means that the connection doesn't break but gives no answer.
+	silent bool
+}
+
+func (c crashingClient) Start(ctx context.Context, host *pool.Host, command lease.StartCommand) (lease.Reply, error) {
+	reply, err := c.HostClient.Start(ctx, host, command)
+	if err != nil || command.Task != crashingTask || reply.Reason != lease.Accepted {
+		return reply, err
+	}
+	c.cluster.runners[host.ID].CrashUnder(command.Task)
+	if !c.silent {
+		return lease.Reply{}, errors.New("connection reset")
+	}
+	time.Sleep(time.Second)
+	return lease.Reply{}, context.DeadlineExceeded
+}
+
+// TestCrashBeforeTheAnswerCounts guards against a task that crashes its hosts so soon that no
+// start is ever confirmed.
+func TestCrashBeforeTheAnswerCounts(t *testing.T) {
+	for _, hosts := range []int{1, 2, 6} {
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d hosts, silent %t", hosts, silent), func(t *testing.T) {
+				runCluster(t, hosts, func(tc *testCluster) {
+					n := tc.claim("a")
+					n.cell.mu.Lock()
+					n.cell.options.HostClient = crashingClient{n.cell.options.HostClient, tc, silent}
+					n.cell.mu.Unlock()
+					time.Sleep(100 * time.Millisecond)
+					innocent := tc.submitAll(n, simplePlan(3, 1000))
+					time.Sleep(90 * time.Second)
+					tc.wantGivenUp(n, innocent)
+				})
+			})
+		}
+	}
+}
+
+// TestUnreachableHostFailsNoJob guards against a long task that is given up though no host has
+// crashed: new owners can't reach its host until all leases have expired.
+func TestUnreachableHostFailsNoJob(t *testing.T) {
+	runCluster(t, 4, func(tc *testCluster) {
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: time.Hour} }
+		n := tc.claim("n0")
+		time.Sleep(100 * time.Millisecond)
+		if err := tc.submit(n, "job", simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		for i := range 6 {
+			time.Sleep(15 * time.Second)
+			host := n.hostOf("job", 0)
+			n.stop()
+			<-n.done
+			n = tc.claim(fmt.Sprintf("n%d", i+1))
+			n.hosts.SetPartitioned(host, true)
+			time.Sleep(12 * time.Second)
+			n.hosts.SetPartitioned(host, false)
+		}
+		tc.wantPhase(n, "job", tasks.Open)
+	})
+}
--- a/sched/end.go
+++ b/sched/end.go
@@ -72,13 +72,8 @@
 // crashedUnder reports whether the loss of a run looks as if the run had crashed its host:
 // the host went away right after the start, and nobody had asked it to.
 func (h *host) crashedUnder(r *run, why lossReason, now time.Time) bool {
-	switch why {
-	case lossRestarted, lossReplaced, lossLease, lossInheritedLease:
-	default:
-		return false
-	}
 	leaving := now.Before(h.cordonedUntil) || h.info != nil && h.info.Draining
-	return !leaving && r.mayHaveStarted() && r.answeredFor(h) < place.FreshTime
+	return !leaving && r.mayHaveCrashed(why) && r.answeredFor(h) < place.FreshTime
 }
 
 // recoverDone accepts a success that a host reports of a run that counted as lost, unless
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -154,8 +154,7 @@
 	if r.state != runSettled {
 		r.settle(hostTime)
 	}
-	now := c.options.Clock()
-	r.markStarted(now)
+	r.markStarted(c.options.Clock())
 	r.recordProgress(active.Percent, hostTime)
 	r.tailLatency = time.Duration(active.Load * float64(time.Millisecond))
 	if r.entry == nil {
@@ -163,7 +162,7 @@
 	}
 	r.entry.job.MarkRunning(r.id, r.number)
 	r.entry.job.SaveCheckpoint(r.id, r.number, active.Checkpoint)
-	if r.percent > 0 && r.freshFor(now) == 0 && r.entry.job.MarkStable(r.id, r.number) {
+	if r.isStable(hostTime) && r.entry.job.MarkStable(r.id, r.number) {
 		c.markDirty(r.entry, nil)
 	}
 	c.stopEndedJob(r.entry)
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -56,6 +56,7 @@
 		return
 	}
 	reqs := p.cell.requirements(e, round, step, p.now)
+	full := false
 	for index := range round.Steps[step] {
 		task := &round.Steps[step][index]
 		if task.State != tasks.Waiting {
@@ -65,6 +66,9 @@
 			return
 		}
 		reqs := ofTask(reqs, e, task)
+		if full && !reqs.Isolated {
+			continue
+		}
 		picked := place.Pick(reqs, p.hosts)
 		switch {
 		case picked != nil:
@@ -72,8 +76,9 @@
 			reqs.SiblingsByHost[picked.ID]++
 			p.assign(e, round, step, index, picked)
 		case !reqs.Isolated:
+			// The host of an isolated task may still take it.
+			full = true
 			p.markUnsatisfiable(reqs.Step.RequiredResources())
-			return
 		}
 	}
 }
--- a/sched/run.go
+++ b/sched/run.go
@@ -81,6 +81,12 @@
 
 func (r *run) key() runKey { return runKey{r.id, r.number} }
 
+// isStable reports whether the host has answered for long enough after the start of the run, by
+// a reading of its clock, not to have been crashed by it.
+func (r *run) isStable(hostTime time.Duration) bool {
+	return r.state == runSettled && hostTime-r.settledAt >= place.FreshTime
+}
+
 // isVerified reports whether the run belongs to the current incarnation of its
 // host and to this owner.
 func (r *run) isVerified() bool { return r.state != runUnverified && r.state != runInherited }
@@ -88,9 +94,19 @@
 // awaitsStart reports whether a start command was sent whose effect is unknown.
 func (r *run) awaitsStart() bool { return r.state == runStarting || r.state == runUnconfirmed }
 
-// mayHaveStarted reports whether there is a sign that the host has started the run. A
-// command without an answer is none: a host that is silent may not have got it.
-func (r *run) mayHaveStarted() bool { return r.startedBy != 0 || r.startBroke || r.inherited }
+// mayHaveCrashed reports whether the loss of a run may mean that its host has crashed under it.
+// A host that is silent has not crashed for certain, and may not have got a command that it
+// didn't answer.
+func (r *run) mayHaveCrashed(why lossReason) bool {
+	switch why {
+	case lossRestarted, lossReplaced:
+		return r.state != runPlanned
+	case lossLease:
+		return r.startedBy != 0 || r.startBroke
+	default:
+		return false
+	}
+}
 
 // settle records that from a reading of the host's clock on, reports show whether
 // the host has the run.
--- a/sched/view.go
+++ b/sched/view.go
@@ -125,6 +125,8 @@
 		return "the store has not confirmed the job yet"
 	case len(e.job.Rounds) == 0:
 		return "no round is due before " + e.job.DueTime(e.job.NextRound).UTC().Format(time.RFC3339)
+	case !hasStartableTask(e.job) && hasAbandonedTask(e.job):
+		return "a task crashes its hosts and isn't started any more"
 	case !hasStartableTask(e.job):
 		return ""
 	case now.Before(e.retryAfter):
@@ -156,6 +158,15 @@
 	return "it is next in turn"
 }
 
+// hasAbandonedTask reports whether a task of a job was given up.
+func hasAbandonedTask(job *tasks.Job) bool {
+	return slices.ContainsFunc(job.Rounds, func(round *tasks.Round) bool {
+		return slices.ContainsFunc(round.Steps, func(step []tasks.Task) bool {
+			return slices.ContainsFunc(step, func(task tasks.Task) bool { return task.State == tasks.Abandoned })
+		})
+	})
+}
+
 // firstWaiting returns the first waiting task of a step that has one.
 func firstWaiting(step []tasks.Task) *tasks.Task {
 	return &step[slices.IndexFunc(step, func(task tasks.Task) bool { return task.State == tasks.Waiting })]
