owner: act on partitions from the second renewal on

Cause: after all processes were killed, the first node to join was assigned all 64 partitions for a moment and started to claim all cells at once. Over 2 Mbit/s its calls timed out, renewals included, and nothing was served until its membership expired. It went on claiming for 10 s and took a cell from its new owner twice.

Change: partitions of a renewal that creates a membership are left out until the next renewal confirms them. A partition that goes to another node meanwhile still counts as released. Renewals count from when they were sent.

--- a/owner/member.go
+++ b/owner/member.go
@@ -43,11 +43,14 @@
 	logger     logr.Logger
 	mu         sync.Mutex
 	membership store.Membership
+	// assigned are the partitions that the store has assigned to the node, and
+	// partitions those that the node acts on.
+	assigned   []int
 	partitions []int
 	left       bool
 	// standby is nil unless the node is a standby.
 	standby *standbyState
-	// renewed is the time of the last successful renewal.
+	// renewed is when the last successful renewal was sent.
 	renewed time.Time
 	changed core.Signal
 	// renewNow requests a renewal before the next periodic one.
@@ -77,14 +80,16 @@
 	return m
 }
 
-// Partitions returns the partitions assigned to this node.
+// Partitions returns the partitions assigned to this node. Those of its first renewal
+// are left out until the next one: of nodes that start together the first to join is
+// assigned all partitions for a moment, more than it can serve.
 func (m *Member) Partitions() []int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.partitions
 }
 
-// Renewed returns the time of the last successful renewal, or zero if there was
+// Renewed returns when the last successful renewal was sent, or zero if there was
 // none.
 func (m *Member) Renewed() time.Time {
 	m.mu.Lock()
@@ -138,6 +143,7 @@
 	if left {
 		return false
 	}
+	sent := time.Now()
 	assignment, err := m.group.Join(ctx, membership)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -150,17 +156,29 @@
 	if m.left {
 		return false
 	}
-	released := slices.ContainsFunc(m.partitions, func(p int) bool { return !slices.Contains(assignment.Partitions, p) })
+	released := slices.ContainsFunc(m.assigned, func(p int) bool { return !slices.Contains(assignment.Partitions, p) })
 	if assignment.Generation != m.membership.Generation {
 		m.logger.Info("partitions reassigned", "generation", assignment.Generation, "before", m.membership.Generation, "held", len(assignment.Partitions))
 	}
 	m.membership.Generation = assignment.Generation
-	m.partitions = assignment.Partitions
-	m.renewed = time.Now()
+	m.adopt(assignment.Partitions, sent)
+	m.renewed = sent
 	m.changed.Notify()
 	return released
 }
 
+// adopt acts on the partitions of a renewal that was sent at a given time. If the
+// membership has been expired until then, it adds no partition to those held. m.mu must
+// be held.
+func (m *Member) adopt(assigned []int, sent time.Time) {
+	m.assigned = assigned
+	if sent.Sub(m.renewed) < m.membership.TTL {
+		m.partitions = assigned
+		return
+	}
+	m.partitions = slices.DeleteFunc(slices.Clone(m.partitions), func(p int) bool { return !slices.Contains(assigned, p) })
+}
+
 // Leave leaves the group for good, so that other nodes can take over the
 // partitions at once.
 func (m *Member) Leave(ctx context.Context) {
@@ -173,7 +191,7 @@
 // releasePartitions leaves the group until the next renewal.
 func (m *Member) releasePartitions(ctx context.Context) {
 	m.mu.Lock()
-	m.partitions = nil
+	m.assigned, m.partitions = nil, nil
 	membership := m.membership
 	m.mu.Unlock()
 	m.changed.Notify()
--- a/owner/member_test.go
+++ b/owner/member_test.go
@@ -58,3 +58,35 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestNodesThatStartTogether lets nodes join shortly after each other. None may act on
+// more than its share, although the first to join is assigned all partitions.
+func TestNodesThatStartTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := fake.NewStore()
+		const nodes, share = 8, 32 / 8
+		var members []*Member
+		for i := range nodes {
+			name := string(rune('a' + i))
+			m := NewMember(s.Client(name), name, "1:"+name, time.Second, false, logr.Discard())
+			members = append(members, m)
+			go m.Run(ctx)
+			time.Sleep(20 * time.Millisecond)
+		}
+		for start := time.Now(); time.Since(start) < 2*time.Second; time.Sleep(10 * time.Millisecond) {
+			for _, m := range members {
+				if got := len(m.Partitions()); got > share {
+					t.Fatalf("got %d partitions at %s %v after the last start, want at most %d", got, m.membership.Member, time.Since(start), share)
+				}
+			}
+		}
+		for _, m := range members {
+			if got := len(m.Partitions()); got != share {
+				t.Errorf("got %d partitions at %s, want %d", got, m.membership.Member, share)
+			}
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
