owner: requests wait for an owner that is claiming, instead of being sent again

Cause: while an owner claimed a cell, all entry nodes sent it each job anew every 30 to 120 ms. These bodies filled its link of 2 Mbit/s: the claim read for up to 4 s, renewals timed out, the membership expired, and the next owner started over.

Change: after a failed attempt one probe per service and node asks the owner, which delays its response until it runs the cell; requests wait for it.

--- a/owner/client.go
+++ b/owner/client.go
@@ -41,6 +41,7 @@
 	MethodJobs    Method = "Jobs"
 	MethodExplain Method = "Explain"
 	MethodPool    Method = "Pool"
+	MethodAwait   Method = "Await"
 )
 
 // Client calls the owners of services, on this node or on another.
@@ -57,7 +58,9 @@
 	// owners holds the addresses of owners by partition.
 	owners map[int]string
 	// links holds the connections to other nodes by address.
-	links   map[string]*link.Client
+	links map[string]*link.Client
+	// probes holds the running probes by service.
+	probes  map[string]*probe
 	refresh chan struct{}
 }
 
@@ -74,6 +77,7 @@
 		logger:     logger.WithName("finder"),
 		owners:     make(map[int]string),
 		links:      make(map[string]*link.Client),
+		probes:     make(map[string]*probe),
 		refresh:    make(chan struct{}, 1),
 	}
 }
@@ -134,14 +138,23 @@
 	return c.links[address]
 }
 
+// requestRefresh requests a read of the partition owners before the next periodic one.
+func (c *Client) requestRefresh() {
+	select {
+	case c.refresh <- struct{}{}:
+	default:
+	}
+}
+
 // Call calls the owner of a service and retries, at a new owner if there is one,
-// until it has a definite outcome or ctx ends. All methods are idempotent. The
-// outcome is Uncertain if ctx ended after a request that may have been executed.
+// until it has a definite outcome or ctx ends. After a failure it waits until an owner
+// is ready. All methods are idempotent. The outcome is Uncertain if ctx ended after a
+// request that may have been executed.
 func (c *Client) Call(ctx context.Context, method Method, request Request) Response {
 	maybeExecuted := false
 	last := Response{Outcome: NotOwner}
 	delay := minRetryDelay
-	for {
+	for c.waitForProbe(ctx, request.Service) == nil {
 		response, maybeSent, err := c.attempt(ctx, method, request)
 		maybeExecuted = maybeExecuted || maybeSent
 		if err == nil {
@@ -158,10 +171,10 @@
 			}
 			last = response
 		}
-		select {
-		case c.refresh <- struct{}{}:
-		default:
+		if err != nil || response.Outcome == NotOwner {
+			c.startProbe(request.Service)
 		}
+		c.requestRefresh()
 		if core.Sleep(ctx, delay) != nil {
 			break
 		}
@@ -207,6 +220,7 @@
 		MethodJobs:    c.local.Jobs,
 		MethodExplain: c.local.Explain,
 		MethodPool:    c.local.Pool,
+		MethodAwait:   c.local.Await,
 	}
 	call := calls[method]
 	if call == nil {
--- a/owner/service.go
+++ b/owner/service.go
@@ -113,6 +113,17 @@
 	})
 }
 
+// Await waits for up to awaitTime until this node runs the cell of the requested
+// service. The outcome is NotOwner if it doesn't.
+func (s *Service) Await(request *Request, response *Response) error {
+	ctx, cancel := context.WithTimeout(context.Background(), min(request.Timeout, awaitTime))
+	defer cancel()
+	if !s.supervisor.awaitCell(ctx, request.Service) {
+		response.Outcome = NotOwner
+	}
+	return nil
+}
+
 // Hurry makes this node renew its membership soon, because another one has
 // released partitions.
 func (s *Service) Hurry(_ *Request, _ *Response) error {
--- a/owner/supervisor.go
+++ b/owner/supervisor.go
@@ -51,6 +51,8 @@
 	runners map[string]*cellRunner
 	wg      sync.WaitGroup
 	stopped bool
+	// claimed is notified when a claim has succeeded.
+	claimed core.Signal
 }
 
 // cellRunner claims and runs one cell while its partition is assigned to this
@@ -98,6 +100,31 @@
 	return nil
 }
 
+// awaitCell waits until this node runs the cell of a service and reports whether it
+// does. It doesn't wait if the cell is not assigned to the node.
+func (s *Supervisor) awaitCell(ctx context.Context, service string) bool {
+	for {
+		claimed := s.claimed.Changed()
+		if s.Cell(service) != nil {
+			return true
+		}
+		if !s.hasRunner(service) {
+			return false
+		}
+		select {
+		case <-claimed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (s *Supervisor) hasRunner(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runners[service] != nil
+}
+
 // Views returns the views of this node's cells, sorted by service.
 func (s *Supervisor) Views() []views.Cell {
 	var all []views.Cell
@@ -229,6 +256,7 @@
 		r.supervisor.mu.Lock()
 		r.cell = c
 		r.supervisor.mu.Unlock()
+		r.supervisor.claimed.Notify()
 		c.Run(ctx)
 		return
 	}
