owner: claim no cell while the membership is expired

Change: claims are given up, at the next reconciliation, once the membership may have expired. Running cells go on, as before.

--- a/owner/member.go
+++ b/owner/member.go
@@ -97,6 +97,14 @@
 	return m.renewed
 }
 
+// Expired reports whether the last renewal was so long ago that the store may have
+// assigned the partitions to other nodes.
+func (m *Member) Expired() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.renewed) >= m.membership.TTL
+}
+
 // Changed returns a channel that is closed after the next renewal.
 func (m *Member) Changed() <-chan struct{} { return m.changed.Changed() }
 
--- a/owner/supervisor.go
+++ b/owner/supervisor.go
@@ -208,23 +208,25 @@
 	return assigned
 }
 
-// reconcile starts the cells assigned to this node and stops all others.
+// reconcile starts the cells assigned to this node and stops all others. While the
+// membership is expired it claims no cell, since another node may own it by now.
+// Running cells go on: they notice if they have been claimed.
 func (s *Supervisor) reconcile(ctx context.Context) {
-	assigned := s.assignedServices()
+	assigned, expired := s.assignedServices(), s.member.Expired()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
 		return
 	}
 	for service, r := range s.runners {
-		if !assigned[service] {
+		if !assigned[service] || expired && r.cell == nil {
 			s.logger.Info("cell stopped", "service", service)
 			r.cancel()
 			delete(s.runners, service)
 		}
 	}
 	for service := range assigned {
-		if s.runners[service] == nil {
+		if s.runners[service] == nil && !expired {
 			s.startCell(ctx, service)
 		}
 	}
