--- a/sched/bandwidth.go
+++ b/sched/bandwidth.go
@@ -20,9 +20,6 @@
 	// busyLinkMemory is how long after start commands last waited for the link, or after a
 	// takeover, the link counts as busy.
 	busyLinkMemory = 10 * time.Second
-	// writeShare is the share of a node's link for writes. While a write waits for it,
-	// further changes of the same jobs are merged into one record.
-	writeShare = 0.2
 	// maxWriteTime is how long the link may be busy with one write: everything that is
 	// sent meanwhile waits behind it.
 	maxWriteTime = 100 * time.Millisecond
@@ -37,7 +34,6 @@
 // ends of runs don't wait behind new work.
 type Link struct {
 	starts *rate.Limiter
-	writes *rate.Limiter
 	// startQueue is the size of the start commands that may be planned, startBacklog
 	// that of the accepted jobs' ones, and batch the size limit of a write, all in
 	// bytes.
@@ -54,10 +50,8 @@
 	}
 	bytesIn := func(d time.Duration) int { return max(minBurst, int(float64(bytesPerSecond)*d.Seconds())) }
 	startRate := startShare * float64(bytesPerSecond)
-	writeRate := writeShare * float64(bytesPerSecond)
 	return &Link{
 		starts:       rate.NewLimiter(rate.Limit(startRate), bytesIn(maxWriteTime/2)),
-		writes:       rate.NewLimiter(rate.Limit(writeRate), bytesIn(maxWriteTime)),
 		startQueue:   max(minBurst, int(startRate*startQueueTime.Seconds())),
 		startBacklog: max(minBurst, int(startRate*maxStartBacklog.Seconds())),
 		batch:        bytesIn(maxWriteTime),
@@ -73,14 +67,6 @@
 	return l.starts.ReserveN(time.Now(), min(bytes, l.starts.Burst())).Delay()
 }
 
-// recordWrite counts a write and returns how long to wait before the next one.
-func (l *Link) recordWrite(bytes int) time.Duration {
-	if l.writes == nil {
-		return 0
-	}
-	return l.writes.ReserveN(time.Now(), min(bytes, l.writes.Burst())).Delay()
-}
-
 // batchBytes returns the size limit of a write that the store limits to largest bytes.
 func (l *Link) batchBytes(largest int) int {
 	if l.batch == 0 {
--- a/sched/write.go
+++ b/sched/write.go
@@ -43,7 +43,6 @@
 // confirmed.
 type batch struct {
 	records     []store.Record
-	bytes       int
 	onPersisted []func()
 }
 
@@ -61,7 +60,6 @@
 			if b, more = c.nextBatch(); !c.write(ctx, b) {
 				return
 			}
-			c.pauseWrites(ctx, b.bytes)
 		}
 		if c.isReleasing() {
 			return
@@ -69,20 +67,6 @@
 	}
 }
 
-// pauseWrites waits after a write until the link may carry the next one. It doesn't wait
-// while the cell is stopping.
-func (c *Cell) pauseWrites(ctx context.Context, bytes int) {
-	delay := c.options.Link.recordWrite(bytes)
-	if delay <= 0 {
-		return
-	}
-	select {
-	case <-time.After(delay):
-	case <-c.releasing:
-	case <-ctx.Done():
-	}
-}
-
 // needsWrite reports whether there are changes to write, or ownership is to be
 // confirmed.
 func (c *Cell) needsWrite() bool {
@@ -108,8 +92,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var b batch
-	limit := c.options.Link.batchBytes(c.options.BatchBytes)
-	for len(c.dirtyJobs) > 0 && b.bytes < limit {
+	size, limit := 0, c.options.Link.batchBytes(c.options.BatchBytes)
+	for len(c.dirtyJobs) > 0 && size < limit {
 		e := c.dirtyJobs[0]
 		c.dirtyJobs = c.dirtyJobs[1:]
 		e.dirty = false
@@ -120,7 +104,7 @@
 			continue
 		}
 		for _, record := range records {
-			b.bytes += len(record.Value) + len(record.Key)
+			size += len(record.Value) + len(record.Key)
 		}
 		b.records = append(b.records, records...)
 		b.onPersisted = append(b.onPersisted, e.persistedFunc())
