sched: refuse a job that its objective doesn't allow to wait for the link

Cause: while start commands wait for the link, jobs were accepted as long as 4 s of them waited, and refused then, whatever their objective. Jobs of 1 to 3 s waited for 4 s: of 420 to 500 accepted jobs 60 to 90 were in time. After a takeover the link was busy with jobs that came too late.

Change: a job is refused at once if the start commands that wait and its own keep the link busy for longer than its objective leaves. Jobs that last, have a date or no objective are accepted up to 4 s as before, all while fewer than 200 ms wait.

--- a/sched/bandwidth.go
+++ b/sched/bandwidth.go
@@ -13,10 +13,10 @@
 	// startQueueTime is for how long start commands may keep their share of the link
 	// busy. While more are planned, no further runs are assigned.
 	startQueueTime = 200 * time.Millisecond
-	// maxStartBacklog is for how long the start commands of accepted jobs may keep their
-	// share of the link busy. Callers of further jobs are told at once that they would
-	// come too late.
-	maxStartBacklog = 4 * time.Second
+	// maxStartWait is for how long the start commands of accepted jobs may keep their
+	// share of the link busy, if a further job's objective allows it. Callers of others
+	// are told at once that they would come too late.
+	maxStartWait = 4 * time.Second
 	// busyLinkMemory is how long after start commands last waited for the link, or after a
 	// takeover, the link counts as busy.
 	busyLinkMemory = 10 * time.Second
@@ -34,12 +34,10 @@
 // ends of runs don't wait behind new work.
 type Link struct {
 	starts *rate.Limiter
-	// startQueue is the size of the start commands that may be planned, startBacklog
-	// that of the accepted jobs' ones, and batch the size limit of a write, all in
-	// bytes.
-	startQueue   int
-	startBacklog int
-	batch        int
+	// startQueue is the size of the start commands that may be planned, and batch the
+	// size limit of a write, both in bytes.
+	startQueue int
+	batch      int
 }
 
 // NewLink returns the limits for a link of a rate in bytes per second, or no limits
@@ -51,10 +49,9 @@
 	bytesIn := func(d time.Duration) int { return max(minBurst, int(float64(bytesPerSecond)*d.Seconds())) }
 	startRate := startShare * float64(bytesPerSecond)
 	return &Link{
-		starts:       rate.NewLimiter(rate.Limit(startRate), bytesIn(maxWriteTime/2)),
-		startQueue:   max(minBurst, int(startRate*startQueueTime.Seconds())),
-		startBacklog: max(minBurst, int(startRate*maxStartBacklog.Seconds())),
-		batch:        bytesIn(maxWriteTime),
+		starts:     rate.NewLimiter(rate.Limit(startRate), bytesIn(maxWriteTime/2)),
+		startQueue: max(minBurst, int(startRate*startQueueTime.Seconds())),
+		batch:      bytesIn(maxWriteTime),
 	}
 }
 
@@ -86,15 +83,34 @@
 	return true
 }
 
-// startBacklogFull reports whether no further job may be accepted before start
-// commands of the others have been sent. Tasks that wait for hosts rather than for the
-// link don't matter for longer than busyLinkMemory.
-func (c *Cell) startBacklogFull() bool {
-	limit := c.options.Link.startBacklog
-	if limit == 0 || c.backlogBytes < limit {
+// transferTime returns how long start commands of a size keep their share of the link
+// busy.
+func (l *Link) transferTime(bytes int) time.Duration {
+	return time.Duration(float64(bytes) / float64(l.starts.Limit()) * float64(time.Second))
+}
+
+// wouldStartLate reports whether a new job would miss its objective because its start
+// commands wait for the link behind those of accepted jobs. Tasks that wait for hosts
+// rather than for the link don't matter for longer than busyLinkMemory.
+func (c *Cell) wouldStartLate(e *jobEntry, now time.Time) bool {
+	link := c.options.Link
+	if link.starts == nil || c.backlogBytes < link.startQueue {
+		return false
+	}
+	if c.options.Clock()-max(c.startQueueFullAt, c.claimedAt) >= busyLinkMemory {
 		return false
 	}
-	return c.options.Clock()-max(c.startQueueFullAt, c.claimedAt) < busyLinkMemory
+	bytes := c.backlogBytes + e.job.UnassignedTasks()*e.startSize()
+	return link.transferTime(bytes) > c.startTimeLimit(e, now)
+}
+
+// startTimeLimit returns how long the start commands of a new job may take. Only jobs
+// that are due at once have an objective that counts from now.
+func (c *Cell) startTimeLimit(e *jobEntry, now time.Time) time.Duration {
+	if e.job.LongRunning() || e.job.Plan.Repeats > 0 || e.job.Policy.Stretch == 0 {
+		return maxStartWait
+	}
+	return min(maxStartWait, c.urgency(e, now).LatestStart.Sub(now))
 }
 
 // startSize returns the size of a start command of the job in bytes.
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -22,11 +22,11 @@
 			c.mu.Unlock()
 			return ErrIDConflict
 		}
-		if err := c.admissionError(); err != nil {
+		e = &jobEntry{job: tasks.NewJob(key, plan, policy, time.Now())}
+		if err := c.admissionError(e); err != nil {
 			c.mu.Unlock()
 			return err
 		}
-		e = &jobEntry{job: tasks.NewJob(key, plan, policy, time.Now())}
 		c.addJob(e)
 		c.submittedCPU += e.job.CPUTime(c.meanRunTimes[key.Queue])
 		c.logger.Info("job accepted", "job", key.ID, "queue", key.Queue, "steps", len(plan.Steps), "open", len(c.open), "epoch", c.epoch)
@@ -42,12 +42,12 @@
 	return c.awaitPersisted(ctx, persisted)
 }
 
-// admissionError returns why no new job can be accepted at present, or nil.
-func (c *Cell) admissionError() error {
+// admissionError returns why a new job can't be accepted at present, or nil.
+func (c *Cell) admissionError(e *jobEntry) error {
 	switch {
 	case c.storeUnavailable():
 		return ErrStoreUnavailable
-	case c.startBacklogFull():
+	case c.wouldStartLate(e, time.Now()):
 		return ErrOverloaded
 	default:
 		return nil
--- a/sched/link_test.go
+++ b/sched/link_test.go
@@ -94,7 +94,7 @@
 		time.Sleep(2 * time.Second)
 		b := &burst{cluster: tc, owner: n}
 		b.submit(5*time.Second, 50*time.Millisecond)
-		time.Sleep(maxStartBacklog + 10*time.Second)
+		time.Sleep(maxStartWait + 10*time.Second)
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if got := tc.checker.Ends(tasks.EndLeaseExpired); got != 0 {
@@ -168,3 +168,42 @@
 		}
 	})
 }
+
+// TestAcceptedJobsMeetTheirObjective submits more jobs than the link can start. Those
+// that are accepted must complete in time.
+func TestAcceptedJobsMeetTheirObjective(t *testing.T) {
+	runCluster(t, 40, func(tc *testCluster) {
+		tc.linkRate = slowLinkRate
+		tc.policy.Stretch, tc.policy.Target = 1.6, 600*time.Millisecond
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		b := &burst{cluster: tc, owner: n}
+		b.submit(10*time.Second, 50*time.Millisecond)
+		time.Sleep(maxStartWait + 10*time.Second)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if len(b.accepted) == 0 || b.refused == 0 {
+			t.Errorf("got %d jobs accepted and %d refused, want some of each", len(b.accepted), b.refused)
+		}
+		late := 0
+		for _, id := range b.accepted {
+			tc.wantPhase(n, id, tasks.Completed)
+			if !n.inTime(id) {
+				late++
+			}
+		}
+		if late > 0 {
+			t.Errorf("got %d of %d accepted jobs late, want none", late, len(b.accepted))
+		}
+	})
+}
+
+// inTime reports whether a job with one step has met its objective.
+func (n *node) inTime(id string) bool {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	e := n.cell.byID[id]
+	step := &e.job.Plan.Steps[0]
+	objective := time.Duration(e.job.Policy.Stretch*float64(step.Estimate)) + e.job.Policy.Target
+	return e.job.Ended.Sub(e.job.Accepted) <= objective
+}
