owner: a standby's renewal doesn't wait for its read of the partition owners

Cause: a standby read the partition owners before each renewal, for up to 1.5 s on a full link, as long as a membership lasts.

Change: a node in the group renews first, and reads the owners for 250 ms at most, only after a renewal that succeeded. A renewal that has failed once is repeated after 100 ms instead of 400 ms, so that the repeat comes before the membership expires.

--- a/owner/member.go
+++ b/owner/member.go
@@ -18,6 +18,9 @@
 	groupName = "cells"
 	// renewInterval is the time between renewals of the membership.
 	renewInterval = 400 * time.Millisecond
+	// renewRetryDelay is the time before the retry of a renewal that has failed once.
+	// The membership must not expire before the retry.
+	renewRetryDelay = 100 * time.Millisecond
 	// memberTTL is how long a member keeps its partitions without a renewal.
 	memberTTL = 1500 * time.Millisecond
 	// ownersRefreshInterval is the time between periodic reads of partition owners.
@@ -110,25 +113,44 @@
 
 // Run renews the membership until ctx ends.
 func (m *Member) Run(ctx context.Context) {
+	failures := 0
 	for {
-		if m.shouldJoin(ctx) && m.renew(ctx) {
-			// The store reassigns the released partitions only after this node has
-			// confirmed the new generation.
-			m.renew(ctx)
-			m.notifyReleased()
+		joined := m.inGroup()
+		if joined && !m.renewOrRelease(ctx) {
+			failures++
+		} else {
+			failures = 0
+			m.updateStandby(ctx)
+		}
+		delay := renewInterval
+		if failures == 1 || m.inGroup() != joined {
+			delay = renewRetryDelay
 		}
 		select {
 		case <-m.renewNow:
 			if core.Sleep(ctx, promptRenewDelay) != nil {
 				return
 			}
-		case <-time.After(renewInterval):
+		case <-time.After(delay):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// renewOrRelease renews the membership, releases the partitions that the node has lost,
+// and reports whether the renewal succeeded.
+func (m *Member) renewOrRelease(ctx context.Context) bool {
+	released, renewed := m.renew(ctx)
+	if released {
+		// The store reassigns the released partitions only after this node has
+		// confirmed the new generation.
+		m.renew(ctx)
+		m.notifyReleased()
+	}
+	return renewed
+}
+
 // RenewNow requests a renewal after promptRenewDelay.
 func (m *Member) RenewNow() {
 	select {
@@ -143,13 +165,14 @@
 	}
 }
 
-// renew renews the membership and reports whether the node has lost partitions.
-func (m *Member) renew(ctx context.Context) bool {
+// renew renews the membership and reports whether the node has lost partitions, and
+// whether it succeeded.
+func (m *Member) renew(ctx context.Context) (released, renewed bool) {
 	m.mu.Lock()
 	membership, left := m.membership, m.left
 	m.mu.Unlock()
 	if left {
-		return false
+		return false, true
 	}
 	sent := time.Now()
 	assignment, err := m.group.Join(ctx, membership)
@@ -157,14 +180,14 @@
 		if ctx.Err() == nil {
 			m.logger.Info("failed to renew the group membership", "generation", membership.Generation, "err", err.Error())
 		}
-		return false
+		return false, false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.left {
-		return false
+		return false, true
 	}
-	released := slices.ContainsFunc(m.assigned, func(p int) bool { return !slices.Contains(assignment.Partitions, p) })
+	released = slices.ContainsFunc(m.assigned, func(p int) bool { return !slices.Contains(assignment.Partitions, p) })
 	if assignment.Generation != m.membership.Generation {
 		m.logger.Info("partitions reassigned", "generation", assignment.Generation, "before", m.membership.Generation, "held", len(assignment.Partitions))
 	}
@@ -172,7 +195,7 @@
 	m.adopt(assignment.Partitions, sent)
 	m.renewed = sent
 	m.changed.Notify()
-	return released
+	return released, true
 }
 
 // adopt acts on the partitions of a renewal that was sent at a given time. If the
--- a/owner/member_test.go
+++ b/owner/member_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
+	"rattanpath/core"
 	"rattanpath/fake"
+	"rattanpath/store"
 )
 
 // TestStandbyTakesOverAndLeaves checks that a standby takes over all partitions
@@ -90,3 +94,75 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// slowOwnersGroup is a group that never returns the partition owners while it is slow.
+type slowOwnersGroup struct {
+	Group
+	slow atomic.Bool
+}
+
+func (g *slowOwnersGroup) PartitionOwners(ctx context.Context, name string) ([]store.PartitionOwner, error) {
+	if !g.slow.Load() {
+		return g.Group.PartitionOwners(ctx, name)
+	}
+	return nil, core.Sleep(ctx, time.Minute)
+}
+
+// TestStandbyRenewsBesideSlowRead makes the reads by which a standby looks for regular
+// nodes hang. Its membership must not expire.
+func TestStandbyRenewsBesideSlowRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := fake.NewStore()
+		group := &slowOwnersGroup{Group: s.Client("a")}
+		standby := NewMember(group, "a", "1:1", time.Second, true, logr.Discard())
+		go standby.Run(ctx)
+		time.Sleep(4 * time.Second)
+		group.slow.Store(true)
+		for range 100 {
+			if standby.Expired() {
+				t.Fatal("got an expired membership, want it renewed")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// failingGroup is a group in which every other join gets no response in time.
+type failingGroup struct {
+	Group
+	joins atomic.Int64
+}
+
+func (g *failingGroup) Join(ctx context.Context, membership store.Membership) (store.Assignment, error) {
+	if g.joins.Add(1)%2 == 0 {
+		_ = core.Sleep(ctx, 500*time.Millisecond)
+		return store.Assignment{}, errors.New("no response")
+	}
+	return g.Group.Join(ctx, membership)
+}
+
+// TestOneFailedRenewal lets every other renewal fail. The membership must not expire.
+func TestOneFailedRenewal(t *testing.T) {
+	for _, standby := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := fake.NewStore()
+			group := &slowOwnersGroup{Group: &failingGroup{Group: s.Client("a")}}
+			m := NewMember(group, "a", "1:1", time.Second, standby, logr.Discard())
+			go m.Run(ctx)
+			time.Sleep(4 * time.Second)
+			group.slow.Store(true)
+			for range 1000 {
+				if m.Expired() {
+					t.Fatalf("got an expired membership of a member (standby: %t), want it renewed", standby)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			cancel()
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
--- a/owner/standby.go
+++ b/owner/standby.go
@@ -16,6 +16,9 @@
 	// standbyJoinDelay, and leaves it once one has for standbyLeaveDelay.
 	standbyJoinDelay  = 1500 * time.Millisecond
 	standbyLeaveDelay = 3 * time.Second
+	// standbyReadTimeout limits the read of the partition owners, which delays the next
+	// renewal.
+	standbyReadTimeout = 250 * time.Millisecond
 )
 
 // standbyState decides when a standby node is in the group: only while no regular
@@ -46,15 +49,20 @@
 	return s.joined
 }
 
-// shouldJoin reports whether the node should be in the group now. If a standby node
-// no longer should, it leaves the group.
-func (m *Member) shouldJoin(ctx context.Context) bool {
+// inGroup reports whether the node should be in the group.
+func (m *Member) inGroup() bool { return m.standby == nil || m.standby.joined }
+
+// updateStandby decides whether a standby node should be in the group. If it no longer
+// should, it leaves the group.
+func (m *Member) updateStandby(ctx context.Context) {
 	if m.standby == nil {
-		return true
+		return
 	}
-	owners, err := m.group.PartitionOwners(ctx, groupName)
+	readCtx, cancel := context.WithTimeout(ctx, standbyReadTimeout)
+	defer cancel()
+	owners, err := m.group.PartitionOwners(readCtx, groupName)
 	if err != nil {
-		return m.standby.joined
+		return
 	}
 	wasJoined := m.standby.joined
 	join := m.standby.observe(owners, time.Now())
@@ -64,5 +72,4 @@
 	if wasJoined && !join {
 		m.releasePartitions(ctx)
 	}
-	return join
 }
