intake: remember a refusal by queue and size of the job

Cause: since a job is refused by its own objective and size, one large job that is refused made the entry node refuse all jobs of the service for a second, small ones and those of other queues included, which the owner would have accepted.

Change: a refusal is remembered by queue, for jobs at least as large.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -63,8 +63,8 @@
 	metrics *metrics.Set
 	router  *mux.Router
 	history serviceHistory
-	// overloaded holds the services that accept no jobs at present.
-	overloaded overloadedServices
+	// overloaded holds the queues that accept no large jobs at present.
+	overloaded overloadedQueues
 }
 
 // NewHandler returns a handler for callers' requests.
--- a/intake/overload.go
+++ b/intake/overload.go
@@ -8,37 +8,57 @@
 	"rattanpath/tasks"
 )
 
-// overloadedServices remembers the services whose owners have just refused a job because
-// of overload. Further jobs are refused here until then: forwarding their bodies would
-// only add to the load of the owner's link.
-type overloadedServices struct {
-	mu    sync.Mutex
-	until map[string]time.Time
+// overloadedQueues remembers the queues whose owners have just refused a job because of
+// overload. Further jobs of that size are refused here until callers return: forwarding
+// their bodies would only add to the load of the owner's link. The owner may still
+// accept smaller ones.
+type overloadedQueues struct {
+	mu       sync.Mutex
+	refusals map[string]refusal
 }
 
-// record remembers that the owner of a service is overloaded, for as long as callers
-// are asked to wait.
-func (o *overloadedServices) record(service string) {
+// refusal means that jobs of at least a size are refused until a time.
+type refusal struct {
+	size  int
+	until time.Time
+}
+
+// record remembers that the owner of a queue has refused a job of a size, for as long as
+// callers are asked to wait.
+func (o *overloadedQueues) record(queue string, size int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.until == nil {
-		o.until = make(map[string]time.Time)
+	if o.refusals == nil {
+		o.refusals = make(map[string]refusal)
 	}
-	o.until[service] = time.Now().Add(retryAfter)
+	o.refusals[queue] = refusal{size: size, until: time.Now().Add(retryAfter)}
 }
 
-// contains reports whether the owner of a service is overloaded.
-func (o *overloadedServices) contains(service string) bool {
+// refuses reports whether the owner of a queue would refuse a job of a size.
+func (o *overloadedQueues) refuses(queue string, size int) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return time.Now().Before(o.until[service])
+	last := o.refusals[queue]
+	return size >= last.size && time.Now().Before(last.until)
+}
+
+// commandOverhead is the approximate size of a start command without its spec, in bytes.
+const commandOverhead = 500
+
+// startSize returns the approximate size of a job's start commands, in bytes.
+func startSize(plan tasks.Plan) int {
+	count := 0
+	for i := range plan.Steps {
+		count += plan.Steps[i].Count
+	}
+	return count * (commandOverhead + len(plan.Spec))
 }
 
 // submitPlan submits a job to its owner, or refuses it if the owner is overloaded. A
 // job that was accepted before is not refused, even if its response was lost.
 func (x *exchange) submitPlan(plan tasks.Plan) owner.Response {
-	service := x.queue.Policy.Service
-	if x.overloaded.contains(service) {
+	queue, size := x.queue.Key(), startSize(plan)
+	if x.overloaded.refuses(queue, size) {
 		response := x.callOwner(owner.MethodStatus, tasks.Plan{})
 		if response.Outcome == owner.UnknownJob {
 			response.Outcome = owner.Overloaded
@@ -47,7 +67,7 @@
 	}
 	response := x.callOwner(owner.MethodSubmit, plan)
 	if response.Outcome == owner.Overloaded {
-		x.overloaded.record(service)
+		x.overloaded.record(queue, size)
 	}
 	return response
 }
