owner: limit the submissions in flight to an owner by its responses

Cause: at the begin of a peak of jobs with long specs the entry nodes sent the owner 60 to 90 jobs a second, retries included, more than its link of 2 Mbit/s takes in.

Change: a window per service and node, halved when a submission gets no response, grown as they are answered. Jobs that find no place until their caller's deadline are refused without having been sent.

--- a/owner/client.go
+++ b/owner/client.go
@@ -59,8 +59,10 @@
 	owners map[int]string
 	// links holds the connections to other nodes by address.
 	links map[string]*link.Client
-	// probes holds the running probes by service.
+	// probes holds the running probes, and windows the limits on submissions, by
+	// service.
 	probes  map[string]*probe
+	windows map[string]*window
 	refresh chan struct{}
 }
 
@@ -78,6 +80,7 @@
 		owners:     make(map[int]string),
 		links:      make(map[string]*link.Client),
 		probes:     make(map[string]*probe),
+		windows:    make(map[string]*window),
 		refresh:    make(chan struct{}, 1),
 	}
 }
@@ -155,7 +158,7 @@
 	last := Response{Outcome: NotOwner}
 	delay := minRetryDelay
 	for c.waitForProbe(ctx, request.Service) == nil {
-		response, maybeSent, err := c.attempt(ctx, method, request)
+		response, maybeSent, err := c.attemptInWindow(ctx, method, request)
 		maybeExecuted = maybeExecuted || maybeSent
 		if err == nil {
 			switch response.Outcome {
@@ -186,6 +189,31 @@
 	return last
 }
 
+// attemptInWindow calls the owner once, a submission when the window allows it.
+func (c *Client) attemptInWindow(ctx context.Context, method Method, request Request) (Response, bool, error) {
+	if method != MethodSubmit {
+		return c.attempt(ctx, method, request)
+	}
+	w := c.window(request.Service)
+	if err := w.acquire(ctx); err != nil {
+		return Response{}, false, err
+	}
+	sent := time.Now()
+	response, maybeSent, err := c.attempt(ctx, method, request)
+	w.release(sent, err == nil)
+	return response, maybeSent, err
+}
+
+// window returns the limit on submissions to the owner of a service.
+func (c *Client) window(service string) *window {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.windows[service] == nil {
+		c.windows[service] = newWindow()
+	}
+	return c.windows[service]
+}
+
 // attempt calls the owner once. It also reports whether a request that failed may
 // have been received.
 func (c *Client) attempt(ctx context.Context, method Method, request Request) (Response, bool, error) {
--- a/owner/client_test.go
+++ b/owner/client_test.go
@@ -133,3 +133,76 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// slowOwner is an owner that runs its cell, and doesn't respond to submissions while it
+// is overloaded.
+type slowOwner struct {
+	overloaded atomic.Bool
+	done       <-chan struct{}
+}
+
+func (o *slowOwner) Submit(*Request, *Response) error {
+	if o.overloaded.Load() {
+		<-o.done
+	}
+	return nil
+}
+
+func (*slowOwner) Await(*Request, *Response) error { return nil }
+
+// TestSubmissionsBackOff submits jobs to an owner that doesn't respond. On average each
+// must be sent once at most, and all must be accepted soon once the owner responds again.
+func TestSubmissionsBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := fake.NewStore()
+		startNode(ctx, s, s.Client("a"), "a", 0)
+		slow := &slowOwner{done: ctx.Done()}
+		server := rpc.NewServer()
+		if err := server.RegisterName(RPCName, slow); err != nil {
+			t.Fatal(err)
+		}
+		var sent atomic.Int64
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go server.ServeConn(far)
+			context.AfterFunc(ctx, func() { _ = near.Close() })
+			return &countingConn{near, &sent}, nil
+		}
+		client := NewClient(s.Client("b"), fixedConfig{}, nil, "b:1", 32, dial, logr.Discard())
+		go client.Run(ctx)
+		time.Sleep(2 * time.Second)
+
+		const jobs, specBytes, overhead = 60, 4000, 1000
+		submit := func(timeout time.Duration) map[Outcome]int {
+			outcomes := make(map[Outcome]int)
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			for range jobs {
+				wg.Go(func() {
+					callCtx, cancel := context.WithTimeout(ctx, timeout)
+					defer cancel()
+					response := client.Call(callCtx, MethodSubmit, Request{Service: testService, Plan: tasks.Plan{Spec: string(make([]byte, specBytes))}})
+					mu.Lock()
+					defer mu.Unlock()
+					outcomes[response.Outcome]++
+				})
+			}
+			wg.Wait()
+			return outcomes
+		}
+		slow.overloaded.Store(true)
+		if got := submit(3 * time.Second)[NotOwner]; got == 0 {
+			t.Errorf("got no job of %d refused without being sent, want some", jobs)
+		}
+		if got, want := sent.Load(), int64(jobs*(specBytes+overhead)); got > want {
+			t.Errorf("got %d bytes sent to an owner that doesn't respond, want at most %d", got, want)
+		}
+		slow.overloaded.Store(false)
+		if got := submit(time.Second)[Done]; got != jobs {
+			t.Errorf("got %d of %d jobs accepted by an owner that responds, want all", got, jobs)
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
