--- a/owner/supervisor.go
+++ b/owner/supervisor.go
@@ -22,8 +22,6 @@
 	reconcileInterval = 500 * time.Millisecond
 	// claimRetryDelay is the time between a failed claim and the next one.
 	claimRetryDelay = 200 * time.Millisecond
-	// claimTimeout limits an attempt to claim a cell.
-	claimTimeout = 5 * time.Second
 )
 
 // ConfigSource returns the active configuration, or nil if there is none yet.
@@ -239,16 +237,15 @@
 	s.wg.Go(func() { r.run(ctx) })
 }
 
-// run claims the cell and runs it until ctx ends or another node takes it over.
+// run claims the cell and runs it until ctx ends or another node takes it over. A claim
+// has no timeout but those of its calls: it may go on as long as the membership lasts.
 func (r *cellRunner) run(ctx context.Context) {
 	defer r.remove()
 	options := r.supervisor.options
 	options.Service = r.service
 	nonce := uuid.NewString()
 	for ctx.Err() == nil {
-		claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-		c, err := sched.Claim(claimCtx, options, nonce)
-		cancel()
+		c, err := sched.Claim(ctx, options, nonce)
 		if err != nil {
 			r.supervisor.logger.Info("failed to claim a cell", "service", r.service, "err", err.Error())
 			_ = core.Sleep(ctx, claimRetryDelay)
--- a/owner/supervisor_test.go
+++ b/owner/supervisor_test.go
@@ -31,8 +31,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := fake.NewStore()
+		const readTime = 4 * time.Second
 		group := &unreachableGroup{Group: s.Client("a"), failsFrom: time.Now().Add(2 * renewInterval)}
-		a := startNode(ctx, s, group, "a", claimTimeout-time.Second)
+		a := startNode(ctx, s, group, "a", readTime)
 		time.Sleep(2 * renewInterval)
 		b := startNode(ctx, s, s.Client("b"), "b", 0)
 		time.Sleep(3 * time.Second)
@@ -40,7 +41,7 @@
 		if cell == nil {
 			t.Fatal("got no cell at the node that renews its membership, want one")
 		}
-		time.Sleep(2 * claimTimeout)
+		time.Sleep(2 * readTime)
 		if got := a.supervisor.Cell(testService); got != nil {
 			t.Errorf("got a cell of epoch %d at the node whose membership has expired, want none", got.Epoch())
 		}
