--- a/owner/service_test.go
+++ b/owner/service_test.go
@@ -14,8 +14,6 @@
 	"rattanpath/tasks"
 )
 
-const testService = "s"
-
 // newTestService returns the RPC service of a node that has claimed one cell, which
 // doesn't run.
 func newTestService(t *testing.T) *Service {
