infra: an order needs a cordon that still lasts

Cause: the machine controller cordons the hosts of its orders, hears that they have no runs, and sends the orders. It checked that it still leads, but not how old that answer was. A controller that was suspended in between could order the move or the upkeep of a host that had got runs again. Change: orders are sent only while the cordon lasts long enough for them to take effect.

--- a/infra/dispatch.go
+++ b/infra/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"rattanpath/sched"
 )
@@ -23,6 +24,7 @@
 // dispatch sends the orders whose machines are idle, after it has stored them
 // as intents for the next leader.
 func (t *term) dispatch(ctx context.Context, orders []plannedOrder) {
+	cordonedAt := t.options.Clock()
 	orders = t.selectIdle(ctx, orders)
 	if len(orders) == 0 || !t.writeIntents(ctx, orders) {
 		return
@@ -33,7 +35,7 @@
 	var wg sync.WaitGroup
 	for i, o := range orders {
 		slots <- struct{}{}
-		if !t.canOrder() {
+		if !t.canOrder() || !t.isCordoned(cordonedAt) {
 			orders = orders[:i]
 			break
 		}
@@ -46,6 +48,12 @@
 	t.handleResults(ctx, orders, results, errs)
 }
 
+// isCordoned reports whether hosts that were cordoned at a time, or later, still are when an
+// order that is sent now takes effect. This node may have been suspended since.
+func (t *term) isCordoned(at time.Duration) bool {
+	return t.options.Clock()+orderTimeout < at+cordonDuration
+}
+
 // selectIdle cordons the hosts of the machines of orders and returns the orders
 // whose machines have no runs. It runs immediately before the orders are sent
 // because a pool may have got a new owner, which does not know of earlier
