sched: a host that was forgotten and returns gets a higher fencing token

Seen: in a test a task ran twice at once. A start command got no answer, its host crashed, its record expired and the cell forgot it; back under its ID the host carried the command out, while the task ran elsewhere. Cause: the count of restarts, which is part of the token, went with the state of the host. The host got the token that it had had before in this epoch, and took the late command's for current. A refusal of a command from before says nothing of the owner's claim: it would otherwise give up the cell because of its own higher token.

--- a/fake/hostclient.go
+++ b/fake/hostclient.go
@@ -17,6 +17,8 @@
 	runners map[string]*Runner
 	// partitioned holds the IDs of the hosts that the node can't reach.
 	partitioned map[string]bool
+	// unlisted holds the IDs of the hosts whose records have expired.
+	unlisted map[string]bool
 	// TaskResources returns the resources that a task requires.
 	TaskResources func(task tasks.ID) tasks.Resources
 	latency       func(host string, command any) Latency
@@ -39,7 +41,7 @@
 // NewHostClient returns a client of the runners, which are keyed by host ID.
 func NewHostClient(runners map[string]*Runner, taskResources func(task tasks.ID) tasks.Resources) *HostClient {
 	return &HostClient{
-		runners: runners, partitioned: make(map[string]bool), TaskResources: taskResources,
+		runners: runners, partitioned: make(map[string]bool), unlisted: make(map[string]bool), TaskResources: taskResources,
 		clock: core.BootClock, seen: make(map[string]time.Time), writtenAfter: make(map[string]time.Duration),
 	}
 }
@@ -61,6 +63,13 @@
 	h.partitioned[id] = partitioned
 }
 
+// SetUnlisted sets whether the record of a host has expired.
+func (h *HostClient) SetUnlisted(id string, unlisted bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unlisted[id] = unlisted
+}
+
 // SetLatency sets a function that returns the latency of each call to a host, so that
 // calls overtake each other. Without one, calls take no extra time.
 func (h *HostClient) SetLatency(latency func(host string, command any) Latency) {
@@ -88,6 +97,9 @@
 	}
 	view := pool.View{Hosts: make(map[string]*pool.Host), ReadAt: time.Now()}
 	for id, runner := range h.runners {
+		if h.unlisted[id] {
+			continue
+		}
 		record := runner.record()
 		if !h.seen[id].Equal(record.at) {
 			h.seen[id], h.writtenAfter[id] = record.at, h.readAt
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -132,6 +132,8 @@
 	// onAllPersisted is called once all changes so far are persisted.
 	onAllPersisted []func()
 	hosts          map[string]*host
+	// forgotten holds the hosts that were deleted from hosts a short time ago, by ID.
+	forgotten map[string]forgottenHost
 	// claimedAt is when the cell was claimed, and confirmedAt when the last write
 	// that the store has confirmed was sent.
 	claimedAt   time.Duration
@@ -188,6 +190,7 @@
 		byID:         make(map[string]*jobEntry),
 		open:         make(map[*jobEntry]bool),
 		hosts:        make(map[string]*host),
+		forgotten:    make(map[string]forgottenHost),
 		meanRunTimes: make(map[string]time.Duration),
 		stepRatios:   make(map[string]float64),
 		writeWake:    make(chan struct{}, 1),
@@ -300,6 +303,7 @@
 	for core.Sleep(ctx, tickInterval) == nil {
 		c.mu.Lock()
 		c.expireLeases()
+		c.expireForgotten()
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
 		c.mu.Unlock()
--- a/sched/command.go
+++ b/sched/command.go
@@ -291,9 +291,9 @@
 
 // handleFenced handles a host's refusal of an outdated token and reports
 // whether the cell is lost. It is not if the command was for an earlier
-// incarnation of the host.
+// incarnation of the host, or the cell has forgotten the host since.
 func (c *Cell) handleFenced(h *host, token int64) bool {
-	if token < c.token(h) {
+	if c.hosts[h.id] != h || token < c.token(h) {
 		return false
 	}
 	c.markLost("host " + h.id + " has seen a higher token")
--- a/sched/host.go
+++ b/sched/host.go
@@ -29,7 +29,8 @@
 	// one.
 	missedHeartbeats int
 	// incarnation is that of the last reply, 0 if unknown. restarts counts its
-	// changes in this epoch, and restartedAt is the local time of the last one.
+	// changes in this epoch, and the times that the host was forgotten in between;
+	// restartedAt is the local time of the last change.
 	incarnation int64
 	restarts    int64
 	restartedAt time.Duration
@@ -74,6 +75,7 @@
 	h := c.hosts[id]
 	if h == nil {
 		h = &host{id: id, runs: make(map[runKey]*run), wake: make(chan struct{}, 1), share: pace.FullShare}
+		h.restarts = c.recallRestarts(id)
 		c.hosts[id] = h
 	}
 	return h
--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -167,7 +167,7 @@
 	defer c.mu.Unlock()
 	if !h.inPool && len(h.runs) == 0 {
 		h.loopRunning = false
-		delete(c.hosts, h.id)
+		c.forgetHost(h)
 		return lease.Heartbeat{}, nil, false
 	}
 	if len(h.runs) == 0 && (h.isRetired() || h.isUpToDate()) {
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -47,7 +47,7 @@
 // expireLeases ends the runs of hosts on which every lease has expired.
 func (c *Cell) expireLeases() {
 	now := c.options.Clock()
-	for id, h := range c.hosts {
+	for _, h := range c.hosts {
 		inheritedUntil := c.inheritedLeaseEnd(h)
 		expired := h.clock.Expired(now)
 		for _, r := range h.runs {
@@ -59,7 +59,7 @@
 			}
 		}
 		if h.info == nil && len(h.runs) == 0 {
-			delete(c.hosts, id)
+			c.forgetHost(h)
 		}
 	}
 }
