infra: a host counts as gone only once the list of machines shows it

Seen: in a test the controller reported a host as gone whose machine was up with it. Its owner then gave up its runs if it couldn't reach the host, and left it unused for 6 s. Cause: an order whose response was lost is sent again once the machine is up again, and the cloud accepts it, since it was carried out before. The acceptance was taken for the end of the host. Change: after an accepted order the owner is told once a list from after it shows the machine away or with another host. No call is added; the list is read as often as before. The fake cloud now accepts a repeated order for maintenance without effect.

--- a/infra/controller.go
+++ b/infra/controller.go
@@ -146,6 +146,10 @@
 	startedAt time.Duration
 	// toPool is the destination of a move.
 	toPool string
+	// leaving is the host that the accepted order takes out of fromPool, or empty once
+	// the owner of the pool has been told.
+	leaving  string
+	fromPool string
 }
 
 type operationKind int
@@ -259,6 +263,7 @@
 	if config == nil || !t.refreshMachines(ctx) {
 		return
 	}
+	t.retireDeparted(ctx)
 	t.refreshReports(ctx, config)
 	t.expireOperations()
 	if !t.canOrder() {
--- a/infra/controller_test.go
+++ b/infra/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -51,6 +52,14 @@
 	down        int
 	// firstOrderDelay is how long the orders of the first node are delayed.
 	firstOrderDelay time.Duration
+	// maintained holds the machines that have had their maintenance, and answersToLose is
+	// how many more orders for maintenance are accepted without a response.
+	maintained    map[string]bool
+	answersToLose int
+	// maintenanceOrders counts the orders for the maintenance of each machine.
+	maintenanceOrders map[string]int
+	// retired holds the hosts that were reported to the owners of pools as gone.
+	retired []string
 }
 
 func newFakeFleet(t *testing.T) *fakeFleet {
@@ -58,6 +67,7 @@
 		t: t, machines: make(map[string]*Machine), readyAt: make(map[string]time.Time),
 		lastOrder: make(map[string]Order), lastOrderAt: make(map[string]time.Time),
 		waiting: make(map[string]int64), controllers: make(map[string]*Controller), unreachable: make(map[string]bool),
+		maintained: make(map[string]bool), maintenanceOrders: make(map[string]int),
 	}
 	for i := range testMachines {
 		name := fmt.Sprintf("m%d", i)
@@ -138,10 +148,15 @@
 	f.delayOrder(order)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.maintenanceOrders[order.Machine]++
+	if f.maintained[order.Machine] {
+		return Accepted, nil
+	}
 	result := f.recordOrder(order, testMaintenanceDuration)
 	if result != Accepted {
 		return result, nil
 	}
+	f.maintained[order.Machine] = true
 	f.machines[order.Machine].State = Maintenance
 	f.down++
 	if f.down > f.wave.MaxDown {
@@ -152,6 +167,10 @@
 		defer f.mu.Unlock()
 		f.down--
 	})
+	if f.answersToLose > 0 {
+		f.answersToLose--
+		return Accepted, errUnreachable
+	}
 	return Accepted, nil
 }
 
@@ -176,7 +195,26 @@
 	return reports, nil
 }
 
-func (f *fakeFleet) Retire(context.Context, string, []string) error { return nil }
+func (f *fakeFleet) Retire(_ context.Context, _ string, hosts []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retired = append(f.retired, hosts...)
+	return nil
+}
+
+// ordersFor returns the number of orders for the maintenance of a machine.
+func (f *fakeFleet) ordersFor(machine string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.maintenanceOrders[machine]
+}
+
+// retiredHosts returns the hosts that were reported as gone.
+func (f *fakeFleet) retiredHosts() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.retired)
+}
 
 // Resign makes another controller resign, or times out if it is unreachable.
 func (f *fakeFleet) Resign(ctx context.Context, address string, epoch int64) (map[string]time.Duration, error) {
--- a/infra/dispatch.go
+++ b/infra/dispatch.go
@@ -102,7 +102,6 @@
 
 // handleResults records the cloud's responses to orders.
 func (t *term) handleResults(ctx context.Context, orders []plannedOrder, results []OrderResult, errs []error) {
-	removed := make(map[string][]string)
 	changedWaves := make(map[*wave]bool)
 	for i, o := range orders {
 		t.logOrder(o, results[i], errs[i])
@@ -112,9 +111,8 @@
 			// The order may have been accepted.
 			t.operations[o.machine.Name] = &operation{kind: o.kind, startedAt: t.options.Clock(), toPool: o.toPool}
 		case result == Accepted:
-			t.operations[o.machine.Name] = &operation{kind: o.kind, startedAt: t.options.Clock(), toPool: o.toPool}
-			if o.machine.Host != "" {
-				removed[o.machine.Pool] = append(removed[o.machine.Pool], o.machine.Host)
+			t.operations[o.machine.Name] = &operation{
+				kind: o.kind, startedAt: t.options.Clock(), toPool: o.toPool, leaving: o.machine.Host, fromPool: o.machine.Pool,
 			}
 			t.markBegun(o, changedWaves)
 		case result == Fenced:
@@ -124,9 +122,6 @@
 			t.markBegun(o, changedWaves)
 		}
 	}
-	for service, hosts := range removed {
-		t.retire(ctx, service, hosts)
-	}
 	for w := range changedWaves {
 		t.writeWave(ctx, w)
 	}
@@ -163,12 +158,3 @@
 	}
 	return reports
 }
-
-// retire informs the owner of a pool which hosts have left it.
-func (t *term) retire(ctx context.Context, service string, hosts []string) {
-	ctx, cancel := context.WithTimeout(ctx, cellCallTimeout)
-	defer cancel()
-	if err := t.options.Cells.Retire(ctx, service, hosts); err != nil {
-		t.logger.Info("failed to report retired hosts to the pool's owner", "service", service, "hosts", len(hosts), "err", err.Error())
-	}
-}
