queue, intake: a node learns each configuration when it is read

Seen: in a test a job was accepted twice, by the old and by the new service of its queue, so that two cells had it. Cause: the services that a queue has used were recorded with requests. A node that served none while the queue used its old service, or read two versions at once, took the queue for new there. Change: the watcher passes on each configuration that it reads; an older one counts as well. Measured: TestIdleNodeKnowsMovedQueue and TestEachConfigIsPassedOn failed before. Not mended: a node that starts after the move, and one that still goes by the old version after another has accepted the job at the new service.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -121,7 +121,9 @@
 }
 
 func newHandler(config *queue.Watcher, client *owner.Client, platform Platform, set *metrics.Set, logger logr.Logger) *intake.Handler {
-	return intake.NewHandler(config, client, platform.Codec, set, logger)
+	handler := intake.NewHandler(config, client, platform.Codec, set, logger)
+	config.OnConfig = handler.LearnConfig
+	return handler
 }
 
 func newServer(settings Settings, handler *intake.Handler, config *queue.Watcher, logger logr.Logger) *intake.Server {
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -160,6 +160,27 @@
 	}
 }
 
+// TestIdleNodeKnowsMovedQueue guards against accepting a job a second time because the node
+// served no request while the queue used its old service, or read that version late.
+func TestIdleNodeKnowsMovedQueue(t *testing.T) {
+	for name, versions := range map[string][]int64{"in order": {1, 2}, "old version read late": {2, 1}} {
+		t.Run(name, func(t *testing.T) {
+			h, source, client := newTestHandler(newTestConfig(2, "two"))
+			for _, version := range versions {
+				if version == source.config.Version {
+					h.LearnConfig(source.config)
+				} else {
+					h.LearnConfig(newTestConfig(version, "one"))
+				}
+			}
+			client.jobs["one"] = map[string]bool{testID: true}
+			if got := send(h, "POST", "/x/"+testID, "job").Code; got != 200 || len(client.jobs["two"]) != 0 {
+				t.Errorf("got status %d and jobs %v at the new service for a repeated job, want 200 and none", got, client.jobs["two"])
+			}
+		})
+	}
+}
+
 // TestOverloadedServiceGetsNoBodies submits jobs to an overloaded service: after the
 // first refusal, bodies must stay here until callers return. A job that was accepted
 // must not be refused.
--- a/intake/history.go
+++ b/intake/history.go
@@ -18,14 +18,20 @@
 	services map[string][]string
 }
 
-// update records the services of a configuration; older versions are ignored.
+// LearnConfig records which services the queues of a configuration use, which must not
+// depend on whether a request arrives while it is active.
+func (h *Handler) LearnConfig(config *queue.Config) { h.history.update(config) }
+
+// update records the services of a configuration, which may be older than others.
 func (h *serviceHistory) update(config *queue.Config) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.config == config || h.config != nil && config.Version < h.config.Version {
+	if h.config == config {
 		return
 	}
-	h.config = config
+	if h.config == nil || config.Version >= h.config.Version {
+		h.config = config
+	}
 	if h.services == nil {
 		h.services = make(map[string][]string)
 	}
--- a/queue/watch.go
+++ b/queue/watch.go
@@ -55,6 +55,9 @@
 	topic  string
 	decode Decode
 	logger logr.Logger
+	// OnConfig, if not nil, is called with each configuration that is read, before it is
+	// activated. It must be set before Run.
+	OnConfig func(*Config)
 
 	config   atomic.Pointer[Config]
 	waves    atomic.Pointer[map[int64]*Wave]
@@ -138,6 +141,9 @@
 }
 
 func (w *Watcher) applyUpdate(update Update) {
+	if update.Config != nil && w.OnConfig != nil {
+		w.OnConfig(update.Config)
+	}
 	if config, current := update.Config, w.Config(); config != nil && (current == nil || config.Version > current.Version) {
 		w.config.Store(config)
 		w.logger.Info("configuration activated", "version", config.Version, "queues", len(config.Queues), "services", len(config.Services))
--- /dev/null
+++ b/queue/watch_test.go
@@ -0,0 +1,110 @@
+package queue
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rattanpath/core"
+	"rattanpath/store"
+)
+
+// logReader is a Reader of a log whose records are all versions of one key.
+type logReader struct {
+	mu     sync.Mutex
+	values []string
+}
+
+// add appends records.
+func (r *logReader) add(values ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.values = append(r.values, values...)
+}
+
+// Newest returns the last record.
+func (r *logReader) Newest(context.Context, string) (store.Snapshot, error) {
+	batch := r.records(0)
+	return store.Snapshot{Records: batch.Records[len(batch.Records)-1:], Next: batch.Next}, nil
+}
+
+// Read returns the records from an offset on, after the wait if there are none.
+func (r *logReader) Read(ctx context.Context, _ string, from int64, wait time.Duration) (store.Batch, error) {
+	if batch := r.records(from); len(batch.Records) > 0 {
+		return batch, nil
+	}
+	if err := core.Sleep(ctx, wait); err != nil {
+		return store.Batch{}, err
+	}
+	return r.records(from), nil
+}
+
+func (r *logReader) records(from int64) store.Batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	batch := store.Batch{Next: int64(len(r.values))}
+	for offset := from; offset < batch.Next; offset++ {
+		batch.Records = append(batch.Records, store.Record{Key: "config", Value: []byte(r.values[offset]), Offset: offset})
+	}
+	return batch
+}
+
+// decodeVersion decodes a record whose value is the version of a configuration.
+func decodeVersion(_ string, value []byte) (Update, error) {
+	version, err := strconv.ParseInt(string(value), 10, 64)
+	return Update{Config: NewConfig(version, nil, nil, Limits{})}, err
+}
+
+// versionList is the versions of configurations in the order in which they were passed on.
+type versionList struct {
+	mu       sync.Mutex
+	versions []int64
+}
+
+func (l *versionList) add(config *Config) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, config.Version)
+}
+
+func (l *versionList) all() []int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.versions)
+}
+
+// startWatcher runs a watcher and returns it and the versions that it passes on.
+func startWatcher(ctx context.Context, reader Reader) (*Watcher, *versionList) {
+	w := NewWatcher(reader, "op", decodeVersion, logr.Discard())
+	list := &versionList{}
+	w.OnConfig = list.add
+	go w.Run(ctx)
+	return w, list
+}
+
+// TestEachConfigIsPassedOn guards against losing a configuration that a newer one replaces in
+// the same read.
+func TestEachConfigIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		reader := &logReader{values: []string{"1"}}
+		w, versions := startWatcher(ctx, reader)
+		synctest.Wait()
+		reader.add("2", "3")
+		time.Sleep(2 * longPollTimeout)
+		if got, want := versions.all(), []int64{1, 2, 3}; !slices.Equal(got, want) {
+			t.Errorf("got versions %v, want %v", got, want)
+		}
+		if got := w.Config().Version; got != 3 {
+			t.Errorf("got version %d active, want 3", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
