sched, infra, owner: a retired host is named with its incarnation

Seen: in a test a task ran twice at once. The report that a machine had left came when its host was back as a new incarnation, which had runs and didn't answer within 100 ms. Cause: the owner took the report for one of the incarnation that it knew by then. A controller that is suspended between the order and the report, or a call that is carried out late, sends it so. Change: the report of a cordoned host names its incarnation, and the machine controller passes it on with the retirement. The owner ignores that of another incarnation. Open: an owner that hasn't noticed the new incarnation when the late report comes.

--- a/infra/controller.go
+++ b/infra/controller.go
@@ -51,7 +51,7 @@
 	Report(ctx context.Context, service string) (sched.Report, error)
 	Cordon(ctx context.Context, service string, hosts []string, duration time.Duration, evict bool) ([]sched.HostReport, error)
 	// Retire reports that the machines of hosts have left the pool.
-	Retire(ctx context.Context, service string, hosts []string) error
+	Retire(ctx context.Context, service string, hosts []sched.RetiredHost) error
 }
 
 // LeaderClient calls previous leaders.
@@ -146,9 +146,9 @@
 	startedAt time.Duration
 	// toPool is the destination of a move.
 	toPool string
-	// leaving is the host that the accepted order takes out of fromPool, or empty once
+	// leaving is the host that the accepted order takes out of fromPool, or zero once
 	// the owner of the pool has been told.
-	leaving  string
+	leaving  sched.RetiredHost
 	fromPool string
 }
 
--- a/infra/controller_test.go
+++ b/infra/controller_test.go
@@ -25,6 +25,7 @@
 	testMoveDuration        = 1500 * time.Millisecond
 	testMaintenanceDuration = 2 * time.Second
 	testMachines            = 16
+	testIncarnation         = 7
 )
 
 var errUnreachable = errors.New("node unreachable")
@@ -59,7 +60,7 @@
 	// maintenanceOrders counts the orders for the maintenance of each machine.
 	maintenanceOrders map[string]int
 	// retired holds the hosts that were reported to the owners of pools as gone.
-	retired []string
+	retired []sched.RetiredHost
 }
 
 func newFakeFleet(t *testing.T) *fakeFleet {
@@ -190,12 +191,12 @@
 func (f *fakeFleet) Cordon(_ context.Context, _ string, hosts []string, _ time.Duration, _ bool) ([]sched.HostReport, error) {
 	var reports []sched.HostReport
 	for _, id := range hosts {
-		reports = append(reports, sched.HostReport{ID: id, Usable: true, Cordoned: true})
+		reports = append(reports, sched.HostReport{ID: id, Incarnation: testIncarnation, Usable: true, Cordoned: true})
 	}
 	return reports, nil
 }
 
-func (f *fakeFleet) Retire(_ context.Context, _ string, hosts []string) error {
+func (f *fakeFleet) Retire(_ context.Context, _ string, hosts []sched.RetiredHost) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.retired = append(f.retired, hosts...)
@@ -210,7 +211,7 @@
 }
 
 // retiredHosts returns the hosts that were reported as gone.
-func (f *fakeFleet) retiredHosts() []string {
+func (f *fakeFleet) retiredHosts() []sched.RetiredHost {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.retired)
--- a/infra/dispatch.go
+++ b/infra/dispatch.go
@@ -19,6 +19,8 @@
 	// order belongs to.
 	toPool string
 	wave   *wave
+	// incarnation is that of the machine's host when it was found idle.
+	incarnation int64
 }
 
 // dispatch sends the orders whose machines are idle, after it has stored them
@@ -65,20 +67,24 @@
 			hosts[o.machine.Pool] = append(hosts[o.machine.Pool], o.machine.Host)
 		}
 	}
-	idle := make(map[string]bool)
+	idle := make(map[string]sched.HostReport)
 	for service, ids := range hosts {
 		for _, report := range t.cordon(ctx, service, ids, false) {
-			idle[report.ID] = report.Runs == 0
+			if report.Runs == 0 {
+				idle[report.ID] = report
+			}
 		}
 	}
 	var ready []plannedOrder
 	selected := make(map[string]bool)
 	for _, o := range orders {
 		name := o.machine.Name
-		if selected[name] || t.isOnHold(name) || o.machine.Host != "" && !idle[o.machine.Host] {
+		report, isIdle := idle[o.machine.Host]
+		if selected[name] || t.isOnHold(name) || o.machine.Host != "" && !isIdle {
 			continue
 		}
 		selected[name] = true
+		o.incarnation = report.Incarnation
 		ready = append(ready, o)
 	}
 	return ready
@@ -112,7 +118,8 @@
 			t.operations[o.machine.Name] = &operation{kind: o.kind, startedAt: t.options.Clock(), toPool: o.toPool}
 		case result == Accepted:
 			t.operations[o.machine.Name] = &operation{
-				kind: o.kind, startedAt: t.options.Clock(), toPool: o.toPool, leaving: o.machine.Host, fromPool: o.machine.Pool,
+				kind: o.kind, startedAt: t.options.Clock(), toPool: o.toPool,
+				leaving: sched.RetiredHost{ID: o.machine.Host, Incarnation: o.incarnation}, fromPool: o.machine.Pool,
 			}
 			t.markBegun(o, changedWaves)
 		case result == Fenced:
--- a/infra/retire_test.go
+++ b/infra/retire_test.go
@@ -9,6 +9,7 @@
 
 	"rattanpath/fake"
 	"rattanpath/queue"
+	"rattanpath/sched"
 )
 
 // TestOnlyDepartedHostsAreRetired guards against reporting a host as gone whose machine stays:
@@ -33,7 +34,7 @@
 				leader := fleet.start(ctx, s, "first")
 				leader.isLeader.Store(true)
 				time.Sleep(10 * time.Second)
-				if got := slices.Contains(fleet.retiredHosts(), "h-m0"); got != test.want {
+				if got := slices.Contains(fleet.retiredHosts(), sched.RetiredHost{ID: "h-m0", Incarnation: testIncarnation}); got != test.want {
 					t.Errorf("got the host reported as gone: %t, want %t", got, test.want)
 				}
 				if got := fleet.ordersFor("m0"); got != 1+test.answersToLose {
--- a/owner/client.go
+++ b/owner/client.go
@@ -271,8 +271,8 @@
 }
 
 // Retire informs the owner that the machines of hosts have left the pool.
-func (c *Client) Retire(ctx context.Context, service string, hosts []string) error {
-	response, _, err := c.attempt(ctx, MethodRetire, Request{Service: service, Hosts: hosts})
+func (c *Client) Retire(ctx context.Context, service string, hosts []sched.RetiredHost) error {
+	response, _, err := c.attempt(ctx, MethodRetire, Request{Service: service, Retired: hosts})
 	return outcomeError(response, err)
 }
 
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -55,11 +55,13 @@
 	Policy tasks.Policy
 	// Timeout limits the call at the owner.
 	Timeout time.Duration
-	// Hosts are the hosts to cordon or retire. A cordon lasts for Length; Vacate
-	// also evicts the runs of the hosts.
+	// Hosts are the hosts to cordon. A cordon lasts for Length; Vacate also evicts
+	// the runs of the hosts.
 	Hosts  []string
 	Length time.Duration
 	Vacate bool
+	// Retired are the hosts to retire.
+	Retired []sched.RetiredHost
 }
 
 // Response holds the results of all methods of owners.
--- a/sched/cell_test.go
+++ b/sched/cell_test.go
@@ -102,7 +102,7 @@
 		host := n.hostOf("job", 0)
 		tc.runners[host].Crash()
 		tc.runners[host].SetUnresponsive(true)
-		if err := n.cell.Retire([]string{host}); err != nil {
+		if err := n.cell.Retire([]RetiredHost{{ID: host}}); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -119,7 +119,7 @@
 	runCluster(t, 1, func(tc *testCluster) {
 		n := tc.claim("a")
 		time.Sleep(100 * time.Millisecond)
-		if err := n.cell.Retire([]string{"h0"}); err != nil {
+		if err := n.cell.Retire([]RetiredHost{{ID: "h0"}}); err != nil {
 			t.Fatal(err)
 		}
 		if err := tc.submit(n, "job", simplePlan(1, 1000)); err != nil {
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -17,7 +17,8 @@
 
 // HostReport is the state of a host of the pool.
 type HostReport struct {
-	ID string
+	ID          string
+	Incarnation int64
 	// Room is the capacity of the host, and Used what its runs occupy.
 	Room tasks.Resources
 	Used tasks.Resources
@@ -73,14 +74,15 @@
 func (c *Cell) hostReport(h *host, now time.Time) HostReport {
 	serving, _ := h.serving()
 	return HostReport{
-		ID:       h.id,
-		Room:     h.info.Capacity,
-		Used:     h.used(),
-		Runs:     len(h.runs),
-		Lasting:  serving,
-		Usable:   h.usable(),
-		Cordoned: now.Before(h.cordonedUntil),
-		State:    c.hostState(h, now),
+		ID:          h.id,
+		Incarnation: h.currentIncarnation(),
+		Room:        h.info.Capacity,
+		Used:        h.used(),
+		Runs:        len(h.runs),
+		Lasting:     serving,
+		Usable:      h.usable(),
+		Cordoned:    now.Before(h.cordonedUntil),
+		State:       c.hostState(h, now),
 	}
 }
 
--- a/sched/retire.go
+++ b/sched/retire.go
@@ -12,22 +12,29 @@
 // reply within a few milliseconds.
 const retireProbeTimeout = 100 * time.Millisecond
 
-// Retire records that machines have left the pool or are down for maintenance, and ends the
-// runs on their hosts unless these answer.
-func (c *Cell) Retire(ids []string) error {
+// RetiredHost is a host whose machine has left the pool or is down for maintenance.
+type RetiredHost struct {
+	ID string
+	// Incarnation is the one that has ended; 0 means the current one.
+	Incarnation int64
+}
+
+// Retire records that hosts have left the pool, and ends the runs on them unless they answer.
+func (c *Cell) Retire(hosts []RetiredHost) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isLost() {
 		return ErrNotOwner
 	}
-	for _, id := range ids {
-		h := c.hosts[id]
-		if h == nil {
+	for _, retired := range hosts {
+		h := c.hosts[retired.ID]
+		if h == nil || retired.Incarnation != 0 && retired.Incarnation != h.currentIncarnation() {
+			// The host is unknown or already back.
 			continue
 		}
 		h.retiredIncarnation, h.retiredAt = h.currentIncarnation(), time.Now()
 		h.synced = false
-		c.logger.Info("host retired", "host", id, "runs", len(h.runs))
+		c.logger.Info("host retired", "host", h.id, "runs", len(h.runs))
 		c.probeRetired(h)
 	}
 	return nil
--- a/sched/retire_test.go
+++ b/sched/retire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -59,7 +60,7 @@
 				}
 				time.Sleep(500 * time.Millisecond)
 				client.suspend(pause)
-				if err := n.cell.Retire([]string{n.hostOf("job", 0)}); err != nil {
+				if err := n.cell.Retire([]RetiredHost{{ID: n.hostOf("job", 0)}}); err != nil {
 					t.Fatal(err)
 				}
 				time.Sleep(6 * time.Second)
@@ -71,3 +72,42 @@
 		})
 	}
 }
+
+// TestLateRetirementSparesNextIncarnation guards against giving up the runs of a host that is
+// back, because the report that its machine had left comes late and the host is slow to answer.
+func TestLateRetirementSparesNextIncarnation(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 3 * time.Second} }
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		reports, err := n.cell.Cordon([]string{"h0", "h1"}, 2*time.Second, false)
+		if err != nil || len(reports) != 2 {
+			t.Fatalf("got reports %v and error %v, want two hosts", reports, err)
+		}
+		for _, runner := range tc.runners {
+			runner.Crash()
+		}
+		time.Sleep(time.Second)
+		for _, runner := range tc.runners {
+			runner.Restart()
+		}
+		time.Sleep(2 * time.Second)
+		if err := tc.submit(n, "job", simplePlan(3, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		host := n.hostOf("job", 0)
+		n.hosts.SetPartitioned(host, true)
+		report := reports[slices.IndexFunc(reports, func(report HostReport) bool { return report.ID == host })]
+		if err := n.cell.Retire([]RetiredHost{{ID: host, Incarnation: report.Incarnation}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		n.hosts.SetPartitioned(host, false)
+		time.Sleep(5 * time.Second)
+		tc.wantPhase(n, "job", tasks.Completed)
+		if got := tc.checker.Starts(); got != 3 {
+			t.Errorf("got %d starts of 3 tasks, want 3", got)
+		}
+	})
+}
