tasks, place, sched, fake: names and one count of tasks

As a newcomer read them: a job doesn't crash, it has crashes; a parameter hid the method of the same name; two constants of one name meant different limits; the tasks of a host were counted in two places. No change of behaviour; go test ./tasks ./place ./sched green.

--- a/fake/checker.go
+++ b/fake/checker.go
@@ -24,7 +24,7 @@
 	// failures counts the acknowledged failed runs of each task.
 	failures map[tasks.ID]int
 	// crashes counts the hosts that crashed because of a task, and startsAfterCrashes the
-	// starts of the task since maxCrashes hosts did.
+	// starts of the task since toleratedCrashes hosts did.
 	crashes            map[tasks.ID]int
 	startsAfterCrashes map[tasks.ID]int
 	// hostCrashes counts the crashes of hosts that had a run of a task, for any cause.
@@ -61,9 +61,9 @@
 }
 
 const (
-	// maxCrashes is how many hosts a task may crash before it counts as one that crashes
+	// toleratedCrashes is how many hosts a task may crash before it counts as one that crashes
 	// every host.
-	maxCrashes = 3
+	toleratedCrashes = 3
 	// maxStartsAfterCrashes is how often such a task may still be started.
 	maxStartsAfterCrashes = 2
 )
@@ -98,7 +98,7 @@
 
 // checkCrashes reports a start of a task that has crashed too many hosts.
 func (c *InvariantChecker) checkCrashes(host string, task tasks.ID, run int) {
-	if c.crashes[task] < maxCrashes {
+	if c.crashes[task] < toleratedCrashes {
 		return
 	}
 	c.startsAfterCrashes[task]++
--- a/place/pick.go
+++ b/place/pick.go
@@ -116,16 +116,21 @@
 	return float64(host.Free.CPU-step.RequiredResources().CPU) / float64(host.Capacity.CPU)
 }
 
-// Place updates the host for a task that is placed on it.
-func (h *Host) Place(req Requirements) {
-	h.Free = h.Free.Sub(req.Step.RequiredResources())
-	h.QuietIn = FreshTime
+// CountTask counts a task of a step that the host runs.
+func (h *Host) CountTask(step *tasks.Step) {
 	switch {
-	case req.Step.Fills:
+	case step.Fills:
 		h.BestEffortTasks++
-	case req.Step.Lasting:
+	case step.Lasting:
 		h.ServingTasks++
 	}
+}
+
+// Place updates the host for a task that is placed on it.
+func (h *Host) Place(req Requirements) {
+	h.Free = h.Free.Sub(req.Step.RequiredResources())
+	h.QuietIn = FreshTime
+	h.CountTask(req.Step)
 	h.Reserved = h.Reserved || req.Isolated
 }
 
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -19,7 +19,7 @@
 // Timing and retention of a cell.
 const (
 	// ownershipTimeout is how long after its last confirmed write a cell that
-	// can't reach the store goes on renewing leases.
+	// can't reach the store goes on renewing leases and starting runs.
 	ownershipTimeout = 4 * time.Second
 	// maxCountAge is how long after its last confirmed write a cell serves
 	// Pending.
@@ -78,8 +78,8 @@
 	Clock   core.Clock
 	// MaxLease is the longest lease that a host grants.
 	MaxLease time.Duration
-	// MaxRecordAge is how old the record of a host may be when it starts a run: it may
-	// have shrunk since. 0 means that there is no limit.
+	// MaxRecordAge is how old the record of a host may be when a start command reaches
+	// it: it may have shrunk since. 0 means that there is no limit.
 	MaxRecordAge time.Duration
 	// JobRetention is how long the state of an ended job can be queried.
 	JobRetention time.Duration
--- a/sched/run.go
+++ b/sched/run.go
@@ -147,8 +147,8 @@
 // restartHost records that the host has restarted, after it last answered the given time
 // after the start of the run. Readings of its old clock can't be compared with new ones,
 // and what was asked of the old incarnation no longer holds.
-func (r *run) restartHost(answeredFor time.Duration) {
-	r.survived = answeredFor
+func (r *run) restartHost(survived time.Duration) {
+	r.survived = survived
 	r.firstReportedAt, r.progressedAt, r.percent = 0, 0, 0
 	r.stopping = false
 	if r.awaitsStart() || r.state == runSettled {
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -56,7 +56,7 @@
 func (c *Cell) isolatedTasks(jobs []*jobToPlace, now time.Time) []place.Requirements {
 	var isolated []place.Requirements
 	for _, j := range jobs {
-		if !j.entry.job.Crashed {
+		if !j.entry.job.HasCrashes {
 			continue
 		}
 		for _, round := range j.entry.job.Rounds {
@@ -195,16 +195,11 @@
 		if r.entry == nil {
 			continue
 		}
-		if freshFor > 0 && r.entry.job.Crashed {
+		if freshFor > 0 && r.entry.job.HasCrashes {
 			task := r.entry.job.Task(r.id)
 			candidate.Reserved = candidate.Reserved || task != nil && r.entry.job.Step(r.id).Isolates(task)
 		}
-		step := r.entry.job.Step(r.id)
-		if step.Fills {
-			candidate.BestEffortTasks++
-		} else if step.Lasting {
-			candidate.ServingTasks++
-		}
+		candidate.CountTask(r.entry.job.Step(r.id))
 	}
 	return candidate
 }
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -271,8 +271,8 @@
 	NextRound int
 	// Started means that a host has reported a run of the job.
 	Started bool
-	// Crashed means that a host has crashed right after the start of a run of the job.
-	Crashed bool
+	// HasCrashes means that a host has crashed right after the start of a run of the job.
+	HasCrashes bool
 }
 
 // NewJob returns a job that was accepted at now.
--- a/tasks/record.go
+++ b/tasks/record.go
@@ -128,6 +128,6 @@
 		Failures: record.Failures, Checkpoint: record.Checkpoint, AvoidHost: record.AvoidHost,
 		Crashes: record.Crashes,
 	}
-	j.Crashed = j.Crashed || record.Crashes > 0
+	j.HasCrashes = j.HasCrashes || record.Crashes > 0
 	return nil
 }
--- a/tasks/runs.go
+++ b/tasks/runs.go
@@ -124,7 +124,7 @@
 	task, step := j.Task(id), j.Step(id)
 	task.State = Waiting
 	task.Crashes++
-	j.Crashed = true
+	j.HasCrashes = true
 	if !step.Gang {
 		task.AvoidHost = task.Host
 	}
