owner: nodes of two versions understand each other's retirements

Cause: retired hosts moved to a field of their own, with their incarnations, which an older node neither sends nor reads; during an upgrade retirements would have had no effect. Change: the names of the hosts are sent as before, too, and taken where nothing else is said. Evidence: TestRetireOfOlderVersions. Not run against an older build.

--- a/owner/client.go
+++ b/owner/client.go
@@ -272,7 +272,11 @@
 
 // Retire informs the owner that the machines of hosts have left the pool.
 func (c *Client) Retire(ctx context.Context, service string, hosts []sched.RetiredHost) error {
-	response, _, err := c.attempt(ctx, MethodRetire, Request{Service: service, Retired: hosts})
+	request := Request{Service: service, Retired: hosts}
+	for _, retired := range hosts {
+		request.Hosts = append(request.Hosts, retired.ID)
+	}
+	response, _, err := c.attempt(ctx, MethodRetire, request)
 	return outcomeError(response, err)
 }
 
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -55,15 +55,28 @@
 	Policy tasks.Policy
 	// Timeout limits the call at the owner.
 	Timeout time.Duration
-	// Hosts are the hosts to cordon. A cordon lasts for Length; Vacate also evicts
-	// the runs of the hosts.
+	// Hosts are the hosts to cordon or retire. A cordon lasts for Length; Vacate also
+	// evicts the runs of the hosts.
 	Hosts  []string
 	Length time.Duration
 	Vacate bool
-	// Retired are the hosts to retire.
+	// Retired are the hosts to retire with their incarnations. Nodes of an older version
+	// send and read Hosts alone.
 	Retired []sched.RetiredHost
 }
 
+// retired returns the hosts to retire.
+func (r *Request) retired() []sched.RetiredHost {
+	if len(r.Retired) > 0 {
+		return r.Retired
+	}
+	var retired []sched.RetiredHost
+	for _, id := range r.Hosts {
+		retired = append(retired, sched.RetiredHost{ID: id})
+	}
+	return retired
+}
+
 // Response holds the results of all methods of owners.
 type Response struct {
 	Outcome Outcome
--- a/owner/service.go
+++ b/owner/service.go
@@ -85,7 +85,7 @@
 // Retire records that the machines of hosts have left the pool.
 func (s *Service) Retire(request *Request, response *Response) error {
 	return s.withCell(request, response, func(_ context.Context, c *sched.Cell) error {
-		return c.Retire(request.Retired)
+		return c.Retire(request.retired())
 	})
 }
 
--- a/owner/service_test.go
+++ b/owner/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,3 +91,16 @@
 		}
 	})
 }
+
+// TestRetireOfOlderVersions guards against hosts that stay in use while nodes of two versions
+// are in the group: older ones name hosts without their incarnation.
+func TestRetireOfOlderVersions(t *testing.T) {
+	older := Request{Hosts: []string{"h0", "h1"}}
+	if got, want := older.retired(), []sched.RetiredHost{{ID: "h0"}, {ID: "h1"}}; !slices.Equal(got, want) {
+		t.Errorf("got %v from an older node, want %v", got, want)
+	}
+	newer := Request{Hosts: []string{"h0"}, Retired: []sched.RetiredHost{{ID: "h0", Incarnation: 7}}}
+	if got := newer.retired(); !slices.Equal(got, newer.Retired) {
+		t.Errorf("got %v, want %v", got, newer.Retired)
+	}
+}
