sched: a host that answered after a start was not crashed by it

Cause: a start that got no answer counted as one that crashed its host, however long the host had answered other calls since; and a restart that a new owner noticed by the incarnation alone did not keep isolated tasks off the host for a while. Change: for a start without an answer the time since it was sent tells; a restart is noted wherever it is noticed. The tests set their hosts up before they are used.

--- a/sched/command.go
+++ b/sched/command.go
@@ -78,7 +78,7 @@
 		c.dropRun(h, r, "not sent")
 		return lease.StartCommand{}, nil, false
 	}
-	r.state = runStarting
+	r.state, r.sentAt = runStarting, now
 	c.plannedBytes -= r.entry.startSize()
 	c.reduceBacklog(r.entry, 1)
 	return lease.StartCommand{
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -228,10 +228,8 @@
 		for _, silent := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d hosts, silent %t", hosts, silent), func(t *testing.T) {
 				runCluster(t, hosts, func(tc *testCluster) {
+					tc.wrapHosts = func(client lease.HostClient) lease.HostClient { return crashingClient{client, tc, silent} }
 					n := tc.claim("a")
-					n.cell.mu.Lock()
-					n.cell.options.HostClient = crashingClient{n.cell.options.HostClient, tc, silent}
-					n.cell.mu.Unlock()
 					time.Sleep(100 * time.Millisecond)
 					innocent := tc.submitAll(n, simplePlan(3, 1000))
 					time.Sleep(90 * time.Second)
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -182,18 +182,20 @@
 	case r.state == runUnverified:
 		c.loseRun(h, r, lossRestarted)
 	case r.state == runInherited:
-		c.loseRun(h, r, takeoverLoss(r, report.Incarnation))
+		c.loseInherited(h, r, report.Incarnation)
 	}
 }
 
-// takeoverLoss returns why a run of a previous owner is over that its host, in the given
+// loseInherited records that a run of a previous owner is over that its host, in the given
 // incarnation, didn't report to this one.
-func takeoverLoss(r *run, incarnation int64) lossReason {
+func (c *Cell) loseInherited(h *host, r *run, incarnation int64) {
 	task := r.entry.job.Task(r.id)
 	if task != nil && task.HostIncarnation != 0 && incarnation != 0 && task.HostIncarnation != incarnation {
-		return lossRestarted
+		h.restartedAt = c.options.Clock()
+		c.loseRun(h, r, lossRestarted)
+		return
 	}
-	return lossTakeover
+	c.loseRun(h, r, lossTakeover)
 }
 
 // stopUnexpected stops a run that this cell has not assigned to the host, which
--- a/sched/report_test.go
+++ b/sched/report_test.go
@@ -161,6 +161,10 @@
 func TestAcknowledgementIsForOneIncarnation(t *testing.T) {
 	runCluster(t, 1, func(tc *testCluster) {
 		var hold atomic.Int64
+		tc.profileOf = func(taskID tasks.ID, _ int) fake.RunProfile {
+			durations := map[string]time.Duration{"first": 500 * time.Millisecond, "second": 100 * time.Millisecond}
+			return fake.RunProfile{Duration: durations[taskID.Job]}
+		}
 		tc.wrapJournal = func(journal claim.Journal) claim.Journal { return heldJournal{journal, &hold} }
 		n := tc.claim("a")
 		time.Sleep(100 * time.Millisecond)
@@ -172,7 +176,6 @@
 		// less than the time to the next look at the records of hosts.
 		hold.Store(int64(180 * time.Millisecond))
 		time.Sleep(250 * time.Millisecond)
-		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 100 * time.Millisecond} }
 		go func() { _ = tc.submit(n, "second", simplePlan(1, 1000)) }()
 		time.Sleep(50 * time.Millisecond)
 		tc.runners["h0"].Crash()
--- a/sched/run.go
+++ b/sched/run.go
@@ -52,6 +52,8 @@
 	startedBy time.Duration
 	// survived is what answeredFor returned when the host restarted.
 	survived time.Duration
+	// sentAt is the local time at which the start command was sent, 0 if this cell sent none.
+	sentAt time.Duration
 	// unconfirmedSince is the local time at which the state became runUnconfirmed.
 	unconfirmedSince time.Duration
 	// stopping is set while stop commands are sent.
@@ -122,16 +124,19 @@
 	}
 }
 
-// answeredFor returns how long after the start of the run its host last answered, on the
-// host's clock and at least, or 0 if that isn't known.
+// answeredFor returns how long after the start of the run its host last answered, at least: on
+// the host's clock, or since the start command was sent if that wasn't answered. It returns 0 if
+// that isn't known.
 func (r *run) answeredFor(h *host) time.Duration {
 	switch {
-	case r.startedBy == 0:
-		return 0
-	case r.state == runSettled:
+	case r.state == runUnverified:
+		return r.survived
+	case r.state == runSettled && r.startedBy != 0:
 		return max(0, h.answeredAt-r.settledAt)
+	case r.sentAt != 0 && h.answeredAt != 0:
+		return max(0, h.clock.ReadAfter(h.answeredAt)-r.sentAt)
 	default:
-		return r.survived
+		return 0
 	}
 }
 
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -186,7 +186,7 @@
 		RecentFailures: h.history.recentFailures(now),
 	}
 	clock := c.options.Clock()
-	if h.restarts > 0 && len(c.hosts) > 1 {
+	if h.restartedAt != 0 && len(c.hosts) > 1 {
 		candidate.QuietIn = max(0, h.restartedAt+restartSettleTime-clock)
 	}
 	for _, r := range h.runs {
