sched: a crash counts on a cordoned host, too

Callers saw a task that crashes its hosts started six times on the large deployment. Cause: a loss didn't count as a crash if its host was cordoned when the owner learnt of it, 3 s later. Isolated tasks stand on the emptiest hosts, and just those the machine controller cordons to move their machines; so every other crash was passed over. Change: whether the host was to leave makes no difference, since nothing starts on such a host. TestCrashCountsOnCordonedHost fails before.

--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -117,6 +117,28 @@
 	})
 }
 
+// TestCrashCountsOnCordonedHost guards against a task that crashes its hosts for ever because the
+// machine controller cordons them, as the emptiest ones, before the owner learns of the crash.
+func TestCrashCountsOnCordonedHost(t *testing.T) {
+	runCluster(t, 6, func(tc *testCluster) {
+		tc.useCrashingTask(halfSecondRun)
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		innocent := tc.submitAll(n, simplePlan(3, 1000))
+		crashes := 0
+		for range 800 {
+			time.Sleep(50 * time.Millisecond)
+			if got := tc.checker.Crashes(crashingTask); got > crashes {
+				crashes = got
+				if _, err := n.cell.Cordon([]string{n.hostOf(crashingTask.Job, 0)}, 4*time.Second, false); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		tc.wantGivenUp(n, innocent)
+	})
+}
+
 // TestCrashingServingTaskIsGivenUp guards against a serving task that crashes its hosts, and
 // against giving up or stopping the serving tasks beside it.
 func TestCrashingServingTaskIsGivenUp(t *testing.T) {
--- a/sched/end.go
+++ b/sched/end.go
@@ -49,7 +49,7 @@
 // Its log message is its own, so that the limit on common messages can't hide it.
 func (c *Cell) loseRun(h *host, r *run, why lossReason) {
 	reason := tasks.EndLost
-	if h.crashedUnder(r, why, time.Now()) {
+	if h.crashedUnder(r, why) {
 		reason = tasks.EndCrashed
 	}
 	if c.removeRun(h, r, reason, "") {
@@ -69,11 +69,11 @@
 	c.logger.Info("task given up", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "runs", task.Run, "crashes", task.Crashes)
 }
 
-// crashedUnder reports whether the loss of a run looks as if the run had crashed its host:
-// the host went away right after the start, and nobody had asked it to.
-func (h *host) crashedUnder(r *run, why lossReason, now time.Time) bool {
-	leaving := now.Before(h.cordonedUntil) || h.info != nil && h.info.Draining
-	return !leaving && r.mayHaveCrashed(why) && r.answeredFor(h) < place.FreshTime
+// crashedUnder reports whether the loss of a run looks as if the run had crashed its host,
+// which went away right after the start. That the host was to leave makes no difference: then
+// nothing has just started there.
+func (h *host) crashedUnder(r *run, why lossReason) bool {
+	return r.mayHaveCrashed(why) && r.answeredFor(h) < place.FreshTime
 }
 
 // recoverDone accepts a success that a host reports of a run that counted as lost, unless
