--- a/sched/cell.go
+++ b/sched/cell.go
@@ -166,6 +166,7 @@
 	stepRatios map[string]float64
 	// advisorCalls is the number of calls to the advisor in flight.
 	advisorCalls int
+	activity     activity
 
 	writeWake    chan struct{}
 	scheduleWake chan struct{}
@@ -300,14 +301,18 @@
 
 // loopTimers runs the periodic checks.
 func (c *Cell) loopTimers(ctx context.Context) {
+	sleptAt := c.options.Clock()
 	for core.Sleep(ctx, tickInterval) == nil {
 		c.mu.Lock()
+		c.activity.recordTimerLag(c.options.Clock()-sleptAt, tickInterval)
 		c.expireLeases()
 		c.expireForgotten()
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
+		c.logActivity()
 		c.mu.Unlock()
 		wake(c.scheduleWake)
+		sleptAt = c.options.Clock()
 	}
 }
 
--- a/sched/command.go
+++ b/sched/command.go
@@ -79,6 +79,7 @@
 		return lease.StartCommand{}, nil, false
 	}
 	r.state, r.sentAt = runStarting, now
+	c.activity.starts++
 	c.plannedBytes -= r.entry.startSize()
 	c.reduceBacklog(r.entry, 1)
 	return lease.StartCommand{
--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -175,6 +175,10 @@
 		return lease.Heartbeat{}, h.info, false
 	}
 	heartbeat := lease.Heartbeat{Token: c.token(h), Acknowledged: c.acknowledgement(h)}
+	c.activity.heartbeats++
+	if h.ackValid && heartbeat.Acknowledged < h.acknowledgedSequence {
+		c.activity.unackedHeartbeats++
+	}
 	if h.synced && h.missedHeartbeats == 0 {
 		heartbeat.Wait = heartbeatWait
 		if bestEffort, tailLatencies := h.paceInputs(); bestEffort > 0 && len(tailLatencies) > 0 {
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -27,8 +27,11 @@
 		start := time.Now()
 		c.mu.Lock()
 		c.schedule(start)
+		took := time.Since(start)
+		c.activity.passes++
+		c.activity.passTime += took
 		c.mu.Unlock()
-		if core.Sleep(ctx, schedulePauseFactor*time.Since(start)) != nil {
+		if core.Sleep(ctx, schedulePauseFactor*took) != nil {
 			return
 		}
 	}
@@ -166,11 +169,17 @@
 // ID.
 func (c *Cell) candidates(now time.Time) []*place.Host {
 	var hosts []*place.Host
+	stale := 0
 	for _, h := range c.hosts {
-		if h.usable() && !now.Before(h.backoffUntil) && !now.Before(h.cordonedUntil) && c.hasRecentRecord(h) {
+		switch {
+		case !h.usable() || now.Before(h.backoffUntil) || now.Before(h.cordonedUntil):
+		case !c.hasRecentRecord(h):
+			stale++
+		default:
 			hosts = append(hosts, c.candidate(h, now))
 		}
 	}
+	c.activity.staleRecords = max(c.activity.staleRecords, stale)
 	slices.SortFunc(hosts, func(a, b *place.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return hosts
 }
--- a/sched/write.go
+++ b/sched/write.go
@@ -161,7 +161,7 @@
 	switch {
 	case err == nil:
 		c.options.Metrics.WriteSeconds.UpdateDuration(start)
-		c.writeConfirmed(sent, b)
+		c.writeConfirmed(sent, b, time.Since(start))
 		return true
 	case claim.IsSuperseded(err):
 		c.markLost(err.Error())
@@ -169,9 +169,11 @@
 	return false
 }
 
-func (c *Cell) writeConfirmed(sent time.Duration, b batch) {
+func (c *Cell) writeConfirmed(sent time.Duration, b batch, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.activity.writes++
+	c.activity.writeTime += took
 	c.confirmedAt = sent
 	if !c.failingSince.IsZero() {
 		c.logger.Info("store writes recovered", "after", time.Since(c.failingSince).Round(time.Millisecond))
