sched: at most two start commands to a host at a time

Callers of a queue in its peak were served late or not at all (docs/incidents/owner-out-of-cpu.md). Cause: each start command of a pass went out at once, on a connection of its own: up to 8 to a host. Opening one takes 170 us of processor time more than a command (65 us), and two goroutines and 8 KB for as long as it stays. With hosts that move into the pool in a peak, the owner opened 500 to 1,100 connections a second, had 13,000 goroutines in its run queue, and so needed over a second for a write, after which the planned starts were too old to be sent. Change: a host has a queue of start commands and at most two senders. A command whose reply is overdue no longer holds up the others.

--- a/sched/command.go
+++ b/sched/command.go
@@ -8,7 +8,6 @@
 
 	"rattanpath/core"
 	"rattanpath/lease"
-	"rattanpath/pool"
 	"rattanpath/tasks"
 )
 
@@ -19,9 +18,6 @@
 	// maxTimerLag is how late a timer may fire before this node counts as
 	// overloaded.
 	maxTimerLag = 50 * time.Millisecond
-	// maxStartDelay is how long after its record was written a run may still be
-	// started.
-	maxStartDelay = time.Second
 	// stopRetryDelay is the time between attempts to stop a run.
 	stopRetryDelay = 50 * time.Millisecond
 	// refusalBackoff is how long no runs are assigned to a host after it refused
@@ -41,85 +37,6 @@
 	waits bool
 }
 
-// sendStart sends the start command of a run whose record is persisted. c.mu
-// must be held.
-func (c *Cell) sendStart(h *host, r *run) {
-	persistedAt := c.options.Clock()
-	delay := c.options.Link.startDelay(r.entry.startSize())
-	c.spawn(func(ctx context.Context) {
-		if delay > 0 && core.Sleep(ctx, delay) != nil {
-			return
-		}
-		command, info, ok := c.startCommand(h, r, persistedAt)
-		if !ok {
-			return
-		}
-		start, sent := time.Now(), c.options.Clock()
-		timeout := time.AfterFunc(replyTimeout, func() { c.handleStartTimeout(h, r, sent+replyTimeout) })
-		reply, err := c.options.HostClient.Start(ctx, info, command)
-		timeout.Stop()
-		c.options.Metrics.StartSeconds.UpdateDuration(start)
-		c.handleStartReply(h, r, sentCommand{token: command.Token, at: sent}, reply, err)
-	})
-}
-
-// startCommand returns the start command for a run and the current information
-// on its host, or false if the run must not be started any more.
-func (c *Cell) startCommand(h *host, r *run, persistedAt time.Duration) (lease.StartCommand, *pool.Host, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.options.Clock()
-	task := r.entry.job.Task(r.id)
-	current := h.runs[r.key()] == r && task != nil && task.Run == r.number
-	if !current {
-		return lease.StartCommand{}, nil, false
-	}
-	if !c.maySendStart(h, r, persistedAt) {
-		c.dropRun(h, r, "not sent")
-		return lease.StartCommand{}, nil, false
-	}
-	r.state, r.sentAt = runStarting, now
-	c.activity.starts++
-	c.plannedBytes -= r.entry.startSize()
-	c.reduceBacklog(r.entry, 1)
-	return lease.StartCommand{
-		Task:        r.id,
-		Run:         r.number,
-		Spec:        r.entry.job.Plan.Spec,
-		Checkpoint:  task.Checkpoint,
-		LeaseExpiry: h.clock.Grant(now, c.leaseLength()),
-		Token:       c.token(h),
-		Ticket:      c.ticket(r.entry, r.id, h, time.Now()),
-	}, h.info, true
-}
-
-// maySendStart reports whether the start command of a run whose record was persisted at a
-// local time may still be sent.
-func (c *Cell) maySendStart(h *host, r *run, persistedAt time.Duration) bool {
-	now := c.options.Clock()
-	switch {
-	case r.entry.job.Phase != tasks.Open || now-persistedAt > maxStartDelay:
-		return false
-	case !c.ownershipValid() || !h.clock.Synced():
-		return false
-	default:
-		return c.hasRoom(h, r, now)
-	}
-}
-
-// handleStartTimeout handles a start command that got no reply by due, a local
-// time. If the timer fired late, this node is overloaded and the reply may have
-// arrived, so it waits once more.
-func (c *Cell) handleStartTimeout(h *host, r *run, due time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if now := c.options.Clock(); now-due > maxTimerLag {
-		time.AfterFunc(replyTimeout, func() { c.handleStartTimeout(h, r, now+replyTimeout) })
-		return
-	}
-	c.markUnconfirmed(h, r, "no reply in time")
-}
-
 // markUnconfirmed records that it is unknown whether a host has started a run,
 // and requests a report from the host. c.mu must be held.
 func (c *Cell) markUnconfirmed(h *host, r *run, reason string) {
--- a/sched/host.go
+++ b/sched/host.go
@@ -63,6 +63,10 @@
 	share   int
 	pacedAt time.Time
 
+	// startQueue holds the start commands that wait for one of startSenders senders.
+	startQueue   []queuedStart
+	startSenders int
+
 	wake        chan struct{}
 	loopRunning bool
 }
