sched: scheduling passes take at most a tenth of the processor time

Cause: each event wakes a pass, and with a pause of three times its length passes took a quarter of the processor time, just when starts and heartbeats lacked it: 225 ms a second on an owner at its limit of 800 ms. Change: the pause is nine times a pass. In a peak, passes come every 20 to 30 ms instead of 10.

--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -14,7 +14,7 @@
 // schedulePauseFactor is the pause after a scheduling pass as a multiple of its
 // duration. Without it, passes could use all of a node's CPU time while
 // more tasks wait than the hosts have capacity for.
-const schedulePauseFactor = 3
+const schedulePauseFactor = 9
 
 // loopSchedule runs a scheduling pass whenever something has changed.
 func (c *Cell) loopSchedule(ctx context.Context) {
