sched: a reply to a start keeps ends acknowledgeable

Cause: an acknowledgement counts for 100 ms after the report that listed the ends, since a host may have restarted after that. Once writes take longer, each batch of ends costs a second heartbeat, whose only use is to show that the host lives: half of the 3,300 heartbeats a second of an owner at its limit (unacked=1635 in its line), just when processor time is short. Work that grows as a node gets slower is what lets it collapse. Change: a confirmed start shows the same as a report, since its clock reading can't be that of a younger incarnation. On a full host each end is followed by a start, so a heartbeat whose acknowledgement is too old waits up to 50 ms for the reply to a start in flight.

--- a/sched/command.go
+++ b/sched/command.go
@@ -103,6 +103,9 @@
 	r.markStarted(c.options.Clock())
 	if current {
 		h.answeredAt = max(h.answeredAt, hostTime)
+		// The host has not restarted since its last report, whose ends may still be
+		// acknowledged.
+		h.ackUntil = max(h.ackUntil, h.clock.ReadAfter(hostTime)+maxAckAge)
 		if r.awaitsStart() {
 			r.settle(hostTime)
 		}
--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -27,6 +27,9 @@
 	// ackWait is how long the next heartbeat is delayed for the store to persist
 	// the runs that the last one reported as finished.
 	ackWait = 500 * time.Millisecond
+	// startReplyWait is how long a heartbeat with an acknowledgement that has become too
+	// old is delayed for the reply to a start command in flight.
+	startReplyWait = 50 * time.Millisecond
 	// lossyHeartbeatWait replaces heartbeatWait for lossWindow after any host did
 	// not reply: finished runs go unnoticed for as long as a lost heartbeat
 	// waits.
@@ -64,6 +67,7 @@
 		persisted := l.cell.handleHeartbeat(l.host, result.reply, result.sent)
 		if !l.hasAcknowledgement(heartbeat.Acknowledged) {
 			l.waitPersisted(ctx, persisted)
+			l.waitStartReply(ctx)
 		}
 	}
 }
@@ -152,6 +156,31 @@
 	}
 }
 
+// waitStartReply waits for the reply to a start command if that may make a further report
+// needless: ends in a report that has become too old can be acknowledged once the host shows
+// that it has not restarted since.
+func (l *hostLoop) waitStartReply(ctx context.Context) {
+	timeout := time.NewTimer(startReplyWait)
+	defer timeout.Stop()
+	for l.needsStartReply() {
+		select {
+		case <-l.host.wake:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *hostLoop) needsStartReply() bool {
+	c, h := l.cell, l.host
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isStale := h.ackValid && c.options.Clock() > h.ackUntil
+	return isStale && h.startSenders > 0 && h.acknowledgedSequence == h.reportedSequence
+}
+
 // isUpToDate reports whether the host has answered and has no end to acknowledge. A host
 // that stopped answering is called until it does, or its record is gone: it can't be used
 // before, and may still report ends of runs that count as lost.
--- a/sched/report_test.go
+++ b/sched/report_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"rattanpath/claim"
 	"rattanpath/fake"
 	"rattanpath/lease"
+	"rattanpath/pool"
 	"rattanpath/tasks"
 )
 
@@ -248,3 +250,45 @@
 		})
 	}
 }
+
+// heartbeatCounter counts heartbeats.
+type heartbeatCounter struct {
+	lease.HostClient
+	count atomic.Int64
+}
+
+func (c *heartbeatCounter) Heartbeat(ctx context.Context, host *pool.Host, heartbeat lease.Heartbeat) (lease.HeartbeatReply, error) {
+	c.count.Add(1)
+	return c.HostClient.Heartbeat(ctx, host, heartbeat)
+}
+
+// Guards against an owner that asks each host for one more report per end when its writes get
+// slow: in a peak this took processor time that the writes then lacked.
+func TestSlowWritesCostNoMoreHeartbeats(t *testing.T) {
+	perEnd := make(map[time.Duration]float64)
+	for _, latency := range []time.Duration{0, 150 * time.Millisecond} {
+		runCluster(t, 20, func(tc *testCluster) {
+			counter := &heartbeatCounter{}
+			tc.wrapHosts = func(client lease.HostClient) lease.HostClient {
+				counter.HostClient = client
+				return counter
+			}
+			tc.profileOf = func(id tasks.ID, _ int) fake.RunProfile {
+				return fake.RunProfile{Duration: time.Second + time.Duration(id.Index%40)*20*time.Millisecond}
+			}
+			n := tc.claim("a")
+			n.hosts.SetLatency(startLatency(4 * time.Millisecond))
+			time.Sleep(100 * time.Millisecond)
+			tc.store.SetExtraLatency(latency)
+			// The hosts are full all the time: two runs each, one of which ends every 0.7 s.
+			tc.mustSubmit(n, "job", simplePlan(4000, hostCPU/2))
+			time.Sleep(3 * time.Second)
+			heartbeats, ends := counter.count.Load(), tc.checker.Ends(tasks.EndDone)
+			time.Sleep(20 * time.Second)
+			perEnd[latency] = float64(counter.count.Load()-heartbeats) / float64(tc.checker.Ends(tasks.EndDone)-ends)
+		})
+	}
+	if got, most := perEnd[150*time.Millisecond], 1.2*perEnd[0]; got > most {
+		t.Errorf("got %.2f heartbeats an end with slow writes, want at most %.2f", got, most)
+	}
+}
