platform, infra, claim: one odd entry takes nothing else along

Here none ended, but: - an entry with port 0, 99999 or none, or the address of no machine, counted as a worker: its capacity counted, and each start failed; - with port -1 or letters, or a key with a line break, the command could not even be written and counted as one that may have run, so that its task waited for a lease that nobody held; - an entry nested 9,000 deep was a worker like any other; - one item that can't be decoded made a list fail as a whole each time, so that a node that started then knew no worker; - one machine in a state that isn't known, or with a number out of range, did the same to the list of machines: nothing was moved or maintained any more. The owner of a topic still needs all of its records: what it doesn't know of it would do again (TestClaimNeedsAllRecords).

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -80,6 +80,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(snapshot.Malformed) > 0 {
+		// What the owner of a topic doesn't know of, it would do again.
+		return nil, errors.Wrapf(snapshot.Malformed[0].Err, "reading the records of %s", topic)
+	}
 	c := &Claim{node: node, nonce: nonce}
 	var current record
 	for _, r := range snapshot.Records {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -177,6 +177,25 @@
 	})
 }
 
+// malformedJournal lists an item that can't be decoded.
+type malformedJournal struct{ Journal }
+
+func (j malformedJournal) Newest(ctx context.Context, topic string) (store.Snapshot, error) {
+	snapshot, err := j.Journal.Newest(ctx, topic)
+	snapshot.Malformed = []store.MalformedItem{{Key: "k", Err: errors.New("odd")}}
+	return snapshot, err
+}
+
+// Guards against an owner that lacks a record of its topic: it would do again what the
+// record says is done.
+func TestClaimNeedsAllRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if _, err := Acquire(t.Context(), malformedJournal{fake.NewStore().Client("a")}, testTopic, "a", "nonce", clock); err == nil {
+			t.Error("got no error for a list with a malformed item, want one")
+		}
+	})
+}
+
 // TestWriteAfterUnconfirmedWrite abandons a write that takes effect later and makes
 // another. Both records must be stored.
 func TestWriteAfterUnconfirmedWrite(t *testing.T) {
--- a/infra/cloud.go
+++ b/infra/cloud.go
@@ -20,6 +20,9 @@
 	Maintenance
 	// Down means that the machine is down for any other reason.
 	Down
+	// Unknown means that the cloud's entry of the machine can't be understood. The machine
+	// may be in any state.
+	Unknown
 )
 
 // String returns the name of the state in logs.
--- a/infra/controller.go
+++ b/infra/controller.go
@@ -136,8 +136,10 @@
 	waves        map[int64]*wave
 	machines     []Machine
 	listedAt     time.Duration
-	pools        map[string]*poolState
-	operations   map[string]*operation
+	// unknown is the number of machines in an unknown state that was last logged.
+	unknown    int
+	pools      map[string]*poolState
+	operations map[string]*operation
 }
 
 // operation is an order that a machine is carrying out.
@@ -304,6 +306,23 @@
 	return false
 }
 
+// logUnknown logs how many machines are in an unknown state, if that has changed.
+func (t *term) logUnknown(machines []Machine) {
+	unknown, first := 0, ""
+	for _, m := range machines {
+		if m.State != Unknown {
+			continue
+		}
+		if unknown++; unknown == 1 {
+			first = m.Name
+		}
+	}
+	if unknown != t.unknown {
+		t.unknown = unknown
+		t.logger.Info("machines in unknown state", "count", unknown, "machine", first)
+	}
+}
+
 // refreshMachines lists the machines if the last listing is older than
 // listInterval, and reports whether the list is current.
 func (t *term) refreshMachines(ctx context.Context) bool {
@@ -317,6 +336,7 @@
 		return false
 	}
 	sortByName(machines)
+	t.logUnknown(machines)
 	t.machines, t.listedAt = machines, now
 	return true
 }
--- a/infra/controller_test.go
+++ b/infra/controller_test.go
@@ -59,6 +59,8 @@
 	answersToLose int
 	// maintenanceOrders counts the orders for the maintenance of each machine.
 	maintenanceOrders map[string]int
+	// odd holds the names of the machines that are listed in an unknown state.
+	odd map[string]bool
 	// retired holds the hosts that were reported to the owners of pools as gone.
 	retired []sched.RetiredHost
 }
@@ -99,6 +101,9 @@
 		} else {
 			listed.State = Up
 		}
+		if f.odd[name] {
+			listed = Machine{Name: name, State: Unknown}
+		}
 		machines = append(machines, listed)
 	}
 	return machines, nil
--- a/infra/maintenance.go
+++ b/infra/maintenance.go
@@ -135,7 +135,7 @@
 		}
 		machines[m.Name] = m
 		op := t.operations[m.Name]
-		if m.State == Maintenance || (op != nil && op.kind == maintenanceOperation) {
+		if m.State == Maintenance || m.State == Unknown || (op != nil && op.kind == maintenanceOperation) {
 			state.Down++
 			if begun[m.Name] {
 				continue
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -84,7 +84,7 @@
 		return
 	}
 	input := inputs[m.Pool]
-	if input == nil || m.State == Down {
+	if input == nil || m.State == Down || m.State == Unknown {
 		return
 	}
 	if m.State != Up {
--- a/infra/retire.go
+++ b/infra/retire.go
@@ -13,7 +13,7 @@
 	departed := make(map[string][]sched.RetiredHost)
 	for _, m := range t.machines {
 		op := t.operations[m.Name]
-		if op == nil || op.leaving.ID == "" || t.listedAt <= op.startedAt || m.State == Up && m.Host == op.leaving.ID {
+		if op == nil || op.leaving.ID == "" || t.listedAt <= op.startedAt || m.State == Unknown || m.State == Up && m.Host == op.leaving.ID {
 			continue
 		}
 		departed[op.fromPool] = append(departed[op.fromPool], op.leaving)
--- a/pool/watch.go
+++ b/pool/watch.go
@@ -150,6 +150,9 @@
 		listed[record.Key] = true
 		w.apply(record)
 	}
+	for _, item := range snapshot.Malformed {
+		w.logger.Info("invalid host record", "host", item.Key, "err", item.Err.Error())
+	}
 	for id := range w.view.Hosts {
 		if !listed[id] {
 			w.markMissing(id)
--- a/queue/watch.go
+++ b/queue/watch.go
@@ -109,6 +109,9 @@
 	if err != nil {
 		return 0, err
 	}
+	for _, item := range snapshot.Malformed {
+		w.logger.Error(item.Err, "failed to decode an item of the operator's records", "key", item.Key)
+	}
 	w.apply(snapshot.Records)
 	return snapshot.Next, nil
 }
--- a/store/store.go
+++ b/store/store.go
@@ -35,11 +35,19 @@
 // Snapshot holds the newest record of each key of a topic.
 type Snapshot struct {
 	Records []Record
+	// Malformed lists the items that can't be decoded and were left out.
+	Malformed []MalformedItem
 	// Next is the offset to continue reading from. The snapshot reflects every
 	// record before it and may also contain later ones.
 	Next int64
 }
 
+// MalformedItem is an item of a list that can't be decoded. Key is empty if it names none.
+type MalformedItem struct {
+	Key string
+	Err error
+}
+
 // Batch holds consecutive records in append order.
 type Batch struct {
 	Records []Record
