sched: the clock is read once a pass and once a report

Callers of a queue in its peak were served late (docs/incidents/owner-out-of-cpu.md). Change: a pass, a report, a heartbeat and a confirmed start read it once.

--- a/sched/capacity.go
+++ b/sched/capacity.go
@@ -39,9 +39,10 @@
 	return c.options.MaxRecordAge == 0 || now-written <= c.options.MaxRecordAge-startTransit
 }
 
-// hasRecentRecord reports whether runs may be assigned by the record of a host.
-func (c *Cell) hasRecentRecord(h *host) bool {
-	return c.isRecent(h.recordTime(), c.options.Clock())
+// hasRecentRecord reports whether runs may be assigned by the record of a host at a local
+// time.
+func (c *Cell) hasRecentRecord(h *host, now time.Duration) bool {
+	return c.isRecent(h.recordTime(), now)
 }
 
 // hasRoom reports whether a planned run may still be started on its host. It may while
@@ -51,7 +52,7 @@
 	if c.isRecent(r.recordTime, now) {
 		return true
 	}
-	return c.hasRecentRecord(h) && h.info.Capacity.CanFit(h.usedBySent().Add(r.resources))
+	return c.hasRecentRecord(h, now) && h.info.Capacity.CanFit(h.usedBySent().Add(r.resources))
 }
 
 // usedBySent returns the resources of the runs whose start commands were sent.
--- a/sched/command.go
+++ b/sched/command.go
@@ -57,7 +57,7 @@
 	if h.info == nil {
 		return
 	}
-	heartbeat, info := lease.Heartbeat{Token: c.token(h), Acknowledged: c.acknowledgement(h)}, h.info
+	heartbeat, info := lease.Heartbeat{Token: c.token(h), Acknowledged: h.acknowledgement(c.options.Clock())}, h.info
 	c.spawn(func(ctx context.Context) {
 		sent := sentCommand{token: heartbeat.Token, at: c.options.Clock()}
 		reply, err := c.options.HostClient.Heartbeat(ctx, info, heartbeat)
@@ -71,7 +71,8 @@
 func (c *Cell) handleStartReply(h *host, r *run, sent sentCommand, reply lease.Reply, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	current := c.observeClock(h, reply.HostTime, sent)
+	now := c.options.Clock()
+	current := c.observeClock(h, reply.HostTime, sent, now)
 	if h.runs[r.key()] != r {
 		return
 	}
@@ -84,7 +85,7 @@
 		r.startBroke = !isTimeout(err)
 		c.markUnconfirmed(h, r, err.Error())
 	case reply.Reason == lease.Accepted:
-		c.handleStarted(h, r, reply.HostTime, current)
+		c.handleStarted(h, r, reply.HostTime, now, current)
 	default:
 		c.handleStartRefused(h, r, sent.token, reply.Reason)
 	}
@@ -96,11 +97,11 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// handleStarted handles a host's confirmation that it has started a run. If it
-// isn't current, the host has restarted and the next report shows whether it has
+// handleStarted handles a host's confirmation at a local time that it has started a run. If
+// it isn't current, the host has restarted and the next report shows whether it has
 // the run.
-func (c *Cell) handleStarted(h *host, r *run, hostTime time.Duration, current bool) {
-	r.markStarted(c.options.Clock())
+func (c *Cell) handleStarted(h *host, r *run, hostTime, now time.Duration, current bool) {
+	r.markStarted(now)
 	if current {
 		h.answeredAt = max(h.answeredAt, hostTime)
 		// The host has not restarted since its last report, whose ends may still be
@@ -181,7 +182,7 @@
 func (c *Cell) handleStopReply(h *host, r *run, sent sentCommand, reply lease.Reply, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	current := c.observeClock(h, reply.HostTime, sent)
+	current := c.observeClock(h, reply.HostTime, sent, c.options.Clock())
 	if h.runs[r.key()] != r {
 		return true
 	}
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -18,18 +18,19 @@
 	}
 	h.missedHeartbeats = 0
 	wake(c.scheduleWake)
-	if !c.observeClock(h, reply.HostTime, sent) || !c.observeIncarnation(h, reply.Incarnation) {
+	now := c.options.Clock()
+	if !c.observeClock(h, reply.HostTime, sent, now) || !c.observeIncarnation(h, reply.Incarnation) {
 		// The report of a new incarnation counts only once the host has seen the
 		// higher token, and one of an old incarnation no longer does.
 		h.ackValid = false
 		return nil
 	}
 	h.ackValid = true
-	h.ackUntil = c.ackDeadline(h, reply.HostTime, sent)
+	h.ackUntil = h.ackDeadline(reply.HostTime, sent, now)
 	h.answeredAt = max(h.answeredAt, reply.HostTime)
 	persisted := c.processFinished(h, reply.Finished)
 	if reply.HostTime > h.reportedAt {
-		c.processRuns(h, reply, sent)
+		c.processRuns(h, reply, sent, now)
 	}
 	return persisted
 }
@@ -38,20 +39,20 @@
 // may be acknowledged: the host must not have restarted since. The reply to a call that asked
 // for a report at once may be acknowledged by the next call even if it took longer, since
 // asking again would gain nothing.
-func (c *Cell) ackDeadline(h *host, hostTime time.Duration, sent sentCommand) time.Duration {
+func (h *host) ackDeadline(hostTime time.Duration, sent sentCommand, now time.Duration) time.Duration {
 	deadline := h.clock.ReadAfter(hostTime) + maxAckAge
-	if now := c.options.Clock(); !sent.waits && now-sent.at < maxReportTime {
+	if !sent.waits && now-sent.at < maxReportTime {
 		deadline = max(deadline, now+nextCallTime)
 	}
 	return deadline
 }
 
-// observeClock records the host's clock in the reply to a command and reports
+// observeClock records the host's clock in the reply to a command at a local time and reports
 // whether the reply is from the current incarnation as far as its clock shows. A
 // restart may show here before any report: without this, the sequence number of
 // the last finished run of the old incarnation would acknowledge finished runs of
 // the new one.
-func (c *Cell) observeClock(h *host, hostTime time.Duration, sent sentCommand) bool {
+func (c *Cell) observeClock(h *host, hostTime time.Duration, sent sentCommand, now time.Duration) bool {
 	if sent.token != c.token(h) {
 		return false
 	}
@@ -59,7 +60,7 @@
 		c.hostRestarted(h, 0)
 		return false
 	}
-	h.clock.Observe(hostTime, sent.at, c.options.Clock())
+	h.clock.Observe(hostTime, sent.at, now)
 	return hostTime > 0
 }
 
@@ -126,8 +127,8 @@
 	return persisted
 }
 
-// processRuns processes the active runs in a host's newest report.
-func (c *Cell) processRuns(h *host, report lease.HeartbeatReply, sent sentCommand) {
+// processRuns processes the active runs in a host's newest report, at a local time.
+func (c *Cell) processRuns(h *host, report lease.HeartbeatReply, sent sentCommand, now time.Duration) {
 	h.reportedAt = report.HostTime
 	h.synced = true
 	listed := make(map[runKey]bool, len(report.Runs))
@@ -135,7 +136,7 @@
 		key := runKey{active.Task, active.Run}
 		listed[key] = true
 		if r := h.runs[key]; r != nil {
-			c.updateRun(r, active, report.HostTime)
+			c.updateRun(r, active, report.HostTime, now)
 		} else {
 			c.stopUnexpected(h, active, report.HostTime)
 		}
@@ -149,12 +150,12 @@
 	c.adjustPace(h, time.Now())
 }
 
-// updateRun records what a host reported of a run at a reading of its clock.
-func (c *Cell) updateRun(r *run, active lease.Run, hostTime time.Duration) {
+// updateRun records what a host reported of a run, at a reading of its clock and a local time.
+func (c *Cell) updateRun(r *run, active lease.Run, hostTime, now time.Duration) {
 	if r.state != runSettled {
 		r.settle(hostTime)
 	}
-	r.markStarted(c.options.Clock())
+	r.markStarted(now)
 	r.recordProgress(active.Percent, hostTime)
 	r.tailLatency = time.Duration(active.Load * float64(time.Millisecond))
 	if r.entry == nil {
--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -203,7 +203,8 @@
 		h.ackValid = false
 		return lease.Heartbeat{}, h.info, false
 	}
-	heartbeat := lease.Heartbeat{Token: c.token(h), Acknowledged: c.acknowledgement(h)}
+	now := c.options.Clock()
+	heartbeat := lease.Heartbeat{Token: c.token(h), Acknowledged: h.acknowledgement(now)}
 	c.activity.heartbeats++
 	if h.ackValid && heartbeat.Acknowledged < h.acknowledgedSequence {
 		c.activity.unackedHeartbeats++
@@ -213,7 +214,7 @@
 		if bestEffort, tailLatencies := h.paceInputs(); bestEffort > 0 && len(tailLatencies) > 0 {
 			heartbeat.Wait = paceInterval
 		}
-		if c.lastLostReplyAt != 0 && c.options.Clock()-c.lastLostReplyAt < lossWindow {
+		if c.lastLostReplyAt != 0 && now-c.lastLostReplyAt < lossWindow {
 			heartbeat.Wait = min(heartbeat.Wait, lossyHeartbeatWait)
 		}
 	}
@@ -222,8 +223,8 @@
 	}
 	// The lease of a host that doesn't respond is not renewed: otherwise it would
 	// never be certain to have expired.
-	if len(h.runs) > 0 && h.missedHeartbeats == 0 && c.ownershipValid() {
-		heartbeat.LeaseExpiry = h.clock.Grant(c.options.Clock(), c.leaseLength())
+	if len(h.runs) > 0 && h.missedHeartbeats == 0 && c.ownershipValidAt(now) {
+		heartbeat.LeaseExpiry = h.clock.Grant(now, c.leaseLength())
 	}
 	return heartbeat, h.info, true
 }
@@ -231,8 +232,8 @@
 // acknowledgement returns the highest sequence number of a finished run that the host may
 // forget, or 0 if it may have restarted since its last report: a new incarnation would forget
 // its own runs.
-func (c *Cell) acknowledgement(h *host) int64 {
-	if !h.ackValid || c.options.Clock() > h.ackUntil {
+func (h *host) acknowledgement(now time.Duration) int64 {
+	if !h.ackValid || now > h.ackUntil {
 		return 0
 	}
 	return h.acknowledgedSequence
--- a/sched/pass_bench_test.go
+++ b/sched/pass_test.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"rattanpath/lease"
 	"rattanpath/pool"
 	"rattanpath/tasks"
 )
@@ -26,6 +27,38 @@
 	}
 }
 
+// Guards against reading the clock for each host or run: each reading is a system call, and
+// an owner in a peak made more than a hundred thousand a second.
+func TestClockReadingsDontGrowWithHosts(t *testing.T) {
+	for _, hosts := range []int{10, 200} {
+		c := busyCell(hosts, 20)
+		readings, clock := 0, c.options.Clock
+		c.options.Clock = func() time.Duration {
+			readings++
+			return clock()
+		}
+		c.schedule(time.Now())
+		if readings > 5 {
+			t.Errorf("got %d clock readings in a pass over %d hosts, want at most 5", readings, hosts)
+		}
+		readings = 0
+		h := c.hosts["h0000"]
+		c.handleHeartbeat(h, reportOf(h), sentCommand{token: c.token(h), at: clock()})
+		if !h.synced || readings > 5 {
+			t.Errorf("got %d clock readings for a report of %d runs, want at most 5", readings, len(h.runs))
+		}
+	}
+}
+
+// reportOf returns a report that lists the runs of a host.
+func reportOf(h *host) lease.HeartbeatReply {
+	reply := lease.HeartbeatReply{Reply: lease.Reply{HostTime: 2 * time.Minute}}
+	for _, r := range h.runs {
+		reply.Runs = append(reply.Runs, lease.Run{Task: r.id, Run: r.number})
+	}
+	return reply
+}
+
 // busyCell returns a cell whose hosts are full, with waiting jobs of two steps.
 func busyCell(hosts, jobs int) *Cell {
 	start := time.Now()
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -169,14 +169,14 @@
 // ID.
 func (c *Cell) candidates(now time.Time) []*place.Host {
 	var hosts []*place.Host
-	stale := 0
+	clock, stale := c.options.Clock(), 0
 	for _, h := range c.hosts {
 		switch {
 		case !h.usable() || now.Before(h.backoffUntil) || now.Before(h.cordonedUntil):
-		case !c.hasRecentRecord(h):
+		case !c.hasRecentRecord(h, clock):
 			stale++
 		default:
-			hosts = append(hosts, c.candidate(h, now))
+			hosts = append(hosts, c.candidate(h, now, clock))
 		}
 	}
 	c.activity.staleRecords = max(c.activity.staleRecords, stale)
@@ -184,8 +184,8 @@
 	return hosts
 }
 
-// candidate describes a host and what it runs.
-func (c *Cell) candidate(h *host, now time.Time) *place.Host {
+// candidate describes a host and what it runs. now and clock are the same moment.
+func (c *Cell) candidate(h *host, now time.Time, clock time.Duration) *place.Host {
 	candidate := &place.Host{
 		ID:             h.id,
 		Rack:           h.info.Rack(),
@@ -194,7 +194,6 @@
 		Free:           h.info.Capacity.Sub(h.used()),
 		RecentFailures: h.history.recentFailures(now),
 	}
-	clock := c.options.Clock()
 	if h.restartedAt != 0 && len(c.hosts) > 1 {
 		candidate.QuietIn = max(0, h.restartedAt+restartSettleTime-clock)
 	}
--- a/sched/startqueue.go
+++ b/sched/startqueue.go
@@ -92,7 +92,7 @@
 	if !ok {
 		return ctx.Err()
 	}
-	start, sent := time.Now(), c.options.Clock()
+	start, sent := time.Now(), r.sentAt
 	call := &startCall{sender: s, run: r}
 	timeout := time.AfterFunc(replyTimeout, func() { call.handleTimeout(sent + replyTimeout) })
 	reply, err := c.options.HostClient.Start(ctx, info, command)
@@ -149,7 +149,7 @@
 	if !current {
 		return lease.StartCommand{}, nil, false
 	}
-	if !c.maySendStart(h, r, persistedAt) {
+	if !c.maySendStart(h, r, persistedAt, now) {
 		c.dropRun(h, r, "not sent")
 		return lease.StartCommand{}, nil, false
 	}
@@ -169,13 +169,12 @@
 }
 
 // maySendStart reports whether the start command of a run whose record was persisted at a
-// local time may still be sent.
-func (c *Cell) maySendStart(h *host, r *run, persistedAt time.Duration) bool {
-	now := c.options.Clock()
+// local time may still be sent now.
+func (c *Cell) maySendStart(h *host, r *run, persistedAt, now time.Duration) bool {
 	switch {
 	case r.entry.job.Phase != tasks.Open || now-persistedAt > maxStartDelay:
 		return false
-	case !c.ownershipValid() || !h.clock.Synced():
+	case !c.ownershipValidAt(now) || !h.clock.Synced():
 		return false
 	default:
 		return c.hasRoom(h, r, now)
--- a/sched/view.go
+++ b/sched/view.go
@@ -220,7 +220,7 @@
 		return "cordoned"
 	case now.Before(h.backoffUntil):
 		return "refused an order a moment ago"
-	case !c.hasRecentRecord(h):
+	case !c.hasRecentRecord(h, c.options.Clock()):
 		return "its entry is out of date"
 	case h.history.recentFailures(now) > 0:
 		return "usable; runs failed or stood still there"
--- a/sched/write.go
+++ b/sched/write.go
@@ -203,6 +203,9 @@
 // ownershipValid reports whether the last confirmed write is so recent that no
 // other node can have taken over and waited for the leases of this one to
 // expire.
-func (c *Cell) ownershipValid() bool {
-	return !c.isLost() && c.options.Clock()-c.confirmedAt < ownershipTimeout
+func (c *Cell) ownershipValid() bool { return c.ownershipValidAt(c.options.Clock()) }
+
+// ownershipValidAt does the same for a local time that was just read.
+func (c *Cell) ownershipValidAt(now time.Duration) bool {
+	return !c.isLost() && now-c.confirmedAt < ownershipTimeout
 }
