--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -94,37 +94,19 @@
 func (l *hostLoop) sendHeartbeat(ctx context.Context, info *pool.Host, heartbeat lease.Heartbeat) heartbeatResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan heartbeatResult, 2)
-	send := func(heartbeat lease.Heartbeat) {
-		sent := sentCommand{token: heartbeat.Token, at: l.cell.options.Clock(), waits: heartbeat.Wait > 0}
-		reply, err := l.cell.options.HostClient.Heartbeat(ctx, info, heartbeat)
-		results <- heartbeatResult{reply, sent, err}
-	}
-	go send(heartbeat)
-	retryTimer := time.NewTimer(heartbeat.Wait + replyTimeout)
-	defer retryTimer.Stop()
-	due := l.cell.options.Clock() + heartbeat.Wait + replyTimeout
-	for inFlight := 1; ; {
-		select {
-		case <-retryTimer.C:
-			if now := l.cell.options.Clock(); now-due > maxTimerLag {
-				// The timer fired late: this node is overloaded, and the reply may have
-				// arrived.
-				due = now + replyTimeout
-				retryTimer.Reset(replyTimeout)
-				continue
-			}
-			l.cell.recordLostReply()
-			heartbeat.Wait, heartbeat.Acknowledged = 0, 0
-			inFlight++
-			go send(heartbeat)
-		case result := <-results:
-			inFlight--
-			if result.err == nil || inFlight == 0 {
-				return result
-			}
-		}
+	retry := newHeartbeatRetry(ctx, cancel, l, info, heartbeat)
+	first := l.callHost(ctx, info, heartbeat)
+	if second := retry.stop(first.err != nil); second != nil && second.err == nil {
+		return *second
 	}
+	return first
+}
+
+// callHost sends one heartbeat.
+func (l *hostLoop) callHost(ctx context.Context, info *pool.Host, heartbeat lease.Heartbeat) heartbeatResult {
+	sent := sentCommand{token: heartbeat.Token, at: l.cell.options.Clock(), waits: heartbeat.Wait > 0}
+	reply, err := l.cell.options.HostClient.Heartbeat(ctx, info, heartbeat)
+	return heartbeatResult{reply, sent, err}
 }
 
 // recordLostReply records that a host did not reply in time.
--- a/sched/startqueue_test.go
+++ b/sched/startqueue_test.go
@@ -34,6 +34,12 @@
 	c.most = max(c.most, c.inFlight[host])
 }
 
+func (c *startCounter) mostInFlight() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.most
+}
+
 // startLatency is the latency of start commands; other calls take no time.
 func startLatency(latency time.Duration) func(string, any) fake.Latency {
 	return func(_ string, command any) fake.Latency {
@@ -64,8 +70,8 @@
 		if got := tc.checker.Starts(); got != 16 {
 			t.Errorf("got %d starts after 100 ms, want 16", got)
 		}
-		if counter.most > 2 {
-			t.Errorf("got %d start commands to a host at a time, want at most 2", counter.most)
+		if most := counter.mostInFlight(); most > 2 {
+			t.Errorf("got %d start commands to a host at a time, want at most 2", most)
 		}
 		time.Sleep(2 * time.Second)
 		tc.wantPhase(n, "job", tasks.Completed)
