engine, platform: a busy node collects garbage less often while memory allows it

An owner in its peak has 50 to 100 MB of live heap and some 8,000 goroutines, and collected two to four times a second, each time reading all of their stacks. Change: from 16 MB of live heap on, the heap may grow by up to 300%, within 40% of the node's memory limit, which is now read from the settings.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -61,6 +61,7 @@
 		fx.Provide(
 			func() logr.Logger { return logger },
 			core.NewLoopGroup,
+			newGCTuner,
 			newConfigWatcher,
 			newMember,
 			newSupervisor,
@@ -157,7 +158,7 @@
 // register adds the node's loops and servers to the lifecycle. On shutdown the node
 // leaves the group first, so that other nodes take over its cells while it still
 // serves callers.
-func register(lifecycle fx.Lifecycle, settings Settings, loops *core.LoopGroup, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, controller *infra.Controller, admin *adminServer, server *intake.Server, logger logr.Logger) error {
+func register(lifecycle fx.Lifecycle, settings Settings, loops *core.LoopGroup, tuner *gcTuner, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, controller *infra.Controller, admin *adminServer, server *intake.Server, logger logr.Logger) error {
 	peers := link.NewServer(settings.PeerListen, func(conn net.Conn) net.Conn { return conn }, logger.WithName("peers"))
 	if err := peers.Register(owner.RPCName, owner.NewService(supervisor)); err != nil {
 		return err
@@ -166,6 +167,7 @@
 		return err
 	}
 	member.OnRelease = client.NotifyPeers
+	loops.Go(tuner.loop)
 	loops.Go(config.Run)
 	loops.Go(pools.Run)
 	loops.Go(member.Run)
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -29,6 +29,8 @@
 	CallBytes int
 	// LinkRate is the bandwidth of the node's link in bytes per second, 0 if unknown.
 	LinkRate int64
+	// MemoryLimit is the memory in bytes beyond which the node is killed, 0 if unknown.
+	MemoryLimit int64
 	// MinMemberTTL is the lower bound of the TTL of a group membership.
 	MinMemberTTL time.Duration
 
