sched: the timeout of a reply follows the time that replies take

Change: replies to starts, heartbeats and stops count as overdue after four times the mean time of confirmed starts, at least 250 ms as before, at most 900 ms.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -167,6 +167,7 @@
 	// advisorCalls is the number of calls to the advisor in flight.
 	advisorCalls int
 	activity     activity
+	replyTime    replyTime
 
 	writeWake    chan struct{}
 	scheduleWake chan struct{}
--- a/sched/command.go
+++ b/sched/command.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// replyTimeout is how long to wait for the reply to a command before checking
-	// the host's report: hosts reply within a few milliseconds.
-	replyTimeout = 250 * time.Millisecond
 	// maxTimerLag is how late a timer may fire before this node counts as
 	// overloaded.
 	maxTimerLag = 50 * time.Millisecond
@@ -72,6 +69,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock()
+	if err == nil {
+		c.replyTime.observe(now - sent.at)
+	}
 	current := c.observeClock(h, reply.HostTime, sent, now)
 	if h.runs[r.key()] != r {
 		return
@@ -164,7 +164,7 @@
 			command, info := lease.StopCommand{Task: r.id, Run: r.number, Token: c.token(h)}, h.info
 			c.mu.Unlock()
 			sent := sentCommand{token: command.Token, at: c.options.Clock()}
-			callCtx, cancel := context.WithTimeout(ctx, replyTimeout)
+			callCtx, cancel := context.WithTimeout(ctx, c.replyTime.timeout())
 			reply, err := c.options.HostClient.Stop(callCtx, info, command)
 			cancel()
 			if ctx.Err() != nil || c.handleStopReply(h, r, sent, reply, err) {
--- a/sched/heartbeatretry.go
+++ b/sched/heartbeatretry.go
@@ -39,7 +39,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.wait(heartbeat.Wait + replyTimeout)
+	r.wait(heartbeat.Wait + loop.cell.replyTime.timeout())
 	return r
 }
 
--- a/sched/startqueue.go
+++ b/sched/startqueue.go
@@ -94,7 +94,8 @@
 	}
 	start, sent := time.Now(), r.sentAt
 	call := &startCall{sender: s, run: r}
-	timeout := time.AfterFunc(replyTimeout, func() { call.handleTimeout(sent + replyTimeout) })
+	wait := c.replyTime.timeout()
+	timeout := time.AfterFunc(wait, func() { call.handleTimeout(sent + wait) })
 	reply, err := c.options.HostClient.Start(ctx, info, command)
 	timeout.Stop()
 	c.options.Metrics.StartSeconds.UpdateDuration(start)
--- a/sched/startqueue_test.go
+++ b/sched/startqueue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,3 +109,26 @@
 		tc.wantPhase(n, "job", tasks.Completed)
 	})
 }
+
+// Guards against an owner that lacks processor time and takes all late replies for lost: it
+// then asks hosts for reports and opens connections, which takes more of it.
+func TestRepliesOfSlowOwnerAreNotLost(t *testing.T) {
+	runCluster(t, 20, func(tc *testCluster) {
+		n := tc.claim("a")
+		var latency atomic.Int64
+		n.hosts.SetLatency(func(host string, command any) fake.Latency {
+			return startLatency(time.Duration(latency.Load()))(host, command)
+		})
+		time.Sleep(100 * time.Millisecond)
+		tc.mustSubmit(n, "job", simplePlan(3000, 1000))
+		for took := 20 * time.Millisecond; took <= 400*time.Millisecond; took += 20 * time.Millisecond {
+			latency.Store(int64(took))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		starts, unconfirmed := tc.checker.Starts(), n.cell.options.Metrics.UnconfirmedStarts.Get()
+		if most := uint64(starts / 50); unconfirmed > most {
+			t.Errorf("got %d of %d starts unconfirmed, want at most %d", unconfirmed, starts, most)
+		}
+	})
+}
