core: a sleep of no length starts no timer

One run of the race detector over ./sched crashed in the runtime's timers (runtime.(*timer).maybeRunChan) at a sleep of zero length in paused time, as one did before in the fake. core.Sleep now returns at once, so that the fake needs no case of its own.

--- a/core/signal.go
+++ b/core/signal.go
@@ -36,6 +36,10 @@
 // Sleep waits for d and returns nil, or returns the context's error if the context
 // ends first.
 func Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		// A timer of no length can crash the runtime under the race detector with paused time.
+		return ctx.Err()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/fake/hostclient.go
+++ b/fake/hostclient.go
@@ -130,7 +130,7 @@
 func call[Reply any](ctx context.Context, h *HostClient, id string, command any, deliver func(*Runner) (Reply, error)) (Reply, error) {
 	var none Reply
 	latency := h.latencyOf(id, command)
-	if err := travel(ctx, latency.Request); err != nil {
+	if err := core.Sleep(ctx, latency.Request); err != nil {
 		return none, err
 	}
 	runner, err := h.runner(ctx, id)
@@ -141,16 +141,7 @@
 	if err != nil {
 		return none, err
 	}
-	return reply, travel(ctx, latency.Reply)
-}
-
-// travel waits for the latency of one direction. It starts no timer for none: one of
-// zero length can crash the runtime under the race detector with paused time.
-func travel(ctx context.Context, latency time.Duration) error {
-	if latency <= 0 {
-		return ctx.Err()
-	}
-	return core.Sleep(ctx, latency)
+	return reply, core.Sleep(ctx, latency.Reply)
 }
 
 // Start implements lease.HostClient.
