--- a/sched/activity.go
+++ b/sched/activity.go
@@ -51,5 +51,5 @@
 	c.logger.Info("cell activity", "open", len(c.open), "hosts", len(c.hosts), "starts", a.starts,
 		"heartbeats", a.heartbeats, "unacked", a.unackedHeartbeats, "stale", a.staleRecords,
 		"passes", a.passes, "passTime", a.passTime.Round(time.Millisecond),
-		"writes", a.writes, "writeTime", a.writeTime.Round(time.Millisecond), "lag", a.timerLag.Round(time.Millisecond))
+		"writes", a.writes, "writeTime", a.writeTime.Round(time.Millisecond), "replyTime", c.replyTime.average().Round(time.Millisecond), "lag", a.timerLag.Round(time.Millisecond))
 }
--- a/sched/replytime.go
+++ b/sched/replytime.go
@@ -30,7 +30,10 @@
 	r.mean.Store(mean + (int64(took)-mean)/replyTimeWeight)
 }
 
+// average returns the mean.
+func (r *replyTime) average() time.Duration { return time.Duration(r.mean.Load()) }
+
 // timeout returns after what time a reply counts as overdue.
 func (r *replyTime) timeout() time.Duration {
-	return min(maxReplyTimeout, max(replyTimeout, replyTimeoutFactor*time.Duration(r.mean.Load())))
+	return min(maxReplyTimeout, max(replyTimeout, replyTimeoutFactor*r.average()))
 }
