--- a/sched/activity.go
+++ b/sched/activity.go
@@ -1,8 +1,6 @@
 package sched
 
-import (
-	"time"
-)
+import "time"
 
 // activityInterval is the time between two log lines on the work of a cell.
 const activityInterval = time.Second
@@ -51,5 +49,6 @@
 	c.logger.Info("cell activity", "open", len(c.open), "hosts", len(c.hosts), "starts", a.starts,
 		"heartbeats", a.heartbeats, "unacked", a.unackedHeartbeats, "stale", a.staleRecords,
 		"passes", a.passes, "passTime", a.passTime.Round(time.Millisecond),
-		"writes", a.writes, "writeTime", a.writeTime.Round(time.Millisecond), "replyTime", c.replyTime.average().Round(time.Millisecond), "lag", a.timerLag.Round(time.Millisecond))
+		"writes", a.writes, "writeTime", a.writeTime.Round(time.Millisecond),
+		"replyTime", c.replyTime.average().Round(time.Millisecond), "lag", a.timerLag.Round(time.Millisecond))
 }
--- a/sched/heartbeatretry.go
+++ b/sched/heartbeatretry.go
@@ -14,7 +14,6 @@
 	loop      *hostLoop
 	info      *pool.Host
 	heartbeat lease.Heartbeat
-	ctx       context.Context
 	// cancelFirst ends the first try.
 	cancelFirst context.CancelFunc
 	// result receives the outcome of the second try.
@@ -34,28 +33,28 @@
 	second := heartbeat
 	second.Wait, second.Acknowledged = 0, 0
 	r := &heartbeatRetry{
-		loop: loop, info: info, heartbeat: second, ctx: ctx, cancelFirst: cancelFirst,
+		loop: loop, info: info, heartbeat: second, cancelFirst: cancelFirst,
 		result: make(chan heartbeatResult, 1),
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.wait(heartbeat.Wait + loop.cell.replyTime.timeout())
+	r.wait(ctx, heartbeat.Wait+loop.cell.replyTime.timeout())
 	return r
 }
 
 // wait starts the timer. r.mu must be held.
-func (r *heartbeatRetry) wait(timeout time.Duration) {
+func (r *heartbeatRetry) wait(ctx context.Context, timeout time.Duration) {
 	r.due = r.loop.cell.options.Clock() + timeout
-	r.timer = time.AfterFunc(timeout, r.run)
+	r.timer = time.AfterFunc(timeout, func() { r.run(ctx) })
 }
 
 // run sends the second try, and ends the first one if that succeeds.
-func (r *heartbeatRetry) run() {
-	if !r.start() {
+func (r *heartbeatRetry) run(ctx context.Context) {
+	if !r.start(ctx) {
 		return
 	}
 	r.loop.cell.recordLostReply()
-	second := r.loop.callHost(r.ctx, r.info, r.heartbeat)
+	second := r.loop.callHost(ctx, r.info, r.heartbeat)
 	r.result <- second
 	if second.err == nil {
 		r.cancelFirst()
@@ -64,13 +63,13 @@
 
 // start reports whether the second try is to be sent. If the timer fired late, this node is
 // overloaded and the reply may have arrived, so it waits once more.
-func (r *heartbeatRetry) start() bool {
+func (r *heartbeatRetry) start(ctx context.Context) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case r.stopped:
 	case r.loop.cell.options.Clock()-r.due > maxTimerLag:
-		r.wait(replyTimeout)
+		r.wait(ctx, replyTimeout)
 	default:
 		r.sent = true
 	}
--- a/sched/startqueue.go
+++ b/sched/startqueue.go
@@ -44,7 +44,7 @@
 	c.spawn(sender.run)
 }
 
-// startSender sends the queued start commands of a host, one after the other.
+// startSender sends start commands of a host's queue, one after the other.
 type startSender struct {
 	cell *Cell
 	host *host
