--- a/sched/pass_test.go
+++ b/sched/pass_test.go
@@ -28,7 +28,7 @@
 }
 
 // Guards against reading the clock for each host or run: each reading is a system call, and
-// an owner in a peak made more than a hundred thousand a second.
+// an owner in a peak has hundreds of hosts and thousands of runs.
 func TestClockReadingsDontGrowWithHosts(t *testing.T) {
 	for _, hosts := range []int{10, 200} {
 		c := busyCell(hosts, 20)
