review: case 5, ends that no one took note of are lost with moved machines (LOST)

Cause: an owner that the store turns away deals with the ends of runs in memory and still reports their hosts as idle, so the machine controller moves these away before the ends are persisted. The next owner waits for every lease to run out and then runs the tasks again. Case 2 has jobs of 1,000 tasks in place of 2,000.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -157,6 +157,75 @@
 	return outcome{held, "held: pending counts the waiting jobs"}
 }
 
+// lostEnds has the store turn away the node that schedules a service, for a time in which
+// tasks of a job end and another service asks for machines.
+func lostEnds(w *world, trouble bool) outcome {
+	for service, count := range map[string]int{"svc-a": 8, "svc-b": 4} {
+		if err := w.addPool(service, count, large); err != nil {
+			return cannot("%v", err)
+		}
+	}
+	w.publish(route("r-a", clientHost, "/puxa400/", "svc-a", 4), route("r-b", clientHost, "/kafi706/", "svc-b", 4))
+	if err := w.begin(3); err != nil {
+		return cannot("%v", err)
+	}
+	if err := w.warmUp(clientHost, "/puxa400/", "00000000000000a0"); err != nil {
+		return cannot("%v", err)
+	}
+	const id, other = "5c0e7a21d94b36f8", "5c0e7a21d94b36f9"
+	// One task of the job fits on a worker.
+	plan := job("ms=12000", step(8, 20000), with(step(2, 1000), "dependsOn", []int{0}))
+	if !w.submit(0, clientHost, "/puxa400/"+id, plan) {
+		return cannot("the job was not accepted")
+	}
+	accepted := time.Now()
+	time.Sleep(time.Second)
+	// The other service has more work than its pool holds.
+	if !w.submit(1, clientHost, "/kafi706/"+other, job("ms=30000", step(12, 20000))) {
+		return cannot("the job of the other service was not accepted")
+	}
+	traffic := time.Now()
+	time.Sleep(time.Until(accepted.Add(11500 * time.Millisecond)))
+	owner := w.ownerOf(0)
+	if owner == nil {
+		return cannot("no node holds the service")
+	}
+	if trouble {
+		w.rec.printf("store: turns %s away", owner.name)
+		owner.turnedAway.Store(true)
+		time.AfterFunc(9*time.Second, func() {
+			w.rec.printf("store: serves %s again", owner.name)
+			owner.turnedAway.Store(false)
+		})
+	}
+	// Jobs are asked for finish_s after the end of the traffic.
+	const finish = 14 * time.Second
+	time.Sleep(time.Until(traffic.Add(finish)))
+	for _, n := range w.nodes {
+		w.call(n, "GET", clientHost, "/puxa400/"+id, nil)
+	}
+	time.Sleep(stallTime + 200*time.Millisecond)
+	first, second := w.runsOf(id+".0.0."), w.runsOf(id+".0.1.")
+	if done := countDone(first); done < 8 {
+		return cannot("%d of 8 tasks of the first step have ended done", done)
+	}
+	since, idle := idleSince(append(first, second...), time.Time{})
+	if stood := time.Since(since); idle && countDone(second) < 2 && stood > stallTime {
+		w.awaitState(clientHost, "/puxa400/"+id, "completed", 40*time.Second)
+		again := 0
+		for _, r := range w.runsOf(id + ".0.0.") {
+			if r.run > 1 {
+				again++
+			}
+		}
+		return outcome{broken, fmt.Sprintf("LOST: all 8 tasks of the first step have ended done, and finish_s after the end of the traffic the job has had nothing running for %v; %d tasks that were done were started again", stood.Round(100*time.Millisecond), again)}
+	}
+	if len(second) == 0 {
+		return cannot("the second step has not begun")
+	}
+	return outcome{held, "held: the job went on"}
+}
+
 // largeRecord has a client hand in a job with many small tasks that run at the same time, and
 // looks at two other jobs of the service.
 func largeRecord(w *world, trouble bool) outcome {
@@ -255,7 +324,7 @@
 	const tasks = 12000
 	width := 25
 	if trouble {
-		width = 2000
+		width = 1000
 	}
 	begin := time.Now()
 	go w.submitMany(services, tasks/width, width)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,7 +31,7 @@
 		os.Exit(unable)
 	}
 	cases := map[string]func(w *world, trouble bool) outcome{
-		"full-store": fullStore, "large-gang": largeGang, "large-record": largeRecord, "moved-queue": movedQueue, "no-cpu": noCPU, "pending": pending,
+		"full-store": fullStore, "large-gang": largeGang, "large-record": largeRecord, "lost-ends": lostEnds, "moved-queue": movedQueue, "no-cpu": noCPU, "pending": pending,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -369,6 +369,13 @@
 	writeJSON(w, 200, map[string]any{})
 }
 
+// holderOf returns the member that holds a partition of a group.
+func (s *store) holderOf(name string, partition int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group(name).holder[partition]
+}
+
 type joinRequest struct {
 	Group      string   `json:"group"`
 	Member     string   `json:"member"`
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -73,8 +74,8 @@
 	version  int64
 	nextNode int
 
-	cloudAddress, storeAddress string
-	closers                    []func()
+	cloudAddress string
+	closers      []func()
 }
 
 func newWorld(recordPath string) (*world, error) {
@@ -91,9 +92,6 @@
 		return nil, err
 	}
 	w.store = newStore(w.rec)
-	if w.storeAddress, err = w.serve(w.store.handler()); err != nil {
-		return nil, err
-	}
 	w.cloudAddress, err = w.serve(w.cloudHandler())
 	return w, err
 }
@@ -159,6 +157,10 @@
 	process *exec.Cmd
 	done    chan struct{}
 	log     *os.File
+	// storeAddress is where this node reaches the store, which turns the node away while
+	// turnedAway is set.
+	storeAddress string
+	turnedAway   atomic.Bool
 }
 
 // startNode starts a node with the command of the deploy file.
@@ -167,9 +169,31 @@
 	n := &node{world: w, name: fmt.Sprintf("front-%s-%d", zoneName, w.nextNode)}
 	n.ip = strings.TrimSuffix(w.ip, "9") + fmt.Sprint(w.nextNode)
 	w.nodes = append(w.nodes, n)
+	handler, err := w.store.handler(), error(nil)
+	n.storeAddress, err = w.serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if n.turnedAway.Load() {
+			writeJSON(rw, 503, map[string]any{})
+			return
+		}
+		handler.ServeHTTP(rw, r)
+	}))
+	if err != nil {
+		return nil, err
+	}
 	return n, n.start()
 }
 
+// ownerOf returns the node that holds a partition of the cells.
+func (w *world) ownerOf(partition int) *node {
+	holder := w.store.holderOf("cells", partition)
+	for _, n := range w.nodes {
+		if strings.HasPrefix(holder, n.name+"@") {
+			return n
+		}
+	}
+	return nil
+}
+
 func (n *node) front() string { return n.ip + ":8624" }
 
 func (n *node) start() error {
@@ -301,7 +325,7 @@
   ratePerS: 64.0
   duties: []
   dutyPerS: 64.0
-`, n.name, n.ip, zoneName, zoneName, n.world.storeAddress, n.world.cloudAddress)
+`, n.name, n.ip, zoneName, zoneName, n.storeAddress, n.world.cloudAddress)
 }
 
 // ready reports whether the node's readiness check succeeds.
