--- a/queue/config.go
+++ b/queue/config.go
@@ -15,7 +15,9 @@
 	Prefix string
 	// Timeout is the maximum duration of a request to the queue.
 	Timeout time.Duration
-	Policy  tasks.Policy
+	// Public means that callers need no key.
+	Public bool
+	Policy tasks.Policy
 }
 
 // Key identifies the queue across versions of the configuration.
@@ -45,8 +47,14 @@
 	Queues   []*Queue
 	Services []Service
 	Limits   Limits
+	// RequiresKeys means that callers of queues that aren't public need the key of one of
+	// Organisations.
+	RequiresKeys  bool
+	Organisations []Organisation
 
 	byHost map[string][]*Queue
+	byName map[string]*Organisation
+	byKey  map[KeyHash]*Organisation
 }
 
 // NewConfig returns a configuration whose services are sorted by name.
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -137,6 +137,8 @@
 // Policy is the configuration of the job's queue.
 type Policy struct {
 	Service string
+	// Organisation is the one whose key the caller presented, or empty.
+	Organisation string `json:",omitempty"`
 	// Priority orders jobs; lower values go first.
 	Priority    int
 	MaxAttempts int
