--- a/intake/handler.go
+++ b/intake/handler.go
@@ -38,7 +38,9 @@
 // Codec decodes callers' requests and encodes the responses.
 type Codec struct {
 	// Timeout returns the caller's timeout, or 0 if the header states none.
-	Timeout       func(header http.Header) time.Duration
+	Timeout func(header http.Header) time.Duration
+	// Key returns the caller's API key, or "" if the header holds none.
+	Key           func(header http.Header) string
 	DecodeJob     func(body []byte) (tasks.Plan, error)
 	EncodeState   func(phase tasks.Phase, started bool) ([]byte, error)
 	EncodePending func(count int) ([]byte, error)
