sched: a job may be accessed by its organisation alone

A cell let any caller submit again, query and cancel any job, so that the callers of one organisation could take over the jobs of another.

Submit, Status and Cancel take the caller. One that is restricted gets ErrForbidden for a job of another organisation, also while the job's first write is in flight. Jobs without an organisation are open to all: they precede the first organisations or come from public queues. A job that is cancelled before it is submitted belongs to the caller's organisation.

--- a/owner/service.go
+++ b/owner/service.go
@@ -39,14 +39,14 @@
 		return err
 	}
 	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) error {
-		return c.Submit(ctx, request.Key, request.Plan, request.Policy)
+		return c.Submit(ctx, sched.Caller{}, request.Key, request.Plan, request.Policy)
 	})
 }
 
 // Status returns the status of a job.
 func (s *Service) Status(request *Request, response *Response) error {
 	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) (err error) {
-		response.Status, err = c.Status(ctx, request.Key)
+		response.Status, err = c.Status(ctx, sched.Caller{}, request.Key)
 		return err
 	})
 }
@@ -54,7 +54,7 @@
 // Cancel cancels a job.
 func (s *Service) Cancel(request *Request, response *Response) error {
 	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) error {
-		return c.Cancel(ctx, request.Key)
+		return c.Cancel(ctx, sched.Caller{}, request.Key)
 	})
 }
 
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -65,6 +65,9 @@
 	// ErrIDConflict means that another queue of the service has a job with the
 	// same ID.
 	ErrIDConflict = errors.New("another queue of the service has a job with that ID")
+	// ErrForbidden means that the job belongs to another organisation than the caller;
+	// nothing was changed.
+	ErrForbidden = errors.New("the job belongs to another organisation")
 )
 
 // Options configures a Cell.
--- a/sched/cell_test.go
+++ b/sched/cell_test.go
@@ -411,10 +411,10 @@
 			t.Fatal(err)
 		}
 		time.Sleep(500 * time.Millisecond)
-		if err := n.cell.Cancel(tc.ctx, tasks.Key{Queue: testQueue, ID: "job"}); err != nil {
+		if err := n.cell.Cancel(tc.ctx, Caller{}, tasks.Key{Queue: testQueue, ID: "job"}); err != nil {
 			t.Fatal(err)
 		}
-		if err := n.cell.Cancel(tc.ctx, tasks.Key{Queue: testQueue, ID: "other"}); !errors.Is(err, ErrUnknownJob) {
+		if err := n.cell.Cancel(tc.ctx, Caller{}, tasks.Key{Queue: testQueue, ID: "other"}); !errors.Is(err, ErrUnknownJob) {
 			t.Errorf("got %v, want %v", err, ErrUnknownJob)
 		}
 		if err := tc.submit(n, "other", simplePlan(1, 1000)); err != nil {
--- a/sched/chaos_test.go
+++ b/sched/chaos_test.go
@@ -176,7 +176,7 @@
 		if len(c.jobs) > 0 {
 			id := c.jobs[c.random.IntN(len(c.jobs))]
 			owner := c.owner()
-			go func() { _ = owner.cell.Cancel(c.ctx, tasks.Key{Queue: testQueue, ID: id}) }()
+			go func() { _ = owner.cell.Cancel(c.ctx, Caller{}, tasks.Key{Queue: testQueue, ID: id}) }()
 		}
 	default:
 		c.submitJob()
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -214,14 +214,14 @@
 	tc.mu.Unlock()
 	ctx, cancel := context.WithTimeout(tc.ctx, time.Second)
 	defer cancel()
-	return n.cell.Submit(ctx, tasks.Key{Queue: testQueue, ID: id}, plan, tc.policy)
+	return n.cell.Submit(ctx, Caller{}, tasks.Key{Queue: testQueue, ID: id}, plan, tc.policy)
 }
 
 // status returns the status of a job.
 func (tc *testCluster) status(n *node, id string) (Status, error) {
 	ctx, cancel := context.WithTimeout(tc.ctx, time.Second)
 	defer cancel()
-	return n.cell.Status(ctx, tasks.Key{Queue: testQueue, ID: id})
+	return n.cell.Status(ctx, Caller{}, tasks.Key{Queue: testQueue, ID: id})
 }
 
 // simplePlan returns a plan with one step.
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -10,7 +10,7 @@
 // Submit accepts a job and returns once it is persisted. A job that already
 // exists is left unchanged. Errors other than ErrUncertain mean that the job
 // was not accepted.
-func (c *Cell) Submit(ctx context.Context, key tasks.Key, plan tasks.Plan, policy tasks.Policy) error {
+func (c *Cell) Submit(ctx context.Context, caller Caller, key tasks.Key, plan tasks.Plan, policy tasks.Policy) error {
 	c.mu.Lock()
 	if c.isLost() || c.stopped {
 		c.mu.Unlock()
@@ -31,6 +31,9 @@
 		c.submittedCPU += e.job.CPUTime(c.meanRunTimes[key.Queue])
 		c.logger.Info("job accepted", "job", key.ID, "queue", key.Queue, "steps", len(plan.Steps), "open", len(c.open), "epoch", c.epoch)
 		e.job.StartDueRounds(time.Now())
+	} else if !caller.mayAccess(e.job) {
+		c.mu.Unlock()
+		return ErrForbidden
 	} else if e.persisted {
 		c.mu.Unlock()
 		return nil
@@ -73,7 +76,7 @@
 }
 
 // Status returns the persisted state of a job.
-func (c *Cell) Status(ctx context.Context, key tasks.Key) (Status, error) {
+func (c *Cell) Status(ctx context.Context, caller Caller, key tasks.Key) (Status, error) {
 	c.mu.Lock()
 	e := c.jobs[key]
 	lost := c.isLost()
@@ -91,6 +94,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case !caller.mayAccess(e.job):
+		return Status{}, ErrForbidden
 	case !e.persisted:
 		return Status{}, ErrUncertain
 	case e.job.PreCancelled:
@@ -130,8 +135,8 @@
 
 // Cancel ends a job and returns once that is persisted. A job that was never
 // submitted is persisted as cancelled, so that a delayed request can't start
-// it; the error is then ErrUnknownJob.
-func (c *Cell) Cancel(ctx context.Context, key tasks.Key) error {
+// it; the error is then ErrUnknownJob. It belongs to the caller's organisation.
+func (c *Cell) Cancel(ctx context.Context, caller Caller, key tasks.Key) error {
 	c.mu.Lock()
 	if c.isLost() || c.stopped {
 		c.mu.Unlock()
@@ -144,8 +149,12 @@
 	now := time.Now()
 	e := c.jobs[key]
 	unknown := e == nil
+	if !unknown && !caller.mayAccess(e.job) {
+		c.mu.Unlock()
+		return ErrForbidden
+	}
 	if unknown {
-		e = &jobEntry{job: tasks.NewJob(key, tasks.Plan{}, tasks.Policy{}, now)}
+		e = &jobEntry{job: tasks.NewJob(key, tasks.Plan{}, tasks.Policy{Organisation: caller.Organisation}, now)}
 		e.job.PreCancelled = true
 		c.jobs[key] = e
 	}
