queue: look up queues by key; test that a configuration never goes back

An owner must find the queue of a request in its own configuration. The line on an activated configuration shows whether keys are required, and how many organisations and keys there are, so that an ignored entry is noticed.

Watcher already kept the newest version; TestConfigNeverGoesBack holds it. It failed with the comparison of versions left out (version 2 was active in place of 3).

--- a/queue/config.go
+++ b/queue/config.go
@@ -81,6 +81,16 @@
 	return nil
 }
 
+// Queue returns the queue with a key, or nil.
+func (c *Config) Queue(key string) *Queue {
+	for _, q := range c.Queues {
+		if q.Key() == key {
+			return q
+		}
+	}
+	return nil
+}
+
 // Service returns the service with a name and whether it exists.
 func (c *Config) Service(name string) (Service, bool) {
 	for _, service := range c.Services {
--- a/queue/watch.go
+++ b/queue/watch.go
@@ -149,7 +149,8 @@
 	}
 	if config, current := update.Config, w.Config(); config != nil && (current == nil || config.Version > current.Version) {
 		w.config.Store(config)
-		w.logger.Info("configuration activated", "version", config.Version, "queues", len(config.Queues), "services", len(config.Services))
+		w.logger.Info("configuration activated", "version", config.Version, "queues", len(config.Queues), "services", len(config.Services),
+			"requiresKeys", config.RequiresKeys, "organisations", len(config.Organisations), "keys", len(config.byKey))
 	}
 	if wave := update.Wave; wave != nil {
 		waves := map[int64]*Wave{wave.Number: wave}
--- a/queue/watch_test.go
+++ b/queue/watch_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,3 +109,56 @@
 		synctest.Wait()
 	})
 }
+
+// TestConfigNeverGoesBack guards against a withdrawn key that works again because a store
+// that lags behind, or one that was read again from the start, returned an older version.
+func TestConfigNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		reader := &laggingReader{logReader: logReader{values: []string{"3"}}}
+		w, versions := startWatcher(ctx, reader)
+		synctest.Wait()
+		for _, values := range [][]string{{"2"}, {"1", "2"}, {"3"}} {
+			reader.add(values...)
+			time.Sleep(2 * longPollTimeout)
+			if got := w.Config().Version; got != 3 {
+				t.Errorf("got version %d after records %v, want 3", got, values)
+			}
+		}
+		// An expired offset makes the watcher read the newest records again.
+		reader.setExpired(true)
+		time.Sleep(2 * longPollTimeout)
+		reader.add("2")
+		reader.setExpired(false)
+		time.Sleep(2 * longPollTimeout)
+		if got := w.Config().Version; got != 3 {
+			t.Errorf("got version %d after a snapshot of version 2, want 3", got)
+		}
+		reader.add("malformed", "4", "malformed")
+		time.Sleep(2 * longPollTimeout)
+		if got := w.Config().Version; got != 4 {
+			t.Errorf("got version %d among malformed records, want 4", got)
+		}
+		if got, want := versions.all(), []int64{3, 2, 1, 2, 3}; !slices.Equal(got[:len(want)], want) {
+			t.Errorf("got versions %v, want %v first", got, want)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// laggingReader is a logReader whose offsets may be expired.
+type laggingReader struct {
+	logReader
+	expired atomic.Bool
+}
+
+func (r *laggingReader) setExpired(expired bool) { r.expired.Store(expired) }
+
+// Read returns the records from an offset on, unless it is expired.
+func (r *laggingReader) Read(ctx context.Context, topic string, from int64, wait time.Duration) (store.Batch, error) {
+	if r.expired.Load() {
+		return store.Batch{}, store.ErrExpired
+	}
+	return r.logReader.Read(ctx, topic, from, wait)
+}
