owner: check callers' keys again where the configuration is newer

A node that the store rejects may know a key that was withdrawn meanwhile, and an owner had no means to notice.

Requests carry the version that their node acted on, whether it requires keys, and the hash of the key. An owner with a newer configuration looks the hash up itself and answers Unauthorised, or Forbidden for a job of another organisation. Both had no effect; Unauthorised after an attempt that may have been executed is Uncertain. Nodes of older versions send no version: where keys are required, they can use public queues only and answer 503 for the others, as for any outcome they don't know. Operators' cancels are marked as such.

--- a/owner/client.go
+++ b/owner/client.go
@@ -169,6 +169,12 @@
 				if !maybeExecuted {
 					return response
 				}
+			case Unauthorised:
+				// An earlier attempt may have preceded the withdrawal of the key.
+				if maybeExecuted {
+					response.Outcome = Uncertain
+				}
+				return response
 			default:
 				return response
 			}
@@ -305,7 +311,7 @@
 
 // Cancel cancels a job of a service for an operator.
 func (c *Client) Cancel(ctx context.Context, service string, key tasks.Key) error {
-	response := c.Call(ctx, MethodCancel, Request{Service: service, Key: key})
+	response := c.Call(ctx, MethodCancel, Request{Service: service, Key: key, Operator: true})
 	return outcomeError(response, nil)
 }
 
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -35,11 +35,16 @@
 	// Overloaded means that the owner would start the job too late; the call had no
 	// effect.
 	Overloaded
+	// Unauthorised means that the owner's configuration, which is newer than that of the
+	// caller's node, doesn't accept the caller's key; the call had no effect.
+	Unauthorised
+	// Forbidden means that the job belongs to another organisation; the call had no effect.
+	Forbidden
 )
 
 // String returns the name of the outcome for logs.
 func (o Outcome) String() string {
-	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded"}
+	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded", "unauthorised", "forbidden"}
 	if o < 0 || int(o) >= len(names) {
 		return "invalid"
 	}
@@ -50,9 +55,19 @@
 type Request struct {
 	Service string
 	Key     tasks.Key
-	// Plan and Policy are set for Submit only.
+	// Plan is set for Submit only. Policy is that of the queue, with the organisation of the
+	// caller.
 	Plan   tasks.Plan
 	Policy tasks.Policy
+	// ConfigVersion is the version of the configuration on which the caller's node has
+	// acted, and KeysRequired whether it requires keys. KeyHash is the hash of the key that
+	// the caller presented, empty if it presented none. Nodes of older versions send none
+	// of them, so that owners check their requests as if they came without a key.
+	ConfigVersion int64
+	KeysRequired  bool
+	KeyHash       []byte
+	// Operator means that the call is an operator's, which needs no key.
+	Operator bool
 	// Timeout limits the call at the owner.
 	Timeout time.Duration
 	// Hosts are the hosts to cordon or retire. A cordon lasts for Length; Vacate also
@@ -107,6 +122,8 @@
 		return UnknownJob
 	case errors.Is(err, sched.ErrIDConflict):
 		return IDConflict
+	case errors.Is(err, sched.ErrForbidden):
+		return Forbidden
 	default:
 		return Uncertain
 	}
--- a/owner/service.go
+++ b/owner/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rattanpath/queue"
 	"rattanpath/sched"
 )
 
@@ -32,35 +33,76 @@
 	return nil
 }
 
+// withCaller does the same on behalf of the caller of a request. The outcome is
+// Unauthorised if this node's configuration doesn't accept its key.
+func (s *Service) withCaller(request *Request, response *Response, call func(ctx context.Context, c *sched.Cell, caller sched.Caller) error) error {
+	caller, accepted := s.caller(request)
+	if !accepted {
+		response.Outcome = Unauthorised
+		return nil
+	}
+	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) error { return call(ctx, c, caller) })
+}
+
+// caller returns the caller of a request, and whether it may use the queue. Its key is
+// checked again if this node knows a newer configuration than the one that has forwarded
+// the request, so that a key that was withdrawn is refused if either of them knows.
+func (s *Service) caller(request *Request) (sched.Caller, bool) {
+	config := s.supervisor.config.Config()
+	switch {
+	case request.Operator:
+		return sched.Caller{}, true
+	case config == nil || config.Version <= request.ConfigVersion:
+		return sched.Caller{Restricted: request.KeysRequired, Organisation: request.Policy.Organisation}, true
+	case !config.RequiresKeys:
+		return sched.Caller{}, true
+	}
+	if organisation := keyHolder(config, request.KeyHash); organisation != nil {
+		return sched.Caller{Restricted: true, Organisation: organisation.Name}, true
+	}
+	q := config.Queue(request.Key.Queue)
+	return sched.Caller{Restricted: true}, q != nil && q.Public
+}
+
+// keyHolder returns the organisation that holds the key with a hash, or nil.
+func keyHolder(config *queue.Config, hash []byte) *queue.Organisation {
+	if len(hash) != len(queue.KeyHash{}) {
+		return nil
+	}
+	return config.KeyHolder(queue.KeyHash(hash))
+}
+
 // Submit submits a job. A plan that can't be run is an error: it may come from a node
 // of another version.
 func (s *Service) Submit(request *Request, response *Response) error {
 	if err := request.Plan.CheckSteps(); err != nil {
 		return err
 	}
-	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) error {
-		return c.Submit(ctx, sched.Caller{}, request.Key, request.Plan, request.Policy)
+	return s.withCaller(request, response, func(ctx context.Context, c *sched.Cell, caller sched.Caller) error {
+		policy := request.Policy
+		policy.Organisation = caller.Organisation
+		return c.Submit(ctx, caller, request.Key, request.Plan, policy)
 	})
 }
 
 // Status returns the status of a job.
 func (s *Service) Status(request *Request, response *Response) error {
-	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) (err error) {
-		response.Status, err = c.Status(ctx, sched.Caller{}, request.Key)
+	return s.withCaller(request, response, func(ctx context.Context, c *sched.Cell, caller sched.Caller) (err error) {
+		response.Status, err = c.Status(ctx, caller, request.Key)
 		return err
 	})
 }
 
 // Cancel cancels a job.
 func (s *Service) Cancel(request *Request, response *Response) error {
-	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) error {
-		return c.Cancel(ctx, sched.Caller{}, request.Key)
+	return s.withCaller(request, response, func(ctx context.Context, c *sched.Cell, caller sched.Caller) error {
+		return c.Cancel(ctx, caller, request.Key)
 	})
 }
 
 // Pending counts the jobs of a queue that have not started.
 func (s *Service) Pending(request *Request, response *Response) error {
-	return s.withCell(request, response, func(_ context.Context, c *sched.Cell) (err error) {
+	return s.withCaller(request, response, func(_ context.Context, c *sched.Cell, _ sched.Caller) (err error) {
 		response.Pending, err = c.Pending(request.Key.Queue)
 		return err
 	})
--- a/owner/service_test.go
+++ b/owner/service_test.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return NewService(&Supervisor{runners: map[string]*cellRunner{testService: {cell: cell}}})
+	return NewService(&Supervisor{config: fixedConfig{}, runners: map[string]*cellRunner{testService: {cell: cell}}})
 }
 
 func submitRequest(steps ...tasks.Step) Request {
