intake: callers need the key of an organisation

A key is looked up by its hash right after the queue is found, before the body is read and before anything is forwarded, for all methods. Without a valid one the answer is 401, unless the queue is public. What owners refuse becomes 401 (withdrawn key), 409 for submissions and 403 for others (job of another organisation). Refusals are counted by reason. The key isn't kept. Without `tenants` in the configuration nothing is checked.

key_test.go failed with the check left out: requests without keys were forwarded and answered with 200, 404, 405 and 410, and bodies were read. TestRefusalDoesNotAwaitBody failed without closing the connection: the HTTP server held the 401 back until the body came.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -91,6 +91,10 @@
 	queue  *queue.Queue
 	id     string
 	start  time.Time
+	// keyHash is the hash of the caller's key, empty if it presented none. organisation is
+	// empty unless the configuration requires keys and the key is valid.
+	keyHash      []byte
+	organisation string
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
@@ -106,6 +110,9 @@
 		x.writeError(http.StatusNotFound, "no queue has this host and path")
 		return
 	}
+	if !x.identifyCaller() {
+		return
+	}
 	x.id = strings.TrimPrefix(r.URL.Path, x.queue.Prefix)
 	switch {
 	case x.id == "" && r.Method == http.MethodGet:
@@ -148,11 +155,16 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(time.Duration(float64(timeout)*ownerTimeoutFraction), maxOwnerTimeout))
 	defer cancel()
+	policy := x.queue.Policy
+	policy.Organisation = x.organisation
 	return x.client.Call(ctx, method, owner.Request{
-		Service: service,
-		Key:     tasks.Key{Queue: x.queue.Key(), ID: x.id},
-		Plan:    plan,
-		Policy:  x.queue.Policy,
+		Service:       service,
+		Key:           tasks.Key{Queue: x.queue.Key(), ID: x.id},
+		Plan:          plan,
+		Policy:        policy,
+		ConfigVersion: x.config.Version,
+		KeysRequired:  x.config.RequiresKeys,
+		KeyHash:       x.keyHash,
 	})
 }
 
@@ -250,6 +262,15 @@
 		x.writeError(http.StatusGone, "no such job")
 	case owner.IDConflict:
 		x.writeError(http.StatusConflict, "another queue has a job of that ID")
+	case owner.Unauthorised:
+		x.refuseKey(refusedWithdrawn)
+	case owner.Forbidden:
+		x.countRefusal(refusedOrganisation)
+		status := http.StatusForbidden
+		if x.r.Method == http.MethodPost {
+			status = http.StatusConflict
+		}
+		x.writeError(status, "the job belongs to another organisation")
 	case owner.Uncertain:
 		x.writeError(http.StatusGatewayTimeout, "the request may have been done")
 	default:
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -36,11 +36,14 @@
 	// outcome is returned by every call unless it is Done.
 	outcome owner.Outcome
 	calls   []string
+	// requests holds the requests of all calls.
+	requests []owner.Request
 }
 
 // Call implements OwnerClient.
 func (c *fakeClient) Call(_ context.Context, method owner.Method, request owner.Request) owner.Response {
 	c.calls = append(c.calls, string(method)+" "+request.Service)
+	c.requests = append(c.requests, request)
 	if c.outcome != owner.Done {
 		return owner.Response{Outcome: c.outcome}
 	}
@@ -70,6 +73,7 @@
 	client := &fakeClient{jobs: make(map[string]map[string]bool)}
 	codec := Codec{
 		Timeout: func(http.Header) time.Duration { return 0 },
+		Key:     func(header http.Header) string { return header.Get("Test-Key") },
 		DecodeJob: func(body []byte) (tasks.Plan, error) {
 			if string(body) == "bad" {
 				return tasks.Plan{}, errors.New("invalid body")
