engine, docs: keys aren't shown anywhere; callers' keys for operators

TestKeysAreNotShownByNodes runs two nodes with keys and searches log lines, admin pages, metrics, responses and records for them; it also withdraws a key.

The manual describes keys and odd entries, OPERATIONS how to find out why a withdrawn key still works.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -50,11 +50,12 @@
 	runners map[string]*fake.Runner
 	// adminAddresses holds the admin addresses of nodes by name.
 	adminAddresses map[string]string
+	logger         logr.Logger
 }
 
 func newFleet(t *testing.T) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: fake.NewStore(), checker: fake.NewInvariantChecker(), runners: make(map[string]*fake.Runner), adminAddresses: make(map[string]string)}
+	f := &testFleet{t: t, store: fake.NewStore(), checker: fake.NewInvariantChecker(), runners: make(map[string]*fake.Runner), adminAddresses: make(map[string]string), logger: logr.Discard()}
 	f.store.Put("op", "config", []byte(testConfig))
 	for i := range 2 {
 		info := pool.Host{ID: fmt.Sprintf("h%d", i), Service: "s", Address: "127.0.0.1:1", Capacity: tasks.Resources{CPU: 4000, MemMB: 1000}}
@@ -101,7 +102,7 @@
 		DecodeUpdate: platform.DecodeUpdate, DecodeHost: platform.DecodeHost,
 		OperatorTopic: platform.OperatorTopic, HostTopic: platform.HostTopic,
 		Clock: core.BootClock,
-	}, logr.Discard())
+	}, f.logger)
 	if err := app.Start(f.t.Context()); err != nil {
 		f.t.Fatal(err)
 	}
@@ -110,12 +111,21 @@
 
 // send sends a request and returns the status code and the body.
 func send(t *testing.T, method, address, path, body string) (int, string) {
+	t.Helper()
+	return sendWith(t, method, address, path, body, nil)
+}
+
+// sendWith sends a request with header fields.
+func sendWith(t *testing.T, method, address, path, body string, header http.Header) (int, string) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		t.Fatal(err)
 	}
 	request.Host = "a.example"
+	for name, values := range header {
+		request.Header[name] = values
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, err.Error()
