--- a/sched/caller.go
+++ b/sched/caller.go
@@ -10,6 +10,9 @@
 	Restricted bool
 	// Organisation is empty for a caller without a key.
 	Organisation string
+	// ConfigVersion is the version of the configuration on which the caller's node acted; 0
+	// if it is unknown.
+	ConfigVersion int64
 }
 
 // mayAccess reports whether the caller may submit, query and cancel a job that exists.
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -12,6 +12,7 @@
 	"rattanpath/core"
 	"rattanpath/lease"
 	"rattanpath/pool"
+	"rattanpath/queue"
 	"rattanpath/store"
 	"rattanpath/tasks"
 )
@@ -65,6 +66,9 @@
 	// ErrIDConflict means that another queue of the service has a job with the
 	// same ID.
 	ErrIDConflict = errors.New("another queue of the service has a job with that ID")
+	// ErrReassigned means that the node's newer configuration assigns the queue to another
+	// service; nothing was changed.
+	ErrReassigned = errors.New("the queue was assigned to another service")
 	// ErrForbidden means that the job belongs to another organisation than the caller;
 	// nothing was changed.
 	ErrForbidden = errors.New("the job belongs to another organisation")
@@ -79,6 +83,8 @@
 	// Advisor may be nil if no queue of the service uses one.
 	Advisor Advisor
 	Clock   core.Clock
+	// Config, if not nil, returns the node's active configuration, or nil if it has none.
+	Config func() *queue.Config
 	// MaxLease is the longest lease that a host grants.
 	MaxLease time.Duration
 	// MaxRecordAge is how old the record of a host may be when a start command reaches
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -17,6 +17,7 @@
 	"rattanpath/fake"
 	"rattanpath/lease"
 	"rattanpath/pool"
+	"rattanpath/queue"
 	"rattanpath/tasks"
 )
 
@@ -56,6 +57,8 @@
 	wrapJournal func(claim.Journal) claim.Journal
 	wrapHosts   func(lease.HostClient) lease.HostClient
 	linkRate    int64
+	// config, if not nil, is the active configuration of all nodes.
+	config func() *queue.Config
 }
 
 // node is a node that has claimed the cell and may have lost it since.
@@ -146,6 +149,7 @@
 		Journal:      tc.store.Client(name),
 		HostClient:   n.hosts,
 		Clock:        clock,
+		Config:       tc.config,
 		MaxLease:     testLease,
 		MaxRecordAge: fake.CapacityGrace,
 		JobRetention: 2 * time.Minute,
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -18,6 +18,10 @@
 	}
 	e := c.jobs[key]
 	if e == nil {
+		if c.isReassigned(key.Queue, caller) {
+			c.mu.Unlock()
+			return ErrReassigned
+		}
 		if other := c.byID[key.ID]; other != nil {
 			c.mu.Unlock()
 			return ErrIDConflict
@@ -73,6 +77,9 @@
 type Status struct {
 	Phase tasks.Phase
 	Begun bool
+	// PreCancelled comes with ErrUnknownJob: the job was cancelled before it was submitted,
+	// so that no service may start it.
+	PreCancelled bool
 }
 
 // Status returns the persisted state of a job.
@@ -99,7 +106,7 @@
 	case !e.persisted:
 		return Status{}, ErrUncertain
 	case e.job.PreCancelled:
-		return Status{}, ErrUnknownJob
+		return Status{PreCancelled: true}, ErrUnknownJob
 	}
 	return Status{Phase: e.persistedPhase, Begun: e.job.Started}, nil
 }
@@ -153,6 +160,10 @@
 		c.mu.Unlock()
 		return ErrForbidden
 	}
+	if unknown && c.isReassigned(key.Queue, caller) {
+		c.mu.Unlock()
+		return ErrReassigned
+	}
 	if unknown {
 		e = &jobEntry{job: tasks.NewJob(key, tasks.Plan{}, tasks.Policy{Organisation: caller.Organisation}, now)}
 		e.job.PreCancelled = true
