owner: an RPC method for the queues of a service

Client.Queues asks the owner of a service once which queues it holds jobs of. Cells know the node's configuration. The outcome Reassigned of a submission or a cancel had no effect, as Overloaded.

--- a/owner/client.go
+++ b/owner/client.go
@@ -42,6 +42,7 @@
 	MethodExplain Method = "Explain"
 	MethodPool    Method = "Pool"
 	MethodAwait   Method = "Await"
+	MethodQueues  Method = "Queues"
 )
 
 // Client calls the owners of services, on this node or on another.
@@ -165,7 +166,7 @@
 			case NotOwner:
 			case Uncertain:
 				maybeExecuted = true
-			case StoreUnavailable, Overloaded:
+			case StoreUnavailable, Overloaded, Reassigned:
 				if !maybeExecuted {
 					return response
 				}
@@ -255,6 +256,7 @@
 		MethodExplain: c.local.Explain,
 		MethodPool:    c.local.Pool,
 		MethodAwait:   c.local.Await,
+		MethodQueues:  c.local.Queues,
 	}
 	call := calls[method]
 	if call == nil {
@@ -263,6 +265,12 @@
 	return call(request, response)
 }
 
+// Queues returns the queues that a service holds jobs of. It doesn't retry.
+func (c *Client) Queues(ctx context.Context, service string) (sched.QueueList, error) {
+	response, _, err := c.attempt(ctx, MethodQueues, Request{Service: service})
+	return response.Queues, outcomeError(response, err)
+}
+
 // Report returns the status of a service's pool.
 func (c *Client) Report(ctx context.Context, service string) (sched.Report, error) {
 	response, _, err := c.attempt(ctx, MethodReport, Request{Service: service})
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -40,11 +40,14 @@
 	Unauthorised
 	// Forbidden means that the job belongs to another organisation; the call had no effect.
 	Forbidden
+	// Reassigned means that the owner's configuration, which is newer than that of the
+	// caller's node, assigns the queue to another service; the call had no effect.
+	Reassigned
 )
 
 // String returns the name of the outcome for logs.
 func (o Outcome) String() string {
-	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded", "unauthorised", "forbidden"}
+	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded", "unauthorised", "forbidden", "reassigned"}
 	if o < 0 || int(o) >= len(names) {
 		return "invalid"
 	}
@@ -98,6 +101,8 @@
 	Status  sched.Status
 	// Pending is the number of jobs of the queue that have not started.
 	Pending int
+	// Queues are the queues that the cell holds jobs of.
+	Queues sched.QueueList
 	// Report is the status of the pool and Hosts that of the requested hosts.
 	Report sched.Report
 	Hosts  []sched.HostReport
@@ -124,6 +129,8 @@
 		return IDConflict
 	case errors.Is(err, sched.ErrForbidden):
 		return Forbidden
+	case errors.Is(err, sched.ErrReassigned):
+		return Reassigned
 	default:
 		return Uncertain
 	}
--- a/owner/service.go
+++ b/owner/service.go
@@ -47,21 +47,25 @@
 // caller returns the caller of a request, and whether it may use the queue. Its key is
 // checked again if this node knows a newer configuration than the one that has forwarded
 // the request, so that a key that was withdrawn is refused if either of them knows.
-func (s *Service) caller(request *Request) (sched.Caller, bool) {
+func (s *Service) caller(request *Request) (caller sched.Caller, accepted bool) {
+	caller.ConfigVersion = request.ConfigVersion
 	config := s.supervisor.config.Config()
 	switch {
 	case request.Operator:
-		return sched.Caller{}, true
+		return caller, true
 	case config == nil || config.Version <= request.ConfigVersion:
-		return sched.Caller{Restricted: request.KeysRequired, Organisation: request.Policy.Organisation}, true
+		caller.Restricted, caller.Organisation = request.KeysRequired, request.Policy.Organisation
+		return caller, true
 	case !config.RequiresKeys:
-		return sched.Caller{}, true
+		return caller, true
 	}
+	caller.Restricted = true
 	if organisation := keyHolder(config, request.KeyHash); organisation != nil {
-		return sched.Caller{Restricted: true, Organisation: organisation.Name}, true
+		caller.Organisation = organisation.Name
+		return caller, true
 	}
 	q := config.Queue(request.Key.Queue)
-	return sched.Caller{Restricted: true}, q != nil && q.Public
+	return caller, q != nil && q.Public
 }
 
 // keyHolder returns the organisation that holds the key with a hash, or nil.
@@ -108,6 +112,14 @@
 	})
 }
 
+// Queues returns the queues that the cell of a service holds jobs of.
+func (s *Service) Queues(request *Request, response *Response) error {
+	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) (err error) {
+		response.Queues, err = c.Queues(ctx)
+		return err
+	})
+}
+
 // Report returns the status of a service's pool.
 func (s *Service) Report(request *Request, response *Response) error {
 	return s.withCell(request, response, func(_ context.Context, c *sched.Cell) (err error) {
--- a/owner/service_test.go
+++ b/owner/service_test.go
@@ -85,7 +85,7 @@
 		request.Service, request.Timeout = testService, minTimeout
 		for _, method := range []func(*Request, *Response) error{
 			service.Submit, service.Jobs, service.Explain, service.Report, service.Pool, service.Pending,
-			service.Cordon, service.Retire, service.Status, service.Cancel,
+			service.Cordon, service.Retire, service.Status, service.Cancel, service.Queues,
 		} {
 			_ = method(&request, &Response{})
 		}
--- a/owner/supervisor.go
+++ b/owner/supervisor.go
@@ -243,6 +243,7 @@
 	defer r.remove()
 	options := r.supervisor.options
 	options.Service = r.service
+	options.Config = r.supervisor.config.Config
 	nonce := uuid.NewString()
 	for ctx.Err() == nil {
 		c, err := sched.Claim(ctx, options, nonce)
