intake: know the jobs of queues that were moved before the node started

A queue's earlier services were known only from the configurations that the process had seen. A node that started after a queue was assigned to another service accepted its jobs a second time, and `pending` left out the jobs at the earlier services.

A node that starts asks the owner of each service once which queues it holds jobs of, and again after a version that it has not read. The answer is final if the owner's configuration is at least as new. Until then a submission first looks its ID up there, and is refused (503) if nobody answers. `pending` sums over the services that may hold jobs of the queue. A job that was cancelled in advance at an earlier service isn't started at the new one, and jobs at a service on standby are found if it is known to hold some of the queue. With one service in use nothing is asked.

The tests of discovery_test.go failed without the change, except for TestPendingWithoutRemovedService: jobs were accepted twice, counts left out two jobs of three, and a job at a service on standby got 410. newTestHandler now returns a handler whose services have listed their queues, since its tests are about nodes that know their history.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -158,7 +158,7 @@
 // register adds the node's loops and servers to the lifecycle. On shutdown the node
 // leaves the group first, so that other nodes take over its cells while it still
 // serves callers.
-func register(lifecycle fx.Lifecycle, settings Settings, loops *core.LoopGroup, tuner *gcTuner, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, controller *infra.Controller, admin *adminServer, server *intake.Server, logger logr.Logger) error {
+func register(lifecycle fx.Lifecycle, settings Settings, loops *core.LoopGroup, tuner *gcTuner, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, controller *infra.Controller, admin *adminServer, handler *intake.Handler, server *intake.Server, logger logr.Logger) error {
 	peers := link.NewServer(settings.PeerListen, func(conn net.Conn) net.Conn { return conn }, logger.WithName("peers"))
 	if err := peers.Register(owner.RPCName, owner.NewService(supervisor)); err != nil {
 		return err
@@ -174,6 +174,7 @@
 	loops.Go(supervisor.Run)
 	loops.Go(supervisor.RunHostUpdates)
 	loops.Go(client.Run)
+	loops.Go(handler.Run)
 	loops.Go(controller.Run)
 	lifecycle.Append(fx.Hook{OnStart: peers.Start, OnStop: peers.Stop})
 	lifecycle.Append(fx.Hook{OnStart: admin.server.Start, OnStop: admin.server.Stop})
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -15,6 +15,7 @@
 
 	"rattanpath/owner"
 	"rattanpath/queue"
+	"rattanpath/sched"
 	"rattanpath/tasks"
 )
 
@@ -54,6 +55,8 @@
 // OwnerClient calls the owners of services.
 type OwnerClient interface {
 	Call(ctx context.Context, method owner.Method, request owner.Request) owner.Response
+	// Queues returns the queues that a service holds jobs of.
+	Queues(ctx context.Context, service string) (sched.QueueList, error)
 }
 
 // Handler serves callers' requests.
@@ -188,7 +191,12 @@
 		x.writeError(http.StatusBadRequest, err.Error())
 		return
 	}
-	if service, response := x.findJob(x.history.previous(x.queue.Key())); service != "" || response.Outcome != owner.UnknownJob {
+	switch service, response := x.findEarlier(); {
+	case service != "":
+		// The job exists, or must not start because it was cancelled in advance.
+		x.writeAck(owner.Response{Outcome: owner.Done})
+		return
+	case response.Outcome != owner.UnknownJob:
 		x.writeAck(response)
 		return
 	}
@@ -237,12 +245,16 @@
 }
 
 func (x *exchange) getPending() {
-	response := x.callOwner(owner.MethodPending, tasks.Plan{})
-	if response.Outcome != owner.Done {
-		x.writeFailure(response.Outcome)
-		return
+	pending := 0
+	for _, service := range x.jobServices() {
+		response := x.callService(service, owner.MethodPending, tasks.Plan{})
+		if response.Outcome != owner.Done {
+			x.writeFailure(response.Outcome)
+			return
+		}
+		pending += response.Pending
 	}
-	body, err := x.codec.EncodePending(response.Pending)
+	body, err := x.codec.EncodePending(pending)
 	x.writeEncoded(body, err)
 }
 
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,14 +40,60 @@
 	calls   []string
 	// requests holds the requests of all calls.
 	requests []owner.Request
+	// mu protects all below. outcomes holds the outcomes of all calls to services, version
+	// is that of the owners' configuration, and asked counts the lists by service. Owners
+	// don't list their queues while the version is 0.
+	mu       sync.Mutex
+	outcomes map[string]owner.Outcome
+	version  int64
+	asked    map[string]int
+}
+
+// Queues implements OwnerClient.
+func (c *fakeClient) Queues(_ context.Context, service string) (sched.QueueList, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.asked == nil {
+		c.asked = make(map[string]int)
+	}
+	c.asked[service]++
+	if c.version == 0 || c.outcomes[service] != owner.Done {
+		return sched.QueueList{}, errors.New("no answer")
+	}
+	list := sched.QueueList{ConfigVersion: c.version}
+	if len(c.jobs[service]) > 0 {
+		list.Queues = []string{"a.example/x/"}
+	}
+	return list, nil
+}
+
+// askedFor returns how often each service was asked for its queues.
+func (c *fakeClient) askedFor() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.asked)
+}
+
+// setOutcomes sets the outcomes of all calls to services.
+func (c *fakeClient) setOutcomes(outcomes map[string]owner.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = outcomes
+}
+
+// setVersion sets the version of the owners' configuration.
+func (c *fakeClient) setVersion(version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version = version
 }
 
 // Call implements OwnerClient.
 func (c *fakeClient) Call(_ context.Context, method owner.Method, request owner.Request) owner.Response {
 	c.calls = append(c.calls, string(method)+" "+request.Service)
 	c.requests = append(c.requests, request)
-	if c.outcome != owner.Done {
-		return owner.Response{Outcome: c.outcome}
+	if outcome := max(c.outcome, c.outcomes[request.Service]); outcome != owner.Done {
+		return owner.Response{Outcome: outcome}
 	}
 	jobs := c.jobs[request.Service]
 	if jobs == nil {
@@ -68,7 +116,21 @@
 		[]queue.Service{{Name: "one"}, {Name: "two"}}, queue.Limits{BodyBytes: 64})
 }
 
+// newTestHandler returns the handler of a node whose services have listed that they hold no
+// jobs.
 func newTestHandler(config *queue.Config) (*Handler, *testConfigSource, *fakeClient) {
+	h, source, client := newStartedHandler(config)
+	if config != nil {
+		h.LearnConfig(config)
+		for _, service := range config.Services {
+			h.history.addList(service.Name, sched.QueueList{ConfigVersion: config.Version})
+		}
+	}
+	return h, source, client
+}
+
+// newStartedHandler returns the handler of a node that has just started.
+func newStartedHandler(config *queue.Config) (*Handler, *testConfigSource, *fakeClient) {
 	source := &testConfigSource{config: config}
 	client := &fakeClient{jobs: make(map[string]map[string]bool)}
 	codec := Codec{
--- a/intake/history.go
+++ b/intake/history.go
@@ -4,8 +4,10 @@
 	"slices"
 	"sync"
 
+	"rattanpath/core"
 	"rattanpath/owner"
 	"rattanpath/queue"
+	"rattanpath/sched"
 	"rattanpath/tasks"
 )
 
@@ -16,6 +18,11 @@
 	config *queue.Config
 	// services holds the services of each queue by its key, in order of first use.
 	services map[string][]string
+	// settled holds the services whose owners have listed the queues that they hold jobs
+	// of, and unsettled the others that may hold jobs of a queue of another service.
+	settled   map[string]bool
+	unsettled []string
+	changed   core.Signal
 }
 
 // LearnConfig records which services the queues of a configuration use, which must not
@@ -29,18 +36,72 @@
 	if h.config == config {
 		return
 	}
+	if h.config != nil && config.Version > h.config.Version+1 {
+		// A version that this node has not read may have used other services.
+		h.settled = nil
+	}
 	if h.config == nil || config.Version >= h.config.Version {
 		h.config = config
 	}
+	for _, q := range config.Queues {
+		h.addService(q.Key(), q.Policy.Service)
+	}
+	h.updateUnsettled()
+}
+
+// addService records that a queue has used a service. h.mu must be held.
+func (h *serviceHistory) addService(key, service string) {
 	if h.services == nil {
 		h.services = make(map[string][]string)
 	}
-	for _, q := range config.Queues {
-		services := h.services[q.Key()]
-		if !slices.Contains(services, q.Policy.Service) {
-			h.services[q.Key()] = append(slices.Clone(services), q.Policy.Service)
+	if services := h.services[key]; !slices.Contains(services, service) {
+		h.services[key] = append(slices.Clone(services), service)
+	}
+}
+
+// addList records which queues the owner of a service holds jobs of, and reports whether the
+// list is final: an owner of an older configuration may still accept jobs of other queues.
+func (h *serviceHistory) addList(service string, list sched.QueueList) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, key := range list.Queues {
+		h.addService(key, service)
+	}
+	if list.ConfigVersion < h.config.Version {
+		return false
+	}
+	if h.settled == nil {
+		h.settled = make(map[string]bool)
+	}
+	h.settled[service] = true
+	h.updateUnsettled()
+	return true
+}
+
+// updateUnsettled determines the services that are to be asked for their queues. A service
+// that all queues use can't hold a job of a queue of another one. h.mu must be held.
+func (h *serviceHistory) updateUnsettled() {
+	h.unsettled = nil
+	for _, service := range h.config.Services {
+		isOther := func(q *queue.Queue) bool { return q.Policy.Service != service.Name }
+		if !h.settled[service.Name] && slices.ContainsFunc(h.config.Queues, isOther) {
+			h.unsettled = append(h.unsettled, service.Name)
 		}
 	}
+	if len(h.unsettled) > 0 {
+		h.changed.Notify()
+	}
+}
+
+// unsettledServices returns the services other than a given one that have not listed their
+// queues yet.
+func (h *serviceHistory) unsettledServices(current string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.unsettled) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(h.unsettled), func(service string) bool { return service == current })
 }
 
 // previous returns the services that a queue used before its current one.
@@ -58,29 +119,57 @@
 	})
 }
 
-// otherServices returns all services except the queue's current one and those on
-// standby. A node that has just started does not know which of them the queue used
-// before.
+// otherServices returns all services except the queue's current one, and except those on
+// standby that are not known to hold jobs of the queue.
 func (x *exchange) otherServices() []string {
 	var others []string
+	previous := x.history.previous(x.queue.Key())
 	for _, service := range x.config.Services {
-		if service.Name != x.queue.Policy.Service && !service.Standby {
+		if service.Name != x.queue.Policy.Service && (!service.Standby || slices.Contains(previous, service.Name)) {
 			others = append(others, service.Name)
 		}
 	}
 	return others
 }
 
-// findJob looks for the job at the given services and returns the one that has it.
-// If none has, the outcome is UnknownJob, or another failure if some service could
+// jobServices returns the services of the configuration that may hold jobs of the queue,
+// its current one first. Those that were removed run nothing and have no owner to ask.
+func (x *exchange) jobServices() []string {
+	current := x.queue.Policy.Service
+	services := []string{current}
+	for _, service := range append(x.history.previous(x.queue.Key()), x.history.unsettledServices(current)...) {
+		if _, exists := x.config.Service(service); exists && !slices.Contains(services, service) {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// findEarlier looks for a job that is about to be submitted at the services that may have
+// accepted it before. Of those that have not listed their queues yet, the first that doesn't
+// answer is enough to refuse the job.
+func (x *exchange) findEarlier() (string, owner.Response) {
+	service, response := x.findJob(x.history.previous(x.queue.Key()))
+	for _, other := range x.history.unsettledServices(x.queue.Policy.Service) {
+		if service != "" || response.Outcome != owner.UnknownJob {
+			break
+		}
+		service, response = x.findJob([]string{other})
+	}
+	return service, response
+}
+
+// findJob looks for the job at the given services and returns the one that has it, or
+// where it was cancelled before it was submitted, with outcome UnknownJob. If none has, the outcome is UnknownJob, or another failure if some service could
 // not be queried.
 func (x *exchange) findJob(services []string) (string, owner.Response) {
 	last := owner.Response{Outcome: owner.UnknownJob}
 	for _, service := range services {
-		switch response := x.callService(service, owner.MethodStatus, tasks.Plan{}); response.Outcome {
-		case owner.Done:
+		response := x.callService(service, owner.MethodStatus, tasks.Plan{})
+		switch {
+		case response.Outcome == owner.Done, response.Status.PreCancelled:
 			return service, response
-		case owner.UnknownJob:
+		case response.Outcome == owner.UnknownJob:
 		default:
 			last = response
 		}
