queue, intake: uneven version steps are no sign of an unread version

Cause: a node asked all services for their queues again after each change, since versions increase in uneven steps; submissions then depended on every service. Change: the watcher says whether it has read all records before a version; only a reload that skipped records makes the node ask again. Shown by TestQueuesAreAskedForOnce and TestUnreadVersionsAreReported.

--- a/intake/discovery_test.go
+++ b/intake/discovery_test.go
@@ -35,7 +35,7 @@
 		runHandler(t, newTestConfig(2, "two"), func(h *Handler, source *testConfigSource, client *fakeClient) {
 			client.jobs["one"] = map[string]bool{testID: true}
 			client.setVersion(version)
-			h.LearnConfig(source.config)
+			h.LearnConfig(source.config, true)
 			time.Sleep(5 * time.Second)
 			if got := send(h, "POST", "/x/"+testID, "job").Code; got != 200 || len(client.jobs["two"]) != 0 {
 				t.Errorf("got status %d and jobs %v at the new service with owners of version %d, want 200 and none", got, client.jobs["two"], version)
@@ -54,7 +54,7 @@
 	runHandler(t, newTestConfig(2, "two"), func(h *Handler, source *testConfigSource, client *fakeClient) {
 		client.setVersion(2)
 		client.setOutcomes(map[string]owner.Outcome{"one": owner.NotOwner})
-		h.LearnConfig(source.config)
+		h.LearnConfig(source.config, true)
 		time.Sleep(5 * time.Second)
 		if got := send(h, "POST", "/x/"+testID, "job").Code; got != 503 || len(client.jobs["two"]) != 0 {
 			t.Errorf("got status %d and jobs %v while a service doesn't answer, want 503 and none", got, client.jobs)
@@ -73,7 +73,7 @@
 func TestListsOfOlderVersionsAreNotFinal(t *testing.T) {
 	runHandler(t, newTestConfig(3, "two"), func(h *Handler, source *testConfigSource, client *fakeClient) {
 		client.setVersion(2)
-		h.LearnConfig(source.config)
+		h.LearnConfig(source.config, true)
 		time.Sleep(time.Second)
 		client.mu.Lock()
 		client.jobs["one"] = map[string]bool{testID: true}
@@ -88,16 +88,18 @@
 }
 
 // TestQueuesAreAskedForOnce guards against calls that a deployment pays for without ever
-// moving a queue, and against missing what a version that was not read has moved.
+// moving a queue, though versions increase in uneven steps, and against missing what a
+// version that was not read has moved.
 func TestQueuesAreAskedForOnce(t *testing.T) {
 	runHandler(t, newTestConfig(1, "one"), func(h *Handler, _ *testConfigSource, client *fakeClient) {
-		client.setVersion(9)
+		client.setVersion(20)
 		steps := []struct {
-			version int64
-			want    int
-		}{{1, 1}, {2, 1}, {3, 1}, {5, 2}, {4, 2}, {6, 2}}
+			version  int64
+			complete bool
+			want     int
+		}{{1, false, 1}, {2, true, 1}, {5, true, 1}, {9, false, 2}, {8, false, 2}, {12, true, 2}}
 		for _, step := range steps {
-			h.LearnConfig(newTestConfig(step.version, "one"))
+			h.LearnConfig(newTestConfig(step.version, "one"), step.complete)
 			time.Sleep(10 * time.Second)
 			if got, want := client.askedFor(), map[string]int{"two": step.want}; !maps.Equal(got, want) {
 				t.Errorf("got lists asked for %v after version %d, want %v", got, step.version, want)
@@ -119,7 +121,7 @@
 			client.jobs["one"] = map[string]bool{"a": true, "b": true}
 			client.jobs["two"] = map[string]bool{"c": true}
 			client.setVersion(version)
-			h.LearnConfig(source.config)
+			h.LearnConfig(source.config, true)
 			time.Sleep(5 * time.Second)
 			client.calls = nil
 			if got := send(h, "GET", "/x/", "").Body.String(); got != "3" {
@@ -157,7 +159,7 @@
 	runHandler(t, config, func(h *Handler, source *testConfigSource, client *fakeClient) {
 		client.jobs["one"] = map[string]bool{testID: true}
 		client.setVersion(2)
-		h.LearnConfig(source.config)
+		h.LearnConfig(source.config, true)
 		time.Sleep(time.Second)
 		if got := send(h, "GET", "/x/"+testID, "").Code; got != 200 {
 			t.Errorf("got status %d, want 200", got)
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -107,7 +107,7 @@
 		return
 	}
 	host, _, _ := strings.Cut(r.Host, ":")
-	h.history.update(x.config)
+	h.history.update(x.config, true)
 	x.queue = x.config.Find(host, r.URL.Path)
 	if x.queue == nil {
 		x.writeError(http.StatusNotFound, "no queue has this host and path")
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -121,7 +121,7 @@
 func newTestHandler(config *queue.Config) (*Handler, *testConfigSource, *fakeClient) {
 	h, source, client := newStartedHandler(config)
 	if config != nil {
-		h.LearnConfig(config)
+		h.LearnConfig(config, true)
 		for _, service := range config.Services {
 			h.history.addList(service.Name, sched.QueueList{ConfigVersion: config.Version})
 		}
@@ -234,9 +234,9 @@
 			h, source, client := newTestHandler(newTestConfig(2, "two"))
 			for _, version := range versions {
 				if version == source.config.Version {
-					h.LearnConfig(source.config)
+					h.LearnConfig(source.config, true)
 				} else {
-					h.LearnConfig(newTestConfig(version, "one"))
+					h.LearnConfig(newTestConfig(version, "one"), true)
 				}
 			}
 			client.jobs["one"] = map[string]bool{testID: true}
--- a/intake/history.go
+++ b/intake/history.go
@@ -26,17 +26,20 @@
 }
 
 // LearnConfig records which services the queues of a configuration use, which must not
-// depend on whether a request arrives while it is active.
-func (h *Handler) LearnConfig(config *queue.Config) { h.history.update(config) }
+// depend on whether a request arrives while it is active. complete is false if this node may
+// not have read all versions before it.
+func (h *Handler) LearnConfig(config *queue.Config, complete bool) {
+	h.history.update(config, complete)
+}
 
 // update records the services of a configuration, which may be older than others.
-func (h *serviceHistory) update(config *queue.Config) {
+func (h *serviceHistory) update(config *queue.Config, complete bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.config == config {
 		return
 	}
-	if h.config != nil && config.Version > h.config.Version+1 {
+	if h.config != nil && config.Version > h.config.Version && !complete {
 		// A version that this node has not read may have used other services.
 		h.settled = nil
 	}
@@ -160,8 +163,8 @@
 }
 
 // findJob looks for the job at the given services and returns the one that has it, or
-// where it was cancelled before it was submitted, with outcome UnknownJob. If none has, the outcome is UnknownJob, or another failure if some service could
-// not be queried.
+// where it was cancelled before it was submitted, with outcome UnknownJob. If none has, the
+// outcome is UnknownJob, or another failure if some service could not be queried.
 func (x *exchange) findJob(services []string) (string, owner.Response) {
 	last := owner.Response{Outcome: owner.UnknownJob}
 	for _, service := range services {
--- a/queue/watch.go
+++ b/queue/watch.go
@@ -56,8 +56,11 @@
 	decode Decode
 	logger logr.Logger
 	// OnConfig, if not nil, is called with each configuration that is read, before it is
-	// activated. It must be set before Run.
-	OnConfig func(*Config)
+	// activated. complete is false if versions before it may not have been read. It must be
+	// set before Run.
+	OnConfig func(config *Config, complete bool)
+	// next is the offset up to which all records have been read, 0 before the first read.
+	next int64
 
 	config   atomic.Pointer[Config]
 	waves    atomic.Pointer[map[int64]*Wave]
@@ -88,9 +91,9 @@
 // Run tracks the operator's records until ctx is done.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		next, err := w.reload(ctx)
+		err := w.reload(ctx)
 		for err == nil {
-			next, err = w.readNext(ctx, next)
+			err = w.readNext(ctx)
 		}
 		if ctx.Err() != nil {
 			return
@@ -104,28 +107,32 @@
 	}
 }
 
-func (w *Watcher) reload(ctx context.Context) (int64, error) {
+// reload reads the newest record of each key, which hides what they have replaced.
+func (w *Watcher) reload(ctx context.Context) error {
 	snapshot, err := w.reader.Newest(ctx, w.topic)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	for _, item := range snapshot.Malformed {
 		w.logger.Error(item.Err, "failed to decode an item of the operator's records", "key", item.Key)
 	}
-	w.apply(snapshot.Records)
-	return snapshot.Next, nil
+	w.apply(snapshot.Records, snapshot.Next == w.next)
+	w.next = snapshot.Next
+	return nil
 }
 
-func (w *Watcher) readNext(ctx context.Context, from int64) (int64, error) {
-	batch, err := w.reader.Read(ctx, w.topic, from, longPollTimeout)
+func (w *Watcher) readNext(ctx context.Context) error {
+	batch, err := w.reader.Read(ctx, w.topic, w.next, longPollTimeout)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	w.apply(batch.Records)
-	return batch.Next, nil
+	w.apply(batch.Records, true)
+	w.next = batch.Next
+	return nil
 }
 
-func (w *Watcher) apply(records []store.Record) {
+// apply applies records. complete means that no record before them was left out.
+func (w *Watcher) apply(records []store.Record, complete bool) {
 	w.lastRead.Store(time.Now().UnixNano())
 	for _, record := range records {
 		if len(record.Value) == 0 {
@@ -136,16 +143,16 @@
 			w.logger.Error(err, "failed to decode a record of the operator", "key", record.Key, "offset", record.Offset)
 			continue
 		}
-		w.applyUpdate(update)
+		w.applyUpdate(update, complete)
 	}
 	if len(records) > 0 {
 		w.changed.Notify()
 	}
 }
 
-func (w *Watcher) applyUpdate(update Update) {
+func (w *Watcher) applyUpdate(update Update, complete bool) {
 	if update.Config != nil && w.OnConfig != nil {
-		w.OnConfig(update.Config)
+		w.OnConfig(update.Config, complete)
 	}
 	if config, current := update.Config, w.Config(); config != nil && (current == nil || config.Version > current.Version) {
 		w.config.Store(config)
--- a/queue/watch_test.go
+++ b/queue/watch_test.go
@@ -20,6 +20,23 @@
 type logReader struct {
 	mu     sync.Mutex
 	values []string
+	// down makes the next Read fail, whose watcher then starts from the newest record.
+	down bool
+}
+
+// goDown makes the next read fail.
+func (r *logReader) goDown() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = true
+}
+
+func (r *logReader) takeDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	down := r.down
+	r.down = false
+	return down
 }
 
 // add appends records.
@@ -43,6 +60,9 @@
 	if err := core.Sleep(ctx, wait); err != nil {
 		return store.Batch{}, err
 	}
+	if r.takeDown() {
+		return store.Batch{}, store.ErrExpired
+	}
 	return r.records(from), nil
 }
 
@@ -66,12 +86,17 @@
 type versionList struct {
 	mu       sync.Mutex
 	versions []int64
+	// incomplete holds the versions before which others may not have been read.
+	incomplete []int64
 }
 
-func (l *versionList) add(config *Config) {
+func (l *versionList) add(config *Config, complete bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions = append(l.versions, config.Version)
+	if !complete {
+		l.incomplete = append(l.incomplete, config.Version)
+	}
 }
 
 func (l *versionList) all() []int64 {
@@ -162,3 +187,31 @@
 	}
 	return r.logReader.Read(ctx, topic, from, wait)
 }
+
+// TestUnreadVersionsAreReported guards against a watcher that hides that it may have missed
+// versions, and against one that reports uneven steps of versions as such.
+func TestUnreadVersionsAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		reader := &logReader{values: []string{"1"}}
+		_, versions := startWatcher(ctx, reader)
+		for _, step := range []struct {
+			down  bool
+			added []string
+		}{{false, []string{"4", "9"}}, {true, nil}, {false, []string{"11"}}, {true, []string{"12", "20"}}, {false, []string{"22"}}} {
+			synctest.Wait()
+			if step.down {
+				reader.goDown()
+			}
+			reader.add(step.added...)
+			time.Sleep(3 * longPollTimeout)
+		}
+		versions.mu.Lock()
+		defer versions.mu.Unlock()
+		if got, want := versions.incomplete, []int64{1, 20}; !slices.Equal(got, want) {
+			t.Errorf("got versions %v with others before them that may be unread, want %v; all are %v", got, want, versions.versions)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
