cmds: keep a management node alive on SIGHUP while it starts and stops

Cause: the handler of SIGHUP was installed once the node had started and removed when the stop began. Before and after that a SIGHUP has its default effect and ends the process, whose cells are then not released.

Change: the signal is handled from before the start until the stop is complete, and ignored from then on, since the process is about to end.

--- a/cmd/rattanpath/cmds/manage.go
+++ b/cmd/rattanpath/cmds/manage.go
@@ -7,7 +7,9 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"sync"
 	"syscall"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -35,24 +37,48 @@
 	defer logWriter.Close()
 	logger := logWriter.Logger(settings.Name)
 	slog.SetDefault(slog.New(logr.ToSlogHandler(logger)))
-	app := engine.New(settings, platform.New(settings), logger)
-	startCtx, cancel := context.WithTimeout(e.ctx, app.StartTimeout())
+	return runNode(e.ctx, engine.New(settings, platform.New(settings), logger), settings, logger)
+}
+
+// application is a node that can be started once.
+type application interface {
+	StartTimeout() time.Duration
+	StopTimeout() time.Duration
+	Start(ctx context.Context) error
+	Stop(ctx context.Context) error
+}
+
+// runNode starts a node, waits until ctx is done and stops the node gracefully.
+func runNode(ctx context.Context, app application, settings engine.Settings, logger logr.Logger) error {
+	defer handleReloads(settings, logger)()
+	startCtx, cancel := context.WithTimeout(ctx, app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return err
 	}
-	c.waitForStop(e.ctx, settings, logger)
+	<-ctx.Done()
 	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	return app.Stop(stopCtx)
 }
 
-// waitForStop returns when ctx is done. On SIGHUP it reads the settings file again
-// and logs whether a restart would change the settings.
-func (c *manageCommand) waitForStop(ctx context.Context, settings engine.Settings, logger logr.Logger) {
+// handleReloads reads the settings file again on each SIGHUP, and logs whether a restart would
+// change the settings, until the returned function is called. From then on the signal is
+// ignored, as the process is about to end: by default, it ends a process at once.
+func handleReloads(settings engine.Settings, logger logr.Logger) (end func()) {
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { loopReloads(ctx, reload, settings, logger) })
+	return func() {
+		signal.Ignore(syscall.SIGHUP)
+		cancel()
+		wg.Wait()
+	}
+}
+
+func loopReloads(ctx context.Context, reload <-chan os.Signal, settings engine.Settings, logger logr.Logger) {
 	for {
 		select {
 		case <-reload:
