sched, infra: keep machines whose hosts hold ends that are not persisted

Cause: an owner reported a host as idle by what it had in memory. One that the store rejects had processed the ends there, but could neither persist nor acknowledge them; its machines were moved within the 4 s for which it still answers, and the ends were lost with them. And a departed host was reported once, to the owner of that moment: the next one waited up to 9 s for leases of machines that were gone.

Change: HostReport.EndsPending is set for a host with listed ends that are not persisted, and for all hosts of an owner whose store is unavailable or whose last confirmed write is older than 2.5 s. Such a host isn't idle for moves and maintenance. The controller remembers departed hosts for as long as a new owner may wait for leases and reports them again when the epoch of a pool's report changes, or after a failure. A new owner gives up inherited runs on a host without a record if the controller has retired the incarnation that they were assigned to.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -148,6 +148,7 @@
 		StatusTopic:         platform.StatusTopic,
 		OrdersPerSecond:     settings.OrdersPerSecond,
 		MachineLease:        settings.MachineLease,
+		MaxLease:            settings.MaxLease,
 		MoveDuration:        settings.MoveDuration,
 		MaintenanceDuration: settings.MaintenanceDuration,
 		Logger:              logger,
--- a/infra/controller.go
+++ b/infra/controller.go
@@ -93,8 +93,10 @@
 	MachineLease        time.Duration
 	MoveDuration        time.Duration
 	MaintenanceDuration time.Duration
-	Logger              logr.Logger
-	Metrics             *metrics.Set
+	// MaxLease is the longest lease that a host grants to an owner.
+	MaxLease time.Duration
+	Logger   logr.Logger
+	Metrics  *metrics.Set
 }
 
 // Controller assigns machines to pools and schedules their maintenance while
@@ -140,6 +142,8 @@
 	unknown    int
 	pools      map[string]*poolState
 	operations map[string]*operation
+	// departed holds, by service, the hosts that have left the pool a short time ago.
+	departed map[string][]*departedHost
 }
 
 // operation is an order that a machine is carrying out.
@@ -213,6 +217,7 @@
 		waves:        make(map[int64]*wave),
 		pools:        make(map[string]*poolState),
 		operations:   make(map[string]*operation),
+		departed:     make(map[string][]*departedHost),
 	}
 	c.beginTerm(acquired.Epoch)
 	t.loadRecords(acquired.Records)
--- a/infra/controller_test.go
+++ b/infra/controller_test.go
@@ -22,6 +22,7 @@
 
 const (
 	testLease               = 3 * time.Second
+	testHostLease           = 6 * time.Second
 	testMoveDuration        = 1500 * time.Millisecond
 	testMaintenanceDuration = 2 * time.Second
 	testMachines            = 16
@@ -63,6 +64,11 @@
 	odd map[string]bool
 	// retired holds the hosts that were reported to the owners of pools as gone.
 	retired []sched.RetiredHost
+	// endsPending is what the owners say of all hosts, and epoch what they report.
+	// retireFailures is how many more reports of departed hosts fail.
+	endsPending    bool
+	epoch          int64
+	retireFailures int
 }
 
 func newFakeFleet(t *testing.T) *fakeFleet {
@@ -70,7 +76,7 @@
 		t: t, machines: make(map[string]*Machine), readyAt: make(map[string]time.Time),
 		lastOrder: make(map[string]Order), lastOrderAt: make(map[string]time.Time),
 		waiting: make(map[string]int64), controllers: make(map[string]*Controller), unreachable: make(map[string]bool),
-		maintained: make(map[string]bool), maintenanceOrders: make(map[string]int),
+		maintained: make(map[string]bool), maintenanceOrders: make(map[string]int), epoch: 1,
 	}
 	for i := range testMachines {
 		name := fmt.Sprintf("m%d", i)
@@ -184,19 +190,21 @@
 func (f *fakeFleet) Report(_ context.Context, service string) (sched.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	report := sched.Report{Service: service, Epoch: 1, Waiting: tasks.Resources{CPU: f.waiting[service]}}
+	report := sched.Report{Service: service, Epoch: f.epoch, Waiting: tasks.Resources{CPU: f.waiting[service]}}
 	for name, m := range f.machines {
 		if m.Pool == service && !time.Now().Before(f.readyAt[name]) {
-			report.Hosts = append(report.Hosts, sched.HostReport{ID: m.Host, Room: m.Capacity, Usable: true})
+			report.Hosts = append(report.Hosts, sched.HostReport{ID: m.Host, Room: m.Capacity, Usable: true, EndsPending: f.endsPending})
 		}
 	}
 	return report, nil
 }
 
 func (f *fakeFleet) Cordon(_ context.Context, _ string, hosts []string, _ time.Duration, _ bool) ([]sched.HostReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var reports []sched.HostReport
 	for _, id := range hosts {
-		reports = append(reports, sched.HostReport{ID: id, Incarnation: testIncarnation, Usable: true, Cordoned: true})
+		reports = append(reports, sched.HostReport{ID: id, Incarnation: testIncarnation, Usable: true, Cordoned: true, EndsPending: f.endsPending})
 	}
 	return reports, nil
 }
@@ -204,6 +212,10 @@
 func (f *fakeFleet) Retire(_ context.Context, _ string, hosts []sched.RetiredHost) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.retireFailures > 0 {
+		f.retireFailures--
+		return errUnreachable
+	}
 	f.retired = append(f.retired, hosts...)
 	return nil
 }
@@ -275,7 +287,7 @@
 		WaveStatus: func(number int64, completed bool) (string, []byte, error) {
 			return fmt.Sprint(number), []byte(fmt.Sprint(completed)), nil
 		},
-		StatusTopic: "status", MachineLease: testLease, MoveDuration: testMoveDuration, MaintenanceDuration: testMaintenanceDuration,
+		StatusTopic: "status", MachineLease: testLease, MoveDuration: testMoveDuration, MaintenanceDuration: testMaintenanceDuration, MaxLease: testHostLease,
 		Logger: logr.Discard(), Metrics: metrics.NewSet(),
 	})
 	f.mu.Lock()
--- a/infra/dispatch.go
+++ b/infra/dispatch.go
@@ -57,7 +57,7 @@
 }
 
 // selectIdle cordons the hosts of the machines of orders and returns the orders
-// whose machines have no runs. It runs immediately before the orders are sent
+// whose machines have no runs, and no ends that only their hosts know. It runs immediately before the orders are sent
 // because a pool may have got a new owner, which does not know of earlier
 // cordons.
 func (t *term) selectIdle(ctx context.Context, orders []plannedOrder) []plannedOrder {
@@ -70,7 +70,7 @@
 	idle := make(map[string]sched.HostReport)
 	for service, ids := range hosts {
 		for _, report := range t.cordon(ctx, service, ids, false) {
-			if report.Runs == 0 {
+			if report.Idle() {
 				idle[report.ID] = report
 			}
 		}
--- a/infra/maintenance.go
+++ b/infra/maintenance.go
@@ -159,7 +159,7 @@
 		return c
 	}
 	h, known := p.hosts[m.Host]
-	c.Idle = !known || h.Runs == 0
+	c.Idle = !known || h.Idle()
 	c.Evicting = h.Cordoned
 	c.PoolSaturated = p.report.Waiting.CPU > 0
 	return c
@@ -182,7 +182,7 @@
 	}
 	for service, hosts := range byPool {
 		for _, report := range t.cordon(ctx, service, hosts, true) {
-			if report.Runs == 0 {
+			if report.Idle() {
 				idle = append(idle, machineByHost[report.ID])
 			}
 		}
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -107,7 +107,7 @@
 			// The host does not respond, or is leaving.
 			return
 		}
-		host.Idle = h.Runs == 0 && !h.Cordoned
+		host.Idle = h.Idle() && !h.Cordoned
 	}
 	input.Hosts = append(input.Hosts, host)
 }
--- a/infra/retire_test.go
+++ b/infra/retire_test.go
@@ -70,3 +70,86 @@
 		})
 	}
 }
+
+// Guards against the move or the maintenance of a machine whose host holds the only trace of
+// ends that its owner can't persist.
+func TestHostWithPendingEndsStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fleet, s := newFakeFleet(t), fake.NewStore()
+		fleet.wave = &queue.Wave{Number: 1, Machines: []string{"m0", "m1"}, Duration: 20 * time.Second, MaxDown: 1}
+		fleet.setEndsPending(true)
+		fleet.setWaiting("west", 4)
+		leader := fleet.start(ctx, s, "first")
+		leader.isLeader.Store(true)
+		time.Sleep(4 * time.Second)
+		if got := fleet.acceptedOrders(); got != 0 {
+			t.Errorf("got %d orders while ends are pending on all hosts, want 0", got)
+		}
+		fleet.setEndsPending(false)
+		time.Sleep(4 * time.Second)
+		if got := fleet.poolSize("west"); got == 0 {
+			t.Error("got no machine moved once the ends are persisted, want some")
+		}
+		if got := fleet.ordersFor("m0") + fleet.ordersFor("m1"); got == 0 {
+			t.Error("got no machine maintained once the ends are persisted, want some")
+		}
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// setEndsPending sets what the owners say of the ends on all hosts.
+func (f *fakeFleet) setEndsPending(pending bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endsPending = pending
+}
+
+// setEpoch makes the pools have new owners.
+func (f *fakeFleet) setEpoch(epoch int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.epoch = epoch
+}
+
+// Guards against a new owner that waits for the leases of machines which have left: only the
+// owner of that moment was told, once.
+func TestNewOwnerIsToldOfDepartedHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fleet, s := newFakeFleet(t), fake.NewStore()
+		fleet.wave = &queue.Wave{Number: 1, Machines: []string{"m0"}, Duration: 20 * time.Second, MaxDown: 1}
+		fleet.retireFailures = 2
+		leader := fleet.start(ctx, s, "first")
+		leader.isLeader.Store(true)
+		gone := sched.RetiredHost{ID: "h-m0", Incarnation: testIncarnation}
+		steps := []struct {
+			name  string
+			epoch int64
+			wait  time.Duration
+			want  int
+		}{
+			{"same owner, after two failures", 1, 4 * time.Second, 1},
+			{"second owner", 2, time.Second, 2},
+			{"third owner", 3, time.Second, 3},
+			{"same owner", 3, 10 * time.Second, 3},
+			{"owner after all leases have expired", 4, time.Second, 3},
+		}
+		for _, step := range steps {
+			fleet.setEpoch(step.epoch)
+			time.Sleep(step.wait)
+			got := 0
+			for _, host := range fleet.retiredHosts() {
+				if host == gone {
+					got++
+				}
+			}
+			if got != step.want {
+				t.Errorf("%s: got the host reported as gone %d times, want %d", step.name, got, step.want)
+			}
+		}
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -13,6 +13,10 @@
 	// takeoverSettleTime is how long after a takeover no serving task is stopped:
 	// those that the previous owner has stopped may still be reported as running.
 	takeoverSettleTime = 2 * time.Second
+	// maxReportAge is how long after its last confirmed write a cell vouches for ends on its
+	// hosts. While the store works, writes are sent every maxWriteInterval and confirmed
+	// within the 1.5 s that one attempt may take.
+	maxReportAge = maxWriteInterval + 1500*time.Millisecond
 )
 
 // HostReport is the state of a host of the pool.
@@ -25,6 +29,9 @@
 	// Runs counts the runs on the host, and Lasting the serving tasks among them.
 	Runs    int
 	Lasting int
+	// EndsPending means that runs which ended on the host may not be persisted yet: until
+	// they are, only the host can tell the next owner of them, and its machine must stay.
+	EndsPending bool
 	// Usable means that runs can be assigned to the host.
 	Usable bool
 	// Cordoned means that the machine controller keeps new runs off the host.
@@ -33,6 +40,9 @@
 	State string
 }
 
+// Idle reports whether the machine of the host may leave the pool.
+func (r HostReport) Idle() bool { return r.Runs == 0 && !r.EndsPending }
+
 // Report is the state of a service's pool.
 type Report struct {
 	Service string
@@ -80,12 +90,20 @@
 		Used:        h.used(),
 		Runs:        len(h.runs),
 		Lasting:     serving,
+		EndsPending: c.endsPending(h),
 		Usable:      h.usable(),
 		Cordoned:    now.Before(h.cordonedUntil),
 		State:       c.hostState(h, now),
 	}
 }
 
+// endsPending reports whether the host may have listed ends that are not persisted. If this
+// owner's writes fail, another may have taken over and may have had runs there.
+func (c *Cell) endsPending(h *host) bool {
+	unconfirmed := c.storeUnavailable() || c.options.Clock()-c.confirmedAt > maxReportAge
+	return unconfirmed || h.reportedSequence > h.acknowledgedSequence
+}
+
 // serving returns the number of serving tasks on a host and the resources they
 // occupy.
 func (h *host) serving() (count int, resources tasks.Resources) {
--- a/sched/host.go
+++ b/sched/host.go
@@ -98,6 +98,10 @@
 	}
 }
 
+// isKnown reports whether the host has a record or has answered. Those of a previous owner may
+// have done neither.
+func (h *host) isKnown() bool { return h.info != nil || h.incarnation != 0 }
+
 // retirementPeriod is how long a retired incarnation is not used. A host that
 // is still listed and replies after that has not left the pool: the maintenance
 // of its machine was already over.
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -17,8 +17,11 @@
 }
 
 // leaseLength returns the duration of a new lease.
-func (c *Cell) leaseLength() time.Duration {
-	return min(maxLease, time.Duration(float64(c.options.MaxLease)*leaseFraction))
+func (c *Cell) leaseLength() time.Duration { return leaseLength(c.options.MaxLease) }
+
+// leaseLength returns the same, given the longest lease that a host grants.
+func leaseLength(longest time.Duration) time.Duration {
+	return min(maxLease, time.Duration(float64(longest)*leaseFraction))
 }
 
 // inheritedLeaseEnd returns when all leases that previous owners granted to a
@@ -27,11 +30,16 @@
 	if remaining, known := c.unexpiredLeases[h.id]; known {
 		return c.claimedAt + remaining
 	}
-	longest := time.Duration(float64(c.leaseLength())/lease.MinClockRate) + takeoverMargin
 	if c.claim.PreviousNode != "" && !c.claim.PreviousReleased {
-		longest += ownershipTimeout
+		return c.claimedAt + MaxTakeoverWait(c.options.MaxLease)
 	}
-	return c.claimedAt + longest
+	return c.claimedAt + MaxTakeoverWait(c.options.MaxLease) - ownershipTimeout
+}
+
+// MaxTakeoverWait returns how long after its claim an owner waits at most for the leases of
+// hosts that it can't reach, given the longest lease that a host grants.
+func MaxTakeoverWait(longestLease time.Duration) time.Duration {
+	return time.Duration(float64(leaseLength(longestLease))/lease.MinClockRate) + takeoverMargin + ownershipTimeout
 }
 
 // firstReplyTime is how long after a takeover a host may take to answer its new owner.
@@ -52,6 +60,8 @@
 		expired := h.clock.Expired(now)
 		for _, r := range h.runs {
 			switch {
+			case r.hasLeft(h) && c.isUnresponsive(h):
+				c.loseRun(h, r, lossRetired)
 			case r.state == runInherited && now > inheritedUntil && c.isUnresponsive(h):
 				c.loseRun(h, r, lossInheritedLease)
 			case r.state != runInherited && r.state != runPlanned && expired && h.missedHeartbeats > 0:
--- a/sched/retire.go
+++ b/sched/retire.go
@@ -28,11 +28,14 @@
 	}
 	for _, retired := range hosts {
 		h := c.hosts[retired.ID]
-		if h == nil || retired.Incarnation != 0 && retired.Incarnation != h.currentIncarnation() {
+		if h == nil || retired.Incarnation != 0 && h.isKnown() && retired.Incarnation != h.currentIncarnation() {
 			// The host is unknown or already back.
 			continue
 		}
 		h.retiredIncarnation, h.retiredAt = h.currentIncarnation(), time.Now()
+		if retired.Incarnation != 0 {
+			h.retiredIncarnation = retired.Incarnation
+		}
 		h.synced = false
 		c.logger.Info("host retired", "host", h.id, "runs", len(h.runs))
 		c.probeRetired(h)
@@ -40,6 +43,16 @@
 	return nil
 }
 
+// hasLeft reports whether a run of a previous owner was on an incarnation of the host that the
+// machine controller has retired. A host that has a record is called instead.
+func (r *run) hasLeft(h *host) bool {
+	if r.state != runInherited || h.info != nil || h.retiredIncarnation == 0 {
+		return false
+	}
+	task := r.entry.job.Task(r.id)
+	return task != nil && task.Run == r.number && task.HostIncarnation == h.retiredIncarnation
+}
+
 // retireProbe is the call that shows whether a retired host has stayed.
 type retireProbe struct {
 	cell *Cell
@@ -53,7 +66,7 @@
 // probeRetired calls a retired host that has runs. Its machine may have stayed: the cloud
 // also accepts an order that was carried out before, and the host may have got runs since
 // the machine controller found it idle. Runs on a host without a record, which can't be
-// called, end with their leases. c.mu must be held.
+// called, end with their leases unless hasLeft shows that they are over. c.mu must be held.
 func (c *Cell) probeRetired(h *host) {
 	if len(h.runs) == 0 || h.info == nil {
 		return
