sched: withdraw jobs that are part of no write once the store is unavailable

Cause: while the store is away the owner accepted jobs into memory for 0.3 s, and their callers waited for a write until their time was over: 504, outcome unknown, for jobs that had reached no host and no write.

Change: 300 ms after writes began to fail, the jobs that are part of no write are removed with their planned runs and from all counters, and every submission that waits for one is answered ErrStoreUnavailable (503). The same holds for a job whose caller's time is over before that; if the cell is lost, the answer is ErrNotOwner, upon which the caller's node asks the next owner. What was part of a write stays in doubt; stored jobs and cancelled ones are kept. The controller's arrival rate can't become negative when the owner takes back what it had counted.

--- a/infra/demand.go
+++ b/infra/demand.go
@@ -93,7 +93,8 @@
 	if previous != nil && previous.report.Epoch == report.Epoch && now > previous.reportedAt {
 		elapsed := now - previous.reportedAt
 		rate := float64(report.Arrived-previous.report.Arrived) / float64(elapsed.Milliseconds())
-		p.arrivalRate += smoothingFactor(elapsed, arrivalTimeConstant) * (rate - p.arrivalRate)
+		// The rate is negative if the owner has withdrawn jobs.
+		p.arrivalRate = max(0, p.arrivalRate+smoothingFactor(elapsed, arrivalTimeConstant)*(rate-p.arrivalRate))
 		demand := float64(p.used().CPU - report.Serving.CPU + report.Waiting.CPU)
 		p.demand += smoothingFactor(elapsed, demandTimeConstant) * (demand - p.demand)
 		p.slowDemand += smoothingFactor(elapsed, slowTimeConstant) * (demand - p.slowDemand)
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -110,6 +110,10 @@
 	retryAfter time.Time
 	// longestRuns holds the longest run time so far of each step with a task done.
 	longestRuns map[stepKey]time.Duration
+	// withdrawn is closed if the job is withdrawn before it is part of a write, and
+	// submittedCPU is what it adds to that of the cell. Both are set for submitted jobs only.
+	withdrawn    chan struct{}
+	submittedCPU int64
 	// unstarted is the number of tasks that were never started.
 	unstarted int
 	// advice holds the advisor's decisions by step.
--- a/sched/chaos_test.go
+++ b/sched/chaos_test.go
@@ -1,11 +1,13 @@
 package sched
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,7 +28,8 @@
 // commands, nodes lose the store, the host records and hosts, and the cell changes its
 // owner at any time. With every other seed, calls and their replies overtake each other.
 // No task may run twice at once, start again after it was recorded as done or had failed
-// too often, or exceed its host's capacity. Once the faults are over, every job must end.
+// too often, or exceed its host's capacity. Once the faults are over, every job must end. A
+// job whose caller was told that it doesn't run must not.
 func TestChaos(t *testing.T) {
 	for i := range *chaosSeeds {
 		seed := *chaosFirst + uint64(i)
@@ -52,6 +55,10 @@
 	nodes      []*node
 	claims     int
 	jobs       []string
+	// rejected holds the jobs whose callers were told that they don't run, and started the IDs
+	// of all jobs with a run.
+	rejected []string
+	started  sync.Map
 	// overtaking is set while calls and replies take random times.
 	overtaking atomic.Bool
 }
@@ -67,6 +74,7 @@
 
 func (c *chaos) run() {
 	c.profileOf = func(taskID tasks.ID, run int) fake.RunProfile {
+		c.started.Store(taskID.Job, true)
 		// The outcome of a run must not depend on the order in which goroutines call
 		// this function.
 		random := rand.New(rand.NewPCG(c.seed, xxhash.Sum64String(fmt.Sprint(taskID, run))))
@@ -210,8 +218,11 @@
 	if c.random.IntN(2) == 0 {
 		plan.Steps = append(plan.Steps, tasks.Step{Count: 1 + c.random.IntN(4), Room: tasks.Resources{CPU: int64(500 + c.random.IntN(3000))}, After: []int{0}})
 	}
-	if c.submit(c.owner(), id, plan) == nil {
+	switch err := c.submit(c.owner(), id, plan); {
+	case err == nil:
 		c.jobs = append(c.jobs, id)
+	case !errors.Is(err, ErrUncertain):
+		c.rejected = append(c.rejected, id)
 	}
 }
 
@@ -231,8 +242,13 @@
 	}
 }
 
-// check requires that every accepted job has ended.
+// check requires that every accepted job has ended and no rejected one has begun.
 func (c *chaos) check() {
+	for _, id := range c.rejected {
+		if _, started := c.started.Load(id); started {
+			c.t.Errorf("got a run of job %s, whose caller was told that it doesn't run", id)
+		}
+	}
 	for _, id := range c.jobs {
 		got, err := c.status(c.owner(), id)
 		if err != nil || got.Phase == tasks.Open {
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -9,7 +9,7 @@
 
 // Submit accepts a job and returns once it is persisted. A job that already
 // exists is left unchanged. Errors other than ErrUncertain mean that the job
-// was not accepted.
+// was not accepted, or is withdrawn: it will not run.
 func (c *Cell) Submit(ctx context.Context, key tasks.Key, plan tasks.Plan, policy tasks.Policy) error {
 	c.mu.Lock()
 	if c.isLost() || c.stopped {
@@ -28,7 +28,9 @@
 			return err
 		}
 		c.addJob(e)
-		c.submittedCPU += e.job.CPUTime(c.meanRunTimes[key.Queue])
+		e.withdrawn = make(chan struct{})
+		e.submittedCPU = e.job.CPUTime(c.meanRunTimes[key.Queue])
+		c.submittedCPU += e.submittedCPU
 		c.logger.Info("job accepted", "job", key.ID, "queue", key.Queue, "steps", len(plan.Steps), "open", len(c.open), "epoch", c.epoch)
 		e.job.StartDueRounds(time.Now())
 	} else if e.persisted {
@@ -39,7 +41,7 @@
 	c.markDirty(e, func() { close(persisted) })
 	wake(c.scheduleWake)
 	c.mu.Unlock()
-	return c.awaitPersisted(ctx, persisted)
+	return c.awaitSubmitted(ctx, e, persisted)
 }
 
 // admissionError returns why a new job can't be accepted at present, or nil.
--- a/sched/write.go
+++ b/sched/write.go
@@ -190,6 +190,7 @@
 	defer c.mu.Unlock()
 	if c.failingSince.IsZero() {
 		c.failingSince = time.Now()
+		c.scheduleWithdrawal()
 		c.logger.Info("store write failed, retrying", "err", err.Error())
 	}
 }
