place, sched: put started work first after an outage of the store

Cause: when the store returned, jobs were placed as at any time: a started job that had become late yielded to jobs that had not begun, and what it had done was wasted.

Renewals and completions need no change: heartbeats don't wait for placement, and completions precede later assignments in the queue of writes. Without an outage the order is as before.

The packages sched, place, owner and infra pass.

--- a/place/order.go
+++ b/place/order.go
@@ -77,3 +77,13 @@
 	}
 	return cmp.Or(a.LatestStart.Compare(b.LatestStart), a.Accepted.Compare(b.Accepted))
 }
+
+// CompareStartedFirst compares two jobs as Compare does, but of one priority those that have
+// begun come first even if they are late: after an outage, what they have done would be wasted
+// for longest.
+func (o Order) CompareStartedFirst(a, b *Urgency) int {
+	if a.Priority == b.Priority && a.Begun != b.Begun {
+		return core.CompareBools(b.Begun, a.Begun)
+	}
+	return o.Compare(a, b)
+}
--- a/place/order_test.go
+++ b/place/order_test.go
@@ -47,6 +47,39 @@
 	}
 }
 
+// TestCompareStartedFirst compares the order after an outage with a naive one on generated
+// jobs, which sorts by priority and then takes those that have begun before the others.
+func TestCompareStartedFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		order := rapid.SampledFrom([]Order{EarliestFirst, NewestFirst}).Draw(t, "order")
+		jobs := rapid.SliceOf(urgencies()).Draw(t, "jobs")
+		got := slices.Clone(jobs)
+		slices.SortStableFunc(got, func(a, b Urgency) int { return order.CompareStartedFirst(&a, &b) })
+		var want []Urgency
+		for priority := range 2 {
+			for _, begun := range []bool{true, false} {
+				group := slices.DeleteFunc(slices.Clone(jobs), func(job Urgency) bool { return job.Priority != priority || job.Begun != begun })
+				slices.SortStableFunc(group, func(a, b Urgency) int { return order.Compare(&a, &b) })
+				want = append(want, group...)
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+	})
+}
+
+// urgencies generates jobs of which many are equal in some respect.
+func urgencies() *rapid.Generator[Urgency] {
+	return rapid.Custom(func(t *rapid.T) Urgency {
+		at := func(label string) time.Time { return time.Unix(rapid.Int64Range(0, 3).Draw(t, label), 0) }
+		return Urgency{
+			Priority: rapid.IntRange(0, 1).Draw(t, "priority"), Begun: rapid.Bool().Draw(t, "begun"), Late: rapid.Bool().Draw(t, "late"),
+			Accepted: at("accepted"), LatestStart: at("latest"),
+		}
+	})
+}
+
 // TestChooseOrderOfHugeBacklog checks that jobs whose CPU time is beyond all bounds count
 // as more than a pool can work off.
 func TestChooseOrderOfHugeBacklog(t *testing.T) {
@@ -65,13 +98,7 @@
 // TestCompareIsConsistent checks on generated jobs that both orders are strict weak
 // orders, which sorting requires.
 func TestCompareIsConsistent(t *testing.T) {
-	job := rapid.Custom(func(t *rapid.T) Urgency {
-		at := func(label string) time.Time { return time.Unix(rapid.Int64Range(0, 3).Draw(t, label), 0) }
-		return Urgency{
-			Priority: rapid.IntRange(0, 1).Draw(t, "priority"), Begun: rapid.Bool().Draw(t, "begun"), Late: rapid.Bool().Draw(t, "late"),
-			Accepted: at("accepted"), LatestStart: at("latest"),
-		}
-	})
+	job := urgencies()
 	rapid.Check(t, func(t *rapid.T) {
 		a, b, c := job.Draw(t, "a"), job.Draw(t, "b"), job.Draw(t, "c")
 		for _, order := range []Order{EarliestFirst, NewestFirst} {
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -147,7 +147,10 @@
 	confirmRequestedAt time.Duration
 	// failingSince is when writes began to fail; zero if the last one succeeded.
 	failingSince time.Time
-	stopped      bool
+	// recoveringUntil is until when, after an outage of the store, work that was started
+	// goes before other work.
+	recoveringUntil time.Time
+	stopped         bool
 	// plannedBytes is the size of the start commands of assigned runs that have not
 	// been sent, and backlogBytes that of all tasks that were never started.
 	plannedBytes int
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -48,7 +48,7 @@
 		return
 	}
 	p := &schedulePass{cell: c, hosts: c.candidates(now), now: now}
-	sortByUrgency(toPlace, p.hosts)
+	sortByUrgency(toPlace, p.hosts, now.Before(c.recoveringUntil))
 	place.Reserve(c.isolatedTasks(toPlace, now), p.hosts)
 	for _, j := range toPlace {
 		p.placeJob(j.entry)
@@ -113,8 +113,9 @@
 	return toPlace
 }
 
-// sortByUrgency sorts jobs by the order in which they are placed on hosts.
-func sortByUrgency(jobs []*jobToPlace, hosts []*place.Host) {
+// sortByUrgency sorts jobs by the order in which they are placed on hosts, and puts those that
+// have begun first if startedFirst is set.
+func sortByUrgency(jobs []*jobToPlace, hosts []*place.Host, startedFirst bool) {
 	var urgencies []*place.Urgency
 	for _, j := range jobs {
 		urgencies = append(urgencies, &j.urgency)
@@ -124,8 +125,12 @@
 		capacity += h.Capacity.CPU
 	}
 	order := place.ChooseOrder(urgencies, capacity)
+	compare := order.Compare
+	if startedFirst {
+		compare = order.CompareStartedFirst
+	}
 	slices.SortFunc(jobs, func(a, b *jobToPlace) int {
-		if compared := order.Compare(&a.urgency, &b.urgency); compared != 0 {
+		if compared := compare(&a.urgency, &b.urgency); compared != 0 {
 			return compared
 		}
 		return cmp.Compare(a.entry.job.Key.ID, b.entry.job.Key.ID)
--- a/sched/write.go
+++ b/sched/write.go
@@ -175,6 +175,9 @@
 	c.activity.writes++
 	c.activity.writeTime += took
 	c.confirmedAt = sent
+	if c.storeUnavailable() {
+		c.recoveringUntil = time.Now().Add(min(time.Since(c.failingSince), maxLateTime))
+	}
 	if !c.failingSince.IsZero() {
 		c.logger.Info("store writes recovered", "after", time.Since(c.failingSince).Round(time.Millisecond))
 		c.failingSince = time.Time{}
