infra: report departed hosts to several pools at a time

Cause: reports of departed hosts are repeated since they may fail, and several owners that don't answer would have delayed a term by 400 ms each, after which its leader sends no orders.

Change: the owners are called concurrently, as for their reports. The comment on maxReportAge now gives the bound that holds.

Test: infra passes, also under the race detector; no test of its own.

--- a/infra/retire.go
+++ b/infra/retire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"rattanpath/sched"
@@ -25,6 +26,8 @@
 // pool is told again: the previous one may not have been able to store it.
 func (t *term) retireDeparted(ctx context.Context) {
 	t.findDeparted()
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for service, hosts := range t.departed {
 		hosts = slices.DeleteFunc(hosts, func(d *departedHost) bool {
 			return t.options.Clock()-d.at > sched.MaxTakeoverWait(t.options.MaxLease)
@@ -32,7 +35,7 @@
 		if t.departed[service] = hosts; len(hosts) == 0 {
 			delete(t.departed, service)
 		}
-		t.reportDeparted(ctx, service, hosts)
+		wg.Go(func() { t.reportDeparted(ctx, service, hosts) })
 	}
 }
 
@@ -49,7 +52,7 @@
 }
 
 // reportDeparted informs the owner of a pool of those hosts that it hasn't been told of. An
-// owner that doesn't report is called only once, since each call takes time from other pools.
+// owner that doesn't report is called only once, since each call delays this term.
 func (t *term) reportDeparted(ctx context.Context, service string, hosts []*departedHost) {
 	epoch := int64(0)
 	if p := t.pools[service]; p != nil {
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -14,8 +14,9 @@
 	// those that the previous owner has stopped may still be reported as running.
 	takeoverSettleTime = 2 * time.Second
 	// maxReportAge is how long after its last confirmed write a cell vouches for ends on its
-	// hosts. While the store works, writes are sent every maxWriteInterval and confirmed
-	// within the 1.5 s that one attempt may take.
+	// hosts. While writes take up to 750 ms, that write is never older: two of them, and one
+	// maxWriteInterval in between. If they take longer, the machine controller can't confirm
+	// its leadership in time and sends no orders in any case.
 	maxReportAge = maxWriteInterval + 1500*time.Millisecond
 )
 
