--- a/sched/cell.go
+++ b/sched/cell.go
@@ -119,6 +119,10 @@
 	retryAfter time.Time
 	// longestRuns holds the longest run time so far of each step with a task done.
 	longestRuns map[stepKey]time.Duration
+	// withdrawn is closed if the job is withdrawn before it is part of a write, and
+	// submittedCPU is what it adds to that of the cell. Both are set for submitted jobs only.
+	withdrawn    chan struct{}
+	submittedCPU int64
 	// unstarted is the number of tasks that were never started.
 	unstarted int
 	// advice holds the advisor's decisions by step.
@@ -152,7 +156,10 @@
 	confirmRequestedAt time.Duration
 	// failingSince is when writes began to fail; zero if the last one succeeded.
 	failingSince time.Time
-	stopped      bool
+	// recoveringUntil is until when, after an outage of the store, work that was started
+	// goes before other work.
+	recoveringUntil time.Time
+	stopped         bool
 	// plannedBytes is the size of the start commands of assigned runs that have not
 	// been sent, and backlogBytes that of all tasks that were never started.
 	plannedBytes int
