sched: keep organisations within what the cell may use of their caps

The owners of several services start tasks of one organisation concurrently, so each needs to know how much of the cap is its own to use.

A cell counts every run of an organisation on all hosts, from its assignment until it is certain to be over, and starts a task, or a gang as a whole, only within its base or its unexpired allotment. The report shows what is in use, what waits and what the cap has kept from being started although there was room. Allot takes allotments for the cell's epoch from the newest leader; their end is a reading of the cell's own clock, so that a late call can't extend them. The supervisor passes the configuration's organisations on.

Without a cap, nothing is counted or reported.

--- a/owner/client.go
+++ b/owner/client.go
@@ -37,6 +37,7 @@
 	MethodReport  Method = "Report"
 	MethodCordon  Method = "Cordon"
 	MethodRetire  Method = "Retire"
+	MethodAllot   Method = "Allot"
 	MethodHurry   Method = "Hurry"
 	MethodJobs    Method = "Jobs"
 	MethodExplain Method = "Explain"
@@ -245,6 +246,7 @@
 		MethodReport:  c.local.Report,
 		MethodCordon:  c.local.Cordon,
 		MethodRetire:  c.local.Retire,
+		MethodAllot:   c.local.Allot,
 		MethodJobs:    c.local.Jobs,
 		MethodExplain: c.local.Explain,
 		MethodPool:    c.local.Pool,
@@ -280,6 +282,12 @@
 	return outcomeError(response, err)
 }
 
+// Allot replaces what the machine controller's leader lends to the cell of a service.
+func (c *Client) Allot(ctx context.Context, service string, allotment sched.Allotment) error {
+	response, _, err := c.attempt(ctx, MethodAllot, Request{Service: service, Allotment: &allotment})
+	return outcomeError(response, err)
+}
+
 // Jobs lists the jobs of a service. Like Pool, Explain and Cancel, it retries
 // until an owner responds or ctx ends.
 func (c *Client) Jobs(ctx context.Context, service string) ([]views.Job, error) {
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -63,6 +63,8 @@
 	// Retired are the hosts to retire with their incarnations. Nodes of an older version
 	// send and read Hosts alone.
 	Retired []sched.RetiredHost
+	// Allotment is set for Allot only.
+	Allotment *sched.Allotment
 }
 
 // retired returns the hosts to retire.
--- a/owner/service.go
+++ b/owner/service.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rattanpath/sched"
 )
 
@@ -89,6 +91,16 @@
 	})
 }
 
+// Allot replaces what the machine controller's leader lends to a cell.
+func (s *Service) Allot(request *Request, response *Response) error {
+	if request.Allotment == nil {
+		return errors.New("the call has no allotment")
+	}
+	return s.withCell(request, response, func(_ context.Context, c *sched.Cell) error {
+		return c.Allot(*request.Allotment)
+	})
+}
+
 // Jobs lists the jobs of a service.
 func (s *Service) Jobs(request *Request, response *Response) error {
 	return s.withCell(request, response, func(_ context.Context, c *sched.Cell) (err error) {
--- a/owner/supervisor.go
+++ b/owner/supervisor.go
@@ -206,7 +206,8 @@
 	return assigned
 }
 
-// reconcile starts the cells assigned to this node and stops all others. While the
+// reconcile starts the cells assigned to this node, stops all others, and passes the
+// configuration's organisations to them. While the
 // membership is expired it claims no cell, since another node may own it by now.
 // Running cells go on: they notice if they have been claimed.
 func (s *Supervisor) reconcile(ctx context.Context) {
@@ -228,6 +229,12 @@
 			s.startCell(ctx, service)
 		}
 	}
+	config := s.config.Config()
+	for _, r := range s.runners {
+		if r.cell != nil {
+			r.cell.SetOrganisations(config)
+		}
+	}
 }
 
 func (s *Supervisor) startCell(ctx context.Context, service string) {
@@ -251,6 +258,7 @@
 			_ = core.Sleep(ctx, claimRetryDelay)
 			continue
 		}
+		c.SetOrganisations(r.supervisor.config.Config())
 		c.SetHosts(r.supervisor.hosts.View())
 		r.supervisor.mu.Lock()
 		r.cell = c
--- a/queue/organisation.go
+++ b/queue/organisation.go
@@ -44,5 +44,16 @@
 // Organisation returns the organisation with a name, or nil.
 func (c *Config) Organisation(name string) *Organisation { return c.byName[name] }
 
+// ActiveServices returns the number of services that aren't standby.
+func (c *Config) ActiveServices() int {
+	count := 0
+	for _, service := range c.Services {
+		if !service.Standby {
+			count++
+		}
+	}
+	return count
+}
+
 // KeyHolder returns the organisation that holds a key, or nil.
 func (c *Config) KeyHolder(key KeyHash) *Organisation { return c.byKey[key] }
--- a/quota/divide.go
+++ b/quota/divide.go
@@ -86,12 +86,12 @@
 	cells []*cellState
 }
 
-// Divide returns what the cells are allotted, and whether any of them isn't allotted its
+// Divide returns what the cells are allotted, and which of them aren't allotted their
 // demand. No matter which of the results reach their cells, the sum of what cells may have
 // running stays within the cap if it was before. The one exception is a task that no cell
 // has room for although the organisation uses less than half of its cap, which happens if
 // tasks are larger than the bases of idle cells: one such task may exceed the cap.
-func Divide(limit tasks.Resources, cells []Cell) (allotted []tasks.Resources, short bool) {
+func Divide(limit tasks.Resources, cells []Cell) (allotted []tasks.Resources, short []bool) {
 	d := &division{limit: amountsOf(limit)}
 	base := amountsOf(Base(limit, len(cells)))
 	for _, c := range cells {
@@ -101,7 +101,7 @@
 	d.grant()
 	for _, c := range d.cells {
 		allotted = append(allotted, c.granted.resources())
-		short = short || !c.silent && !c.granted.cover(c.demand)
+		short = append(short, !c.silent && !c.granted.cover(c.demand))
 	}
 	return allotted, short
 }
--- a/quota/divide_test.go
+++ b/quota/divide_test.go
@@ -312,8 +312,8 @@
 			for _, a := range allotted {
 				got = append(got, a.CPU)
 			}
-			if fmt.Sprint(got) != fmt.Sprint(test.want) || short != test.short {
-				t.Errorf("got %v, short %t, want %v, short %t", got, short, test.want, test.short)
+			if fmt.Sprint(got) != fmt.Sprint(test.want) || slices.Contains(short, true) != test.short {
+				t.Errorf("got %v, short %v, want %v, any short %t", got, short, test.want, test.short)
 			}
 		})
 	}
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -168,6 +168,7 @@
 	advisorCalls int
 	activity     activity
 	replyTime    replyTime
+	quotas       quotas
 
 	writeWake    chan struct{}
 	scheduleWake chan struct{}
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -47,6 +47,8 @@
 	// Apart is the largest number of hosts over which a step must be spread.
 	Apart int
 	Epoch int64
+	// Quota is nil if no organisation has a cap.
+	Quota *QuotaReport
 }
 
 // Report returns the state of the pool.
@@ -68,6 +70,7 @@
 	for e := range c.open {
 		addWaiting(e.job, &report)
 	}
+	report.Quota = c.quotaReport()
 	return report, nil
 }
 
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -16,6 +16,8 @@
 	now   time.Time
 	// unsatisfiable holds resource requests that no host can satisfy in this pass.
 	unsatisfiable []tasks.Resources
+	// quota is nil if no organisation has a cap.
+	quota *quotaPass
 }
 
 // placeJob assigns the waiting tasks of a job to hosts.
@@ -69,6 +71,10 @@
 		if full && !reqs.Isolated {
 			continue
 		}
+		if !p.quota.mayStart(e.job.Policy.Organisation, reqs, 1) {
+			p.quota.countWanted(e.job.Policy.Organisation, reqs, 1, round.Waiting(step), p.hosts)
+			return
+		}
 		picked := place.Pick(reqs, p.hosts)
 		switch {
 		case picked != nil:
@@ -89,6 +95,10 @@
 		return
 	}
 	reqs := ofTask(p.cell.requirements(e, round, step, p.now), e, &round.Steps[step][0])
+	if unit := len(round.Steps[step]); !p.quota.mayStart(e.job.Policy.Organisation, reqs, unit) {
+		p.quota.countWanted(e.job.Policy.Organisation, reqs, unit, 1, p.hosts)
+		return
+	}
 	for index, h := range p.pickGang(reqs, len(round.Steps[step])) {
 		h.Place(reqs)
 		p.assign(e, round, step, index, h)
@@ -98,6 +108,7 @@
 func (p *schedulePass) assign(e *jobEntry, round *tasks.Round, step, index int, target *place.Host) {
 	taskID := tasks.ID{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
 	p.cell.assign(e, taskID, target, p.now)
+	p.quota.count(e.job.Policy.Organisation, e.job.Step(taskID).RequiredResources())
 }
 
 // requirements returns what all tasks of a step require.
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -47,12 +47,13 @@
 	if len(toPlace) == 0 {
 		return
 	}
-	p := &schedulePass{cell: c, hosts: c.candidates(now), now: now}
+	p := &schedulePass{cell: c, hosts: c.candidates(now), now: now, quota: c.newQuotaPass()}
 	sortByUrgency(toPlace, p.hosts)
 	place.Reserve(c.isolatedTasks(toPlace, now), p.hosts)
 	for _, j := range toPlace {
 		p.placeJob(j.entry)
 	}
+	p.quota.end(p.hosts)
 }
 
 // isolatedTasks returns the requirements of the ready tasks that need isolation.
--- a/sched/view.go
+++ b/sched/view.go
@@ -153,6 +153,13 @@
 			if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return place.Feasible(reqs, h) }) {
 				return infeasibleReason(reqs, hosts)
 			}
+			unit := 1
+			if reqs.Step.Gang {
+				unit = len(round.Steps[step])
+			}
+			if !c.newQuotaPass().mayStart(e.job.Policy.Organisation, reqs, unit) {
+				return "the cap of its organisation allows no more at present"
+			}
 		}
 	}
 	return "it is next in turn"
