infra: lend caps of organisations to cells

Half of each cap is lent to the cells that use it, so that no service is held up while others are idle.

The leader divides it by the reports that it polls anyway. It charges a cell with the largest of its base, its use and all allotments that it may still have; that is decided on the cell's clock alone, so that neither late calls nor clock differences matter. A cell without a report keeps its charge, and a new leader lends nothing until every cell has confirmed its epoch. Calls are made only when an allotment grows, when another cell needs it back, or 1.5 s before it ends. Quotas are lent also while the machines can't be listed.

--- a/infra/controller.go
+++ b/infra/controller.go
@@ -52,6 +52,8 @@
 	Cordon(ctx context.Context, service string, hosts []string, duration time.Duration, evict bool) ([]sched.HostReport, error)
 	// Retire reports that the machines of hosts have left the pool.
 	Retire(ctx context.Context, service string, hosts []sched.RetiredHost) error
+	// Allot replaces what the leader lends to the cell of a service.
+	Allot(ctx context.Context, service string, allotment sched.Allotment) error
 }
 
 // LeaderClient calls previous leaders.
@@ -140,6 +142,7 @@
 	unknown    int
 	pools      map[string]*poolState
 	operations map[string]*operation
+	lender     lender
 }
 
 // operation is an order that a machine is carrying out.
@@ -262,11 +265,16 @@
 		return
 	}
 	config := t.options.Operator.Config()
-	if config == nil || !t.refreshMachines(ctx) {
+	if config == nil {
+		return
+	}
+	if !t.refreshMachines(ctx) {
+		t.lendWithoutMachines(ctx, config)
 		return
 	}
 	t.retireDeparted(ctx)
 	t.refreshReports(ctx, config)
+	t.lendQuotas(ctx, config)
 	t.expireOperations()
 	if !t.canOrder() {
 		return
--- a/infra/controller_test.go
+++ b/infra/controller_test.go
@@ -208,6 +208,12 @@
 	return nil
 }
 
+// Allot fails the test: the configuration has no organisations.
+func (f *fakeFleet) Allot(_ context.Context, service string, a sched.Allotment) error {
+	f.t.Errorf("got allotment %+v for %s, want none without organisations", a, service)
+	return nil
+}
+
 // ordersFor returns the number of orders for the maintenance of a machine.
 func (f *fakeFleet) ordersFor(machine string) int {
 	f.mu.Lock()
--- /dev/null
+++ b/infra/quota_test.go
@@ -0,0 +1,652 @@
+package infra
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"rattanpath/core"
+	"rattanpath/fake"
+	"rattanpath/pool"
+	"rattanpath/queue"
+	"rattanpath/sched"
+	"rattanpath/tasks"
+)
+
+const (
+	quotaHostCPU = 8000
+	quotaHosts   = 4
+	quotaTask    = 1000
+	quotaCap     = 16000
+	// maxHeld is how long an organisation that uses under half of its cap may be held up by it.
+	maxHeld = 3 * time.Second
+	// quotaCheckInterval is the time between two checks.
+	quotaCheckInterval = 50 * time.Millisecond
+)
+
+// quotaCluster runs the cells of several services on fake hosts, and the controllers that
+// lend quotas to them. It implements the cloud, without machines, and the cells' client.
+type quotaCluster struct {
+	t       *testing.T
+	ctx     context.Context
+	store   *fake.Store
+	checker *fake.InvariantChecker
+	runners map[string]*fake.Runner
+	start   time.Time
+	config  atomic.Pointer[queue.Config]
+	plans   sync.Map
+	// duration returns the run time of a task.
+	duration func(task tasks.ID) time.Duration
+
+	mu sync.Mutex
+	// owners holds the node that claimed each cell last.
+	owners map[string]*quotaOwner
+	claims int
+	jobs   int
+	// unreachable holds the services whose owners can't be called. allotFault is called for
+	// each allotment and reports whether it is lost.
+	unreachable map[string]bool
+	allotFault  func(service string, allotment sched.Allotment) bool
+	allotments  int
+	leaders     []*testNode
+	// heldSince is since when each organisation is held up by its cap.
+	heldSince map[string]time.Time
+	worst     map[string]tasks.Resources
+	longest   time.Duration
+}
+
+// quotaOwner is a node that has claimed a cell.
+type quotaOwner struct {
+	name string
+	cell *sched.Cell
+	stop context.CancelFunc
+}
+
+// organisationConfig returns a configuration of services and organisations with a cap.
+func organisationConfig(version int64, services []string, limit int64, names ...string) *queue.Config {
+	var list []queue.Service
+	for _, name := range services {
+		list = append(list, queue.Service{Name: name})
+	}
+	var organisations []queue.Organisation
+	for _, name := range names {
+		organisations = append(organisations, queue.Organisation{Name: name, Weight: 1, Cap: tasks.Resources{CPU: limit}})
+	}
+	return queue.NewConfig(version, nil, list, queue.Limits{}).WithOrganisations(organisations, nil)
+}
+
+// runQuotas runs a test with cells that are claimed, and a leader, on the fake clock.
+func runQuotas(t *testing.T, services []string, test func(q *quotaCluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		q := &quotaCluster{
+			t: t, ctx: ctx, store: fake.NewStore(), checker: fake.NewInvariantChecker(), runners: make(map[string]*fake.Runner),
+			start: time.Now(), owners: make(map[string]*quotaOwner), unreachable: make(map[string]bool),
+			heldSince: make(map[string]time.Time), worst: make(map[string]tasks.Resources),
+			duration:   func(tasks.ID) time.Duration { return time.Second },
+			allotFault: func(string, sched.Allotment) bool { return false },
+		}
+		q.config.Store(organisationConfig(1, services, quotaCap, "acme", "beta"))
+		for _, service := range services {
+			for i := range quotaHosts {
+				q.addHost(service, fmt.Sprintf("%s-h%d", service, i))
+			}
+			q.claim(service)
+		}
+		q.lead()
+		time.Sleep(2 * time.Second)
+		test(q)
+		for _, violation := range q.checker.Violations() {
+			t.Error(violation)
+		}
+		t.Logf("most running %v, longest hold-up %v, %d allotments", q.worst, q.longest, q.allotments)
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+func (q *quotaCluster) addHost(service, id string) {
+	info := pool.Host{ID: id, Service: service, Address: id, Capacity: tasks.Resources{CPU: quotaHostCPU, MemMB: 1 << 16}}
+	q.runners[id] = fake.NewRunner(info, 1, q.checker, func(task tasks.ID, _ int) fake.RunProfile {
+		return fake.RunProfile{Duration: q.duration(task)}
+	})
+	go q.runners[id].Run(q.ctx)
+}
+
+func (q *quotaCluster) clock() time.Duration { return time.Since(q.start) }
+
+// resourcesOf returns the resources that a task occupies.
+func (q *quotaCluster) resourcesOf(task tasks.ID) tasks.Resources {
+	plan, _ := q.plans.Load(task.Job)
+	return plan.(tasks.Plan).Steps[task.Step].RequiredResources()
+}
+
+// claim makes a new node claim a cell. Its previous owner goes on until it notices.
+func (q *quotaCluster) claim(service string) *quotaOwner {
+	q.t.Helper()
+	q.mu.Lock()
+	q.claims++
+	name := fmt.Sprintf("n%d", q.claims)
+	q.mu.Unlock()
+	hosts := fake.NewHostClient(q.runners, q.resourcesOf)
+	hosts.SetClock(q.clock)
+	cell, err := sched.Claim(q.ctx, sched.Options{
+		Service: service, Node: name, Journal: q.store.Client(name), HostClient: hosts, Clock: q.clock,
+		MaxLease: 6 * time.Second, MaxRecordAge: fake.CapacityGrace, JobRetention: 2 * time.Minute, BatchBytes: 1 << 20,
+		Link: sched.NewLink(0), Logger: logr.Discard(), Metrics: sched.NewMetrics(metrics.NewSet()),
+	}, name)
+	if err != nil {
+		q.t.Fatal(err)
+	}
+	cell.SetOrganisations(q.config.Load())
+	cell.SetHosts(hosts.View())
+	ctx, cancel := context.WithCancel(q.ctx)
+	go cell.Run(ctx)
+	go q.update(ctx, cell, hosts)
+	owner := &quotaOwner{name: name, cell: cell, stop: cancel}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.owners[service] = owner
+	return owner
+}
+
+// update keeps the hosts and the configuration of a cell up to date.
+func (q *quotaCluster) update(ctx context.Context, cell *sched.Cell, hosts *fake.HostClient) {
+	for core.Sleep(ctx, 300*time.Millisecond) == nil {
+		cell.SetOrganisations(q.config.Load())
+		cell.SetHosts(hosts.View())
+	}
+}
+
+// lead starts a controller that leads, after the previous ones have stepped down.
+func (q *quotaCluster) lead() {
+	for _, n := range q.leaders {
+		n.isLeader.Store(false)
+	}
+	q.addLeader()
+}
+
+// addLeader starts a controller that leads, although others believe that they do.
+func (q *quotaCluster) addLeader() {
+	name := fmt.Sprintf("leader%d", len(q.leaders))
+	c := New(Options{
+		Node: name, Address: name, Cloud: q, Cells: q, Leaders: q, Operator: q, Journal: q.store.Client(name), Clock: q.clock,
+		WaveStatus:  func(int64, bool) (string, []byte, error) { return "", nil, nil },
+		StatusTopic: "status", MachineLease: testLease, MoveDuration: testMoveDuration, MaintenanceDuration: testMaintenanceDuration,
+		Logger: logr.Discard(), Metrics: metrics.NewSet(),
+	})
+	n := &testNode{}
+	c.options.IsLeader = n.isLeader.Load
+	n.isLeader.Store(true)
+	ctx, cancel := context.WithCancel(q.ctx)
+	n.stop = cancel
+	go c.Run(ctx)
+	q.leaders = append(q.leaders, n)
+}
+
+func (q *quotaCluster) Config() *queue.Config        { return q.config.Load() }
+func (q *quotaCluster) Waves() map[int64]*queue.Wave { return nil }
+
+func (q *quotaCluster) Machines(context.Context) ([]Machine, error) { return []Machine{}, nil }
+
+func (q *quotaCluster) Move(context.Context, Order, string) (OrderResult, error) {
+	return Busy, errUnreachable
+}
+
+func (q *quotaCluster) Maintain(context.Context, Order, int64) (OrderResult, error) {
+	return Busy, errUnreachable
+}
+
+func (q *quotaCluster) Resign(context.Context, string, int64) (map[string]time.Duration, error) {
+	return nil, errUnreachable
+}
+
+// owner returns the cell of a service for a call, or an error after the timeout if the owner
+// can't be called.
+func (q *quotaCluster) owner(ctx context.Context, service string) (*sched.Cell, error) {
+	time.Sleep(2 * time.Millisecond)
+	q.mu.Lock()
+	owner, unreachable := q.owners[service], q.unreachable[service]
+	q.mu.Unlock()
+	if unreachable || owner == nil {
+		<-ctx.Done()
+		return nil, errUnreachable
+	}
+	return owner.cell, nil
+}
+
+func (q *quotaCluster) Report(ctx context.Context, service string) (sched.Report, error) {
+	cell, err := q.owner(ctx, service)
+	if err != nil {
+		return sched.Report{}, err
+	}
+	return cell.Report()
+}
+
+func (q *quotaCluster) Allot(ctx context.Context, service string, allotment sched.Allotment) error {
+	q.mu.Lock()
+	q.allotments++
+	lost := q.allotFault(service, allotment)
+	q.mu.Unlock()
+	cell, err := q.owner(ctx, service)
+	if err != nil {
+		return err
+	}
+	if lost {
+		<-ctx.Done()
+		return errUnreachable
+	}
+	return cell.Allot(allotment)
+}
+
+func (q *quotaCluster) Cordon(context.Context, string, []string, time.Duration, bool) ([]sched.HostReport, error) {
+	return nil, errUnreachable
+}
+
+func (q *quotaCluster) Retire(context.Context, string, []sched.RetiredHost) error {
+	return errUnreachable
+}
+
+// submit submits a job of an organisation to a service, whose owner need not answer.
+func (q *quotaCluster) submit(service, organisation string, plan tasks.Plan) {
+	q.mu.Lock()
+	q.jobs++
+	id := fmt.Sprintf("%s-job%d", organisation, q.jobs)
+	owner := q.owners[service]
+	q.mu.Unlock()
+	if owner == nil {
+		return
+	}
+	q.plans.Store(id, plan)
+	policy := tasks.Policy{Service: service, Organisation: organisation, MaxAttempts: 3}
+	go func() {
+		ctx, cancel := context.WithTimeout(q.ctx, time.Second)
+		defer cancel()
+		_ = owner.cell.Submit(ctx, tasks.Key{Queue: service + ".example/", ID: id}, plan, policy)
+	}()
+}
+
+// stepOf returns a plan of one step.
+func stepOf(count int, cpu int64) tasks.Plan {
+	return tasks.Plan{Spec: "spec", Steps: []tasks.Step{{Count: count, Room: tasks.Resources{CPU: cpu, MemMB: 10}, Estimate: time.Second}}}
+}
+
+// check checks the sums over all hosts and cells, with the largest task that runs.
+func (q *quotaCluster) check(limit, largest int64) {
+	q.t.Helper()
+	for _, organisation := range q.Config().Organisations {
+		name := organisation.Name
+		var running tasks.Resources
+		for _, runner := range q.runners {
+			running = running.Add(runner.UsedBy(func(task tasks.ID) bool { return strings.HasPrefix(task.Job, name+"-") }))
+		}
+		counted := q.counted(name)
+		if most := limit*11/10 + largest; running.CPU > most || counted > most {
+			q.t.Fatalf("got %d of %s running and %d counted after %v, want at most %d", running.CPU, name, counted, q.clock(), most)
+		}
+		if running.CPU > q.worst[name].CPU {
+			q.worst[name] = running
+		}
+	}
+}
+
+// counted returns what the owners count of an organisation.
+func (q *quotaCluster) counted(name string) int64 {
+	var total int64
+	for _, r := range q.shares(name) {
+		total += r.Used.CPU
+	}
+	return total
+}
+
+// shares returns the reports on an organisation of all present owners.
+func (q *quotaCluster) shares(name string) []sched.OrganisationReport {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var shares []sched.OrganisationReport
+	for _, owner := range q.owners {
+		report, err := owner.cell.Report()
+		if err != nil || report.Quota == nil {
+			continue
+		}
+		for _, r := range report.Quota.Organisations {
+			if r.Name == name {
+				shares = append(shares, r)
+			}
+		}
+	}
+	return shares
+}
+
+// checkHeld checks for how long an organisation has been held up by its cap while it uses
+// under half of it.
+func (q *quotaCluster) checkHeld(limit int64) {
+	q.t.Helper()
+	for _, organisation := range q.Config().Organisations {
+		name, held := organisation.Name, false
+		for _, r := range q.shares(name) {
+			held = held || r.Wanted != (tasks.Resources{})
+		}
+		if !held || 2*q.counted(name) >= limit {
+			delete(q.heldSince, name)
+			continue
+		}
+		if q.heldSince[name].IsZero() {
+			q.heldSince[name] = time.Now()
+		}
+		duration := time.Since(q.heldSince[name])
+		q.longest = max(q.longest, duration)
+		if duration >= maxHeld {
+			q.t.Fatalf("got %s held up by its cap for %v with %d of %d in use, want less than %v", name, duration, q.counted(name), limit, maxHeld)
+		}
+	}
+}
+
+// watch checks for a time.
+func (q *quotaCluster) watch(duration time.Duration, limit, largest int64) {
+	q.t.Helper()
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(quotaCheckInterval) {
+		q.check(limit, largest)
+		q.checkHeld(limit)
+	}
+}
+
+// running returns what an organisation has running on the hosts of a service.
+func (q *quotaCluster) running(service, name string) int64 {
+	var total int64
+	for id, runner := range q.runners {
+		if strings.HasPrefix(id, service+"-") {
+			total += runner.UsedBy(func(task tasks.ID) bool { return strings.HasPrefix(task.Job, name+"-") }).CPU
+		}
+	}
+	return total
+}
+
+// Guards against stranded quota: a flood at one service must get all that is lent although the
+// other cells have asked for none, and not their bases.
+func TestQuotaOneServiceFloods(t *testing.T) {
+	runQuotas(t, []string{"a", "b", "c", "d"}, func(q *quotaCluster) {
+		for range 10 {
+			q.submit("a", "acme", stepOf(40, quotaTask))
+		}
+		q.watch(2*time.Second, quotaCap, quotaTask)
+		// Half of the cap is lent; its own base is a quarter of the rest.
+		if got, want := q.running("a", "acme"), int64(quotaCap/2+quotaCap/8); got != want {
+			t.Errorf("got %d running, want %d", got, want)
+		}
+		q.submit("b", "beta", stepOf(4, quotaTask))
+		q.watch(5*time.Second, quotaCap, quotaTask)
+		if got := q.checker.Ends(tasks.EndDone); got < 60 {
+			t.Errorf("got %d tasks done, want at least 60", got)
+		}
+	})
+}
+
+// Guards against the sum of several owners' decisions exceeding the cap while all of them have
+// more work than they may start.
+func TestQuotaAllFlood(t *testing.T) {
+	services := []string{"a", "b", "c"}
+	runQuotas(t, services, func(q *quotaCluster) {
+		for range 10 {
+			for _, service := range services {
+				q.submit(service, "acme", stepOf(40, quotaTask))
+			}
+		}
+		q.watch(8*time.Second, quotaCap, quotaTask)
+		total := q.running("a", "acme") + q.running("b", "acme") + q.running("c", "acme")
+		if total < quotaCap*3/4 {
+			t.Errorf("got %d of a cap of %d running while all services have more work, want at least three quarters", total, quotaCap)
+		}
+	})
+}
+
+// Guards against what is lent staying with a service whose peak is over.
+func TestQuotaAlternatingPeaks(t *testing.T) {
+	runQuotas(t, []string{"a", "b", "c"}, func(q *quotaCluster) {
+		for i := range 8 {
+			service := []string{"a", "b"}[i%2]
+			q.submit(service, "acme", stepOf(40, quotaTask))
+			q.watch(2500*time.Millisecond, quotaCap, quotaTask)
+			if got := q.running(service, "acme"); got < quotaCap/2 {
+				t.Errorf("got %d running in peak %d at service %s, want at least half of the cap of %d", got, i, service, quotaCap)
+			}
+			q.watch(4*time.Second, quotaCap, quotaTask)
+		}
+	})
+}
+
+// Guards against a task that is larger than what idle cells' bases leave never being started.
+func TestQuotaLargeTask(t *testing.T) {
+	runQuotas(t, []string{"a", "b", "c", "d"}, func(q *quotaCluster) {
+		q.config.Store(organisationConfig(2, []string{"a", "b", "c", "d"}, 7500, "acme"))
+		q.watch(time.Second, 7500, 0)
+		q.submit("a", "acme", stepOf(1, 7000))
+		q.submit("b", "acme", stepOf(1, 7000))
+		q.watch(6*time.Second, 7500, 7000)
+		if got := q.checker.Ends(tasks.EndDone); got != 2 {
+			t.Errorf("got %d large tasks done, want both, one after the other", got)
+		}
+	})
+}
+
+// Guards against an owner that is lost with half of its allotment out taking the quota of
+// others along, and against its successor exceeding it: what runs is inherited and counts.
+func TestQuotaOwnerLost(t *testing.T) {
+	runQuotas(t, []string{"a", "b", "c"}, func(q *quotaCluster) {
+		q.duration = func(tasks.ID) time.Duration { return 4 * time.Second }
+		q.submit("a", "acme", stepOf(7, quotaTask))
+		q.watch(2*time.Second, quotaCap, quotaTask)
+		q.owners["a"].stop()
+		q.mu.Lock()
+		q.unreachable["a"] = true
+		q.mu.Unlock()
+		q.submit("b", "acme", stepOf(40, quotaTask))
+		q.watch(2*time.Second, quotaCap, quotaTask)
+		q.claim("a")
+		q.mu.Lock()
+		q.unreachable["a"] = false
+		q.mu.Unlock()
+		q.submit("a", "acme", stepOf(40, quotaTask))
+		q.watch(20*time.Second, quotaCap, quotaTask)
+	})
+}
+
+// Guards against the owner that the store rejects starting on beside its successor.
+func TestQuotaTwoOwners(t *testing.T) {
+	runQuotas(t, []string{"a", "b"}, func(q *quotaCluster) {
+		for range 6 {
+			q.submit("a", "acme", stepOf(40, quotaTask))
+		}
+		q.watch(2*time.Second, quotaCap, quotaTask)
+		q.store.SetFailure(q.owners["a"].name, fake.Unresponsive)
+		q.watch(time.Second, quotaCap, quotaTask)
+		q.claim("a")
+		for range 3 {
+			q.submit("a", "acme", stepOf(40, quotaTask))
+			q.submit("b", "acme", stepOf(40, quotaTask))
+		}
+		q.watch(10*time.Second, quotaCap, quotaTask)
+	})
+}
+
+// Guards against two leaders lending the same quota: the replaced one still believes that it
+// leads, and its allotments arrive late.
+func TestQuotaLeaderReplaced(t *testing.T) {
+	runQuotas(t, []string{"a", "b", "c"}, func(q *quotaCluster) {
+		random := rand.New(rand.NewPCG(5, 6))
+		q.allotFault = func(service string, a sched.Allotment) bool {
+			cell := q.owners[service].cell
+			time.AfterFunc(time.Duration(random.IntN(4000))*time.Millisecond, func() { _ = cell.Allot(a) })
+			return random.IntN(3) == 0
+		}
+		for i := range 6 {
+			q.submit([]string{"a", "b", "c"}[i%3], "acme", stepOf(40, quotaTask))
+			q.store.SetFailure(fmt.Sprintf("leader%d", i), fake.Unresponsive)
+			q.addLeader()
+			q.watch(3*time.Second, quotaCap, quotaTask)
+		}
+	})
+}
+
+// Guards against lending what a cell may still have: the call that takes back its allotment is
+// lost, it uses all of it again, and another cell asks for the same.
+func TestQuotaLostReduction(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		for offset := time.Duration(0); offset < time.Second; offset += 125 * time.Millisecond {
+			runQuotas(t, []string{"a", "b"}, func(q *quotaCluster) {
+				q.submit("a", "acme", stepOf(11, quotaTask))
+				time.Sleep(offset)
+				for q.running("a", "acme") < 11*quotaTask {
+					time.Sleep(quotaCheckInterval)
+				}
+				q.mu.Lock()
+				q.allotFault = func(service string, _ sched.Allotment) bool { return service == "a" }
+				q.mu.Unlock()
+				if replaced {
+					q.lead()
+				}
+				q.duration = func(tasks.ID) time.Duration { return 3 * time.Second }
+				time.Sleep(700 * time.Millisecond)
+				q.submit("b", "acme", stepOf(40, quotaTask))
+				time.Sleep(600 * time.Millisecond)
+				q.submit("a", "acme", stepOf(40, quotaTask))
+				for range 60 {
+					q.check(quotaCap, quotaTask)
+					time.Sleep(quotaCheckInterval)
+				}
+			})
+		}
+	}
+}
+
+// Guards against cells going on with what they were lent, or stopping, without a leader.
+func TestQuotaLeaderLost(t *testing.T) {
+	runQuotas(t, []string{"a", "b"}, func(q *quotaCluster) {
+		for range 6 {
+			q.submit("a", "acme", stepOf(40, quotaTask))
+		}
+		q.watch(2*time.Second, quotaCap, quotaTask)
+		q.leaders[0].stop()
+		time.Sleep(allotmentTime + 2*time.Second)
+		if got := q.running("a", "acme"); got != quotaCap/4 {
+			t.Errorf("got %d running without a leader, want the base of %d", got, quotaCap/4)
+		}
+	})
+}
+
+// Guards against starting more after the cap was lowered, and stopping what runs.
+func TestQuotaLoweredCap(t *testing.T) {
+	services := []string{"a", "b"}
+	runQuotas(t, services, func(q *quotaCluster) {
+		q.duration = func(tasks.ID) time.Duration { return 3 * time.Second }
+		q.submit("a", "acme", stepOf(12, quotaTask))
+		q.watch(time.Second, quotaCap, quotaTask)
+		before := q.running("a", "acme")
+		q.config.Store(organisationConfig(2, services, quotaCap/4, "acme"))
+		time.Sleep(time.Second)
+		q.submit("b", "acme", stepOf(12, quotaTask))
+		time.Sleep(500 * time.Millisecond)
+		if got := q.running("a", "acme"); got != before {
+			t.Errorf("got %d of %d still running after the cap was lowered, want all", got, before)
+		}
+		time.Sleep(3 * time.Second)
+		q.watch(10*time.Second, quotaCap/4, quotaTask)
+	})
+}
+
+// TestQuotaChaos floods services while owners are lost and replaced, calls are lost or come
+// late, leaders change and hosts stop answering. At no time may an organisation exceed its
+// cap by more than a tenth and a task; once the faults are over, none may be held up by it.
+func TestQuotaChaos(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			services := []string{"a", "b", "c"}
+			runQuotas(t, services, func(q *quotaCluster) {
+				random := rand.New(rand.NewPCG(seed, 7))
+				q.duration = func(task tasks.ID) time.Duration {
+					return time.Duration(200+(task.Index*7919+len(task.Job)*104729)%2500) * time.Millisecond
+				}
+				q.allotFault = func(service string, a sched.Allotment) bool {
+					if random.IntN(4) > 0 {
+						return false
+					}
+					cell := q.owners[service].cell
+					time.AfterFunc(time.Duration(random.IntN(5000))*time.Millisecond, func() { _ = cell.Allot(a) })
+					return true
+				}
+				for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
+					q.randomFault(random, services)
+					for range random.IntN(10) {
+						q.check(quotaCap, 3*quotaTask)
+						time.Sleep(quotaCheckInterval)
+					}
+				}
+				q.mu.Lock()
+				q.allotFault = func(string, sched.Allotment) bool { return false }
+				clear(q.unreachable)
+				q.mu.Unlock()
+				for _, runner := range q.runners {
+					runner.SetUnresponsive(false)
+				}
+				q.lead()
+				time.Sleep(6 * time.Second)
+				q.submit("a", "acme", stepOf(40, quotaTask))
+				q.submit("b", "beta", stepOf(20, 3*quotaTask))
+				q.watch(15*time.Second, quotaCap, 3*quotaTask)
+			})
+		})
+	}
+}
+
+// randomFault injects a fault or submits jobs.
+func (q *quotaCluster) randomFault(random *rand.Rand, services []string) {
+	service := services[random.IntN(len(services))]
+	duration := time.Duration(random.IntN(4000)) * time.Millisecond
+	switch random.IntN(14) {
+	case 0:
+		q.claim(service)
+	case 1:
+		q.owners[service].stop()
+		q.claim(service)
+	case 2:
+		name := q.owners[service].name
+		q.store.SetFailure(name, fake.Unresponsive)
+		time.AfterFunc(duration, func() { q.store.SetFailure(name, fake.NoFailure) })
+	case 3:
+		q.setUnreachable(service, true)
+		time.AfterFunc(duration, func() { q.setUnreachable(service, false) })
+	case 4:
+		q.lead()
+	case 5:
+		q.store.SetFailure(fmt.Sprintf("leader%d", len(q.leaders)-1), fake.Unresponsive)
+		q.addLeader()
+	case 6, 7:
+		ids := make([]string, 0, len(q.runners))
+		for id := range q.runners {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		runner := q.runners[ids[random.IntN(len(ids))]]
+		runner.SetUnresponsive(true)
+		time.AfterFunc(duration, func() { runner.SetUnresponsive(false) })
+	default:
+		q.submit(service, []string{"acme", "beta"}[random.IntN(2)], stepOf(1+random.IntN(25), int64(1+random.IntN(3))*quotaTask))
+	}
+}
+
+func (q *quotaCluster) setUnreachable(service string, unreachable bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.unreachable[service] = unreachable
+}
