sched, intake: fair shares in placement and admission

A burst of one organisation filled the pool and the link, and others waited behind it.

Of each priority, a pass first places what organisations are entitled to by weighted dominant share, within their part of the planned start commands, and then the rest, so that nothing is left idle. An entry node remembers refusals by queue and organisation. Callers without an organisation count as one of weight 1 and are asked to wait for a second, as before; without organisations nothing changes.

The tests with a burst, with weights of 5, 2 and 1, and on a link of 2 Mbit/s fail if the shares of the pool, of the planned commands or of the backlog are taken out.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -89,6 +90,10 @@
 	queue  *queue.Queue
 	id     string
 	start  time.Time
+	// organisation is empty unless the configuration requires keys and the key is valid.
+	organisation string
+	// retryAfter is the Retry-After time that the owner asks for, 0 for the usual one.
+	retryAfter time.Duration
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
@@ -186,6 +191,7 @@
 		x.writeJSON(http.StatusOK, []byte("{}"))
 		return
 	}
+	x.retryAfter = response.RetryAfter
 	x.writeFailure(response.Outcome)
 }
 
@@ -259,7 +265,7 @@
 // had no effect, comes with a Retry-After header.
 func (x *exchange) writeError(status int, reason string) {
 	if status == http.StatusServiceUnavailable {
-		x.w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+		x.w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(max(retryAfter, x.retryAfter).Seconds()))))
 	}
 	name, version := "", int64(0)
 	if x.queue != nil {
--- a/intake/overload.go
+++ b/intake/overload.go
@@ -21,25 +21,28 @@
 type refusal struct {
 	size  int
 	until time.Time
+	// wait is how long callers are asked to wait, 0 for the usual time.
+	wait time.Duration
 }
 
 // record remembers that the owner of a queue has refused a job of a size, for as long as
-// callers are asked to wait.
-func (o *overloadedQueues) record(queue string, size int) {
+// callers are usually asked to wait, and the wait that the owner asks for.
+func (o *overloadedQueues) record(queue string, size int, wait time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.refusals == nil {
 		o.refusals = make(map[string]refusal)
 	}
-	o.refusals[queue] = refusal{size: size, until: time.Now().Add(retryAfter)}
+	o.refusals[queue] = refusal{size: size, until: time.Now().Add(retryAfter), wait: wait}
 }
 
-// refuses reports whether the owner of a queue would refuse a job of a size.
-func (o *overloadedQueues) refuses(queue string, size int) bool {
+// refuses reports whether the owner of a queue would refuse a job of a size, and the wait that it
+// asked for.
+func (o *overloadedQueues) refuses(queue string, size int) (wait time.Duration, refuses bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	last := o.refusals[queue]
-	return size >= last.size && time.Now().Before(last.until)
+	return last.wait, size >= last.size && time.Now().Before(last.until)
 }
 
 // commandOverhead is the approximate size of a start command without its spec, in bytes.
@@ -57,17 +60,19 @@
 // submitPlan submits a job to its owner, or refuses it if the owner is overloaded. A
 // job that was accepted before is not refused, even if its response was lost.
 func (x *exchange) submitPlan(plan tasks.Plan) owner.Response {
-	queue, size := x.queue.Key(), startSize(plan)
-	if x.overloaded.refuses(queue, size) {
+	// The owner refuses organisations by their share, so that others of the queue may be
+	// accepted.
+	queue, size := x.queue.Key()+" "+x.organisation, startSize(plan)
+	if wait, refuses := x.overloaded.refuses(queue, size); refuses {
 		response := x.callOwner(owner.MethodStatus, tasks.Plan{})
 		if response.Outcome == owner.UnknownJob {
-			response.Outcome = owner.Overloaded
+			response.Outcome, response.RetryAfter = owner.Overloaded, wait
 		}
 		return response
 	}
 	response := x.callOwner(owner.MethodSubmit, plan)
 	if response.Outcome == owner.Overloaded {
-		x.overloaded.record(queue, size)
+		x.overloaded.record(queue, size, response.RetryAfter)
 	}
 	return response
 }
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -82,7 +82,9 @@
 // Response holds the results of all methods of owners.
 type Response struct {
 	Outcome Outcome
-	Status  sched.Status
+	// RetryAfter is how long the caller should wait after Overloaded, 0 for the usual time.
+	RetryAfter time.Duration
+	Status     sched.Status
 	// Pending is the number of jobs of the queue that have not started.
 	Pending int
 	// Report is the status of the pool and Hosts that of the requested hosts.
--- a/owner/service.go
+++ b/owner/service.go
@@ -41,7 +41,12 @@
 		return err
 	}
 	return s.withCell(request, response, func(ctx context.Context, c *sched.Cell) error {
-		return c.Submit(ctx, request.Key, request.Plan, request.Policy)
+		err := c.Submit(ctx, request.Key, request.Plan, request.Policy)
+		var overload *sched.OverloadError
+		if errors.As(err, &overload) {
+			response.RetryAfter = overload.RetryAfter
+		}
+		return err
 	})
 }
 
--- a/sched/bandwidth.go
+++ b/sched/bandwidth.go
@@ -100,8 +100,8 @@
 	if c.options.Clock()-max(c.startQueueFullAt, c.claimedAt) >= busyLinkMemory {
 		return false
 	}
-	bytes := c.backlogBytes + e.job.UnassignedTasks()*e.startSize()
-	return link.transferTime(bytes) > c.startTimeLimit(e, now)
+	bytes, limit := c.backlogBytes+e.job.UnassignedTasks()*e.startSize(), c.startTimeLimit(e, now)
+	return link.transferTime(bytes) > limit && !c.isWithinBacklogShare(e, limit)
 }
 
 // startTimeLimit returns how long the start commands of a new job may take. Only jobs
@@ -120,6 +120,7 @@
 func (c *Cell) addBacklog(e *jobEntry) {
 	e.unstarted = e.job.UnassignedTasks()
 	c.backlogBytes += e.unstarted * e.startSize()
+	c.countBacklog(e, e.unstarted*e.startSize())
 }
 
 // reduceBacklog counts tasks of a job as started, or as dropped because the job has
@@ -128,4 +129,5 @@
 	count = min(count, e.unstarted)
 	e.unstarted -= count
 	c.backlogBytes -= count * e.startSize()
+	c.countBacklog(e, -count*e.startSize())
 }
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -148,6 +148,8 @@
 	// been sent, and backlogBytes that of all tasks that were never started.
 	plannedBytes int
 	backlogBytes int
+	// backlogByOrganisation is the part of backlogBytes of each organisation.
+	backlogByOrganisation map[string]int
 	// startQueueFullAt is when assignment last waited for planned start commands; zero
 	// if it never did.
 	startQueueFullAt time.Duration
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -48,7 +48,7 @@
 	case c.storeUnavailable():
 		return ErrStoreUnavailable
 	case c.wouldStartLate(e, time.Now()):
-		return ErrOverloaded
+		return c.overloadError(e)
 	default:
 		return nil
 	}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -18,6 +18,8 @@
 	unsatisfiable []tasks.Resources
 	// quota is nil if no organisation has a cap.
 	quota *quotaPass
+	// fair is nil unless organisations compete for the hosts.
+	fair *fairPass
 }
 
 // placeJob assigns the waiting tasks of a job to hosts.
@@ -71,6 +73,9 @@
 		if full && !reqs.Isolated {
 			continue
 		}
+		if p.fair.holdsBack(e) {
+			return
+		}
 		if !p.quota.mayStart(e.job.Policy.Organisation, reqs, 1) {
 			p.quota.countWanted(e.job.Policy.Organisation, reqs, 1, round.Waiting(step), p.hosts)
 			return
@@ -95,6 +100,9 @@
 		return
 	}
 	reqs := ofTask(p.cell.requirements(e, round, step, p.now), e, &round.Steps[step][0])
+	if p.fair.holdsBack(e) {
+		return
+	}
 	if unit := len(round.Steps[step]); !p.quota.mayStart(e.job.Policy.Organisation, reqs, unit) {
 		p.quota.countWanted(e.job.Policy.Organisation, reqs, unit, 1, p.hosts)
 		return
@@ -108,7 +116,9 @@
 func (p *schedulePass) assign(e *jobEntry, round *tasks.Round, step, index int, target *place.Host) {
 	taskID := tasks.ID{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
 	p.cell.assign(e, taskID, target, p.now)
-	p.quota.count(e.job.Policy.Organisation, e.job.Step(taskID).RequiredResources())
+	resources := e.job.Step(taskID).RequiredResources()
+	p.quota.count(e.job.Policy.Organisation, resources)
+	p.fair.count(e, resources, p.quota != nil)
 }
 
 // requirements returns what all tasks of a step require.
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -295,6 +295,14 @@
 	}
 }
 
+// usedSoFar returns what organisations have running, or nil if that isn't counted.
+func (q *quotaPass) usedSoFar() map[string]tasks.Resources {
+	if q == nil {
+		return nil
+	}
+	return q.used
+}
+
 // count counts a run that was assigned.
 func (q *quotaPass) count(name string, resources tasks.Resources) {
 	if q != nil {
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -50,9 +50,8 @@
 	p := &schedulePass{cell: c, hosts: c.candidates(now), now: now, quota: c.newQuotaPass()}
 	sortByUrgency(toPlace, p.hosts)
 	place.Reserve(c.isolatedTasks(toPlace, now), p.hosts)
-	for _, j := range toPlace {
-		p.placeJob(j.entry)
-	}
+	p.fair = c.newFairPass(toPlace, p.hosts, p.quota.usedSoFar())
+	p.placeJobs(toPlace)
 	p.quota.end(p.hosts)
 }
 
