engine, cmds: show organisations to operators

Nothing showed why an organisation's tasks wait: its cap, its share, a lost leader or a full pool.

`rattanpath organisations` shows share, cap, use and allotments by node, for how long the cap or the share has held tasks back, jobs refused by reason, and the age of each figure; a service whose owner can't be asked doesn't hide the others. Three counters by organisation have at most 64 label values.

--- a/engine/admin.go
+++ b/engine/admin.go
@@ -57,6 +57,7 @@
 	router.HandleFunc(views.JobPath+"{ID}", s.serveJobDetail).Methods(http.MethodGet)
 	router.HandleFunc(views.JobPath+"{ID}", s.serveCancel).Methods(http.MethodDelete)
 	router.HandleFunc(views.PoolsPath, s.servePools).Methods(http.MethodGet)
+	router.HandleFunc(views.OrganisationsPath, s.serveOrganisations).Methods(http.MethodGet)
 	return router
 }
 
@@ -134,6 +135,22 @@
 	s.server.WriteJSON(w, all)
 }
 
+// serveOrganisations shows the organisations in all services. Services whose owner can't be asked
+// are listed with the reason, since the caps hold for all of them together.
+func (s *adminServer) serveOrganisations(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), adminTimeout)
+	defer cancel()
+	all := []views.CellOrganisations{}
+	for _, service := range s.requestedServices(r) {
+		cell, err := s.client.Organisations(ctx, service)
+		if err != nil {
+			cell = views.CellOrganisations{Service: service, Problem: err.Error()}
+		}
+		all = append(all, cell)
+	}
+	s.server.WriteJSON(w, all)
+}
+
 // findJob looks for a job at the owners of all services.
 func (s *adminServer) findJob(ctx context.Context, id string) (views.JobDetail, error) {
 	config := s.config.Config()
--- a/owner/client.go
+++ b/owner/client.go
@@ -43,6 +43,9 @@
 	MethodExplain Method = "Explain"
 	MethodPool    Method = "Pool"
 	MethodAwait   Method = "Await"
+
+	// MethodOrganisations returns a view for operators.
+	MethodOrganisations Method = "Organisations"
 )
 
 // Client calls the owners of services, on this node or on another.
@@ -251,6 +254,8 @@
 		MethodExplain: c.local.Explain,
 		MethodPool:    c.local.Pool,
 		MethodAwait:   c.local.Await,
+
+		MethodOrganisations: c.local.Organisations,
 	}
 	call := calls[method]
 	if call == nil {
@@ -301,6 +306,19 @@
 	return response.Pool, outcomeError(response, nil)
 }
 
+// Organisations returns the owner's view of the organisations in a service. Unlike Pool it asks
+// once, so that one owner that is lost doesn't hold up the view of the others.
+func (c *Client) Organisations(ctx context.Context, service string) (views.CellOrganisations, error) {
+	response, _, err := c.attempt(ctx, MethodOrganisations, Request{Service: service})
+	if err := outcomeError(response, err); err != nil {
+		return views.CellOrganisations{}, err
+	}
+	if response.Organisations == nil {
+		return views.CellOrganisations{}, errors.New("the owner's version knows no organisations")
+	}
+	return *response.Organisations, nil
+}
+
 // Explain returns the details of a job. The error is sched.ErrUnknownJob if the
 // service has no job of that ID.
 func (c *Client) Explain(ctx context.Context, service, id string) (views.JobDetail, error) {
--- a/owner/client_test.go
+++ b/owner/client_test.go
@@ -56,8 +56,13 @@
 
 // startNode starts a node whose claims take as long as readTime.
 func startNode(ctx context.Context, s *fake.Store, group Group, name string, readTime time.Duration) *testNode {
+	return startConfigured(ctx, s, group, name, readTime, fixedConfig{})
+}
+
+// startConfigured does the same with another configuration.
+func startConfigured(ctx context.Context, s *fake.Store, group Group, name string, readTime time.Duration, config ConfigSource) *testNode {
 	member := NewMember(group, name, name+":1", time.Second, false, logr.Discard())
-	supervisor := NewSupervisor(member, fixedConfig{}, fixedConfig{}, 32, sched.Options{
+	supervisor := NewSupervisor(member, config, fixedConfig{}, 32, sched.Options{
 		Node:         name,
 		Journal:      &slowJournal{s.Client(name), readTime},
 		HostClient:   fake.NewHostClient(nil, nil),
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -94,6 +94,8 @@
 	Jobs   []views.Job
 	Detail views.JobDetail
 	Pool   views.Pool
+	// Organisations is nil unless it was asked for.
+	Organisations *views.CellOrganisations
 }
 
 // outcomeFor maps an error of a cell to an outcome.
--- a/owner/service.go
+++ b/owner/service.go
@@ -130,6 +130,15 @@
 	})
 }
 
+// Organisations returns the cell's view of organisations.
+func (s *Service) Organisations(request *Request, response *Response) error {
+	return s.withCell(request, response, func(_ context.Context, c *sched.Cell) error {
+		view, err := c.Organisations()
+		response.Organisations = &view
+		return err
+	})
+}
+
 // Await waits for up to awaitTime until this node runs the cell of the requested
 // service. The outcome is NotOwner if it doesn't.
 func (s *Service) Await(request *Request, response *Response) error {
--- a/owner/service_test.go
+++ b/owner/service_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"rattanpath/fake"
+	"rattanpath/queue"
 	"rattanpath/sched"
 	"rattanpath/tasks"
 )
@@ -104,3 +105,41 @@
 		t.Errorf("got %v, want %v", got, newer.Retired)
 	}
 }
+
+// TestAllotAndOrganisations checks the calls of the machine controller's leader and of operators
+// as they are encoded between nodes: an allotment for another owner must not count.
+func TestAllotAndOrganisations(t *testing.T) {
+	service := newTestService(t)
+	cell := service.supervisor.Cell(testService)
+	cell.SetOrganisations(queue.NewConfig(5, nil, []queue.Service{{Name: testService}}, queue.Limits{}).WithOrganisations(
+		[]queue.Organisation{{Name: "acme", Weight: 2, Cap: tasks.Resources{CPU: 1000}}}, nil))
+	var response Response
+	if err := service.Allot(&Request{Service: testService, Timeout: minTimeout}, &response); err == nil {
+		t.Error("got no error for a call without an allotment, want one")
+	}
+	for epoch, want := range map[int64]Outcome{cell.Epoch(): Done, cell.Epoch() + 1: NotOwner} {
+		request := Request{Service: testService, Timeout: minTimeout, Allotment: &sched.Allotment{
+			Leader: 3, Sequence: 1, Epoch: epoch, Until: time.Hour, Amounts: map[string]tasks.Resources{"acme": {CPU: 900}}, Version: 5,
+		}}
+		var data bytes.Buffer
+		var decoded Request
+		if err := gob.NewEncoder(&data).Encode(request); err != nil {
+			t.Fatal(err)
+		}
+		if err := gob.NewDecoder(&data).Decode(&decoded); err != nil {
+			t.Fatal(err)
+		}
+		if err := service.Allot(&decoded, &response); err != nil || response.Outcome != want {
+			t.Errorf("got outcome %v, error %v for epoch %d, want %v", response.Outcome, err, epoch, want)
+		}
+	}
+	if err := service.Report(&Request{Service: testService, Timeout: minTimeout}, &response); err != nil || response.Report.Quota == nil || response.Report.Quota.Leader != 3 {
+		t.Errorf("got report %+v, error %v, want the allotment of leader 3", response.Report.Quota, err)
+	}
+	if err := service.Organisations(&Request{Service: testService, Timeout: minTimeout}, &response); err != nil || len(response.Organisations.Organisations) != 1 {
+		t.Fatalf("got %+v, error %v, want one organisation", response.Organisations, err)
+	}
+	if got := response.Organisations.Organisations[0]; got.Allowed.CPU != 900 || got.Base.CPU != 500 || got.Weight != 2 {
+		t.Errorf("got %+v, want 900 allowed and a base of 500", got)
+	}
+}
--- a/query/client.go
+++ b/query/client.go
@@ -51,6 +51,12 @@
 	return pools, c.get(ctx, address, views.PoolsPath+serviceQuery(service), &pools)
 }
 
+// Organisations returns the organisations in a service, or in all services if the name is empty.
+func (c *Client) Organisations(ctx context.Context, address, service string) ([]views.CellOrganisations, error) {
+	var cells []views.CellOrganisations
+	return cells, c.get(ctx, address, views.OrganisationsPath+serviceQuery(service), &cells)
+}
+
 // Explain returns the detailed status of a job.
 func (c *Client) Explain(ctx context.Context, address, id string) (views.JobDetail, error) {
 	var detail views.JobDetail
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -31,6 +31,7 @@
 	if name == "" || len(c.quotas.organisations()) == 0 {
 		return ErrOverloaded
 	}
+	c.recordRefused(name, refusedShare)
 	bytes := c.organisationBacklog(name) + e.job.UnassignedTasks()*e.startSize()
 	wait := c.options.Link.transferTime(bytes)
 	// Callers that were refused at the same time return at different times.
--- a/sched/fairness.go
+++ b/sched/fairness.go
@@ -21,6 +21,8 @@
 	// deferred is set once another one was held back.
 	enforced bool
 	deferred bool
+	// heldBack holds the organisations that could not start all that waits.
+	heldBack map[string]bool
 }
 
 // newFairPass returns nil unless several organisations have work that waits. Callers without an
@@ -40,7 +42,7 @@
 	if used == nil {
 		used = c.usedByOrganisation()
 	}
-	f := &fairPass{used: used, entitled: make(map[string]float64)}
+	f := &fairPass{used: used, entitled: make(map[string]float64), heldBack: make(map[string]bool)}
 	for _, h := range hosts {
 		f.pool = f.pool.Add(h.Capacity)
 	}
@@ -111,6 +113,7 @@
 		return false
 	}
 	f.deferred = true
+	f.heldBack[e.job.Policy.Organisation] = true
 	return true
 }
 
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,6 +31,9 @@
 	PaceChanges       *metrics.Counter
 
 	set *metrics.Set
+	// labels holds the label values of organisations by name.
+	labelsMu sync.Mutex
+	labels   map[string]string
 }
 
 // NewMetrics registers the metrics in a set.
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -119,6 +119,9 @@
 	resources := e.job.Step(taskID).RequiredResources()
 	p.quota.count(e.job.Policy.Organisation, resources)
 	p.fair.count(e, resources, p.quota != nil)
+	if len(p.cell.quotas.organisations()) > 0 {
+		p.cell.options.Metrics.recordAssigned(e.job.Policy.Organisation)
+	}
 }
 
 // requirements returns what all tasks of a step require.
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -95,7 +95,10 @@
 	// limited is set if any organisation has a cap.
 	limited   bool
 	allotment Allotment
-	wanted    map[string]wanted
+	// allottedAt is the local time at which the allotment was received.
+	allottedAt time.Duration
+	wanted     map[string]wanted
+	stats      map[string]*organisationStats
 }
 
 // wanted is what a pass could have started beyond the allowance of an organisation.
@@ -202,7 +205,7 @@
 		return nil
 	}
 	now, before := c.options.Clock(), c.quotas.allotment
-	c.quotas.allotment = a
+	c.quotas.allotment, c.quotas.allottedAt = a, now
 	if a.Version >= c.quotas.pending {
 		c.quotas.held, c.quotas.pending = nil, 0
 	}
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -53,6 +53,7 @@
 	p.fair = c.newFairPass(toPlace, p.hosts, p.quota.usedSoFar())
 	p.placeJobs(toPlace)
 	p.quota.end(p.hosts)
+	p.recordHeld()
 }
 
 // isolatedTasks returns the requirements of the ready tasks that need isolation.
