--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -100,7 +100,9 @@
 // Response holds the results of all methods of owners.
 type Response struct {
 	Outcome Outcome
-	Status  sched.Status
+	// RetryAfter is how long the caller should wait after Overloaded, 0 for the usual time.
+	RetryAfter time.Duration
+	Status     sched.Status
 	// Pending is the number of jobs of the queue that have not started.
 	Pending int
 	// Queues are the queues that the cell holds jobs of.
@@ -112,6 +114,8 @@
 	Jobs   []views.Job
 	Detail views.JobDetail
 	Pool   views.Pool
+	// Organisations is nil unless it was asked for.
+	Organisations *views.CellOrganisations
 }
 
 // outcomeFor maps an error of a cell to an outcome.
--- a/owner/service.go
+++ b/owner/service.go
@@ -87,7 +87,12 @@
 	return s.withCaller(request, response, func(ctx context.Context, c *sched.Cell, caller sched.Caller) error {
 		policy := request.Policy
 		policy.Organisation = caller.Organisation
-		return c.Submit(ctx, caller, request.Key, request.Plan, policy)
+		err := c.Submit(ctx, caller, request.Key, request.Plan, policy)
+		var overload *sched.OverloadError
+		if errors.As(err, &overload) {
+			response.RetryAfter = overload.RetryAfter
+		}
+		return err
 	})
 }
 
@@ -179,6 +184,15 @@
 	})
 }
 
+// Organisations returns the cell's view of organisations.
+func (s *Service) Organisations(request *Request, response *Response) error {
+	return s.withCell(request, response, func(_ context.Context, c *sched.Cell) error {
+		view, err := c.Organisations()
+		response.Organisations = &view
+		return err
+	})
+}
+
 // Await waits for up to awaitTime until this node runs the cell of the requested
 // service. The outcome is NotOwner if it doesn't.
 func (s *Service) Await(request *Request, response *Response) error {
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -50,10 +50,10 @@
 	p := &schedulePass{cell: c, hosts: c.candidates(now), now: now, quota: c.newQuotaPass()}
 	sortByUrgency(toPlace, p.hosts, now.Before(c.recoveringUntil))
 	place.Reserve(c.isolatedTasks(toPlace, now), p.hosts)
-	for _, j := range toPlace {
-		p.placeJob(j.entry)
-	}
+	p.fair = c.newFairPass(toPlace, p.hosts, p.quota.usedSoFar())
+	p.placeJobs(toPlace)
 	p.quota.end(p.hosts)
+	p.recordHeld()
 }
 
 // isolatedTasks returns the requirements of the ready tasks that need isolation.
