tasks, place, sched: start tasks that request no CPU

Cause: a pass recognised jobs without waiting tasks by a waiting CPU time of 0, which is also that of tasks that request memory or GPUs alone. Change: a waiting task counts with a thousandth of a core at least. A host gets at most 1,000 tasks that request no CPU, since nothing that they request need ever run out.

--- a/place/gang.go
+++ b/place/gang.go
@@ -9,6 +9,9 @@
 	defer func() {
 		for _, h := range picked {
 			h.Free = h.Free.Add(req.Step.RequiredResources())
+			if requestsNoCPU(req.Step) {
+				h.TasksWithoutCPU--
+			}
 		}
 	}()
 	req.SiblingsByHost = maps.Clone(req.SiblingsByHost)
@@ -18,6 +21,9 @@
 			return nil
 		}
 		h.Free = h.Free.Sub(req.Step.RequiredResources())
+		if requestsNoCPU(req.Step) {
+			h.TasksWithoutCPU++
+		}
 		req.SiblingsByHost[h.ID]++
 		picked = append(picked, h)
 	}
--- a/place/pick.go
+++ b/place/pick.go
@@ -20,6 +20,8 @@
 	// ServingTasks and BestEffortTasks count the tasks of these kinds on the host.
 	ServingTasks    int
 	BestEffortTasks int
+	// TasksWithoutCPU counts the tasks on the host that request no CPU.
+	TasksWithoutCPU int
 	// QuietIn is how long until a crash of the host could only be due to a task started
 	// there from then on: no run of the host is fresh, and the host hasn't just crashed.
 	QuietIn time.Duration
@@ -31,6 +33,10 @@
 // the run may be the cause.
 const FreshTime = 500 * time.Millisecond
 
+// MaxTasksWithoutCPU is how many tasks that request no CPU a host gets. Nothing that they
+// request need ever run out, but each of them is a process, and an entry of each report.
+const MaxTasksWithoutCPU = 1000
+
 // Requirements describes what a task requires of its host.
 type Requirements struct {
 	Step *tasks.Step
@@ -58,6 +64,10 @@
 	colocationCost    = 20.0
 )
 
+// requestsNoCPU reports whether the tasks of a step request no CPU. Best-effort tasks may
+// request some, although none is reserved for them.
+func requestsNoCPU(step *tasks.Step) bool { return step.Room.CPU <= 0 }
+
 // Feasible reports whether a host meets all hard requirements of a task.
 func Feasible(req Requirements, host *Host) bool {
 	step := req.Step
@@ -68,6 +78,8 @@
 		return false
 	case req.AllowedHosts != nil && !req.AllowedHosts[host.ID]:
 		return false
+	case requestsNoCPU(step) && host.TasksWithoutCPU >= MaxTasksWithoutCPU:
+		return false
 	case step.MaxPerHost > 0 && req.SiblingsByHost[host.ID] >= step.MaxPerHost:
 		return false
 	case req.Isolated:
@@ -118,6 +130,9 @@
 
 // CountTask counts a task of a step that the host runs.
 func (h *Host) CountTask(step *tasks.Step) {
+	if requestsNoCPU(step) {
+		h.TasksWithoutCPU++
+	}
 	switch {
 	case step.Fills:
 		h.BestEffortTasks++
--- a/place/pick_test.go
+++ b/place/pick_test.go
@@ -25,7 +25,8 @@
 		advisorAllows := req.AllowedHosts == nil || req.AllowedHosts[host.ID]
 		unreserved := req.Isolated || !host.Reserved
 		quiet := !req.Isolated || host.QuietIn == 0
-		if fits && hasLabel && belowMaxPerHost && advisorAllows && unreserved && quiet {
+		belowMaxTasks := req.Step.Room.CPU > 0 || host.TasksWithoutCPU < MaxTasksWithoutCPU
+		if fits && hasLabel && belowMaxPerHost && advisorAllows && unreserved && quiet && belowMaxTasks {
 			feasible = append(feasible, host)
 		}
 	}
@@ -59,6 +60,7 @@
 			BestEffortTasks: rapid.IntRange(0, 2).Draw(t, "bestEffortTasks"),
 			QuietIn:         time.Duration(rapid.IntRange(0, 2).Draw(t, "freshFor")) * FreshTime / 2,
 			Reserved:        rapid.Bool().Draw(t, "reserved"),
+			TasksWithoutCPU: rapid.IntRange(MaxTasksWithoutCPU-2, MaxTasksWithoutCPU).Draw(t, "tasksWithoutCPU"),
 		})
 	}
 	return hosts
@@ -87,6 +89,21 @@
 	})
 }
 
+// Guards against a gang that fills a host with tasks without CPU beyond the bound: the
+// members are counted while hosts are picked, and no longer after that.
+func TestPickAllBoundsTasksWithoutCPU(t *testing.T) {
+	host := &Host{ID: "h", TasksWithoutCPU: MaxTasksWithoutCPU - 3}
+	req := Requirements{Step: &tasks.Step{Gang: true}, SiblingsByHost: map[string]int{}}
+	for _, test := range []struct{ count, want int }{{3, 3}, {4, 0}, {3, 3}} {
+		if got := PickAll(req, test.count, []*Host{host}); len(got) != test.want {
+			t.Errorf("got %d hosts for a gang of %d, want %d", len(got), test.count, test.want)
+		}
+	}
+	if host.TasksWithoutCPU != MaxTasksWithoutCPU-3 {
+		t.Errorf("got %d tasks on the host after PickAll, want %d", host.TasksWithoutCPU, MaxTasksWithoutCPU-3)
+	}
+}
+
 // TestPickPreference checks which of two feasible hosts is preferred.
 func TestPickPreference(t *testing.T) {
 	capacity := tasks.Resources{CPU: 4000, MemMB: 400}
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -43,7 +43,7 @@
 // canEverRun reports whether a task could run on a host without other runs.
 func canEverRun(req Requirements, h *Host) bool {
 	empty := *h
-	empty.Free, empty.QuietIn = h.Capacity, 0
+	empty.Free, empty.QuietIn, empty.TasksWithoutCPU = h.Capacity, 0, 0
 	return Feasible(req, &empty)
 }
 
--- /dev/null
+++ b/sched/nocpu_test.go
@@ -0,0 +1,54 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"rattanpath/fake"
+	"rattanpath/place"
+	"rattanpath/tasks"
+)
+
+// Guards against a job that is accepted and never started because its tasks request memory
+// only, or nothing at all: it has no backlog of CPU time.
+func TestTasksWithoutCPUAreStarted(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		tc.mustSubmit(n, "memory", simplePlan(4, 0))
+		nothing := simplePlan(4, 0)
+		nothing.Steps[0].Room = tasks.Resources{}
+		tc.mustSubmit(n, "nothing", nothing)
+		later := simplePlan(2, 1000)
+		later.Steps = append(later.Steps, tasks.Step{Count: 2, Room: tasks.Resources{MemMB: 100}, After: []int{0}})
+		tc.mustSubmit(n, "later", later)
+		time.Sleep(3 * time.Second)
+		for _, id := range []string{"memory", "nothing", "later"} {
+			tc.wantPhase(n, id, tasks.Completed)
+		}
+	})
+}
+
+// Guards against a host that is given any number of tasks because nothing that they request
+// runs out.
+func TestTasksWithoutCPUAreBoundedPerHost(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 5 * time.Second} }
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		plan := simplePlan(place.MaxTasksWithoutCPU+10, 0)
+		plan.Steps[0].Room = tasks.Resources{}
+		plan.Steps[0].Estimate = 5 * time.Second
+		tc.mustSubmit(n, "job", plan)
+		time.Sleep(4500 * time.Millisecond)
+		if got, want := tc.checker.Starts(), place.MaxTasksWithoutCPU; got != want {
+			t.Errorf("got %d starts on the host at first, want %d", got, want)
+		}
+		detail, err := n.cell.Explain("job")
+		if want := "each host has as many tasks without CPU as it may"; err != nil || detail.Why != want {
+			t.Errorf("got reason %q and error %v for the others, want %q", detail.Why, err, want)
+		}
+		time.Sleep(10 * time.Second)
+		tc.wantPhase(n, "job", tasks.Completed)
+	})
+}
--- a/sched/view.go
+++ b/sched/view.go
@@ -183,6 +183,9 @@
 	if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.Free.CanFit(reqs.Step.RequiredResources()) }) {
 		return "no host has room for a task"
 	}
+	if reqs.Step.Room.CPU <= 0 && !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.TasksWithoutCPU < place.MaxTasksWithoutCPU }) {
+		return "each host has as many tasks without CPU as it may"
+	}
 	if reqs.Isolated {
 		return "hosts crashed under a task: it waits for one on which nothing has just started"
 	}
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -362,7 +362,7 @@
 	var total int64
 	for i := range j.Plan.Steps {
 		if step := &j.Plan.Steps[i]; !step.Lasting {
-			total = min(total+step.cpuTime(step.Count, perTask), maxCPUTime)
+			total = min(total+cpuTime(step.Count, step.Room.CPU, perTask), maxCPUTime)
 		}
 	}
 	return total
@@ -372,9 +372,9 @@
 // two don't overflow.
 const maxCPUTime = 1 << 60
 
-// cpuTime returns the CPU time of a number of tasks of the step.
-func (s *Step) cpuTime(count int, perTask time.Duration) int64 {
-	product := float64(count) * float64(s.Room.CPU) * float64(perTask.Milliseconds())
+// cpuTime returns the CPU time of a number of tasks that use an amount of CPU each.
+func cpuTime(count int, cpu int64, perTask time.Duration) int64 {
+	product := float64(count) * float64(cpu) * float64(perTask.Milliseconds())
 	return int64(min(product, maxCPUTime))
 }
 
@@ -394,7 +394,8 @@
 }
 
 // WaitingCPUTime returns the CPU time of the tasks that wait for nothing but a host,
-// in millicore-milliseconds by the estimates, and whether any task has been assigned.
+// in millicore-milliseconds by the estimates, and whether any task has been assigned. A
+// task that requests no CPU counts with a millicore: 0 means that none waits.
 func (j *Job) WaitingCPUTime() (waiting int64, begun bool) {
 	for _, round := range j.Rounds {
 		for step := range round.Steps {
@@ -402,7 +403,7 @@
 			begun = begun || count < len(round.Steps[step])
 			if count > 0 && j.DependenciesDone(round, step) {
 				spec := &j.Plan.Steps[step]
-				waiting = min(waiting+spec.cpuTime(count, max(time.Millisecond, spec.Estimate)), maxCPUTime)
+				waiting = min(waiting+cpuTime(count, max(1, spec.Room.CPU), max(time.Millisecond, spec.Estimate)), maxCPUTime)
 			}
 		}
 	}
