sched: start large gangs whole, or reject them

Cause: two start commands at a time per host, and planned starts that are dropped after a second, left a gang of 1,000 tasks on one host incomplete at each try. A link that takes longer for its commands had the same effect. Change: while members of gangs wait, a host has up to 8 senders, by the number of members and the mean time that replies take. Members are dropped after 2.5 s, and then the others are stopped. If replies are so slow that one host could not start all members within 1.5 s, the gang is spread over more hosts or waits. A job with a gang whose commands take longer than that over the link is rejected at submission, as not run.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -168,6 +168,8 @@
 	advisorCalls int
 	activity     activity
 	replyTime    replyTime
+	// startRepliedAt is when a host last replied to a start command.
+	startRepliedAt time.Duration
 
 	writeWake    chan struct{}
 	scheduleWake chan struct{}
--- a/sched/command.go
+++ b/sched/command.go
@@ -71,6 +71,7 @@
 	now := c.options.Clock()
 	if err == nil {
 		c.replyTime.observe(now - sent.at)
+		c.startRepliedAt = now
 	}
 	current := c.observeClock(h, reply.HostTime, sent, now)
 	if h.runs[r.key()] != r {
--- a/sched/host.go
+++ b/sched/host.go
@@ -66,6 +66,8 @@
 	// startQueue holds the start commands that wait for one of startSenders senders.
 	startQueue   []queuedStart
 	startSenders int
+	// queuedMembers counts the members of gangs in startQueue.
+	queuedMembers int
 
 	wake        chan struct{}
 	loopRunning bool
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -47,7 +47,7 @@
 	switch {
 	case c.storeUnavailable():
 		return ErrStoreUnavailable
-	case c.wouldStartLate(e, time.Now()):
+	case c.wouldStartLate(e, time.Now()), c.hasGangBeyondLink(e):
 		return ErrOverloaded
 	default:
 		return nil
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -89,6 +89,7 @@
 		return
 	}
 	reqs := ofTask(p.cell.requirements(e, round, step, p.now), e, &round.Steps[step][0])
+	reqs = p.cell.withStartableMembers(reqs, len(round.Steps[step]))
 	for index, h := range p.pickGang(reqs, len(round.Steps[step])) {
 		h.Place(reqs)
 		p.assign(e, round, step, index, h)
--- a/sched/startqueue.go
+++ b/sched/startqueue.go
@@ -30,13 +30,16 @@
 // held.
 func (c *Cell) queueStart(h *host, r *run) {
 	h.startQueue = append(h.startQueue, queuedStart{run: r, persistedAt: c.options.Clock()})
+	if r.isGangMember() {
+		h.queuedMembers++
+	}
 	c.addStartSender(h)
 }
 
 // addStartSender starts a further sender for a host if start commands wait for one. c.mu
 // must be held.
 func (c *Cell) addStartSender(h *host) {
-	if len(h.startQueue) == 0 || h.startSenders >= maxStartSenders {
+	if len(h.startQueue) == 0 || h.startSenders >= c.maxSenders(h) {
 		return
 	}
 	h.startSenders++
@@ -77,6 +80,11 @@
 	}
 	next := h.startQueue[0]
 	h.startQueue = h.startQueue[1:]
+	if next.run.isGangMember() {
+		h.queuedMembers--
+		// Replies may take longer than when the members were queued.
+		s.cell.addStartSender(h)
+	}
 	return next, true
 }
 
@@ -152,6 +160,7 @@
 	}
 	if !c.maySendStart(h, r, persistedAt, now) {
 		c.dropRun(h, r, "not sent")
+		c.abandonGangStart(r)
 		return lease.StartCommand{}, nil, false
 	}
 	r.state, r.sentAt = runStarting, now
@@ -173,7 +182,7 @@
 // local time may still be sent now.
 func (c *Cell) maySendStart(h *host, r *run, persistedAt, now time.Duration) bool {
 	switch {
-	case r.entry.job.Phase != tasks.Open || now-persistedAt > maxStartDelay:
+	case r.entry.job.Phase != tasks.Open || now-persistedAt > r.maxStartDelay():
 		return false
 	case !c.ownershipValidAt(now) || !h.clock.Synced():
 		return false
