sched: let runs without a useful estimate go on

Cause: a run at 0 percent counted as stalled after 1.5 s if its estimate was missing or far too low, so that a task of minutes was stopped at each try. So was a slow run whose first report showed progress, as after a takeover. Change: the estimate alone no longer makes a run stalled. What counts is its own pace, that of other runs of its step, or the run times of the queue with estimates of the same magnitude; without any of them a run may stand still for 10 min. Serving tasks, which are missed meanwhile, are still moved after 1.5 s. Each stop for a stall allows the task four times as long, so that a long task among short ones is done as well.

--- a/fake/runner.go
+++ b/fake/runner.go
@@ -34,6 +34,8 @@
 	StartupTime time.Duration
 	// Stalls means that the run's progress stops at half of its duration.
 	Stalls bool
+	// Silent means that the run reports no progress before its end.
+	Silent bool
 	// CrashesHost means that the run crashes its host shortly after its start. The host
 	// is back some seconds later.
 	CrashesHost bool
@@ -113,6 +115,9 @@
 // is a serving run.
 func (r *taskRun) percent() int {
 	duration := r.profile.Duration
+	if r.profile.Silent {
+		return 0
+	}
 	if r.profile.Stalls {
 		return min(maxPercent/2, int(maxPercent*time.Since(r.startedAt)/duration))
 	}
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -110,6 +110,10 @@
 	retryAfter time.Time
 	// longestRuns holds the longest run time so far of each step with a task done.
 	longestRuns map[stepKey]time.Duration
+	// paces holds the pace that runs of each step have shown, and stalls how many runs of
+	// a task were stopped as stalled.
+	paces  map[int]stepPace
+	stalls map[tasks.ID]int
 	// unstarted is the number of tasks that were never started.
 	unstarted int
 	// advice holds the advisor's decisions by step.
@@ -161,6 +165,8 @@
 	// run has finished are missing: callers' estimates are too rough to be used
 	// instead.
 	meanRunTimes map[string]time.Duration
+	// kindTimes is the moving average of run times by kind.
+	kindTimes map[runKind]time.Duration
 	// stepRatios is the moving average, by queue, of the longest run time of a step's
 	// tasks relative to the estimate.
 	stepRatios map[string]float64
@@ -197,6 +203,7 @@
 		forgotten:    make(map[string]forgottenHost),
 		meanRunTimes: make(map[string]time.Duration),
 		stepRatios:   make(map[string]float64),
+		kindTimes:    make(map[runKind]time.Duration),
 		writeWake:    make(chan struct{}, 1),
 		scheduleWake: make(chan struct{}, 1),
 		releasing:    make(chan struct{}),
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -161,6 +161,7 @@
 	if r.entry == nil {
 		return
 	}
+	c.recordAdvance(r, hostTime)
 	r.entry.job.MarkRunning(r.id, r.number)
 	r.entry.job.SaveCheckpoint(r.id, r.number, active.Checkpoint)
 	if r.isStable(hostTime) && r.entry.job.MarkStable(r.id, r.number) {
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -166,7 +166,7 @@
 	step := e.job.Step(taskID)
 	e.job.Assign(taskID, h.id, h.incarnation, now)
 	task := e.job.Task(taskID)
-	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare}
+	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare, resumed: task.Checkpoint != ""}
 	r.recordTime = h.recordTime()
 	h.runs[r.key()] = r
 	c.plannedBytes += e.startSize()
--- a/sched/run.go
+++ b/sched/run.go
@@ -62,12 +62,17 @@
 	startBroke bool
 	// inherited is set if a previous owner started the run.
 	inherited bool
+	// resumed is set if the run began with a checkpoint.
+	resumed bool
 	// percent is the progress that the host last reported. firstReportedAt and
 	// progressedAt are the readings of the host's clock in the first report of the run
-	// and in the last one in which percent had risen.
+	// and in the last one in which percent had risen. basePercent was the progress at
+	// activeSince, a reading as well.
 	percent         int
 	firstReportedAt time.Duration
 	progressedAt    time.Duration
+	activeSince     time.Duration
+	basePercent     int
 	// tailLatency is the response time of a serving task that its host last
 	// reported.
 	tailLatency time.Duration
@@ -155,6 +160,7 @@
 func (r *run) restartHost(survived time.Duration) {
 	r.survived = survived
 	r.firstReportedAt, r.progressedAt, r.percent = 0, 0, 0
+	r.activeSince, r.basePercent = 0, 0
 	r.stopping = false
 	if r.awaitsStart() || r.state == runSettled {
 		r.state = runUnverified
--- a/sched/runtimes.go
+++ b/sched/runtimes.go
@@ -18,6 +18,7 @@
 		return
 	}
 	duration := c.options.Clock() - r.startedBy
+	c.recordPace(r, fullPercent, duration)
 	queue := r.entry.job.Key.Queue
 	if mean := c.meanRunTimes[queue]; mean != 0 {
 		duration = mean + time.Duration(runTimeWeight*float64(duration-mean))
--- a/sched/workload_test.go
+++ b/sched/workload_test.go
@@ -136,6 +136,18 @@
 		{"long run advancing at one percent per second", progress{percent: 10, active: 10 * time.Second, idle: 5 * time.Second, estimate: time.Second}, false},
 		{"long run stalled", progress{percent: 10, active: 10 * time.Second, idle: 9 * time.Second, estimate: time.Second}, true},
 		{"long estimate without progress yet", progress{idle: 5 * time.Second, estimate: 100 * time.Second}, false},
+		{"run of unknown kind without an estimate", progress{idle: 5 * time.Minute}, false},
+		{"run of unknown kind with a low estimate", progress{idle: 5 * time.Minute, estimate: time.Second}, false},
+		{"run of unknown kind for too long", progress{idle: 11 * time.Minute, estimate: time.Second}, true},
+		{"run of a short kind", progress{idle: 1600 * time.Millisecond, estimate: time.Second, observed: time.Second}, true},
+		{"run of a long kind", progress{idle: 5 * time.Second, estimate: time.Second, observed: 100 * time.Second}, false},
+		{"run of a long kind stalled", progress{idle: 9 * time.Second, estimate: time.Second, observed: 100 * time.Second}, true},
+		{"task that stalled before", progress{idle: 5 * time.Second, observed: time.Second, stalls: 1}, false},
+		{"task that stalled before, again", progress{idle: 7 * time.Second, observed: time.Second, stalls: 1}, true},
+		{"serving task that doesn't get ready", progress{idle: 1600 * time.Millisecond, lasting: true}, true},
+		{"inherited run, its pace unknown", progress{percent: 51, base: 50, active: 50 * time.Millisecond, idle: 5 * time.Second, estimate: time.Second}, false},
+		{"inherited slow run", progress{percent: 52, base: 50, active: 2 * time.Second, idle: 15 * time.Second, estimate: time.Second}, false},
+		{"inherited slow run stalled", progress{percent: 52, base: 50, active: 2 * time.Second, idle: 17 * time.Second, estimate: time.Second}, true},
 		{"ready serving task", progress{percent: 100, idle: time.Hour, estimate: time.Second}, false},
 	}
 	for _, test := range tests {
