place: rank hosts by what is known of interference

Cause: the cost of a best-effort task beside a serving one was the same for all images. Change: where a pair is known to disturb, its expected slow-down counts, and nothing where it is known to be harmless; pairs of which nothing is known cost as much as before. Evidence ranks hosts and excludes none. Nothing passes any yet.

--- a/place/pick.go
+++ b/place/pick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"rattanpath/coloc"
 	"rattanpath/tasks"
 )
 
@@ -20,6 +21,10 @@
 	// ServingTasks and BestEffortTasks count the tasks of these kinds on the host.
 	ServingTasks    int
 	BestEffortTasks int
+	// CountGroups means that tasks are counted in groups as well, for the interference
+	// between their images.
+	CountGroups bool
+	groups      []taskGroup
 	// TasksWithoutCPU counts the tasks on the host that request no CPU.
 	TasksWithoutCPU int
 	// QuietIn is how long until a crash of the host could only be due to a task started
@@ -51,6 +56,8 @@
 	// Isolated means that a host has crashed under the task: it is not to be started beside
 	// fresh runs, nor others beside it while it is fresh.
 	Isolated bool
+	// Evidence holds which images slow each other down, as far as that is known.
+	Evidence coloc.Evidence
 }
 
 // Costs rank the feasible hosts of a task. The last three are charged for each recent
@@ -110,13 +117,7 @@
 	if step.Lasting {
 		cost += siblingCost * float64(req.SiblingsByHost[host.ID])
 	}
-	if step.Fills {
-		cost += colocationCost * float64(host.ServingTasks)
-	}
-	if step.Target > 0 {
-		cost += colocationCost * float64(host.BestEffortTasks)
-	}
-	return cost
+	return cost + interferenceCost(req, host)
 }
 
 // idleCPUShare returns the fraction of a host's CPU, from 0 to 1, that stays free
@@ -133,6 +134,9 @@
 	if requestsNoCPU(step) {
 		h.TasksWithoutCPU++
 	}
+	if h.CountGroups {
+		h.countGroup(step)
+	}
 	switch {
 	case step.Fills:
 		h.BestEffortTasks++
