sched: throttle best-effort runs as soon as they have started

Cause: shares were set after each report, for runs too whose start command was under way. A host has nothing to throttle then, but the run counted as throttled and went on at full share until the share changed. Change: only runs that have started are throttled, as soon as the start is confirmed.

--- a/sched/command.go
+++ b/sched/command.go
@@ -114,6 +114,7 @@
 	}
 	r.entry.job.MarkRunning(r.id, r.number)
 	c.stopEndedJob(r.entry)
+	c.applyPace(h, r)
 }
 
 // handleStartRefused handles a host's refusal to start a run.
--- a/sched/throttle.go
+++ b/sched/throttle.go
@@ -33,9 +33,19 @@
 		}
 	}
 	for _, r := range h.runs {
-		if r.entry != nil && r.entry.job.Step(r.id).Fills && r.share != h.share && !r.pacePending && !r.stopping {
-			c.sendPace(h, r, h.share)
-		}
+		c.applyPace(h, r)
+	}
+}
+
+// applyPace sets the share of a run if it is a best-effort one and has another. A run begins
+// at full share, which would slow the serving tasks down until the next report. A command
+// that reaches the host before the run has started has no effect.
+func (c *Cell) applyPace(h *host, r *run) {
+	if r.entry == nil || !r.entry.job.Step(r.id).Fills || r.startedBy == 0 || r.pacePending || r.stopping {
+		return
+	}
+	if r.share != h.share {
+		c.sendPace(h, r, h.share)
 	}
 }
 
