sched, place: keep images apart that slow each other down

Cause: best-effort tasks are placed and throttled alike, whatever their images do to the serving tasks beside them. Placement ranks hosts by it; of hosts where a serving task is disturbed, one that is slowed down less comes first. Shares are chosen by image where something is known, else as before. Learned and lost pairs are logged and counted, and part of the view of a pool.

--- a/coloc/estimator.go
+++ b/coloc/estimator.go
@@ -72,6 +72,9 @@
 // NewEstimator returns an estimator without evidence.
 func NewEstimator() *Estimator { return &Estimator{victims: make(map[string]*regression)} }
 
+// IsEmpty reports whether nothing was observed yet.
+func (e *Estimator) IsEmpty() bool { return len(e.victims) == 0 }
+
 // Observe records the tail of a serving task as a fraction of its target, and what ran
 // beside it, at a time that doesn't decrease. Observations with a figure that is impossible
 // are ignored.
--- a/pace/groups.go
+++ b/pace/groups.go
@@ -49,6 +49,9 @@
 	return shares
 }
 
+// IsNear reports whether tasks are throttled for a serving task with this tail latency.
+func IsNear(tail TailLatency) bool { return worstRatio([]TailLatency{tail}) > lowerAbove }
+
 // IsUrgent reports whether the tail latencies are so close to their targets that what is known
 // of interference is no longer relied on if that doesn't change.
 func IsUrgent(tails []TailLatency) bool { return worstRatio(tails) > halveAbove }
--- a/place/interference.go
+++ b/place/interference.go
@@ -6,12 +6,12 @@
 )
 
 // Costs of a known disturbance. The least of them outweighs a pair of tasks of which nothing
-// is known, and the worst two of these.
+// is known, and the worst four of these.
 const (
-	disturbanceCost = 2 * colocationCost
+	disturbanceCost = 1.25 * colocationCost
 	// maxSlowdown is the slow-down, as a fraction of the target, beyond which more makes
 	// no difference.
-	maxSlowdown = 1.0
+	maxSlowdown = 3.0
 )
 
 // taskGroup counts tasks of a host that have the same effect on others, and suffer the same.
@@ -67,22 +67,36 @@
 			if step.Fills {
 				unknown = colocationCost
 			}
-			cost += float64(g.count) * pairCost(req.Evidence, g.hasTarget, coloc.Pair{Victim: g.kind.Image, Other: own}, unknown)
+			pair := coloc.Pair{Victim: g.kind.Image, Other: own}
+			cost += float64(g.count) * pairCost(req.Evidence, g.hasTarget, pair, unknown, host.slowdownOf(g.kind.Image, req.Evidence))
 		}
 		if step.Target > 0 {
 			unknown := 0.0
 			if g.kind.BestEffort {
 				unknown = colocationCost
 			}
-			cost += float64(g.count) * pairCost(req.Evidence, true, coloc.Pair{Victim: step.Image, Other: g.kind}, unknown)
+			cost += float64(g.count) * pairCost(req.Evidence, true, coloc.Pair{Victim: step.Image, Other: g.kind}, unknown, 0)
 		}
 	}
 	return cost
 }
 
+// slowdownOf returns by how much the tasks of the host are known to slow serving tasks of an
+// image down already.
+func (h *Host) slowdownOf(image string, evidence coloc.Evidence) float64 {
+	sum := 0.0
+	for _, g := range h.groups {
+		if finding := evidence[coloc.Pair{Victim: image, Other: g.kind}]; finding.Verdict == coloc.Disturbs {
+			sum += float64(g.count) * finding.Estimate.Slowdown
+		}
+	}
+	return sum
+}
+
 // pairCost returns the cost of a serving task and one beside it, which is unknown if there is
-// no evidence.
-func pairCost(evidence coloc.Evidence, hasTarget bool, pair coloc.Pair, unknown float64) float64 {
+// no evidence. before is by how much the serving task is slowed down already: one that is far
+// from its target is disturbed less.
+func pairCost(evidence coloc.Evidence, hasTarget bool, pair coloc.Pair, unknown, before float64) float64 {
 	finding := evidence[pair]
 	switch {
 	case !hasTarget || finding.Verdict == coloc.Unknown:
@@ -90,6 +104,6 @@
 	case finding.Verdict == coloc.Harmless:
 		return 0
 	default:
-		return disturbanceCost * (1 + min(finding.Estimate.Slowdown, maxSlowdown))
+		return disturbanceCost * (1 + min(before+finding.Estimate.Slowdown, maxSlowdown))
 	}
 }
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"rattanpath/claim"
+	"rattanpath/coloc"
 	"rattanpath/core"
 	"rattanpath/lease"
 	"rattanpath/pool"
@@ -165,6 +166,7 @@
 	// run has finished are missing: callers' estimates are too rough to be used
 	// instead.
 	meanRunTimes map[string]time.Duration
+	interference interference
 	// kindTimes is the moving average of run times by kind.
 	kindTimes map[runKind]time.Duration
 	// stepRatios is the moving average, by queue, of the longest run time of a step's
@@ -203,6 +205,7 @@
 		forgotten:    make(map[string]forgottenHost),
 		meanRunTimes: make(map[string]time.Duration),
 		stepRatios:   make(map[string]float64),
+		interference: interference{estimator: coloc.NewEstimator()},
 		kindTimes:    make(map[runKind]time.Duration),
 		writeWake:    make(chan struct{}, 1),
 		scheduleWake: make(chan struct{}, 1),
@@ -317,6 +320,7 @@
 		c.activity.recordTimerLag(c.options.Clock()-sleptAt, tickInterval)
 		c.expireLeases()
 		c.expireForgotten()
+		c.updateEvidence(c.options.Clock())
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
 		c.logActivity()
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -147,6 +147,7 @@
 		}
 	}
 	c.stopStalled(h, report.HostTime)
+	c.observeInterference(h, now)
 	c.adjustPace(h, time.Now())
 }
 
@@ -157,6 +158,7 @@
 	}
 	r.markStarted(now)
 	r.recordProgress(active.Percent, hostTime)
+	r.load = active.Load
 	r.tailLatency = time.Duration(active.Load * float64(time.Millisecond))
 	if r.entry == nil {
 		return
--- a/sched/host.go
+++ b/sched/host.go
@@ -62,6 +62,11 @@
 	// since pacedAt.
 	share   int
 	pacedAt time.Time
+	// imageShares holds the shares of images where something is known of the interference
+	// between them and the serving tasks, and paceUrgent is what pace.IsUrgent returned when
+	// the shares were last chosen.
+	imageShares map[string]int
+	paceUrgent  bool
 
 	// startQueue holds the start commands that wait for one of startSenders senders.
 	startQueue   []queuedStart
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"rattanpath/coloc"
 	"rattanpath/tasks"
 )
 
@@ -64,3 +65,8 @@
 func (m *Metrics) recordLoss(why lossReason) {
 	m.set.GetOrCreateCounter(`rattanpath_cell_lost_runs_total{why="` + string(why) + `"}`).Inc()
 }
+
+// recordVerdict counts a change of what is known of a pair of images.
+func (m *Metrics) recordVerdict(verdict coloc.Verdict) {
+	m.set.GetOrCreateCounter(`rattanpath_cell_interference_total{verdict="` + verdict.String() + `"}`).Inc()
+}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -107,6 +107,7 @@
 		Step:           &e.job.Plan.Steps[step],
 		SiblingsByHost: siblingsByHost(round, step),
 		AllowedHosts:   c.allowedHosts(e, stepKey{round.Number, step}, now),
+		Evidence:       c.interference.evidence,
 	}
 }
 
--- a/sched/run.go
+++ b/sched/run.go
@@ -76,6 +76,9 @@
 	// tailLatency is the response time of a serving task that its host last
 	// reported.
 	tailLatency time.Duration
+	// load is the figure that the host last reported of the run: for a serving task its
+	// response time in ms, for others the CPU in use in thousandths of a core.
+	load float64
 	// share is the CPU share of the run, in percent of full speed, or
 	// unknownShare. pacePending is set while a command to change it is in flight.
 	share       int
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -193,6 +193,7 @@
 		Capacity:       h.info.Capacity,
 		Free:           h.info.Capacity.Sub(h.used()),
 		RecentFailures: h.history.recentFailures(now),
+		CountGroups:    len(c.interference.evidence) > 0,
 	}
 	if h.restartedAt != 0 && len(c.hosts) > 1 {
 		candidate.QuietIn = max(0, h.restartedAt+restartSettleTime-clock)
--- a/sched/throttle.go
+++ b/sched/throttle.go
@@ -20,7 +20,7 @@
 func (c *Cell) adjustPace(h *host, now time.Time) {
 	bestEffort, tailLatencies := h.paceInputs()
 	if bestEffort == 0 {
-		h.share = pace.FullShare
+		h.share, h.imageShares, h.paceUrgent = pace.FullShare, nil, false
 		return
 	}
 	if now.Sub(h.pacedAt) >= paceInterval {
@@ -31,6 +31,7 @@
 			c.options.Metrics.PaceChanges.Inc()
 			c.logger.Info("best-effort share changed", "host", h.id, "share", h.share, "before", before, "filling", bestEffort, "serving", len(tailLatencies))
 		}
+		c.adjustImageShares(h, tailLatencies, before)
 	}
 	for _, r := range h.runs {
 		c.applyPace(h, r)
@@ -44,8 +45,8 @@
 	if r.entry == nil || !r.entry.job.Step(r.id).Fills || r.startedBy == 0 || r.pacePending || r.stopping {
 		return
 	}
-	if r.share != h.share {
-		c.sendPace(h, r, h.share)
+	if share := h.shareOf(r.entry.job.Step(r.id)); r.share != share {
+		c.sendPace(h, r, share)
 	}
 }
 
--- a/sched/view.go
+++ b/sched/view.go
@@ -204,6 +204,7 @@
 			ID: h.ID, CPU: h.Room.CPU, UsedCPU: h.Used.CPU, Runs: h.Runs, Lasting: h.Lasting, State: h.State,
 		})
 	}
+	pool.Interference = c.viewInterference()
 	slices.SortFunc(pool.Hosts, func(a, b views.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return pool, nil
 }
--- a/views/manager.go
+++ b/views/manager.go
@@ -88,6 +88,25 @@
 	Hosts   []Host
 	// WaitingCPU is the CPU that ready tasks wait for, in thousandths of a core.
 	WaitingCPU int64
+	// Interference holds the pairs of images of which it is known whether they slow each
+	// other down.
+	Interference []Interference `json:",omitempty"`
+}
+
+// Interference is what is known of serving tasks of one image beside tasks of another.
+type Interference struct {
+	Serving string
+	Image   string
+	// BestEffort means that the tasks of Image are best-effort ones.
+	BestEffort bool
+	// Verdict is "disturbs" or "harmless".
+	Verdict string
+	// Slowdown is by how much a task at full speed raises the tail of the response times, as
+	// a fraction of its limit, and Confidence that in standard errors.
+	Slowdown   float64
+	Confidence float64
+	// Age is the time since both were last observed together.
+	Age time.Duration
 }
 
 // Host is the status of a host, as a cell sees it. CPU and UsedCPU are in
