--- a/cmd/rattanpath/cmds/jobs.go
+++ b/cmd/rattanpath/cmds/jobs.go
@@ -126,6 +126,23 @@
 		}
 	}
 	_ = table.Flush()
+	return text.String() + interferenceTable(pools)
+}
+
+// interferenceTable returns which images slow each other down, or nothing if that isn't known
+// of any.
+func interferenceTable(pools []views.Pool) string {
+	var text strings.Builder
+	table := newTable(&text)
+	for _, pool := range pools {
+		for i, pair := range pool.Interference {
+			if i == 0 {
+				_, _ = fmt.Fprintln(table, "\nSERVICE\tSERVING\tBESIDE\tBEST-EFFORT\tVERDICT\tSLOWDOWN\tCONFIDENCE\tAGE")
+			}
+			_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%s\t%.2f\t%.1f\t%s\n", pool.Service, pair.Serving, pair.Image, pair.BestEffort, pair.Verdict, pair.Slowdown, pair.Confidence, formatAge(pair.Age))
+		}
+	}
+	_ = table.Flush()
 	return text.String()
 }
 
--- a/cmd/rattanpath/cmds/jobs_test.go
+++ b/cmd/rattanpath/cmds/jobs_test.go
@@ -22,6 +22,8 @@
 	}) + "\n" + hostsTable([]views.Pool{{Service: "index", Hosts: []views.Host{
 		{ID: "i-1", CPU: 32000, UsedCPU: 1500, Runs: 2, Lasting: 1, State: "usable"},
 		{ID: "i-2", CPU: 32000, State: "draining"},
+	}, Interference: []views.Interference{
+		{Serving: "index:4", Image: "scan:1", BestEffort: true, Verdict: "disturbs", Slowdown: 0.42, Confidence: 8.1, Age: 2500 * time.Millisecond},
 	}}}) + "\n" + nodeText(views.Node{
 		Node: "front-1", Version: 12, ConfigAge: 80 * time.Millisecond, HostsAge: -1, MembersAge: 200 * time.Millisecond, Depot: true,
 		Cells: []views.Cell{{Service: "index", Epoch: 3, Confirmed: 20 * time.Millisecond, Open: 4, Kept: 90}},
