--- a/sched/cell.go
+++ b/sched/cell.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"rattanpath/claim"
+	"rattanpath/coloc"
 	"rattanpath/core"
 	"rattanpath/lease"
 	"rattanpath/pool"
@@ -123,6 +124,10 @@
 	// submittedCPU is what it adds to that of the cell. Both are set for submitted jobs only.
 	withdrawn    chan struct{}
 	submittedCPU int64
+	// paces holds the pace that runs of each step have shown, and stalls how many runs of
+	// a task were stopped as stalled.
+	paces  map[int]stepPace
+	stalls map[tasks.ID]int
 	// unstarted is the number of tasks that were never started.
 	unstarted int
 	// advice holds the advisor's decisions by step.
@@ -179,6 +184,9 @@
 	// run has finished are missing: callers' estimates are too rough to be used
 	// instead.
 	meanRunTimes map[string]time.Duration
+	interference interference
+	// kindTimes is the moving average of run times by kind.
+	kindTimes map[runKind]time.Duration
 	// stepRatios is the moving average, by queue, of the longest run time of a step's
 	// tasks relative to the estimate.
 	stepRatios map[string]float64
@@ -187,6 +195,8 @@
 	activity     activity
 	replyTime    replyTime
 	quotas       quotas
+	// startRepliedAt is when a host last replied to a start command.
+	startRepliedAt time.Duration
 
 	writeWake    chan struct{}
 	scheduleWake chan struct{}
@@ -214,6 +224,8 @@
 		forgotten:    make(map[string]forgottenHost),
 		meanRunTimes: make(map[string]time.Duration),
 		stepRatios:   make(map[string]float64),
+		interference: interference{estimator: coloc.NewEstimator()},
+		kindTimes:    make(map[runKind]time.Duration),
 		writeWake:    make(chan struct{}, 1),
 		scheduleWake: make(chan struct{}, 1),
 		releasing:    make(chan struct{}),
@@ -327,6 +339,7 @@
 		c.activity.recordTimerLag(c.options.Clock()-sleptAt, tickInterval)
 		c.expireLeases()
 		c.expireForgotten()
+		c.updateEvidence(c.options.Clock())
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
 		c.logActivity()
--- a/sched/command.go
+++ b/sched/command.go
@@ -71,6 +71,7 @@
 	now := c.options.Clock()
 	if err == nil {
 		c.replyTime.observe(now - sent.at)
+		c.startRepliedAt = now
 	}
 	current := c.observeClock(h, reply.HostTime, sent, now)
 	if h.runs[r.key()] != r {
@@ -113,6 +114,7 @@
 	}
 	r.entry.job.MarkRunning(r.id, r.number)
 	c.stopEndedJob(r.entry)
+	c.applyPace(h, r)
 }
 
 // handleStartRefused handles a host's refusal to start a run.
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -58,6 +58,8 @@
 		return ErrStoreUnavailable
 	case c.wouldStartLate(e, time.Now()):
 		return c.overloadError(e)
+	case c.hasGangBeyondLink(e):
+		return ErrOverloaded
 	default:
 		return nil
 	}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -107,6 +107,7 @@
 		p.quota.countWanted(e.job.Policy.Organisation, reqs, unit, 1, p.hosts)
 		return
 	}
+	reqs = p.cell.withStartableMembers(reqs, len(round.Steps[step]))
 	for index, h := range p.pickGang(reqs, len(round.Steps[step])) {
 		h.Place(reqs)
 		p.assign(e, round, step, index, h)
@@ -130,6 +131,7 @@
 		Step:           &e.job.Plan.Steps[step],
 		SiblingsByHost: siblingsByHost(round, step),
 		AllowedHosts:   c.allowedHosts(e, stepKey{round.Number, step}, now),
+		Evidence:       c.interference.evidence,
 	}
 }
 
@@ -189,7 +191,7 @@
 	step := e.job.Step(taskID)
 	e.job.Assign(taskID, h.id, h.incarnation, now)
 	task := e.job.Task(taskID)
-	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare}
+	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare, resumed: task.Checkpoint != ""}
 	r.recordTime = h.recordTime()
 	h.runs[r.key()] = r
 	c.plannedBytes += e.startSize()
--- a/sched/view.go
+++ b/sched/view.go
@@ -190,6 +190,9 @@
 	if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.Free.CanFit(reqs.Step.RequiredResources()) }) {
 		return "no host has room for a task"
 	}
+	if reqs.Step.Room.CPU <= 0 && !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.TasksWithoutCPU < place.MaxTasksWithoutCPU }) {
+		return "each host has as many tasks without CPU as it may"
+	}
 	if reqs.Isolated {
 		return "hosts crashed under a task: it waits for one on which nothing has just started"
 	}
@@ -208,6 +211,7 @@
 			ID: h.ID, CPU: h.Room.CPU, UsedCPU: h.Used.CPU, Runs: h.Runs, Lasting: h.Lasting, State: h.State,
 		})
 	}
+	pool.Interference = c.viewInterference()
 	slices.SortFunc(pool.Hosts, func(a, b views.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return pool, nil
 }
