--- a/infra/quota_test.go
+++ b/infra/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -23,6 +24,8 @@
 	"rattanpath/tasks"
 )
 
+var quotaSeeds = flag.Uint64("quota.seeds", 12, "seeds of the chaos test of quotas")
+
 const (
 	quotaHostCPU = 8000
 	quotaHosts   = 4
@@ -47,6 +50,8 @@
 	start   time.Time
 	config  atomic.Pointer[queue.Config]
 	plans   sync.Map
+	// cloudDown is set while machines can't be listed.
+	cloudDown atomic.Bool
 	// duration returns the run time of a task.
 	duration func(task tasks.ID) time.Duration
 
@@ -206,7 +211,12 @@
 func (q *quotaCluster) Config() *queue.Config        { return q.config.Load() }
 func (q *quotaCluster) Waves() map[int64]*queue.Wave { return nil }
 
-func (q *quotaCluster) Machines(context.Context) ([]Machine, error) { return []Machine{}, nil }
+func (q *quotaCluster) Machines(context.Context) ([]Machine, error) {
+	if q.cloudDown.Load() {
+		return nil, errUnreachable
+	}
+	return []Machine{}, nil
+}
 
 func (q *quotaCluster) Move(context.Context, Order, string) (OrderResult, error) {
 	return Busy, errUnreachable
@@ -539,6 +549,19 @@
 	}
 }
 
+// Guards against quotas that depend on the list of machines.
+func TestQuotaWithoutMachines(t *testing.T) {
+	runQuotas(t, []string{"a", "b"}, func(q *quotaCluster) {
+		q.cloudDown.Store(true)
+		time.Sleep(time.Second)
+		q.submit("a", "acme", stepOf(40, quotaTask))
+		q.watch(time.Second, quotaCap, quotaTask)
+		if got, want := q.running("a", "acme"), int64(quotaCap/2+quotaCap/4); got != want {
+			t.Errorf("got %d running while machines can't be listed, want %d", got, want)
+		}
+	})
+}
+
 // Guards against cells going on with what they were lent, or stopping, without a leader.
 func TestQuotaLeaderLost(t *testing.T) {
 	runQuotas(t, []string{"a", "b"}, func(q *quotaCluster) {
@@ -584,6 +607,26 @@
 	})
 }
 
+// Guards against a cap that is changed again and again leaving behind what was lent under a higher
+// one, or holding work up.
+func TestQuotaChangingCaps(t *testing.T) {
+	services := []string{"a", "b", "c"}
+	runQuotas(t, services, func(q *quotaCluster) {
+		for i := range 8 {
+			limit := []int64{quotaCap, quotaCap / 2}[i%2]
+			q.config.Store(organisationConfig(int64(i)+2, services, limit, "acme"))
+			// Nodes learn of the version within 300 ms, and tasks take a second.
+			for range 30 {
+				q.submit(services[i%3], "acme", stepOf(1, quotaTask))
+				q.check(quotaCap, quotaTask)
+				time.Sleep(quotaCheckInterval)
+			}
+			q.submit(services[(i+1)%3], "acme", stepOf(30, quotaTask))
+			q.watch(4*time.Second, limit, quotaTask)
+		}
+	})
+}
+
 // Guards against the cell of a service that was added using its base at once while all of the
 // cap is in use elsewhere.
 func TestQuotaServiceAdded(t *testing.T) {
@@ -632,7 +675,7 @@
 // late, leaders change and hosts stop answering. At no time may an organisation exceed its
 // cap by more than a tenth and a task; once the faults are over, none may be held up by it.
 func TestQuotaChaos(t *testing.T) {
-	for seed := range uint64(12) {
+	for seed := range *quotaSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			services := []string{"a", "b", "c"}
 			runQuotas(t, services, func(q *quotaCluster) {
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -35,14 +35,16 @@
 	jobs map[string]map[string]bool
 	// outcome is returned by every call unless it is Done.
 	outcome owner.Outcome
-	calls   []string
+	// wait is the time after which an owner that refuses asks callers to return.
+	wait  time.Duration
+	calls []string
 }
 
 // Call implements OwnerClient.
 func (c *fakeClient) Call(_ context.Context, method owner.Method, request owner.Request) owner.Response {
 	c.calls = append(c.calls, string(method)+" "+request.Service)
 	if c.outcome != owner.Done {
-		return owner.Response{Outcome: c.outcome}
+		return owner.Response{Outcome: c.outcome, RetryAfter: c.wait}
 	}
 	jobs := c.jobs[request.Service]
 	if jobs == nil {
--- a/sched/quota_test.go
+++ b/sched/quota_test.go
@@ -171,3 +171,19 @@
 		c.schedule(time.Now())
 	}
 }
+
+// BenchmarkFairPass measures a scheduling pass in which organisations with caps compete for hosts
+// that are full.
+func BenchmarkFairPass(b *testing.B) {
+	c := busyCell(800, 600)
+	(&node{cell: c}).useOrganisations(cpu(800 * hostCPU))
+	i := 0
+	for e := range c.open {
+		e.job.Policy.Organisation = []string{"acme", "beta"}[i%2]
+		i++
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.schedule(time.Now())
+	}
+}
