--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -37,8 +37,9 @@
 	jobs map[string]map[string]bool
 	// outcome is returned by every call unless it is Done.
 	outcome owner.Outcome
-<<<<<<< HEAD
-	calls   []string
+	// wait is the time after which an owner that refuses asks callers to return.
+	wait  time.Duration
+	calls []string
 	// requests holds the requests of all calls.
 	requests []owner.Request
 	// mu protects all below. outcomes holds the outcomes of all calls to services, version
@@ -87,24 +88,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version = version
-=======
-	// wait is the time after which an owner that refuses asks callers to return.
-	wait  time.Duration
-	calls []string
->>>>>>> fabc75cc898eff65e22098349a7879043d56eaba
 }
 
 // Call implements OwnerClient.
 func (c *fakeClient) Call(_ context.Context, method owner.Method, request owner.Request) owner.Response {
 	c.calls = append(c.calls, string(method)+" "+request.Service)
-<<<<<<< HEAD
 	c.requests = append(c.requests, request)
 	if outcome := max(c.outcome, c.outcomes[request.Service]); outcome != owner.Done {
-		return owner.Response{Outcome: outcome}
-=======
-	if c.outcome != owner.Done {
-		return owner.Response{Outcome: c.outcome, RetryAfter: c.wait}
->>>>>>> fabc75cc898eff65e22098349a7879043d56eaba
+		return owner.Response{Outcome: outcome, RetryAfter: c.wait}
 	}
 	jobs := c.jobs[request.Service]
 	if jobs == nil {
