tasks, sched: store the progress of a large job in parts

Cause: the progress of a job is one record with all tasks in progress. With a few thousand of them it outgrows what the store allows for a record; the write is repeated for ever and nothing else of the service is written. Each change rewrites all tasks, so the bytes written grow with the square of a job's tasks.

Change: beyond 16 KB the main record refers to parts of 16 consecutive tasks of a round, and a change rewrites only the parts that it affects. Smaller jobs keep their record, byte for byte. The changes of a job are one write if that can hold them; otherwise their order makes every prefix of the writes a state that lacks no acknowledged end. Earlier versions fail to decode the main record of a job in parts. Parts are deleted with their round or job, also those without a job.

The fake store enforces limits on a record, a write and the total.

--- a/fake/store.go
+++ b/fake/store.go
@@ -44,9 +44,19 @@
 	writeDelay      time.Duration
 	// extraLatency is added to storeLatency.
 	extraLatency time.Duration
+	limits       StoreLimits
 	appended     core.Signal
 }
 
+// StoreLimits are the limits of the store in bytes; 0 means none.
+type StoreLimits struct {
+	// Record and Call limit a record and a write.
+	Record int
+	Call   int
+	// Total limits what all topics hold.
+	Total int
+}
+
 // FailureMode is the way in which the store fails calls. Of two modes that apply to
 // a call, the higher one takes effect.
 type FailureMode int
@@ -114,14 +124,20 @@
 	s.extraLatency = latency
 }
 
+// SetLimits sets the limits of the store.
+func (s *Store) SetLimits(limits StoreLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = limits
+}
+
 // Compact drops the history of all topics. Only the newest record of each key is
 // left, which Newest returns; reads of older offsets fail with store.ErrExpired.
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.topics {
-		t.records = nil
-		t.first = t.end
+		t.trim(t.end)
 	}
 }
 
@@ -140,6 +156,13 @@
 	return s.topic(topicName).latest[key].Value
 }
 
+// Keys returns the keys of a topic that have a value.
+func (s *Store) Keys(topicName string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.topic(topicName).latest))
+}
+
 func (s *Store) topic(name string) *topic {
 	if s.topics[name] == nil {
 		s.topics[name] = &topic{latest: make(map[string]store.Record), endBySequence: make(map[int64]int64)}
@@ -162,6 +185,78 @@
 	return t.end
 }
 
+// trim drops the records before an offset. The newest of each key stays in latest.
+func (t *topic) trim(before int64) {
+	if before = min(before, t.end); before > t.first {
+		t.records = slices.Clone(t.records[before-t.first:])
+		t.first = before
+	}
+}
+
+// bytes returns the size of what the topic holds.
+func (t *topic) bytes() int {
+	size := 0
+	for _, record := range t.records {
+		size += recordSize(record)
+	}
+	for _, record := range t.latest {
+		if record.Offset < t.first {
+			size += recordSize(record)
+		}
+	}
+	return size
+}
+
+// recordOverhead is the size of a record's lengths in a write.
+const recordOverhead = 5
+
+func recordSize(record store.Record) int {
+	return recordOverhead + len(record.Key) + len(record.Value)
+}
+
+// checkLimits returns the error of a write that the limits don't allow. s.mu must be held.
+func (s *Store) checkLimits(write store.Write) error {
+	total := 0
+	for _, record := range write.Records {
+		size := recordSize(record)
+		if s.limits.Record > 0 && size > s.limits.Record {
+			return store.ErrTooLarge
+		}
+		total += size
+	}
+	switch {
+	case s.limits.Call > 0 && total > s.limits.Call:
+		return store.ErrTooLarge
+	case s.limits.Total > 0 && total > 0 && s.bytes() >= s.limits.Total:
+		return store.ErrFull
+	default:
+		return nil
+	}
+}
+
+func (s *Store) bytes() int {
+	size := 0
+	for _, t := range s.topics {
+		size += t.bytes()
+	}
+	return size
+}
+
+// Bytes returns the size of what the store holds.
+func (s *Store) Bytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bytes()
+}
+
+// appendWithin applies a write unless the limits don't allow it. s.mu must be held.
+func (s *Store) appendWithin(write store.Write) (int64, error) {
+	if err := s.checkLimits(write); err != nil {
+		return 0, err
+	}
+	return s.topic(write.Topic).append(write)
+}
+
 // append applies a write and returns the end of the topic after it. It checks the
 // epoch, the sequence number and the expected end of a write that names its writer.
 func (t *topic) append(write store.Write) (int64, error) {
@@ -239,7 +334,7 @@
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	defer c.store.appended.Notify()
-	return c.store.topic(write.Topic).append(write)
+	return c.store.appendWithin(write)
 }
 
 // loseResponse reports whether LoseResponses applies to a write, and if so schedules
@@ -255,7 +350,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		defer s.appended.Notify()
-		_, _ = s.topic(write.Topic).append(write)
+		_, _ = s.appendWithin(write)
 	})
 	return true
 }
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -97,6 +97,8 @@
 	// definitionWritten is set once the definition is part of a write, confirmed
 	// or in flight.
 	definitionWritten bool
+	// stored is what the store holds of the job's progress.
+	stored tasks.StoredProgress
 	// persisted is set once the store has confirmed the definition.
 	persisted bool
 	// dirty is set if the job has changed since the last write began. onPersisted
@@ -129,6 +131,8 @@
 	byID      map[string]*jobEntry
 	open      map[*jobEntry]bool
 	dirtyJobs []*jobEntry
+	// orphanKeys are the keys of parts whose job no longer exists, to be deleted.
+	orphanKeys []string
 	// onAllPersisted is called once all changes so far are persisted.
 	onAllPersisted []func()
 	hosts          map[string]*host
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -18,6 +18,10 @@
 	// job.
 	definitionPrefix = "d/"
 	progressPrefix   = "p/"
+	// partSeparator precedes the name of a part in the keys of a large job's progress,
+	// and jobKeyBytes is the length of a job's key before its ID.
+	partSeparator = "/"
+	jobKeyBytes   = 17
 	// leasesKey is the key of the record of unexpired leases, see leaseRecord.
 	leasesKey = "doubt"
 )
@@ -48,7 +52,8 @@
 // load restores the state of the cell from its records.
 func (c *Cell) load(records []store.Record) {
 	definitions := make(map[string][]byte)
-	progressRecords := make(map[string][]byte)
+	progress := make(map[string][]byte)
+	parts := make(map[string]map[string][]byte)
 	for _, record := range records {
 		switch {
 		case strings.HasPrefix(record.Key, definitionPrefix):
@@ -56,17 +61,64 @@
 		case record.Key == leasesKey:
 			c.loadLeases(record.Value)
 		case strings.HasPrefix(record.Key, progressPrefix):
-			progressRecords[record.Key[len(progressPrefix):]] = record.Value
+			job, part := splitProgressKey(record.Key)
+			if part == "" {
+				progress[job] = record.Value
+				continue
+			}
+			if parts[job] == nil {
+				parts[job] = make(map[string][]byte)
+			}
+			parts[job][part] = record.Value
 		}
 	}
 	for key, definition := range definitions {
-		job, err := tasks.DecodeJob(definition, progressRecords[key])
+		job, stored, err := tasks.DecodeStored(definition, progress[key], parts[key])
 		if err != nil {
 			c.logger.Error(err, "cannot decode the records of a job, skipping it", "key", key)
 			continue
 		}
-		c.addJob(&jobEntry{job: job, definitionWritten: true, persisted: true, persistedPhase: job.Phase})
+		c.addJob(&jobEntry{job: job, definitionWritten: true, stored: stored, persisted: true, persistedPhase: job.Phase})
+	}
+	c.findOrphans(definitions, parts)
+}
+
+// splitProgressKey splits the key of a record of progress into that of the job and the name
+// of the part, which is empty for the main record.
+func splitProgressKey(key string) (job, part string) {
+	key = strings.TrimPrefix(key, progressPrefix)
+	if len(key) < jobKeyBytes {
+		return key, ""
+	}
+	id, part, _ := strings.Cut(key[jobKeyBytes:], partSeparator)
+	return key[:jobKeyBytes] + id, part
+}
+
+// findOrphans remembers the parts of jobs that no longer exist: a node of a version that
+// knows no parts has replaced and then removed the job.
+func (c *Cell) findOrphans(definitions map[string][]byte, parts map[string]map[string][]byte) {
+	for job, names := range parts {
+		if definitions[job] != nil {
+			continue
+		}
+		for name := range names {
+			c.orphanKeys = append(c.orphanKeys, progressPrefix+job+partSeparator+name)
+		}
+	}
+}
+
+// maxOrphans limits the orphans that are deleted by one write.
+const maxOrphans = 1000
+
+// removeOrphans returns a write that deletes orphans.
+func (c *Cell) removeOrphans() jobWrite {
+	count := min(len(c.orphanKeys), maxOrphans)
+	var records []store.Record
+	for _, key := range c.orphanKeys[:count] {
+		records = append(records, store.Record{Key: key})
 	}
+	c.orphanKeys = c.orphanKeys[count:]
+	return jobWrite{writes: [][]store.Record{records}, onPersisted: func() {}}
 }
 
 // leaseRecord is the stored form of the leases that may be unexpired when an
--- a/sched/write.go
+++ b/sched/write.go
@@ -39,13 +39,21 @@
 	wake(c.writeWake)
 }
 
-// batch holds the records of one write and the functions to call once it is
-// confirmed.
+// batch holds the changes of jobs that are written together and the functions to call once
+// all are confirmed.
 type batch struct {
-	records     []store.Record
+	jobs        []jobWrite
 	onPersisted []func()
 }
 
+// jobWrite holds the changes of one job.
+type jobWrite struct {
+	entry *jobEntry
+	// writes are to be made in this order; there is only one unless the job is large.
+	writes      [][]store.Record
+	onPersisted func()
+}
+
 // loopWrites persists changes, one write at a time.
 func (c *Cell) loopWrites(ctx context.Context) {
 	for {
@@ -93,21 +101,23 @@
 	defer c.mu.Unlock()
 	var b batch
 	size, limit := 0, c.options.Link.batchBytes(c.options.BatchBytes)
+	if len(c.orphanKeys) > 0 {
+		b.jobs = append(b.jobs, c.removeOrphans())
+	}
 	for len(c.dirtyJobs) > 0 && size < limit {
 		e := c.dirtyJobs[0]
 		c.dirtyJobs = c.dirtyJobs[1:]
 		e.dirty = false
-		records, err := c.records(e)
+		writes, err := c.records(e, limit)
 		if err != nil {
 			// Only values that JSON can't represent fail to encode; a job has none.
 			c.logger.Error(err, "cannot encode job", "job", e.job.Key.ID)
 			continue
 		}
-		for _, record := range records {
-			size += len(record.Value) + len(record.Key)
+		for _, records := range writes {
+			size += recordBytes(records)
 		}
-		b.records = append(b.records, records...)
-		b.onPersisted = append(b.onPersisted, e.persistedFunc())
+		b.jobs = append(b.jobs, jobWrite{entry: e, writes: writes, onPersisted: e.persistedFunc()})
 	}
 	if len(c.dirtyJobs) == 0 {
 		b.onPersisted = append(b.onPersisted, c.onAllPersisted...)
@@ -130,55 +140,120 @@
 	}
 }
 
-// records returns the records to write for a job. Records without a value
-// delete those of a removed job.
-func (c *Cell) records(e *jobEntry) ([]store.Record, error) {
+// writes returns what to send to the store for a batch: one write, unless a large job needs
+// several.
+func (b *batch) writes(limit int) [][]store.Record {
+	writes := [][]store.Record{nil}
+	size := 0
+	for _, job := range b.jobs {
+		for i, records := range job.writes {
+			added := recordBytes(records)
+			if i > 0 || size > 0 && size+added > limit {
+				writes, size = append(writes, nil), 0
+			}
+			writes[len(writes)-1] = append(writes[len(writes)-1], records...)
+			size += added
+		}
+	}
+	return writes
+}
+
+func recordBytes(records []store.Record) int {
+	size := 0
+	for _, record := range records {
+		size += len(record.Key) + len(record.Value)
+	}
+	return size
+}
+
+// minSplitBytes is the smallest limit by which the changes of a job are split into several
+// writes: 0.5 s of the slowest link.
+const minSplitBytes = 128 << 10
+
+// records returns the writes to make for a job, each of about limit bytes at most. Records
+// without a value delete those of a removed job.
+func (c *Cell) records(e *jobEntry, limit int) ([][]store.Record, error) {
 	suffix := fmt.Sprintf("%016x/%s", xxhash.Sum64String(e.job.Key.Queue), e.job.Key.ID)
 	if c.jobs[e.job.Key] != e {
-		return []store.Record{{Key: definitionPrefix + suffix}, {Key: progressPrefix + suffix}}, nil
+		records := []store.Record{{Key: definitionPrefix + suffix}, {Key: progressPrefix + suffix}}
+		return [][]store.Record{append(records, progressRecords(suffix, e.stored.RemoveParts())...)}, nil
 	}
-	var records []store.Record
+	var definition []store.Record
 	if !e.definitionWritten {
 		value, err := e.job.EncodeDefinition()
 		if err != nil {
 			return nil, err
 		}
-		records = append(records, store.Record{Key: definitionPrefix + suffix, Value: value})
+		definition = []store.Record{{Key: definitionPrefix + suffix, Value: value}}
 		e.definitionWritten = true
 	}
-	value, err := e.job.EncodeProgress()
+	changes, err := e.job.EncodeChanges(&e.stored, max(limit, minSplitBytes))
 	if err != nil {
 		return nil, err
 	}
-	return append(records, store.Record{Key: progressPrefix + suffix, Value: value}), nil
+	writes := make([][]store.Record, max(1, len(changes)))
+	writes[0] = definition
+	for i, change := range changes {
+		writes[i] = append(writes[i], progressRecords(suffix, change)...)
+	}
+	return writes, nil
+}
+
+// progressRecords returns the records of a job's progress. Those of parts have the name of the
+// part behind the key of the main record, so that an older version reads over them.
+func progressRecords(suffix string, progress []tasks.ProgressRecord) []store.Record {
+	var records []store.Record
+	for _, record := range progress {
+		key := progressPrefix + suffix
+		if record.Part != "" {
+			key += partSeparator + record.Part
+		}
+		records = append(records, store.Record{Key: key, Value: record.Value})
+	}
+	return records
 }
 
 // write appends a batch to the store and reports whether that succeeded. If
 // another node has claimed the cell, it marks the cell as lost.
 func (c *Cell) write(ctx context.Context, b batch) bool {
 	start := time.Now()
-	sent, err := c.writer.Write(ctx, b.records)
-	switch {
-	case err == nil:
-		c.options.Metrics.WriteSeconds.UpdateDuration(start)
-		c.writeConfirmed(sent, b, time.Since(start))
-		return true
-	case claim.IsSuperseded(err):
-		c.markLost(err.Error())
+	for _, records := range b.writes(c.options.BatchBytes + c.options.BatchBytes/2) {
+		sent, err := c.writer.Write(ctx, records)
+		switch {
+		case err == nil:
+			c.options.Metrics.WriteSeconds.UpdateDuration(start)
+			c.ownershipConfirmed(sent)
+		case claim.IsSuperseded(err):
+			c.markLost(err.Error())
+			return false
+		default:
+			return false
+		}
 	}
-	return false
+	c.writeConfirmed(b, time.Since(start))
+	return true
 }
 
-func (c *Cell) writeConfirmed(sent time.Duration, b batch, took time.Duration) {
+// ownershipConfirmed records that the store has confirmed a write that was sent at a local
+// time.
+func (c *Cell) ownershipConfirmed(sent time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.activity.writes++
-	c.activity.writeTime += took
 	c.confirmedAt = sent
 	if !c.failingSince.IsZero() {
 		c.logger.Info("store writes recovered", "after", time.Since(c.failingSince).Round(time.Millisecond))
 		c.failingSince = time.Time{}
 	}
+}
+
+func (c *Cell) writeConfirmed(b batch, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activity.writes++
+	c.activity.writeTime += took
+	for _, job := range b.jobs {
+		job.onPersisted()
+	}
 	for _, callback := range b.onPersisted {
 		callback()
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -93,6 +93,12 @@
 	ErrExpired = errors.New("the records have expired")
 	// ErrRefused means that the store is overloaded, unavailable or out of space.
 	ErrRefused = errors.New("the store refused the call")
+	// ErrFull is an ErrRefused: appends of records are refused until records are trimmed or
+	// expire.
+	ErrFull = errors.WithMessage(ErrRefused, "out of space")
+	// ErrTooLarge means that a record or a write is larger than the store allows, so that
+	// repeating it is of no use.
+	ErrTooLarge = errors.New("the store doesn't take a record or a write of that size")
 )
 
 // WrapTopic adds an action and its topic to an error. It returns nil if err is
--- a/tasks/record.go
+++ b/tasks/record.go
@@ -31,14 +31,19 @@
 	Crashes         int    `json:"D,omitempty"`
 }
 
-// progress is the stored mutable part of a job.
+// progressHead is the stored mutable part of a job, without its tasks.
+type progressHead struct {
+	Phase     Phase     `json:",omitempty"`
+	Ended     time.Time `json:",omitzero"`
+	NextRound int       `json:"Next,omitempty"`
+	Started   bool      `json:"Begun,omitempty"`
+	Rounds    []int     `json:",omitempty"`
+}
+
+// progress is the stored mutable part of a job in a single record.
 type progress struct {
-	Phase     Phase        `json:",omitempty"`
-	Ended     time.Time    `json:",omitzero"`
-	NextRound int          `json:"Next,omitempty"`
-	Started   bool         `json:"Begun,omitempty"`
-	Rounds    []int        `json:",omitempty"`
-	Tasks     []taskRecord `json:",omitempty"`
+	progressHead
+	Tasks []taskRecord `json:",omitempty"`
 }
 
 // EncodeDefinition encodes the immutable part of the job.
@@ -51,12 +56,13 @@
 
 // EncodeProgress encodes the mutable part of the job.
 func (j *Job) EncodeProgress() ([]byte, error) {
-	p := progress{Phase: j.Phase, Ended: j.Ended, NextRound: j.NextRound, Started: j.Started}
+	p := progress{progressHead: j.progressHead()}
 	for _, round := range j.Rounds {
-		p.Rounds = append(p.Rounds, round.Number)
 		for step := range round.Steps {
 			for index := range round.Steps[step] {
-				p.addTask(round.Number, step, index, &round.Steps[step][index])
+				if record, assigned := newTaskRecord(round.Number, step, index, &round.Steps[step][index]); assigned {
+					p.Tasks = append(p.Tasks, record)
+				}
 			}
 		}
 	}
@@ -64,9 +70,18 @@
 	return data, errors.Wrapf(err, "encoding the progress of job %s", j.Key.ID)
 }
 
-func (p *progress) addTask(round, step, index int, task *Task) {
+func (j *Job) progressHead() progressHead {
+	head := progressHead{Phase: j.Phase, Ended: j.Ended, NextRound: j.NextRound, Started: j.Started}
+	for _, round := range j.Rounds {
+		head.Rounds = append(head.Rounds, round.Number)
+	}
+	return head
+}
+
+// newTaskRecord returns the stored state of a task, or false if it was never assigned.
+func newTaskRecord(round, step, index int, task *Task) (taskRecord, bool) {
 	if task.Run == 0 && task.State == Waiting {
-		return
+		return taskRecord{}, false
 	}
 	record := taskRecord{
 		Round: round, Step: step, Index: index,
@@ -80,11 +95,34 @@
 	if task.State == Done {
 		record.Checkpoint = ""
 	}
-	p.Tasks = append(p.Tasks, record)
+	return record, true
 }
 
-// DecodeJob decodes a job. progressData is nil if no progress was ever written.
+// DecodeJob decodes a job whose progress is a single record. progressData is nil if no
+// progress was ever written.
 func DecodeJob(definition, progressData []byte) (*Job, error) {
+	job, _, err := DecodeStored(definition, progressData, nil)
+	return job, err
+}
+
+// DecodeStored decodes a job from its records, and returns what the store holds of its
+// progress. The parts are given by name, see ProgressRecord.
+func DecodeStored(definition, progressData []byte, parts map[string][]byte) (*Job, StoredProgress, error) {
+	job, err := decodeDefinition(definition)
+	if err != nil {
+		return nil, StoredProgress{}, err
+	}
+	stored, err := newStoredProgress(parts)
+	if err != nil || progressData == nil {
+		return job, stored, errors.WithMessagef(err, "job %s", job.Key.ID)
+	}
+	if err := job.decodeProgress(progressData, parts, &stored); err != nil {
+		return nil, stored, err
+	}
+	return job, stored, nil
+}
+
+func decodeDefinition(definition []byte) (*Job, error) {
 	var d Definition
 	if err := json.Unmarshal(definition, &d); err != nil {
 		return nil, errors.Wrap(err, "decoding the definition of a job")
@@ -93,28 +131,47 @@
 	if err := d.Plan.CheckSteps(); err != nil && !onlyCancelled {
 		return nil, errors.Wrapf(err, "the definition of job %s", d.Key.ID)
 	}
-	job := &Job{Key: d.Key, Plan: d.Plan, Policy: d.Policy, Accepted: d.Accepted, PreCancelled: d.PreCancelled}
-	if progressData == nil {
-		return job, nil
+	return &Job{Key: d.Key, Plan: d.Plan, Policy: d.Policy, Accepted: d.Accepted, PreCancelled: d.PreCancelled}, nil
+}
+
+// decodeProgress restores the progress from its record and, if that says so, its parts.
+func (j *Job) decodeProgress(data []byte, parts map[string][]byte, stored *StoredProgress) error {
+	var p struct {
+		progressHead
+		Tasks json.RawMessage
 	}
-	var p progress
-	if err := json.Unmarshal(progressData, &p); err != nil {
-		return nil, errors.Wrapf(err, "decoding the progress of job %s", d.Key.ID)
+	if err := json.Unmarshal(data, &p); err != nil {
+		return errors.Wrapf(err, "decoding the progress of job %s", j.Key.ID)
 	}
-	job.Phase, job.Ended, job.NextRound, job.Started = p.Phase, p.Ended, p.NextRound, p.Started
+	j.Phase, j.Ended, j.NextRound, j.Started = p.Phase, p.Ended, p.NextRound, p.Started
 	for _, number := range p.Rounds {
-		round := &Round{Number: number, Steps: make([][]Task, len(d.Plan.Steps))}
-		for i, step := range d.Plan.Steps {
+		round := &Round{Number: number, Steps: make([][]Task, len(j.Plan.Steps))}
+		for i, step := range j.Plan.Steps {
 			round.Steps[i] = make([]Task, step.Count)
 		}
-		job.Rounds = append(job.Rounds, round)
+		j.Rounds = append(j.Rounds, round)
+	}
+	if isPartsMarker(p.Tasks) {
+		return j.decodeParts(p.Tasks, parts, stored)
 	}
-	for _, record := range p.Tasks {
-		if err := job.restoreTask(record); err != nil {
-			return nil, err
+	if len(p.Tasks) == 0 {
+		return nil
+	}
+	return j.restoreTasks(p.Tasks)
+}
+
+// restoreTasks restores the tasks in a list of task records.
+func (j *Job) restoreTasks(data []byte) error {
+	var records []taskRecord
+	if err := json.Unmarshal(data, &records); err != nil {
+		return errors.Wrapf(err, "decoding the tasks of job %s", j.Key.ID)
+	}
+	for _, record := range records {
+		if err := j.restoreTask(record); err != nil {
+			return err
 		}
 	}
-	return job, nil
+	return nil
 }
 
 func (j *Job) restoreTask(record taskRecord) error {
