sched, claim: isolate records that the store doesn't take to their job

Cause: the writer repeats a write that the store rejects until the store takes it. A rejection for its size (413) never ends, and one job holds up the writes of all.

Change: the writer gives up a write that is too large, or that is rejected as invalid several times while no attempt may have been applied. The cell then writes the jobs of the batch one by one. A new job that is rejected is removed from the cell, and its caller is told that it wasn't run (503) once nothing of it is left in the store. A held job that is cancelled is stored without its tasks. A job whose definition is larger than recordBytes, now read from the settings, is refused before it is written.

TestRejectedWriteIsGivenUp, TestRejectedJobIsNotAccepted, TestRejectedChangeHoldsUpNothingElse, TestHeldJobCanBeCancelled and TestOversizedDefinitionIsRefused fail without the change.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -219,3 +219,70 @@
 		}
 	})
 }
+
+// failingJournal fails appends with the errors given, one after the other, and applies them after
+// that. An append that fails with errNoReply is applied.
+type failingJournal struct {
+	Journal
+	errs *[]error
+}
+
+var errNoReply = errors.New("no reply")
+
+func (j failingJournal) Append(ctx context.Context, write store.Write) (int64, error) {
+	if len(*j.errs) == 0 {
+		return j.Journal.Append(ctx, write)
+	}
+	err := (*j.errs)[0]
+	*j.errs = (*j.errs)[1:]
+	if errors.Is(err, errNoReply) {
+		_, _ = j.Journal.Append(ctx, write)
+	}
+	return 0, err
+}
+
+// TestRejectedWriteIsGivenUp guards against a write that is repeated for ever although the store
+// doesn't take it, and against other records under the sequence number of a write that may have
+// been applied: the store would take them for a repetition.
+func TestRejectedWriteIsGivenUp(t *testing.T) {
+	invalid := func(count int, before ...error) []error {
+		for range count {
+			before = append(before, store.ErrInvalid)
+		}
+		return before
+	}
+	tests := map[string]struct {
+		errs []error
+		want error
+	}{
+		"too large":                      {[]error{store.ErrTooLarge}, store.ErrTooLarge},
+		"too large after a lost reply":   {[]error{errors.New("timeout"), store.ErrTooLarge}, store.ErrTooLarge},
+		"invalid once":                   {invalid(1), nil},
+		"invalid again and again":        {invalid(maxInvalid), store.ErrInvalid},
+		"refused":                        {[]error{store.ErrRefused, store.ErrFull, store.ErrRefused}, nil},
+		"invalid after a refusal":        {invalid(maxInvalid, store.ErrRefused), store.ErrInvalid},
+		"invalid after an unknown reply": {invalid(2*maxInvalid, errNoReply), nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := fake.NewStore()
+				var errs []error
+				writer := acquire(t, s.Client("a"), "a").NewWriter(failingJournal{s.Client("a"), &errs}, testTopic, clock)
+				errs = test.errs
+				if _, err := writer.Write(t.Context(), []store.Record{{Key: "first", Value: []byte("1")}}); !errors.Is(err, test.want) {
+					t.Errorf("got %v, want %v", err, test.want)
+				}
+				if _, err := writer.Write(t.Context(), []store.Record{{Key: "second", Value: []byte("2")}}); err != nil {
+					t.Errorf("got %v for the next write, want none", err)
+				}
+				if got := string(s.Value(testTopic, "second")); got != "2" {
+					t.Errorf("got value %q of the next write, want 2", got)
+				}
+				if got := string(s.Value(testTopic, "first")); (got == "1") != (test.want == nil) {
+					t.Errorf("got value %q after error %v", got, test.want)
+				}
+			})
+		})
+	}
+}
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -22,6 +22,9 @@
 	// timeoutFactor is the timeout of the first attempt as a multiple of the average
 	// latency.
 	timeoutFactor = 4
+	// maxInvalid is how often a write is rejected as invalid before it is given up, in case
+	// a proxy has answered.
+	maxInvalid = 5
 	// latencyWeight is the weight of the latest write in the average latency.
 	latencyWeight = 0.2
 )
@@ -61,13 +64,13 @@
 // same records.
 func (w *Writer) Write(ctx context.Context, records []store.Record) (time.Duration, error) {
 	if w.unconfirmed != nil {
-		if _, err := w.writeWithRetry(ctx, w.unconfirmed); err != nil {
+		if _, err := w.writeWithRetry(ctx, w.unconfirmed); err != nil && !IsRejected(err) {
 			return 0, err
 		}
 		w.unconfirmed = nil
 	}
 	sent, err := w.writeWithRetry(ctx, records)
-	if err != nil && !IsSuperseded(err) && len(records) > 0 {
+	if err != nil && !IsSuperseded(err) && !IsRejected(err) && len(records) > 0 {
 		w.unconfirmed = records
 	}
 	return sent, err
@@ -75,6 +78,7 @@
 
 func (w *Writer) writeWithRetry(ctx context.Context, records []store.Record) (time.Duration, error) {
 	delay := minRetryDelay
+	rejections := rejectionCounter{}
 	timeout := min(max(minAttemptTimeout, timeoutFactor*w.avgLatency), maxAttemptTimeout)
 	for {
 		sent := w.clock()
@@ -89,7 +93,7 @@
 			return sent, nil
 		case ctx.Err() != nil:
 			return 0, ctx.Err()
-		case IsSuperseded(err):
+		case IsSuperseded(err) || rejections.isFinal(err):
 			return 0, err
 		}
 		if w.OnRetry != nil {
@@ -102,6 +106,31 @@
 	}
 }
 
+// rejectionCounter counts the rejections of a write.
+type rejectionCounter struct {
+	invalid int
+	// uncertain is set after an attempt that may have been applied, or may still be.
+	uncertain bool
+}
+
+// isFinal reports whether an error of an attempt means that the write can't be applied. Whether
+// a write is too large depends on its records alone, so that holds for earlier attempts too. Any
+// other rejection must repeat, and says nothing of an attempt whose outcome is unknown: its
+// sequence number can't be used for other records.
+func (r *rejectionCounter) isFinal(err error) bool {
+	switch {
+	case errors.Is(err, store.ErrTooLarge):
+		return true
+	case errors.Is(err, store.ErrInvalid):
+		r.invalid++
+		return r.invalid >= maxInvalid && !r.uncertain
+	case errors.Is(err, store.ErrRefused):
+	default:
+		r.uncertain = true
+	}
+	return false
+}
+
 // appendOnce makes one attempt to append records.
 func (w *Writer) appendOnce(ctx context.Context, timeout time.Duration, records []store.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -120,3 +149,8 @@
 func IsSuperseded(err error) bool {
 	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrOutOfSequence)
 }
+
+// IsRejected reports whether err means that the store doesn't take the records of a write.
+func IsRejected(err error) bool {
+	return errors.Is(err, store.ErrTooLarge) || errors.Is(err, store.ErrInvalid)
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -108,6 +108,7 @@
 		MaxRecordAge: settings.MaxRecordAge,
 		JobRetention: settings.JobRetention,
 		BatchBytes:   int(batchFraction * float64(settings.CallBytes)),
+		RecordBytes:  settings.RecordBytes,
 		Link:         sched.NewLink(settings.LinkRate),
 		Logger:       logger,
 		Metrics:      sched.NewMetrics(set),
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -27,6 +27,8 @@
 	Partitions int
 	// CallBytes is the largest size of a write to the store.
 	CallBytes int
+	// RecordBytes is the largest size of a record in the store, 0 if unknown.
+	RecordBytes int
 	// LinkRate is the bandwidth of the node's link in bytes per second, 0 if unknown.
 	LinkRate int64
 	// MemoryLimit is the memory in bytes beyond which the node is killed, 0 if unknown.
--- a/owner/client.go
+++ b/owner/client.go
@@ -165,7 +165,7 @@
 			case NotOwner:
 			case Uncertain:
 				maybeExecuted = true
-			case StoreUnavailable, Overloaded:
+			case StoreUnavailable, Overloaded, TooLarge:
 				if !maybeExecuted {
 					return response
 				}
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -35,11 +35,14 @@
 	// Overloaded means that the owner would start the job too late; the call had no
 	// effect.
 	Overloaded
+	// TooLarge means that the store doesn't take the records of the job; the call had no
+	// effect.
+	TooLarge
 )
 
 // String returns the name of the outcome for logs.
 func (o Outcome) String() string {
-	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded"}
+	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded", "too-large"}
 	if o < 0 || int(o) >= len(names) {
 		return "invalid"
 	}
@@ -103,6 +106,8 @@
 		return StoreUnavailable
 	case errors.Is(err, sched.ErrOverloaded):
 		return Overloaded
+	case errors.Is(err, sched.ErrTooLarge):
+		return TooLarge
 	case errors.Is(err, sched.ErrUnknownJob):
 		return UnknownJob
 	case errors.Is(err, sched.ErrIDConflict):
--- a/owner/rpc_test.go
+++ b/owner/rpc_test.go
@@ -1,6 +1,10 @@
 package owner
 
-import "testing"
+import (
+	"testing"
+
+	"rattanpath/sched"
+)
 
 // TestUnknownOutcomesHaveNames checks that an outcome that isn't known, such as one of
 // another version, has a text.
@@ -11,3 +15,11 @@
 		}
 	}
 }
+
+// TestTooLargeJobIsDefinitelyNotRun checks that a job which the store doesn't take has an outcome
+// of its own rather than an uncertain one.
+func TestTooLargeJobIsDefinitelyNotRun(t *testing.T) {
+	if got := outcomeFor(sched.ErrTooLarge); got != TooLarge || got.String() != "too-large" {
+		t.Errorf("got outcome %v, want %v", got, TooLarge)
+	}
+}
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -57,6 +57,9 @@
 	ErrStoreUnavailable = errors.New("the store can't be reached")
 	// ErrOverloaded means that the job would be started too late; nothing was changed.
 	ErrOverloaded = errors.New("too many tasks wait to be started")
+	// ErrTooLarge means that the store doesn't take the records of the job; nothing was
+	// changed.
+	ErrTooLarge = errors.New("the job is too large to be stored")
 	// ErrUncertain means that the change may or may not be persisted, now or
 	// later.
 	ErrUncertain = errors.New("the store did not confirm the change in time")
@@ -85,6 +88,8 @@
 	JobRetention time.Duration
 	// BatchBytes limits the size of one write.
 	BatchBytes int
+	// RecordBytes is the largest record that the store takes, 0 if unknown.
+	RecordBytes int
 	// Link limits what all cells of the node send.
 	Link    *Link
 	Logger  logr.Logger
@@ -101,6 +106,12 @@
 	stored tasks.StoredProgress
 	// persisted is set once the store has confirmed the definition.
 	persisted bool
+	// rejected is set if the store has rejected the records of a new job. heldUntil is when
+	// those of an accepted one are tried again after a rejection, and held is set until they
+	// have been stored.
+	rejected  bool
+	held      bool
+	heldUntil time.Time
 	// dirty is set if the job has changed since the last write began. onPersisted
 	// is called once the next write is confirmed.
 	dirty       bool
@@ -133,6 +144,8 @@
 	dirtyJobs []*jobEntry
 	// orphanKeys are the keys of parts whose job no longer exists, to be deleted.
 	orphanKeys []string
+	// heldJobs are the accepted jobs whose records the store has rejected.
+	heldJobs map[*jobEntry]bool
 	// onAllPersisted is called once all changes so far are persisted.
 	onAllPersisted []func()
 	hosts          map[string]*host
@@ -197,6 +210,7 @@
 		open:         make(map[*jobEntry]bool),
 		hosts:        make(map[string]*host),
 		forgotten:    make(map[string]forgottenHost),
+		heldJobs:     make(map[*jobEntry]bool),
 		meanRunTimes: make(map[string]time.Duration),
 		stepRatios:   make(map[string]float64),
 		writeWake:    make(chan struct{}, 1),
@@ -314,6 +328,7 @@
 		c.expireForgotten()
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
+		c.retryHeld(time.Now())
 		c.logActivity()
 		c.mu.Unlock()
 		wake(c.scheduleWake)
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -118,7 +118,7 @@
 		records = append(records, store.Record{Key: key})
 	}
 	c.orphanKeys = c.orphanKeys[count:]
-	return jobWrite{writes: [][]store.Record{records}, onPersisted: func() {}}
+	return jobWrite{writes: [][]store.Record{records}}
 }
 
 // leaseRecord is the stored form of the leases that may be unexpired when an
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -56,6 +56,8 @@
 	wrapJournal func(claim.Journal) claim.Journal
 	wrapHosts   func(lease.HostClient) lease.HostClient
 	linkRate    int64
+	// configure, if not nil, changes the options of each node.
+	configure func(*Options)
 }
 
 // node is a node that has claimed the cell and may have lost it since.
@@ -163,6 +165,9 @@
 	if tc.wrapHosts != nil {
 		options.HostClient = tc.wrapHosts(options.HostClient)
 	}
+	if tc.configure != nil {
+		tc.configure(&options)
+	}
 	c := tc.claimCell(options)
 	n.cell = c
 	c.SetHosts(n.hosts.View())
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -102,8 +102,10 @@
 		return nil
 	}
 	highest := h.reportedSequence
+	ended := make(map[*jobEntry]bool)
 	for _, f := range finished {
 		highest = max(highest, f.Sequence)
+		ended[c.byID[f.Task.Job]] = true
 		r := h.runs[runKey{f.Task, f.Run}]
 		if r == nil {
 			c.recoverDone(h, f)
@@ -119,6 +121,10 @@
 	persisted := make(chan struct{})
 	restarts := h.restarts
 	c.afterPersisted(func() {
+		if c.anyHeld(ended) {
+			// The host reports the ends again.
+			return
+		}
 		if h.restarts == restarts {
 			h.acknowledgedSequence = max(h.acknowledgedSequence, highest)
 		}
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -39,7 +39,10 @@
 	c.markDirty(e, func() { close(persisted) })
 	wake(c.scheduleWake)
 	c.mu.Unlock()
-	return c.awaitPersisted(ctx, persisted)
+	if err := c.awaitPersisted(ctx, persisted); err != nil {
+		return err
+	}
+	return c.rejectionError(e)
 }
 
 // admissionError returns why a new job can't be accepted at present, or nil.
@@ -49,6 +52,8 @@
 		return ErrStoreUnavailable
 	case c.wouldStartLate(e, time.Now()):
 		return ErrOverloaded
+	case c.exceedsRecord(e):
+		return ErrTooLarge
 	default:
 		return nil
 	}
@@ -162,7 +167,7 @@
 	if err := c.awaitPersisted(ctx, persisted); err != nil {
 		return err
 	}
-	if unknown || e.job.PreCancelled {
+	if unknown || e.job.PreCancelled || c.rejectionError(e) != nil {
 		return ErrUnknownJob
 	}
 	return nil
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -28,6 +28,8 @@
 	Stalls            *metrics.Counter
 	TasksGivenUp      *metrics.Counter
 	PaceChanges       *metrics.Counter
+	// RejectedWrites counts the jobs whose records the store has rejected, each time.
+	RejectedWrites *metrics.Counter
 
 	set *metrics.Set
 }
@@ -46,6 +48,7 @@
 		Stalls:            set.NewCounter("rattanpath_cell_stalls_total"),
 		TasksGivenUp:      set.NewCounter("rattanpath_cell_given_up_tasks_total"),
 		PaceChanges:       set.NewCounter("rattanpath_cell_paces_total"),
+		RejectedWrites:    set.NewCounter("rattanpath_cell_rejected_writes_total"),
 		set:               set,
 	}
 }
--- /dev/null
+++ b/sched/unstored_test.go
@@ -0,0 +1,192 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rattanpath/claim"
+	"rattanpath/fake"
+	"rattanpath/store"
+	"rattanpath/tasks"
+)
+
+// rejectingJournal rejects writes with a record of the job "odd" while rejecting is set.
+type rejectingJournal struct {
+	claim.Journal
+	err       error
+	rejecting *atomic.Bool
+}
+
+func (j rejectingJournal) Append(ctx context.Context, write store.Write) (int64, error) {
+	for _, record := range write.Records {
+		if strings.HasSuffix(record.Key, "/odd") && len(record.Value) > 0 && j.rejecting.Load() {
+			return 0, j.err
+		}
+	}
+	return j.Journal.Append(ctx, write)
+}
+
+// useRejectingJournal makes the store reject the records of the job "odd" while the returned
+// variable is set.
+func (tc *testCluster) useRejectingJournal(err error) *atomic.Bool {
+	rejecting := &atomic.Bool{}
+	tc.wrapJournal = func(journal claim.Journal) claim.Journal { return rejectingJournal{journal, err, rejecting} }
+	return rejecting
+}
+
+var rejections = map[string]error{"too large": store.ErrTooLarge, "invalid": store.ErrInvalid}
+
+// TestRejectedJobIsNotAccepted guards against one job that the store doesn't take and that holds
+// up all others of the service. Its caller must be told truly that it wasn't accepted.
+func TestRejectedJobIsNotAccepted(t *testing.T) {
+	for name, rejection := range rejections {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 2, func(tc *testCluster) {
+				tc.useRejectingJournal(rejection).Store(true)
+				n := tc.claim("a")
+				time.Sleep(100 * time.Millisecond)
+				results := make(chan error, 1)
+				go func() { results <- tc.submit(n, "odd", simplePlan(2, 100)) }()
+				for i := range 5 {
+					if err := tc.submit(n, fmt.Sprintf("job%d", i), simplePlan(2, 100)); err != nil {
+						t.Errorf("got %v for a job beside the rejected one, want it accepted", err)
+					}
+				}
+				if err := <-results; !errors.Is(err, ErrTooLarge) {
+					t.Errorf("got %v for a job that the store rejects, want %v", err, ErrTooLarge)
+				}
+				time.Sleep(5 * time.Second)
+				tc.wantPhase(n, "job4", tasks.Completed)
+				if got, want := tc.checker.Starts(), 10; got != want {
+					t.Errorf("got %d starts, want the %d of the accepted jobs", got, want)
+				}
+				if _, err := tc.status(n, "odd"); !errors.Is(err, ErrUnknownJob) {
+					t.Errorf("got %v for the status of the rejected job, want %v", err, ErrUnknownJob)
+				}
+				n.cell.mu.Lock()
+				defer n.cell.mu.Unlock()
+				if got := n.cell.plannedBytes + n.cell.backlogBytes; got != 0 {
+					t.Errorf("got %d bytes of commands planned or waiting, want 0", got)
+				}
+			})
+		})
+	}
+}
+
+// TestRejectedChangeHoldsUpNothingElse guards against an accepted job whose change the store
+// rejects: other jobs must go on, no end of the job may be acknowledged, and the job must
+// go on once the store takes its records.
+func TestRejectedChangeHoldsUpNothingElse(t *testing.T) {
+	for name, rejection := range rejections {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 3, func(tc *testCluster) {
+				rejecting := tc.useRejectingJournal(rejection)
+				tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: time.Second} }
+				n := tc.claim("a")
+				time.Sleep(100 * time.Millisecond)
+				if err := tc.submit(n, "odd", simplePlan(4, 100)); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(200 * time.Millisecond)
+				rejecting.Store(true)
+				for i := range 20 {
+					if err := tc.submit(n, fmt.Sprintf("job%d", i), simplePlan(2, 100)); err != nil {
+						t.Errorf("got %v for a job beside the rejected one, want it accepted", err)
+					}
+					time.Sleep(300 * time.Millisecond)
+				}
+				tc.wantPhase(n, "odd", tasks.Open)
+				tc.wantPhase(n, "job10", tasks.Completed)
+				n.stop()
+				// The next owner must learn of the ends from the hosts.
+				n = tc.claim("b")
+				time.Sleep(3 * time.Second)
+				rejecting.Store(false)
+				time.Sleep(2 * heldRetryDelay)
+				tc.wantPhase(n, "odd", tasks.Completed)
+				if got, want := tc.checker.Starts(), 44; got != want {
+					t.Errorf("got %d starts, want %d", got, want)
+				}
+			})
+		})
+	}
+}
+
+// TestHeldJobCanBeCancelled guards against a job that nobody can get rid of because the store
+// rejects its records.
+func TestHeldJobCanBeCancelled(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.wrapJournal = func(journal claim.Journal) claim.Journal { return sizeLimit{journal, 4000} }
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: time.Minute} }
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		if err := tc.submit(n, "odd", simplePlan(20, 100)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		n.cell.mu.Lock()
+		odd := n.cell.byID["odd"]
+		for i := range 20 {
+			odd.job.SaveCheckpoint(tasks.ID{Job: "odd", Index: i}, 1, strings.Repeat("c", 400))
+		}
+		n.cell.markDirty(odd, nil)
+		n.cell.mu.Unlock()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(tc.ctx, 2*heldRetryDelay)
+		defer cancel()
+		if err := n.cell.Cancel(ctx, tasks.Key{Queue: testQueue, ID: "odd"}); err != nil {
+			t.Errorf("got %v for the cancellation, want none", err)
+		}
+		time.Sleep(3 * time.Second)
+		tc.wantPhase(n, "odd", tasks.Cancelled)
+	})
+}
+
+// sizeLimit rejects writes with a record of more than limit bytes.
+type sizeLimit struct {
+	claim.Journal
+	limit int
+}
+
+func (j sizeLimit) Append(ctx context.Context, write store.Write) (int64, error) {
+	for _, record := range write.Records {
+		if len(record.Value) > j.limit {
+			return 0, store.ErrTooLarge
+		}
+	}
+	return j.Journal.Append(ctx, write)
+}
+
+// TestOversizedDefinitionIsRefused checks that a job whose definition exceeds a record of the
+// store is refused before anything is written, and the largest that fits is accepted.
+func TestOversizedDefinitionIsRefused(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.store.SetLimits(testLimits)
+		tc.configure = func(options *Options) { options.RecordBytes = testLimits.Record }
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		for length, want := range map[int]error{261_000: nil, 262_000: ErrTooLarge, 60_000: nil} {
+			plan := simplePlan(1, 100)
+			plan.Spec = strings.Repeat("s", length)
+			if err := tc.submit(n, fmt.Sprint("job", length), plan); !errors.Is(err, want) {
+				t.Errorf("got %v for a spec of %d bytes, want %v", err, length, want)
+			}
+		}
+		plan := simplePlan(1, 100)
+		for i := 1; i < 1000; i++ {
+			step := plan.Steps[0]
+			for dependency := range i {
+				step.After = append(step.After, dependency)
+			}
+			plan.Steps = append(plan.Steps, step)
+		}
+		if err := tc.submit(n, "dense", plan); !errors.Is(err, ErrTooLarge) {
+			t.Errorf("got %v for a job with many dependencies, want %v", err, ErrTooLarge)
+		}
+	})
+}
--- a/sched/write.go
+++ b/sched/write.go
@@ -50,8 +50,10 @@
 type jobWrite struct {
 	entry *jobEntry
 	// writes are to be made in this order; there is only one unless the job is large.
-	writes      [][]store.Record
-	onPersisted func()
+	writes [][]store.Record
+	// phase is that of the job in these writes.
+	phase       tasks.Phase
+	onPersisted []func()
 }
 
 // loopWrites persists changes, one write at a time.
@@ -108,6 +110,9 @@
 		e := c.dirtyJobs[0]
 		c.dirtyJobs = c.dirtyJobs[1:]
 		e.dirty = false
+		if c.isHeld(e) {
+			continue
+		}
 		writes, err := c.records(e, limit)
 		if err != nil {
 			// Only values that JSON can't represent fail to encode; a job has none.
@@ -117,7 +122,8 @@
 		for _, records := range writes {
 			size += recordBytes(records)
 		}
-		b.jobs = append(b.jobs, jobWrite{entry: e, writes: writes, onPersisted: e.persistedFunc()})
+		b.jobs = append(b.jobs, jobWrite{entry: e, writes: writes, phase: e.job.Phase, onPersisted: e.onPersisted})
+		e.onPersisted = nil
 	}
 	if len(c.dirtyJobs) == 0 {
 		b.onPersisted = append(b.onPersisted, c.onAllPersisted...)
@@ -126,17 +132,14 @@
 	return b, len(c.dirtyJobs) > 0
 }
 
-// persistedFunc returns the function to call once the job's current state is
-// persisted.
-func (e *jobEntry) persistedFunc() func() {
-	phase, callbacks := e.job.Phase, e.onPersisted
-	e.onPersisted = nil
-	return func() {
-		e.persisted = true
-		e.persistedPhase = phase
-		for _, callback := range callbacks {
-			callback()
-		}
+// confirm records that the changes are persisted. c.mu must be held.
+func (w *jobWrite) confirm() {
+	if e := w.entry; e != nil {
+		e.persisted, e.held = true, false
+		e.persistedPhase = w.phase
+	}
+	for _, callback := range w.onPersisted {
+		callback()
 	}
 }
 
@@ -187,7 +190,7 @@
 		definition = []store.Record{{Key: definitionPrefix + suffix, Value: value}}
 		e.definitionWritten = true
 	}
-	changes, err := e.job.EncodeChanges(&e.stored, max(limit, minSplitBytes))
+	changes, err := e.encodeChanges(max(limit, minSplitBytes))
 	if err != nil {
 		return nil, err
 	}
@@ -217,23 +220,34 @@
 // another node has claimed the cell, it marks the cell as lost.
 func (c *Cell) write(ctx context.Context, b batch) bool {
 	start := time.Now()
-	for _, records := range b.writes(c.options.BatchBytes + c.options.BatchBytes/2) {
-		sent, err := c.writer.Write(ctx, records)
-		switch {
-		case err == nil:
-			c.options.Metrics.WriteSeconds.UpdateDuration(start)
-			c.ownershipConfirmed(sent)
-		case claim.IsSuperseded(err):
-			c.markLost(err.Error())
-			return false
-		default:
-			return false
-		}
+	err := c.appendAll(ctx, b.writes(c.options.BatchBytes+c.options.BatchBytes/2))
+	if claim.IsRejected(err) {
+		b, err = c.writeSeparately(ctx, b)
+	}
+	if claim.IsSuperseded(err) {
+		c.markLost(err.Error())
+	}
+	if err != nil {
+		return false
 	}
 	c.writeConfirmed(b, time.Since(start))
 	return true
 }
 
+// appendAll makes writes one after the other.
+func (c *Cell) appendAll(ctx context.Context, writes [][]store.Record) error {
+	for _, records := range writes {
+		start := time.Now()
+		sent, err := c.writer.Write(ctx, records)
+		if err != nil {
+			return err
+		}
+		c.options.Metrics.WriteSeconds.UpdateDuration(start)
+		c.ownershipConfirmed(sent)
+	}
+	return nil
+}
+
 // ownershipConfirmed records that the store has confirmed a write that was sent at a local
 // time.
 func (c *Cell) ownershipConfirmed(sent time.Duration) {
@@ -252,7 +266,7 @@
 	c.activity.writes++
 	c.activity.writeTime += took
 	for _, job := range b.jobs {
-		job.onPersisted()
+		job.confirm()
 	}
 	for _, callback := range b.onPersisted {
 		callback()
--- a/store/store.go
+++ b/store/store.go
@@ -99,6 +99,9 @@
 	// ErrTooLarge means that a record or a write is larger than the store allows, so that
 	// repeating it is of no use.
 	ErrTooLarge = errors.New("the store doesn't take a record or a write of that size")
+	// ErrInvalid means that the store rejects the write for another reason than its size or
+	// the state of the topic.
+	ErrInvalid = errors.New("the store rejects the write")
 )
 
 // WrapTopic adds an action and its topic to an error. It returns nil if err is
--- a/tasks/parts.go
+++ b/tasks/parts.go
@@ -173,6 +173,13 @@
 	return [][]ProgressRecord{append([]ProgressRecord{{Value: value}}, stored.RemoveParts()...)}, nil
 }
 
+// EncodeEnd returns the records of a job that has ended, without its tasks.
+func (j *Job) EncodeEnd(stored *StoredProgress) ([][]ProgressRecord, error) {
+	ended := Job{Key: j.Key, Phase: j.Phase, Ended: j.Ended, NextRound: j.NextRound, Started: j.Started}
+	value, err := ended.EncodeProgress()
+	return [][]ProgressRecord{append([]ProgressRecord{{Value: value}}, stored.RemoveParts()...)}, err
+}
+
 // progressSize returns the approximate size of the progress in a single record.
 func (j *Job) progressSize() int {
 	size := 0
