sched, platform: trim the topics of cells

Cause: nothing ever trims. The records that an owner replaces stay until they expire, and fill the store when services write much.

Change: an owner has the store delete the replaced records of its topic (POST /log-trim) after it has appended a fifth of its part of the store, between 4 and 16 MB, so that a small load makes no further call; and at once if the store is full. The newest record of each key stays, and a cell's topic is read as the newest of each key only. A node that can't claim a full topic trims it first, since its owner may be dead. Readers that follow other topics reload them on status 410, as before.

TestSmallLoadMakesNoTrim checks for no call.

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -40,6 +40,8 @@
 	unconfirmed []store.Record
 	// avgLatency is the moving average of the latency of successful writes.
 	avgLatency time.Duration
+	// end is the end of the topic after the last confirmed write with records, 0 if unknown.
+	end int64
 	// OnRetry, if not nil, is called with the error of each attempt that is retried.
 	OnRetry func(err error)
 }
@@ -82,13 +84,14 @@
 	timeout := min(max(minAttemptTimeout, timeoutFactor*w.avgLatency), maxAttemptTimeout)
 	for {
 		sent := w.clock()
-		err := w.appendOnce(ctx, timeout, records)
+		end, err := w.appendOnce(ctx, timeout, records)
 		timeout = min(2*timeout, maxAttemptTimeout)
 		switch {
 		case err == nil:
 			w.avgLatency += time.Duration(latencyWeight * float64(w.clock()-sent-w.avgLatency))
 			if len(records) > 0 {
 				w.sequence++
+				w.end = end
 			}
 			return sent, nil
 		case ctx.Err() != nil:
@@ -106,6 +109,10 @@
 	}
 }
 
+// End returns the end of the topic after the last confirmed write with records, or 0 if there was
+// none.
+func (w *Writer) End() int64 { return w.end }
+
 // rejectionCounter counts the rejections of a write.
 type rejectionCounter struct {
 	invalid int
@@ -132,17 +139,16 @@
 }
 
 // appendOnce makes one attempt to append records.
-func (w *Writer) appendOnce(ctx context.Context, timeout time.Duration, records []store.Record) error {
+func (w *Writer) appendOnce(ctx context.Context, timeout time.Duration, records []store.Record) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := w.journal.Append(ctx, store.Write{
+	return w.journal.Append(ctx, store.Write{
 		Topic:    w.topic,
 		Records:  records,
 		Writer:   writerName,
 		Epoch:    w.epoch,
 		Sequence: w.sequence,
 	})
-	return err
 }
 
 // IsSuperseded reports whether err means that another node has claimed the topic.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -33,6 +33,8 @@
 // codecs of the platform's formats.
 type Platform struct {
 	Journal claim.Journal
+	// Trimmer may be nil.
+	Trimmer sched.Trimmer
 	Group   owner.Group
 	Config  queue.Reader
 	Pools   pool.Reader
@@ -101,6 +103,7 @@
 	supervisor := owner.NewSupervisor(member, config, pools, settings.Partitions, sched.Options{
 		Node:         settings.Name,
 		Journal:      platform.Journal,
+		Trimmer:      platform.Trimmer,
 		HostClient:   platform.Hosts,
 		Advisor:      platform.Advisor,
 		Clock:        platform.Clock,
--- a/fake/store.go
+++ b/fake/store.go
@@ -45,7 +45,9 @@
 	// extraLatency is added to storeLatency.
 	extraLatency time.Duration
 	limits       StoreLimits
-	appended     core.Signal
+	// trims counts the calls of Trim.
+	trims    int
+	appended core.Signal
 }
 
 // StoreLimits are the limits of the store in bytes; 0 means none.
@@ -337,6 +339,25 @@
 	return c.store.appendWithin(write)
 }
 
+// Trim implements sched.Trimmer.
+func (c *StoreClient) Trim(ctx context.Context, topicName string, before int64) error {
+	if err := c.beginCall(ctx); err != nil {
+		return err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.trims++
+	c.store.topic(topicName).trim(before)
+	return nil
+}
+
+// Trims returns the number of calls of Trim.
+func (s *Store) Trims() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.trims
+}
+
 // loseResponse reports whether LoseResponses applies to a write, and if so schedules
 // it.
 func (s *Store) loseResponse(node string, write store.Write) bool {
--- a/local/cluster.go
+++ b/local/cluster.go
@@ -139,7 +139,7 @@
 	}
 	hosts := fake.NewHostClient(c.runners, func(tasks.ID) tasks.Resources { return tasks.Resources{CPU: taskCPU, MemMB: 1} })
 	platform, client := c.options.Platform, c.store.Client(name)
-	platform.Journal, platform.Group, platform.Config, platform.Pools = client, client, client, client
+	platform.Journal, platform.Group, platform.Config, platform.Pools, platform.Trimmer = client, client, client, client, client
 	platform.Hosts, platform.Cloud = hosts, noCloud{}
 	n.app = engine.New(n.settings, platform, c.options.Logger.WithValues("node", name))
 	if err := n.app.Start(ctx); err != nil {
--- a/owner/supervisor.go
+++ b/owner/supervisor.go
@@ -243,6 +243,7 @@
 	defer r.remove()
 	options := r.supervisor.options
 	options.Service = r.service
+	options.TopicBytes = r.supervisor.topicBytes()
 	nonce := uuid.NewString()
 	for ctx.Err() == nil {
 		c, err := sched.Claim(ctx, options, nonce)
@@ -261,6 +262,15 @@
 	}
 }
 
+// topicBytes returns the share of the store for the topic of one cell.
+func (s *Supervisor) topicBytes() int {
+	config := s.config.Config()
+	if config == nil {
+		return 0
+	}
+	return sched.TopicShare(len(config.Services))
+}
+
 // remove deletes the runner from the supervisor unless it has been replaced.
 func (r *cellRunner) remove() {
 	r.cancel()
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -90,6 +90,11 @@
 	BatchBytes int
 	// RecordBytes is the largest record that the store takes, 0 if unknown.
 	RecordBytes int
+	// TopicBytes limits the newest records of the cell when a job is submitted, see
+	// TopicShare; 0 stands for the share of a single service.
+	TopicBytes int
+	// Trimmer may be nil; the topic is then never trimmed.
+	Trimmer Trimmer
 	// Link limits what all cells of the node send.
 	Link    *Link
 	Logger  logr.Logger
@@ -144,6 +149,7 @@
 	dirtyJobs []*jobEntry
 	// orphanKeys are the keys of parts whose job no longer exists, to be deleted.
 	orphanKeys []string
+	topic      topicSize
 	// heldJobs are the accepted jobs whose records the store has rejected.
 	heldJobs map[*jobEntry]bool
 	// onAllPersisted is called once all changes so far are persisted.
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"rattanpath/claim"
 	"rattanpath/store"
 	"rattanpath/tasks"
 )
@@ -30,7 +29,7 @@
 // loads their records. For the nonce see claim.Acquire.
 func Claim(ctx context.Context, options Options, nonce string) (*Cell, error) {
 	start := options.Clock()
-	acquired, err := claim.Acquire(ctx, options.Journal, Topic(options.Service), options.Node, nonce, options.Clock)
+	acquired, err := acquire(ctx, options, nonce)
 	if err != nil {
 		return nil, err
 	}
@@ -40,6 +39,8 @@
 	c.writer = acquired.NewWriter(options.Journal, Topic(options.Service), options.Clock)
 	c.writer.OnRetry = c.writeFailed
 	c.load(acquired.Records)
+	c.topic.add(acquired.Records)
+	c.topic.appended = 0
 	c.claimedAt = options.Clock()
 	c.confirmedAt = acquired.SentAt
 	c.inheritRuns()
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -152,6 +152,7 @@
 		MaxRecordAge: fake.CapacityGrace,
 		JobRetention: 2 * time.Minute,
 		BatchBytes:   1 << 20,
+		Trimmer:      tc.store.Client(name),
 		Link:         NewLink(tc.linkRate),
 		Logger:       logger,
 		Metrics:      NewMetrics(metrics.NewSet()),
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -30,6 +30,8 @@
 	PaceChanges       *metrics.Counter
 	// RejectedWrites counts the jobs whose records the store has rejected, each time.
 	RejectedWrites *metrics.Counter
+	// Trims counts trims of cells' topics.
+	Trims *metrics.Counter
 
 	set *metrics.Set
 }
@@ -49,6 +51,7 @@
 		TasksGivenUp:      set.NewCounter("rattanpath_cell_given_up_tasks_total"),
 		PaceChanges:       set.NewCounter("rattanpath_cell_paces_total"),
 		RejectedWrites:    set.NewCounter("rattanpath_cell_rejected_writes_total"),
+		Trims:             set.NewCounter("rattanpath_cell_trims_total"),
 		set:               set,
 	}
 }
--- a/sched/write.go
+++ b/sched/write.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"rattanpath/claim"
 	"rattanpath/store"
@@ -243,16 +244,17 @@
 			return err
 		}
 		c.options.Metrics.WriteSeconds.UpdateDuration(start)
-		c.ownershipConfirmed(sent)
+		c.ownershipConfirmed(sent, records)
 	}
 	return nil
 }
 
 // ownershipConfirmed records that the store has confirmed a write that was sent at a local
 // time.
-func (c *Cell) ownershipConfirmed(sent time.Duration) {
+func (c *Cell) ownershipConfirmed(sent time.Duration, records []store.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordsConfirmed(records, c.writer.End())
 	c.confirmedAt = sent
 	if !c.failingSince.IsZero() {
 		c.logger.Info("store writes recovered", "after", time.Since(c.failingSince).Round(time.Millisecond))
@@ -277,6 +279,9 @@
 func (c *Cell) writeFailed(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if errors.Is(err, store.ErrFull) {
+		c.storeFull()
+	}
 	if c.failingSince.IsZero() {
 		c.failingSince = time.Now()
 		c.logger.Info("store write failed, retrying", "err", err.Error())
