sched, claim: refuse new jobs before the store is full, and outlast a full one

Cause: new jobs take the last room of the store, so that ends, which would free some, can't be stored. While the store is full nothing confirms the ownership: after 4 s leases lapse and everything that runs ends.

Change: an owner knows the size of the newest records of its topic and refuses new jobs (503, not run) beyond its part of 60% of the store; also for 2 s after the store was full, so that ends come first. While a write is refused for lack of room, the writer verifies its claim with a write without records, which a full store takes, so that leases are renewed; what ends meanwhile is acknowledged once it is stored.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -286,3 +286,32 @@
 		})
 	}
 }
+
+// TestFullStoreVerifiesOwnership guards against an owner that a full store keeps from learning
+// whether it still owns the topic, either way.
+func TestFullStoreVerifiesOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.NewStore()
+		writer := acquire(t, s.Client("a"), "a").NewWriter(s.Client("a"), testTopic, clock)
+		var verifiedAt time.Duration
+		writer.OnVerified = func(sent time.Duration) { verifiedAt = sent }
+		s.SetLimits(fake.StoreLimits{Total: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		records := []store.Record{{Key: "k", Value: []byte("1")}}
+		if _, err := writer.Write(ctx, records); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v while the store is full, want %v", err, context.DeadlineExceeded)
+		}
+		if age := clock() - verifiedAt; age > time.Second {
+			t.Errorf("got the ownership last verified %v ago, want less than 1s", age)
+		}
+		s.SetLimits(fake.StoreLimits{})
+		acquire(t, s.Client("b"), "b")
+		s.SetLimits(fake.StoreLimits{Total: 1})
+		ctx, cancel = context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if _, err := writer.Write(ctx, records); !errors.Is(err, store.ErrFenced) {
+			t.Errorf("got %v after another claim, want %v", err, store.ErrFenced)
+		}
+	})
+}
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -44,6 +44,10 @@
 	end int64
 	// OnRetry, if not nil, is called with the error of each attempt that is retried.
 	OnRetry func(err error)
+	// OnVerified, if not nil, is called while the store is full, with the time at which an
+	// attempt without records was sent that the store has confirmed: nothing can be stored,
+	// but no other node has claimed the topic.
+	OnVerified func(sent time.Duration)
 }
 
 // NewWriter returns a writer for the claimed topic.
@@ -102,6 +106,11 @@
 		if w.OnRetry != nil {
 			w.OnRetry(err)
 		}
+		if errors.Is(err, store.ErrFull) && w.OnVerified != nil {
+			if err := w.verify(ctx, timeout); IsSuperseded(err) {
+				return 0, err
+			}
+		}
 		if err := core.Sleep(ctx, delay); err != nil {
 			return 0, err
 		}
@@ -109,6 +118,16 @@
 	}
 }
 
+// verify confirms that no other node has claimed the topic.
+func (w *Writer) verify(ctx context.Context, timeout time.Duration) error {
+	sent := w.clock()
+	_, err := w.appendOnce(ctx, timeout, nil)
+	if err == nil {
+		w.OnVerified(sent)
+	}
+	return err
+}
+
 // End returns the end of the topic after the last confirmed write with records, or 0 if there was
 // none.
 func (w *Writer) End() int64 { return w.end }
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -102,7 +102,7 @@
 		return Done
 	case errors.Is(err, sched.ErrNotOwner):
 		return NotOwner
-	case errors.Is(err, sched.ErrStoreUnavailable):
+	case errors.Is(err, sched.ErrStoreUnavailable), errors.Is(err, sched.ErrStoreFull):
 		return StoreUnavailable
 	case errors.Is(err, sched.ErrOverloaded):
 		return Overloaded
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -38,6 +38,7 @@
 	c.claim = acquired
 	c.writer = acquired.NewWriter(options.Journal, Topic(options.Service), options.Clock)
 	c.writer.OnRetry = c.writeFailed
+	c.writer.OnVerified = c.verified
 	c.load(acquired.Records)
 	c.topic.add(acquired.Records)
 	c.topic.appended = 0
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -52,6 +52,8 @@
 		return ErrStoreUnavailable
 	case c.wouldStartLate(e, time.Now()):
 		return ErrOverloaded
+	case !c.hasRoomFor(e):
+		return ErrStoreFull
 	case c.exceedsRecord(e):
 		return ErrTooLarge
 	default:
--- a/sched/room.go
+++ b/sched/room.go
@@ -29,8 +29,17 @@
 	maxTrimBytes = 16_000_000
 	// trimRetryDelay is the time between two trims that fail or free too little.
 	trimRetryDelay = 5 * time.Second
+	// fullPause is how long after the store was full no new jobs are accepted, so that
+	// ends and the changes of accepted jobs are stored first.
+	fullPause = 2 * time.Second
+	// taskRoom is what a task of a new job takes in the store while it runs.
+	taskRoom = 100
 )
 
+// ErrStoreFull means that the records of the service take so much of the store that no
+// further job is accepted; nothing was changed.
+var ErrStoreFull = errors.New("the store has no room for new jobs")
+
 // Trimmer deletes old records of topics.
 type Trimmer interface {
 	// Trim deletes the records of a topic before an offset, except for the newest of
@@ -55,6 +64,8 @@
 	// trimming is set while a trim is under way, and trimmedAt is when the last one began.
 	trimming  bool
 	trimmedAt time.Time
+	// fullAt is when the store last refused records because it was full.
+	fullAt time.Time
 }
 
 // add counts confirmed records.
@@ -88,6 +99,15 @@
 	return min(max(minTrimBytes, int(trimShare*float64(c.topicBytes()))), maxTrimBytes)
 }
 
+// hasRoomFor reports whether the records of a new job may be added to the topic. c.mu must be
+// held.
+func (c *Cell) hasRoomFor(e *jobEntry) bool {
+	if !c.topic.fullAt.IsZero() && time.Since(c.topic.fullAt) < fullPause {
+		return false
+	}
+	return c.topic.live+len(e.job.Plan.Spec)+e.job.UnassignedTasks()*taskRoom <= c.topicBytes()
+}
+
 // recordsConfirmed counts records that the store has confirmed, and trims the topic if enough
 // has been appended. c.mu must be held.
 func (c *Cell) recordsConfirmed(records []store.Record, end int64) {
@@ -126,9 +146,18 @@
 // storeFull records that the store has refused records because it is full. What this
 // cell has appended since the last trim is given back at once. c.mu must be held.
 func (c *Cell) storeFull() {
+	c.topic.fullAt = time.Now()
 	c.trim()
 }
 
+// verified records that no other node had claimed the cell at a local time, although the
+// store is full. Leases are renewed meanwhile.
+func (c *Cell) verified(sent time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmedAt = sent
+}
+
 // acquire claims the topic of the cell. If the store is full it first trims the topic, which
 // the previous owner may not be able to do: the newest of each key are all that counts.
 func acquire(ctx context.Context, options Options, nonce string) (*claim.Claim, error) {
