sched: test an owner that dies between two writes of one job

TestOwnerDiesBetweenWritesOfOneJob guards the order of the writes of a large job: the owner loses the store after one of several writes with ends. The next one completes the job with one start of each task.

--- a/sched/large_test.go
+++ b/sched/large_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -158,3 +159,67 @@
 		}
 	}
 }
+
+// dyingJournal makes the store unreachable for its node after one write with many ends, while
+// armed.
+type dyingJournal struct {
+	claim.Journal
+	armed *atomic.Bool
+	die   func()
+}
+
+func (j dyingJournal) Append(ctx context.Context, write store.Write) (int64, error) {
+	offset, err := j.Journal.Append(ctx, write)
+	ends := 0
+	for _, record := range write.Records {
+		ends += strings.Count(string(record.Value), `"P":3`)
+	}
+	if err == nil && ends > 500 && j.armed.CompareAndSwap(true, false) {
+		j.die()
+	}
+	return offset, err
+}
+
+// TestOwnerDiesBetweenWritesOfOneJob guards against ends that are acknowledged although a part of
+// the job's changes was not written, and against a next owner that takes tasks that are done for
+// waiting ones.
+func TestOwnerDiesBetweenWritesOfOneJob(t *testing.T) {
+	runCluster(t, 8, func(tc *testCluster) {
+		var armed atomic.Bool
+		tc.wrapJournal = func(journal claim.Journal) claim.Journal {
+			return dyingJournal{journal, &armed, func() { tc.store.SetFailure("a", fake.Unresponsive) }}
+		}
+		tc.configure = func(options *Options) { options.BatchBytes = 64 << 10 }
+		// Two of three tasks end at the same time, the others later.
+		end := time.Now().Add(10 * time.Second)
+		tc.profileOf = func(taskID tasks.ID, _ int) fake.RunProfile {
+			if taskID.Index%3 == 0 {
+				return fake.RunProfile{Duration: 20 * time.Second}
+			}
+			return fake.RunProfile{Duration: time.Until(end)}
+		}
+		a := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		plan := simplePlan(4000, 5)
+		plan.Steps[0].Room.MemMB = 10
+		plan.Repeats, plan.First, plan.Every = 2, time.Now(), time.Millisecond
+		if err := tc.submit(a, "large", plan); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(8 * time.Second)
+		armed.Store(true)
+		tc.store.SetExtraLatency(20 * time.Millisecond)
+		time.Sleep(3 * time.Second)
+		if armed.Load() {
+			t.Error("got no write with many ends, want one")
+		}
+		tc.store.SetExtraLatency(0)
+		tc.wrapJournal = nil
+		b := tc.claim("b")
+		time.Sleep(30 * time.Second)
+		tc.wantPhase(b, "large", tasks.Completed)
+		if got, want := tc.checker.Starts(), 8000; got != want {
+			t.Errorf("got %d starts, want %d: each task once", got, want)
+		}
+	})
+}
