--- a/claim/writer.go
+++ b/claim/writer.go
@@ -22,6 +22,9 @@
 	// timeoutFactor is the timeout of the first attempt as a multiple of the average
 	// latency.
 	timeoutFactor = 4
+	// maxInvalid is how often a write is rejected as invalid before it is given up, in case
+	// a proxy has answered.
+	maxInvalid = 5
 	// latencyWeight is the weight of the latest write in the average latency.
 	latencyWeight = 0.2
 )
@@ -37,8 +40,14 @@
 	unconfirmed []store.Record
 	// avgLatency is the moving average of the latency of successful writes.
 	avgLatency time.Duration
+	// end is the end of the topic after the last confirmed write with records, 0 if unknown.
+	end int64
 	// OnRetry, if not nil, is called with the error of each attempt that is retried.
 	OnRetry func(err error)
+	// OnVerified, if not nil, is called while the store is full, with the time at which an
+	// attempt without records was sent that the store has confirmed: nothing can be stored,
+	// but no other node has claimed the topic.
+	OnVerified func(sent time.Duration)
 }
 
 // NewWriter returns a writer for the claimed topic.
@@ -61,13 +70,13 @@
 // same records.
 func (w *Writer) Write(ctx context.Context, records []store.Record) (time.Duration, error) {
 	if w.unconfirmed != nil {
-		if _, err := w.writeWithRetry(ctx, w.unconfirmed); err != nil {
+		if _, err := w.writeWithRetry(ctx, w.unconfirmed); err != nil && !IsRejected(err) {
 			return 0, err
 		}
 		w.unconfirmed = nil
 	}
 	sent, err := w.writeWithRetry(ctx, records)
-	if err != nil && !IsSuperseded(err) && len(records) > 0 {
+	if err != nil && !IsSuperseded(err) && !IsRejected(err) && len(records) > 0 {
 		w.unconfirmed = records
 	}
 	return sent, err
@@ -75,26 +84,33 @@
 
 func (w *Writer) writeWithRetry(ctx context.Context, records []store.Record) (time.Duration, error) {
 	delay := minRetryDelay
+	rejections := rejectionCounter{}
 	timeout := min(max(minAttemptTimeout, timeoutFactor*w.avgLatency), maxAttemptTimeout)
 	for {
 		sent := w.clock()
-		err := w.appendOnce(ctx, timeout, records)
+		end, err := w.appendOnce(ctx, timeout, records)
 		timeout = min(2*timeout, maxAttemptTimeout)
 		switch {
 		case err == nil:
 			w.avgLatency += time.Duration(latencyWeight * float64(w.clock()-sent-w.avgLatency))
 			if len(records) > 0 {
 				w.sequence++
+				w.end = end
 			}
 			return sent, nil
 		case ctx.Err() != nil:
 			return 0, ctx.Err()
-		case IsSuperseded(err):
+		case IsSuperseded(err) || rejections.isFinal(err):
 			return 0, err
 		}
 		if w.OnRetry != nil {
 			w.OnRetry(err)
 		}
+		if errors.Is(err, store.ErrFull) && w.OnVerified != nil {
+			if err := w.verify(ctx, timeout); IsSuperseded(err) {
+				return 0, err
+			}
+		}
 		if err := core.Sleep(ctx, delay); err != nil {
 			return 0, err
 		}
@@ -102,21 +118,64 @@
 	}
 }
 
+// verify confirms that no other node has claimed the topic.
+func (w *Writer) verify(ctx context.Context, timeout time.Duration) error {
+	sent := w.clock()
+	_, err := w.appendOnce(ctx, timeout, nil)
+	if err == nil {
+		w.OnVerified(sent)
+	}
+	return err
+}
+
+// End returns the end of the topic after the last confirmed write with records, or 0 if there was
+// none.
+func (w *Writer) End() int64 { return w.end }
+
+// rejectionCounter counts the rejections of a write.
+type rejectionCounter struct {
+	invalid int
+	// uncertain is set after an attempt that may have been applied, or may still be.
+	uncertain bool
+}
+
+// isFinal reports whether an error of an attempt means that the write can't be applied. Whether
+// a write is too large depends on its records alone, so that holds for earlier attempts too. Any
+// other rejection must repeat, and says nothing of an attempt whose outcome is unknown: its
+// sequence number can't be used for other records.
+func (r *rejectionCounter) isFinal(err error) bool {
+	switch {
+	case errors.Is(err, store.ErrTooLarge):
+		return true
+	case errors.Is(err, store.ErrInvalid):
+		r.invalid++
+		return r.invalid >= maxInvalid && !r.uncertain
+	case errors.Is(err, store.ErrRefused):
+	default:
+		r.uncertain = true
+	}
+	return false
+}
+
 // appendOnce makes one attempt to append records.
-func (w *Writer) appendOnce(ctx context.Context, timeout time.Duration, records []store.Record) error {
+func (w *Writer) appendOnce(ctx context.Context, timeout time.Duration, records []store.Record) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := w.journal.Append(ctx, store.Write{
+	return w.journal.Append(ctx, store.Write{
 		Topic:    w.topic,
 		Records:  records,
 		Writer:   writerName,
 		Epoch:    w.epoch,
 		Sequence: w.sequence,
 	})
-	return err
 }
 
 // IsSuperseded reports whether err means that another node has claimed the topic.
 func IsSuperseded(err error) bool {
 	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrOutOfSequence)
 }
+
+// IsRejected reports whether err means that the store doesn't take the records of a write.
+func IsRejected(err error) bool {
+	return errors.Is(err, store.ErrTooLarge) || errors.Is(err, store.ErrInvalid)
+}
--- a/owner/client.go
+++ b/owner/client.go
@@ -170,7 +170,7 @@
 			case NotOwner:
 			case Uncertain:
 				maybeExecuted = true
-			case StoreUnavailable, Overloaded, Reassigned:
+			case StoreUnavailable, Overloaded, Reassigned, TooLarge:
 				if !maybeExecuted {
 					return response
 				}
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -43,11 +43,17 @@
 	// Reassigned means that the owner's configuration, which is newer than that of the
 	// caller's node, assigns the queue to another service; the call had no effect.
 	Reassigned
+	// TooLarge means that the store doesn't take the records of the job; the call had no
+	// effect.
+	TooLarge
 )
 
 // String returns the name of the outcome for logs.
 func (o Outcome) String() string {
-	names := []string{"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded", "unauthorised", "forbidden", "reassigned"}
+	names := []string{
+		"done", "not-owner", "store-away", "uncertain", "unknown", "taken", "overloaded",
+		"unauthorised", "forbidden", "reassigned", "too-large",
+	}
 	if o < 0 || int(o) >= len(names) {
 		return "invalid"
 	}
@@ -125,10 +131,12 @@
 		return Done
 	case errors.Is(err, sched.ErrNotOwner):
 		return NotOwner
-	case errors.Is(err, sched.ErrStoreUnavailable):
+	case errors.Is(err, sched.ErrStoreUnavailable), errors.Is(err, sched.ErrStoreFull):
 		return StoreUnavailable
 	case errors.Is(err, sched.ErrOverloaded):
 		return Overloaded
+	case errors.Is(err, sched.ErrTooLarge):
+		return TooLarge
 	case errors.Is(err, sched.ErrUnknownJob):
 		return UnknownJob
 	case errors.Is(err, sched.ErrIDConflict):
--- a/owner/supervisor.go
+++ b/owner/supervisor.go
@@ -251,6 +251,7 @@
 	options := r.supervisor.options
 	options.Service = r.service
 	options.Config = r.supervisor.config.Config
+	options.TopicBytes = r.supervisor.topicBytes()
 	nonce := uuid.NewString()
 	for ctx.Err() == nil {
 		c, err := sched.Claim(ctx, options, nonce)
@@ -270,6 +271,15 @@
 	}
 }
 
+// topicBytes returns the share of the store for the topic of one cell.
+func (s *Supervisor) topicBytes() int {
+	config := s.config.Config()
+	if config == nil {
+		return 0
+	}
+	return sched.TopicShare(len(config.Services))
+}
+
 // remove deletes the runner from the supervisor unless it has been replaced.
 func (r *cellRunner) remove() {
 	r.cancel()
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -59,6 +59,9 @@
 	ErrStoreUnavailable = errors.New("the store can't be reached")
 	// ErrOverloaded means that the job would be started too late; nothing was changed.
 	ErrOverloaded = errors.New("too many tasks wait to be started")
+	// ErrTooLarge means that the store doesn't take the records of the job; nothing was
+	// changed.
+	ErrTooLarge = errors.New("the job is too large to be stored")
 	// ErrUncertain means that the change may or may not be persisted, now or
 	// later.
 	ErrUncertain = errors.New("the store did not confirm the change in time")
@@ -95,6 +98,13 @@
 	JobRetention time.Duration
 	// BatchBytes limits the size of one write.
 	BatchBytes int
+	// RecordBytes is the largest record that the store takes, 0 if unknown.
+	RecordBytes int
+	// TopicBytes limits the newest records of the cell when a job is submitted, see
+	// TopicShare; 0 stands for the share of a single service.
+	TopicBytes int
+	// Trimmer may be nil; the topic is then never trimmed.
+	Trimmer Trimmer
 	// Link limits what all cells of the node send.
 	Link    *Link
 	Logger  logr.Logger
@@ -107,8 +117,16 @@
 	// definitionWritten is set once the definition is part of a write, confirmed
 	// or in flight.
 	definitionWritten bool
+	// stored is what the store holds of the job's progress.
+	stored tasks.StoredProgress
 	// persisted is set once the store has confirmed the definition.
 	persisted bool
+	// rejected is set if the store has rejected the records of a new job. heldUntil is when
+	// those of an accepted one are tried again after a rejection, and held is set until they
+	// have been stored.
+	rejected  bool
+	held      bool
+	heldUntil time.Time
 	// dirty is set if the job has changed since the last write began. onPersisted
 	// is called once the next write is confirmed.
 	dirty       bool
@@ -147,6 +165,11 @@
 	byID      map[string]*jobEntry
 	open      map[*jobEntry]bool
 	dirtyJobs []*jobEntry
+	// orphanKeys are the keys of parts whose job no longer exists, to be deleted.
+	orphanKeys []string
+	topic      topicSize
+	// heldJobs are the accepted jobs whose records the store has rejected.
+	heldJobs map[*jobEntry]bool
 	// onAllPersisted is called once all changes so far are persisted.
 	onAllPersisted []func()
 	hosts          map[string]*host
@@ -222,6 +245,7 @@
 		open:         make(map[*jobEntry]bool),
 		hosts:        make(map[string]*host),
 		forgotten:    make(map[string]forgottenHost),
+		heldJobs:     make(map[*jobEntry]bool),
 		meanRunTimes: make(map[string]time.Duration),
 		stepRatios:   make(map[string]float64),
 		interference: interference{estimator: coloc.NewEstimator()},
@@ -342,6 +366,7 @@
 		c.updateEvidence(c.options.Clock())
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
+		c.retryHeld(time.Now())
 		c.logActivity()
 		c.mu.Unlock()
 		wake(c.scheduleWake)
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -59,6 +59,8 @@
 	linkRate    int64
 	// config, if not nil, is the active configuration of all nodes.
 	config func() *queue.Config
+	// configure, if not nil, changes the options of each node.
+	configure func(*Options)
 }
 
 // node is a node that has claimed the cell and may have lost it since.
@@ -154,6 +156,7 @@
 		MaxRecordAge: fake.CapacityGrace,
 		JobRetention: 2 * time.Minute,
 		BatchBytes:   1 << 20,
+		Trimmer:      tc.store.Client(name),
 		Link:         NewLink(tc.linkRate),
 		Logger:       logger,
 		Metrics:      NewMetrics(metrics.NewSet()),
@@ -167,6 +170,9 @@
 	if tc.wrapHosts != nil {
 		options.HostClient = tc.wrapHosts(options.HostClient)
 	}
+	if tc.configure != nil {
+		tc.configure(&options)
+	}
 	c := tc.claimCell(options)
 	n.cell = c
 	c.SetHosts(n.hosts.View())
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -48,7 +48,10 @@
 	c.markDirty(e, func() { close(persisted) })
 	wake(c.scheduleWake)
 	c.mu.Unlock()
-	return c.awaitSubmitted(ctx, e, persisted)
+	if err := c.awaitSubmitted(ctx, e, persisted); err != nil {
+		return err
+	}
+	return c.rejectionError(e)
 }
 
 // admissionError returns why a new job can't be accepted at present, or nil.
@@ -60,6 +63,10 @@
 		return c.overloadError(e)
 	case c.hasGangBeyondLink(e):
 		return ErrOverloaded
+	case !c.hasRoomFor(e):
+		return ErrStoreFull
+	case c.exceedsRecord(e):
+		return ErrTooLarge
 	default:
 		return nil
 	}
@@ -186,7 +193,7 @@
 	if err := c.awaitPersisted(ctx, persisted); err != nil {
 		return err
 	}
-	if unknown || e.job.PreCancelled {
+	if unknown || e.job.PreCancelled || c.rejectionError(e) != nil {
 		return ErrUnknownJob
 	}
 	return nil
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -30,6 +30,10 @@
 	Stalls            *metrics.Counter
 	TasksGivenUp      *metrics.Counter
 	PaceChanges       *metrics.Counter
+	// RejectedWrites counts the jobs whose records the store has rejected, each time.
+	RejectedWrites *metrics.Counter
+	// Trims counts trims of cells' topics.
+	Trims *metrics.Counter
 
 	set *metrics.Set
 	// labels holds the label values of organisations by name.
@@ -51,6 +55,8 @@
 		Stalls:            set.NewCounter("rattanpath_cell_stalls_total"),
 		TasksGivenUp:      set.NewCounter("rattanpath_cell_given_up_tasks_total"),
 		PaceChanges:       set.NewCounter("rattanpath_cell_paces_total"),
+		RejectedWrites:    set.NewCounter("rattanpath_cell_rejected_writes_total"),
+		Trims:             set.NewCounter("rattanpath_cell_trims_total"),
 		set:               set,
 	}
 }
--- a/sched/withdraw.go
+++ b/sched/withdraw.go
@@ -36,10 +36,18 @@
 	return !e.definitionWritten && e.job.Phase == tasks.Open && c.jobs[e.job.Key] == e
 }
 
-// withdraw removes an unsent job and its planned runs, as if it had never been submitted. No
-// start command was sent, since that takes a confirmed write. The caller removes the job from
-// c.dirtyJobs. c.mu must be held.
+// withdraw removes an unsent job as if it had never been submitted. The caller removes the job
+// from c.dirtyJobs. c.mu must be held.
 func (c *Cell) withdraw(e *jobEntry) {
+	c.removeUnstored(e)
+	e.dirty, e.onPersisted = false, nil
+	close(e.withdrawn)
+	wake(c.scheduleWake)
+}
+
+// removeUnstored removes a job that was never persisted, with its planned runs. No start command
+// was sent, since that takes a confirmed write. c.mu must be held.
+func (c *Cell) removeUnstored(e *jobEntry) {
 	e.job.ForEachActive(func(taskID tasks.ID, task *tasks.Task) {
 		h, key := c.hosts[task.Host], runKey{taskID, task.Run}
 		if h != nil && h.runs[key] != nil {
@@ -47,14 +55,15 @@
 			c.plannedBytes -= e.startSize()
 		}
 	})
-	c.reduceBacklog(e, e.unstarted)
+	if c.open[e] {
+		delete(c.open, e)
+		c.reduceBacklog(e, e.unstarted)
+	}
 	c.submittedCPU -= e.submittedCPU
-	e.dirty, e.onPersisted = false, nil
-	delete(c.open, e)
 	delete(c.jobs, e.job.Key)
-	delete(c.byID, e.job.Key.ID)
-	close(e.withdrawn)
-	wake(c.scheduleWake)
+	if c.byID[e.job.Key.ID] == e {
+		delete(c.byID, e.job.Key.ID)
+	}
 }
 
 // awaitSubmitted waits until a submitted job is persisted or withdrawn. A job that is part of no
--- a/sched/write.go
+++ b/sched/write.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"rattanpath/claim"
 	"rattanpath/store"
@@ -39,10 +40,20 @@
 	wake(c.writeWake)
 }
 
-// batch holds the records of one write and the functions to call once it is
-// confirmed.
+// batch holds the changes of jobs that are written together and the functions to call once
+// all are confirmed.
 type batch struct {
-	records     []store.Record
+	jobs        []jobWrite
+	onPersisted []func()
+}
+
+// jobWrite holds the changes of one job.
+type jobWrite struct {
+	entry *jobEntry
+	// writes are to be made in this order; there is only one unless the job is large.
+	writes [][]store.Record
+	// phase is that of the job in these writes.
+	phase       tasks.Phase
 	onPersisted []func()
 }
 
@@ -93,21 +104,27 @@
 	defer c.mu.Unlock()
 	var b batch
 	size, limit := 0, c.options.Link.batchBytes(c.options.BatchBytes)
+	if len(c.orphanKeys) > 0 {
+		b.jobs = append(b.jobs, c.removeOrphans())
+	}
 	for len(c.dirtyJobs) > 0 && size < limit {
 		e := c.dirtyJobs[0]
 		c.dirtyJobs = c.dirtyJobs[1:]
 		e.dirty = false
-		records, err := c.records(e)
+		if c.isHeld(e) {
+			continue
+		}
+		writes, err := c.records(e, limit)
 		if err != nil {
 			// Only values that JSON can't represent fail to encode; a job has none.
 			c.logger.Error(err, "cannot encode job", "job", e.job.Key.ID)
 			continue
 		}
-		for _, record := range records {
-			size += len(record.Value) + len(record.Key)
+		for _, records := range writes {
+			size += recordBytes(records)
 		}
-		b.records = append(b.records, records...)
-		b.onPersisted = append(b.onPersisted, e.persistedFunc())
+		b.jobs = append(b.jobs, jobWrite{entry: e, writes: writes, phase: e.job.Phase, onPersisted: e.onPersisted})
+		e.onPersisted = nil
 	}
 	if len(c.dirtyJobs) == 0 {
 		b.onPersisted = append(b.onPersisted, c.onAllPersisted...)
@@ -116,64 +133,128 @@
 	return b, len(c.dirtyJobs) > 0
 }
 
-// persistedFunc returns the function to call once the job's current state is
-// persisted.
-func (e *jobEntry) persistedFunc() func() {
-	phase, callbacks := e.job.Phase, e.onPersisted
-	e.onPersisted = nil
-	return func() {
-		e.persisted = true
-		e.persistedPhase = phase
-		for _, callback := range callbacks {
-			callback()
+// confirm records that the changes are persisted. c.mu must be held.
+func (w *jobWrite) confirm() {
+	if e := w.entry; e != nil {
+		e.persisted, e.held = true, false
+		e.persistedPhase = w.phase
+	}
+	for _, callback := range w.onPersisted {
+		callback()
+	}
+}
+
+// writes returns what to send to the store for a batch: one write, unless a large job needs
+// several.
+func (b *batch) writes(limit int) [][]store.Record {
+	writes := [][]store.Record{nil}
+	size := 0
+	for _, job := range b.jobs {
+		for i, records := range job.writes {
+			added := recordBytes(records)
+			if i > 0 || size > 0 && size+added > limit {
+				writes, size = append(writes, nil), 0
+			}
+			writes[len(writes)-1] = append(writes[len(writes)-1], records...)
+			size += added
 		}
 	}
+	return writes
+}
+
+func recordBytes(records []store.Record) int {
+	size := 0
+	for _, record := range records {
+		size += len(record.Key) + len(record.Value)
+	}
+	return size
 }
 
-// records returns the records to write for a job. Records without a value
-// delete those of a removed job.
-func (c *Cell) records(e *jobEntry) ([]store.Record, error) {
+// minSplitBytes is the smallest limit by which the changes of a job are split into several
+// writes: 0.5 s of the slowest link.
+const minSplitBytes = 128 << 10
+
+// records returns the writes to make for a job, each of about limit bytes at most. Records
+// without a value delete those of a removed job.
+func (c *Cell) records(e *jobEntry, limit int) ([][]store.Record, error) {
 	suffix := fmt.Sprintf("%016x/%s", xxhash.Sum64String(e.job.Key.Queue), e.job.Key.ID)
 	if c.jobs[e.job.Key] != e {
-		return []store.Record{{Key: definitionPrefix + suffix}, {Key: progressPrefix + suffix}}, nil
+		records := []store.Record{{Key: definitionPrefix + suffix}, {Key: progressPrefix + suffix}}
+		return [][]store.Record{append(records, progressRecords(suffix, e.stored.RemoveParts())...)}, nil
 	}
-	var records []store.Record
+	var definition []store.Record
 	if !e.definitionWritten {
 		value, err := e.job.EncodeDefinition()
 		if err != nil {
 			return nil, err
 		}
-		records = append(records, store.Record{Key: definitionPrefix + suffix, Value: value})
+		definition = []store.Record{{Key: definitionPrefix + suffix, Value: value}}
 		e.definitionWritten = true
 	}
-	value, err := e.job.EncodeProgress()
+	changes, err := e.encodeChanges(max(limit, minSplitBytes))
 	if err != nil {
 		return nil, err
 	}
-	return append(records, store.Record{Key: progressPrefix + suffix, Value: value}), nil
+	writes := make([][]store.Record, max(1, len(changes)))
+	writes[0] = definition
+	for i, change := range changes {
+		writes[i] = append(writes[i], progressRecords(suffix, change)...)
+	}
+	return writes, nil
+}
+
+// progressRecords returns the records of a job's progress. Those of parts have the name of the
+// part behind the key of the main record, so that an older version reads over them.
+func progressRecords(suffix string, progress []tasks.ProgressRecord) []store.Record {
+	var records []store.Record
+	for _, record := range progress {
+		key := progressPrefix + suffix
+		if record.Part != "" {
+			key += partSeparator + record.Part
+		}
+		records = append(records, store.Record{Key: key, Value: record.Value})
+	}
+	return records
 }
 
 // write appends a batch to the store and reports whether that succeeded. If
 // another node has claimed the cell, it marks the cell as lost.
 func (c *Cell) write(ctx context.Context, b batch) bool {
 	start := time.Now()
-	sent, err := c.writer.Write(ctx, b.records)
-	switch {
-	case err == nil:
-		c.options.Metrics.WriteSeconds.UpdateDuration(start)
-		c.writeConfirmed(sent, b, time.Since(start))
-		return true
-	case claim.IsSuperseded(err):
+	err := c.appendAll(ctx, b.writes(c.options.BatchBytes+c.options.BatchBytes/2))
+	if claim.IsRejected(err) {
+		b, err = c.writeSeparately(ctx, b)
+	}
+	if claim.IsSuperseded(err) {
 		c.markLost(err.Error())
 	}
-	return false
+	if err != nil {
+		return false
+	}
+	c.writeConfirmed(b, time.Since(start))
+	return true
 }
 
-func (c *Cell) writeConfirmed(sent time.Duration, b batch, took time.Duration) {
+// appendAll makes writes one after the other.
+func (c *Cell) appendAll(ctx context.Context, writes [][]store.Record) error {
+	for _, records := range writes {
+		start := time.Now()
+		sent, err := c.writer.Write(ctx, records)
+		if err != nil {
+			return err
+		}
+		c.options.Metrics.WriteSeconds.UpdateDuration(start)
+		c.ownershipConfirmed(sent, records)
+	}
+	return nil
+}
+
+// ownershipConfirmed records that the store has confirmed a write that was sent at a local
+// time.
+func (c *Cell) ownershipConfirmed(sent time.Duration, records []store.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.activity.writes++
-	c.activity.writeTime += took
+	c.recordsConfirmed(records, c.writer.End())
 	c.confirmedAt = sent
 	if c.storeUnavailable() {
 		c.recoveringUntil = time.Now().Add(min(time.Since(c.failingSince), maxLateTime))
@@ -182,6 +263,16 @@
 		c.logger.Info("store writes recovered", "after", time.Since(c.failingSince).Round(time.Millisecond))
 		c.failingSince = time.Time{}
 	}
+}
+
+func (c *Cell) writeConfirmed(b batch, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activity.writes++
+	c.activity.writeTime += took
+	for _, job := range b.jobs {
+		job.confirm()
+	}
 	for _, callback := range b.onPersisted {
 		callback()
 	}
@@ -191,6 +282,9 @@
 func (c *Cell) writeFailed(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if errors.Is(err, store.ErrFull) {
+		c.storeFull()
+	}
 	if c.failingSince.IsZero() {
 		c.failingSince = time.Now()
 		c.scheduleWithdrawal()
