sched: a write that the store rejects as invalid doesn't count as an outage

Cause: its repeats take longer than storeDownAfter, so that unsent jobs beside it were withdrawn. Change: the store answers, so it isn't away.

--- a/sched/write.go
+++ b/sched/write.go
@@ -282,6 +282,10 @@
 func (c *Cell) writeFailed(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if errors.Is(err, store.ErrInvalid) {
+		// The store answers. What it doesn't take is isolated soon, and the rest is written.
+		return
+	}
 	if errors.Is(err, store.ErrFull) {
 		c.storeFull()
 	}
