sched: accept gangs that the link starts within two seconds

Cause: the limit for the link was that for replies, which are predicted less well; the link is paced by this node. With what may be queued before, 2 s end before members are dropped. Change: a limit of its own for the link.

--- a/sched/gangstart.go
+++ b/sched/gangstart.go
@@ -13,6 +13,9 @@
 const (
 	// gangStartTime is how long the start commands of a gang may take by the prediction.
 	gangStartTime = 1500 * time.Millisecond
+	// gangTransferTime is how long they may keep the node's share of the link busy, which is
+	// known better: with what is queued before, it ends before maxGangStartDelay.
+	gangTransferTime = 2 * time.Second
 	// maxGangStartDelay replaces maxStartDelay for the members of a gang: to drop the last
 	// ones would leave the others incomplete. It leaves members that have started before
 	// time to wait.
@@ -87,7 +90,7 @@
 		return false
 	}
 	for i := range e.job.Plan.Steps {
-		if step := &e.job.Plan.Steps[i]; step.Gang && link.transferTime(step.Count*e.startSize()) > gangStartTime {
+		if step := &e.job.Plan.Steps[i]; step.Gang && link.transferTime(step.Count*e.startSize()) > gangTransferTime {
 			c.logger.Info("job with a gang too large for the link", "job", e.job.Key.ID, "step", i, "members", step.Count, "bytes", e.startSize())
 			return true
 		}
