place: use slow hosts last

Cause: a host on which runs take several times longer is as good as any other.

Change: a cost above all others for hosts that are slow, so that they are used if no other host is feasible. A slow host that needs a probe is preferred for one short task. Without slow hosts the cost is 0.

Test: the order of preference with data in another rack, failures and full hosts, and that a probe takes one task only.

--- a/place/pick.go
+++ b/place/pick.go
@@ -17,6 +17,10 @@
 	Capacity tasks.Resources
 	// RecentFailures counts the runs that recently failed or stalled on the host.
 	RecentFailures int
+	// Slow means that runs take longer on the host than elsewhere, and NeedsProbe that it
+	// should get a run that shows whether they still do.
+	Slow       bool
+	NeedsProbe bool
 	// ServingTasks and BestEffortTasks count the tasks of these kinds on the host.
 	ServingTasks    int
 	BestEffortTasks int
@@ -42,6 +46,8 @@
 	SiblingsByHost map[string]int
 	// AllowedHosts are the IDs of the hosts that the advisor allows; nil allows all.
 	AllowedHosts map[string]bool
+	// MayProbe means that the task is short enough to be run on a slow host as a probe.
+	MayProbe bool
 	// Isolated means that a host has crashed under the task: it is not to be started beside
 	// fresh runs, nor others beside it while it is fresh.
 	Isolated bool
@@ -51,6 +57,7 @@
 // failure, sibling and colocated task. One unit of a larger cost outweighs one unit of
 // each smaller one together.
 const (
+	slowHostCost      = 2000.0
 	remoteDataCost    = 1000.0
 	avoidedHostCost   = 400.0
 	recentFailureCost = 100.0
@@ -90,6 +97,7 @@
 	if req.AvoidHost == host.ID {
 		cost += avoidedHostCost
 	}
+	cost += slowCost(req, host)
 	weight := recentFailureCost
 	if req.LastAttempt {
 		weight *= 2
@@ -107,6 +115,22 @@
 	return cost
 }
 
+// probeGain outweighs the differences between hosts in idleCPUShare: otherwise the busiest
+// hosts would be preferred to one that is to be probed.
+const probeGain = 2.0
+
+// slowCost returns the cost of running a task on a host because of the host's speed.
+func slowCost(req Requirements, host *Host) float64 {
+	switch {
+	case !host.Slow:
+		return 0
+	case host.NeedsProbe && req.MayProbe && !req.Isolated && !req.LastAttempt:
+		return -probeGain
+	default:
+		return slowHostCost
+	}
+}
+
 // idleCPUShare returns the fraction of a host's CPU, from 0 to 1, that stays free
 // once the task is placed. Best fit keeps large gaps for large tasks.
 func idleCPUShare(step *tasks.Step, host *Host) float64 {
@@ -130,6 +154,7 @@
 func (h *Host) Place(req Requirements) {
 	h.Free = h.Free.Sub(req.Step.RequiredResources())
 	h.QuietIn = FreshTime
+	h.NeedsProbe = false
 	h.CountTask(req.Step)
 	h.Reserved = h.Reserved || req.Isolated
 }
--- a/place/pick_test.go
+++ b/place/pick_test.go
@@ -55,6 +55,8 @@
 			Free:            tasks.Resources{CPU: rapid.Int64Range(0, 4000).Draw(t, "cpu"), MemMB: rapid.Int64Range(0, 400).Draw(t, "mem")},
 			Capacity:        tasks.Resources{CPU: 4000, MemMB: 400},
 			RecentFailures:  rapid.IntRange(0, 2).Draw(t, "recentFailures"),
+			Slow:            rapid.Bool().Draw(t, "slow"),
+			NeedsProbe:      rapid.Bool().Draw(t, "needsProbe"),
 			ServingTasks:    rapid.IntRange(0, 2).Draw(t, "servingTasks"),
 			BestEffortTasks: rapid.IntRange(0, 2).Draw(t, "bestEffortTasks"),
 			QuietIn:         time.Duration(rapid.IntRange(0, 2).Draw(t, "freshFor")) * FreshTime / 2,
@@ -77,6 +79,7 @@
 			Fills:      rapid.Bool().Draw(t, "fills"),
 		}
 		req := Requirements{Step: step, AvoidHost: "h0", SiblingsByHost: map[string]int{"h1": 1}, LastAttempt: rapid.Bool().Draw(t, "lastAttempt")}
+		req.MayProbe = rapid.Bool().Draw(t, "mayProbe")
 		req.Isolated = rapid.Bool().Draw(t, "isolated")
 		if rapid.Bool().Draw(t, "advised") {
 			req.AllowedHosts = map[string]bool{"h1": true, "h3": true}
@@ -104,6 +107,8 @@
 		{"best fit", tasks.Step{Room: tasks.Resources{CPU: 1000}}, []*Host{host("empty", unchanged), host("best", func(h *Host) { h.Free.CPU = 1000 })}},
 		{"rack of the data", tasks.Step{DataRack: "r1-1"}, []*Host{host("far", func(h *Host) { h.Rack = "r1-2"; h.Free.CPU = 100 }), host("best", unchanged)}},
 		{"host without failures", tasks.Step{}, []*Host{host("failing", func(h *Host) { h.RecentFailures = 1; h.Free.CPU = 100 }), host("best", unchanged)}},
+		{"host that isn't slow", tasks.Step{DataRack: "r1-1"}, []*Host{host("slow", func(h *Host) { h.Slow = true; h.Free.CPU = 100 }), host("best", func(h *Host) { h.Rack = "r1-2"; h.RecentFailures = 3 })}},
+		{"slow host over none", tasks.Step{Room: tasks.Resources{CPU: 1000}}, []*Host{host("full", func(h *Host) { h.Free.CPU = 0 }), host("best", func(h *Host) { h.Slow = true })}},
 		{"host without serving tasks for a best-effort task", tasks.Step{Fills: true}, []*Host{host("serving", func(h *Host) { h.ServingTasks = 1; h.Free.CPU = 100 }), host("best", unchanged)}},
 	}
 	for _, test := range tests {
@@ -114,3 +119,31 @@
 		})
 	}
 }
+
+// TestProbeOfSlowHost checks that a slow host which needs a probe gets one task, and only one
+// that may serve for it.
+func TestProbeOfSlowHost(t *testing.T) {
+	capacity := tasks.Resources{CPU: 4000, MemMB: 400}
+	step := &tasks.Step{Room: tasks.Resources{CPU: 1000}}
+	slow := &Host{ID: "slow", Capacity: capacity, Free: capacity, Slow: true, NeedsProbe: true}
+	busy := &Host{ID: "busy", Capacity: capacity, Free: tasks.Resources{CPU: 2000, MemMB: 400}}
+	hosts := []*Host{busy, slow}
+	for _, test := range []struct {
+		req  Requirements
+		want string
+	}{
+		{Requirements{Step: step}, "busy"},
+		{Requirements{Step: step, MayProbe: true, LastAttempt: true}, "busy"},
+		{Requirements{Step: step, MayProbe: true, Isolated: true}, "busy"},
+		{Requirements{Step: step, MayProbe: true}, "slow"},
+	} {
+		if got := Pick(test.req, hosts); got.ID != test.want {
+			t.Errorf("got host %s for %+v, want %s", got.ID, test.req, test.want)
+		}
+	}
+	probe := Requirements{Step: step, MayProbe: true}
+	slow.Place(probe)
+	if got := Pick(probe, hosts); got != busy {
+		t.Errorf("got host %s for a second task, want busy", got.ID)
+	}
+}
