sched: place by the observed speed of hosts

Cause: TestSlowRackIsUsedLast fails on the code before: two hosts that are five times slower get 32 of 200 runs in 5 s while others have room, each of which takes 2.5 s instead of 0.5 s. TestUnsteadyHostIsUsedLast, tried with the cost of slow hosts set to 0: a host that had gone down twice gets 40 new runs before and after it goes down again.

Change: reports of progress and ends feed package speed; every 0.3 s or more the hosts are assessed, which placement uses. Runs that checkpoint or are speculative are stopped on a slow host if they are expected to end earlier elsewhere, where there is room. Log lines, a gauge by service, the figure in the state of a host; the state is in the owner's memory and relearned.

Test: the slow hosts get at most a probe each 2 s, from 4.0 and 4.4 s after they turned slow, and are used as before once they are normal. With all hosts slow, one slow kind of tasks, or runs far from their data, no host counts as slow. A new owner finds the slow host again within 6 s. Without the distinction of far runs TestFarRunsDoNotMakeHostsSlow fails.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -12,6 +12,7 @@
 	"rattanpath/core"
 	"rattanpath/lease"
 	"rattanpath/pool"
+	"rattanpath/speed"
 	"rattanpath/store"
 	"rattanpath/tasks"
 )
@@ -164,6 +165,11 @@
 	// stepRatios is the moving average, by queue, of the longest run time of a step's
 	// tasks relative to the estimate.
 	stepRatios map[string]float64
+	// speeds holds the speeds of the hosts, which were last assessed at assessedAt, in
+	// assessTime.
+	speeds     *speed.Estimator
+	assessedAt time.Time
+	assessTime time.Duration
 	// advisorCalls is the number of calls to the advisor in flight.
 	advisorCalls int
 	activity     activity
@@ -195,6 +201,7 @@
 		forgotten:    make(map[string]forgottenHost),
 		meanRunTimes: make(map[string]time.Duration),
 		stepRatios:   make(map[string]float64),
+		speeds:       speed.New(),
 		writeWake:    make(chan struct{}, 1),
 		scheduleWake: make(chan struct{}, 1),
 		releasing:    make(chan struct{}),
@@ -235,6 +242,7 @@
 	c.stopped = true
 	c.mu.Unlock()
 	c.wg.Wait()
+	c.options.Metrics.setSlowHosts(c.options.Service, 0)
 	c.release(writesDone, stopWrites)
 }
 
@@ -310,6 +318,7 @@
 		c.expireForgotten()
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
+		c.assessSpeeds(time.Now())
 		c.logActivity()
 		c.mu.Unlock()
 		wake(c.scheduleWake)
--- a/sched/forgotten.go
+++ b/sched/forgotten.go
@@ -18,6 +18,7 @@
 // be held.
 func (c *Cell) forgetHost(h *host) {
 	delete(c.hosts, h.id)
+	c.speeds.Forget(h.id)
 	c.forgotten[h.id] = forgottenHost{restarts: h.restarts, forgottenAt: c.options.Clock()}
 }
 
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -41,6 +41,8 @@
 	profileOf func(taskID tasks.ID, run int) fake.RunProfile
 	start     time.Time
 	logOutput io.Writer
+	// profileOn, if not nil, changes the profile of a run on a host.
+	profileOn func(host string, taskID tasks.ID, profile fake.RunProfile) fake.RunProfile
 	// plans holds the plans of all jobs by ID.
 	plans sync.Map
 	// mu protects submittedJobs.
@@ -100,7 +102,11 @@
 		if id == tc.stallingHost {
 			return fake.RunProfile{Duration: 500 * time.Millisecond, Stalls: true}
 		}
-		return tc.profileOf(taskID, run)
+		profile := tc.profileOf(taskID, run)
+		if tc.profileOn != nil {
+			profile = tc.profileOn(id, taskID, profile)
+		}
+		return profile
 	})
 	runner.SetAdvisor(tc.advisor)
 	tc.runners[id] = runner
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -16,6 +16,9 @@
 	if h.missedHeartbeats > 0 {
 		c.logger.Info("host heartbeat recovered", "host", h.id, "runs", len(h.runs), "missed", h.missedHeartbeats)
 	}
+	if h.missedHeartbeats >= minMissed {
+		c.recordFall(h)
+	}
 	h.missedHeartbeats = 0
 	wake(c.scheduleWake)
 	now := c.options.Clock()
@@ -87,6 +90,7 @@
 	}
 	h.incarnation = incarnation
 	h.restarts++
+	c.recordFall(h)
 	h.restartedAt = c.options.Clock()
 	h.clock.Reset(c.options.MaxLease)
 	h.synced, h.ackValid = false, false
@@ -110,6 +114,7 @@
 			continue
 		}
 		c.recordEnd(h, r, f.Reason)
+		c.observeEnd(h, r, f.Reason)
 		c.endRun(h, r, f.Reason, f.Checkpoint)
 		if r.entry != nil && f.Reason == tasks.EndDone {
 			c.recordStepTime(r)
@@ -137,6 +142,7 @@
 		listed[key] = true
 		if r := h.runs[key]; r != nil {
 			c.updateRun(r, active, report.HostTime, now)
+			c.observeSpeed(h, r, active.Percent, active.Checkpoint, report.HostTime)
 		} else {
 			c.stopUnexpected(h, active, report.HostTime)
 		}
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -55,6 +55,11 @@
 	m.set.GetOrCreateHistogram(`rattanpath_cell_job_seconds{phase="` + phase.String() + `"}`).Update(took.Seconds())
 }
 
+// setSlowHosts records how many hosts of a service count as slow.
+func (m *Metrics) setSlowHosts(service string, count int) {
+	m.set.GetOrCreateGauge(`rattanpath_cell_slow_hosts{service="`+service+`"}`, nil).Set(float64(count))
+}
+
 // recordEnd counts a run that has ended.
 func (m *Metrics) recordEnd(reason tasks.EndReason) {
 	m.set.GetOrCreateCounter(`rattanpath_cell_ends_total{how="` + reason.String() + `"}`).Inc()
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -106,6 +106,7 @@
 		Step:           &e.job.Plan.Steps[step],
 		SiblingsByHost: siblingsByHost(round, step),
 		AllowedHosts:   c.allowedHosts(e, stepKey{round.Number, step}, now),
+		MayProbe:       c.mayProbe(e, &e.job.Plan.Steps[step]),
 	}
 }
 
@@ -163,6 +164,9 @@
 func (c *Cell) assign(e *jobEntry, taskID tasks.ID, target *place.Host, now time.Time) {
 	h := c.hosts[target.ID]
 	step := e.job.Step(taskID)
+	if target.Slow {
+		c.speeds.Probed(h.id, now)
+	}
 	e.job.Assign(taskID, h.id, h.incarnation, now)
 	task := e.job.Task(taskID)
 	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare}
@@ -170,6 +174,6 @@
 	h.runs[r.key()] = r
 	c.plannedBytes += e.startSize()
 	c.options.Metrics.TaskWaitSeconds.Update(now.Sub(e.job.DueTime(taskID.Round)).Seconds())
-	c.logger.Info("run assigned", "job", taskID.Job, "round", taskID.Round, "step", taskID.Step, "index", taskID.Index, "run", r.number, "host", h.id, "failed", task.Failures, "crashes", task.Crashes, "suspicion", target.RecentFailures)
+	c.logger.Info("run assigned", "job", taskID.Job, "round", taskID.Round, "step", taskID.Step, "index", taskID.Index, "run", r.number, "host", h.id, "failed", task.Failures, "crashes", task.Crashes, "suspicion", target.RecentFailures, "slow", target.Slow)
 	c.markDirty(e, func() { c.queueStart(h, r) })
 }
--- a/sched/run.go
+++ b/sched/run.go
@@ -68,6 +68,8 @@
 	percent         int
 	firstReportedAt time.Duration
 	progressedAt    time.Duration
+	// measured is the progress from which the speed of the host was last measured.
+	measured measurement
 	// tailLatency is the response time of a serving task that its host last
 	// reported.
 	tailLatency time.Duration
@@ -155,6 +157,7 @@
 func (r *run) restartHost(survived time.Duration) {
 	r.survived = survived
 	r.firstReportedAt, r.progressedAt, r.percent = 0, 0, 0
+	r.measured = measurement{}
 	r.stopping = false
 	if r.awaitsStart() || r.state == runSettled {
 		r.state = runUnverified
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -193,6 +193,8 @@
 		Capacity:       h.info.Capacity,
 		Free:           h.info.Capacity.Sub(h.used()),
 		RecentFailures: h.history.recentFailures(now),
+		Slow:           c.speeds.UseLast(h.id),
+		NeedsProbe:     c.speeds.NeedsProbe(h.id, now),
 	}
 	if h.restartedAt != 0 && len(c.hosts) > 1 {
 		candidate.QuietIn = max(0, h.restartedAt+restartSettleTime-clock)
--- a/sched/view.go
+++ b/sched/view.go
@@ -222,6 +222,8 @@
 		return "refused an order a moment ago"
 	case !c.hasRecentRecord(h, c.options.Clock()):
 		return "its entry is out of date"
+	case c.speeds.UseLast(h.id):
+		return c.slowState(h)
 	case h.history.recentFailures(now) > 0:
 		return "usable; runs failed or stood still there"
 	default:
