speed: need more evidence where run times differ

Change: the more the kinds of tasks differ on a single host (the median over the pool's hosts of the deviation of the logarithm), the more kinds are needed to call a host slow; the slower it is, the fewer. This replaces the rule that kinds without siblings count half unless they take three times the time.

--- a/sched/speed.go
+++ b/sched/speed.go
@@ -28,7 +28,7 @@
 	maxReportGap = 2 * time.Second
 	// assessInterval is the least time between two assessments of the hosts' speeds, and
 	// assessPauseFactor the least time as a multiple of the last one's duration: with 10,000
-	// pairs of a host and a kind of tasks, one takes some 10 ms.
+	// pairs of a host and a kind of tasks, one takes 10 to 20 ms.
 	assessInterval    = 300 * time.Millisecond
 	assessPauseFactor = 50
 )
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -23,9 +23,10 @@
 	// loneShare is the weight of a kind that is compared with other jobs of its queue
 	// because it runs on no other host: their tasks may be shorter.
 	loneShare = 0.5
-	// loneFull is the slowness from which such a kind counts fully among minKinds: jobs of a
-	// queue seldom differ by as much. Best fit often puts all tasks of a job on one host.
-	loneFull = 3.0
+	// evenSpread is the standard deviation of the logarithm of the slowness of a host's kinds
+	// up to which each counts fully among minKinds for a host at slowFrom. The more the kinds
+	// differ on one host, the more of them are needed: 8 if the deviation is 0.5.
+	evenSpread = 0.25
 	// quantile is the part of the evidence by weight, fastest first, that may speak
 	// against a host being slow.
 	quantile = 0.25
@@ -185,12 +186,12 @@
 	return 0, 0, false
 }
 
-// judge returns the judgement of the first window that holds enough evidence for the check, or
-// of the last.
-func (e *Estimator) judge(host string, now time.Time, enough func(judgement) bool) judgement {
+// firstEnough returns the judgement of a host by the first window that holds enough evidence for
+// the check, or by the last.
+func firstEnough(host string, views []poolEvidence, enough func(judgement) bool) judgement {
 	var last judgement
-	for _, w := range e.windows {
-		if last = judge(w.evidenceOf(host, now)); enough(last) {
+	for _, view := range views {
+		if last = view.judge(host); enough(last) {
 			break
 		}
 	}
@@ -199,14 +200,14 @@
 
 // isSlow reports whether a host is slow, apart from the limit on their number. More evidence is
 // needed to call a host slow than to keep or end that: one kind of tasks is enough to end it.
-func (e *Estimator) isSlow(host string, v *verdict, now time.Time) bool {
+func (v *verdict) isSlow(host string, views []poolEvidence, now time.Time) bool {
 	if !v.slow {
-		j := e.judge(host, now, judgement.suffices)
+		j := firstEnough(host, views, judgement.suffices)
 		v.slowness = j.slowness
 		// What a host did some time ago can't be compared with what others do now.
 		return now.Sub(v.observedAt) <= shortLife && j.suffices() && j.slowness >= slowFrom
 	}
-	j := e.judge(host, now, judgement.says)
+	j := firstEnough(host, views, judgement.says)
 	if j.says() {
 		v.slowness = j.slowness
 	}
@@ -266,13 +267,17 @@
 // candidates returns the hosts of a pool that should be used last: first those that already
 // are, then the slowest.
 func (e *Estimator) candidates(pool []string, now time.Time) []candidate {
+	var views []poolEvidence
+	for _, w := range e.windows {
+		views = append(views, w.evidenceOfPool(pool, now))
+	}
 	var found []candidate
 	for _, host := range pool {
 		v := e.verdicts[host]
 		if v == nil {
 			continue
 		}
-		c := candidate{host: host, slow: e.isSlow(host, v, now), unsteady: v.isUnsteady(now), already: e.UseLast(host), slowness: v.slowness}
+		c := candidate{host: host, slow: v.isSlow(host, views, now), unsteady: v.isUnsteady(now), already: e.UseLast(host), slowness: v.slowness}
 		if c.slow || c.unsteady {
 			found = append(found, c)
 		}
--- a/speed/window.go
+++ b/speed/window.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -91,17 +92,6 @@
 	slowness float64
 	weight   float64
 	expected float64
-	// kinds is what it counts among minKinds.
-	kinds float64
-}
-
-// evidence returns what the comparison says.
-func (c comparison) evidence() evidence {
-	one := evidence{slowness: c.slowness(), weight: c.share * c.own.seconds, expected: c.expected(), kinds: c.share}
-	if one.slowness >= loneFull {
-		one.kinds = 1
-	}
-	return one
 }
 
 // evidenceOf returns the evidence of a host, the fastest kind first.
@@ -109,7 +99,7 @@
 	var found []evidence
 	for kind, own := range w.kinds.byHost[host] {
 		if c, ok := w.compareSums(host, kind, own.decayed(now, w.kinds.halfLife), now); ok {
-			found = append(found, c.evidence())
+			found = append(found, evidence{slowness: c.slowness(), weight: c.share * c.own.seconds, expected: c.expected()})
 		}
 	}
 	slices.SortFunc(found, func(a, b evidence) int {
@@ -118,11 +108,49 @@
 	return found
 }
 
+// poolEvidence is the evidence of the hosts of a pool.
+type poolEvidence struct {
+	byHost map[string][]evidence
+	// spread is the median over the hosts of the standard deviation of the logarithm of the
+	// slowness of their kinds. A host that turns slow hardly changes it.
+	spread float64
+}
+
+func (w *window) evidenceOfPool(pool []string, now time.Time) poolEvidence {
+	all := poolEvidence{byHost: make(map[string][]evidence, len(pool))}
+	var spreads []float64
+	for _, host := range pool {
+		found := w.evidenceOf(host, now)
+		all.byHost[host] = found
+		if len(found) > 1 {
+			spreads = append(spreads, spreadOf(found))
+		}
+	}
+	if len(spreads) > 0 {
+		slices.Sort(spreads)
+		all.spread = spreads[len(spreads)/2]
+	}
+	return all
+}
+
+// spreadOf returns the standard deviation of the logarithm of the slowness of at least two
+// kinds.
+func spreadOf(found []evidence) float64 {
+	sum, squares := 0.0, 0.0
+	for _, one := range found {
+		log := math.Log(one.slowness)
+		sum += log
+		squares += log * log
+	}
+	count := float64(len(found))
+	return math.Sqrt(max(0, squares-sum*sum/count) / (count - 1))
+}
+
 // judgement is the evidence of a host taken together.
 type judgement struct {
 	slowness float64
 	expected float64
-	// kinds is the number of kinds, of which lone ones may count loneShare.
+	// kinds is the number of kinds, each of which counts the less the larger the spread is.
 	kinds float64
 }
 
@@ -131,18 +159,22 @@
 func (j judgement) suffices() bool { return j.expected >= minExpected && j.kinds >= minKinds }
 func (j judgement) says() bool     { return j.expected >= minPercent }
 
-// judge combines the evidence of a host, sorted by slowness.
-func judge(found []evidence) judgement {
-	j := judgement{slowness: 1}
+// judge combines the evidence of a host.
+func (p poolEvidence) judge(host string) judgement {
+	found := p.byHost[host]
+	j := judgement{slowness: 1, kinds: float64(len(found))}
 	total := 0.0
 	for _, one := range found {
 		total += one.weight
 		j.expected += one.expected
-		j.kinds += one.kinds
 	}
 	if len(found) > 0 {
 		j.slowness = quantileOf(found, total)
 	}
+	// The evidence of slower hosts stands out more clearly from the spread.
+	if clarity := evenSpread * math.Log2(j.slowness); p.spread > clarity {
+		j.kinds *= (max(0, clarity) / p.spread) * (max(0, clarity) / p.spread)
+	}
 	return j
 }
 
