Merge placement by the observed speed of hosts

The health contract of the platform's settings enables it: without it, hosts are used as before (TestUnjudgedHostsAreUsedAsBefore, TestHealthContractJudgesHosts).

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -109,6 +109,7 @@
 		Clock:        platform.Clock,
 		MaxLease:     settings.MaxLease,
 		MaxRecordAge: settings.MaxRecordAge,
+		JudgeHosts:   settings.JudgeHosts,
 		JobRetention: settings.JobRetention,
 		BatchBytes:   int(batchFraction * float64(settings.CallBytes)),
 		RecordBytes:  settings.RecordBytes,
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -14,6 +14,7 @@
 	"rattanpath/lease"
 	"rattanpath/pool"
 	"rattanpath/queue"
+	"rattanpath/speed"
 	"rattanpath/store"
 	"rattanpath/tasks"
 )
@@ -94,6 +95,8 @@
 	// MaxRecordAge is how old the record of a host may be when a start command reaches
 	// it: it may have shrunk since. 0 means that there is no limit.
 	MaxRecordAge time.Duration
+	// JudgeHosts makes the cell place tasks by the observed speed of hosts.
+	JudgeHosts bool
 	// JobRetention is how long the state of an ended job can be queried.
 	JobRetention time.Duration
 	// BatchBytes limits the size of one write.
@@ -213,6 +216,11 @@
 	// stepRatios is the moving average, by queue, of the longest run time of a step's
 	// tasks relative to the estimate.
 	stepRatios map[string]float64
+	// speeds holds the speeds of the hosts, which were last assessed at assessedAt, in
+	// assessTime.
+	speeds     *speed.Estimator
+	assessedAt time.Time
+	assessTime time.Duration
 	// advisorCalls is the number of calls to the advisor in flight.
 	advisorCalls int
 	activity     activity
@@ -250,6 +258,7 @@
 		stepRatios:   make(map[string]float64),
 		interference: interference{estimator: coloc.NewEstimator()},
 		kindTimes:    make(map[runKind]time.Duration),
+		speeds:       speed.New(),
 		writeWake:    make(chan struct{}, 1),
 		scheduleWake: make(chan struct{}, 1),
 		releasing:    make(chan struct{}),
@@ -290,6 +299,7 @@
 	c.stopped = true
 	c.mu.Unlock()
 	c.wg.Wait()
+	c.options.Metrics.setSlowHosts(c.options.Service, 0)
 	c.release(writesDone, stopWrites)
 }
 
@@ -367,6 +377,7 @@
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
 		c.retryHeld(time.Now())
+		c.assessSpeeds(time.Now())
 		c.logActivity()
 		c.mu.Unlock()
 		wake(c.scheduleWake)
--- a/sched/run.go
+++ b/sched/run.go
@@ -73,6 +73,8 @@
 	progressedAt    time.Duration
 	activeSince     time.Duration
 	basePercent     int
+	// measured is the progress from which the speed of the host was last measured.
+	measured measurement
 	// tailLatency is the response time of a serving task that its host last
 	// reported.
 	tailLatency time.Duration
@@ -164,6 +166,7 @@
 	r.survived = survived
 	r.firstReportedAt, r.progressedAt, r.percent = 0, 0, 0
 	r.activeSince, r.basePercent = 0, 0
+	r.measured = measurement{}
 	r.stopping = false
 	if r.awaitsStart() || r.state == runSettled {
 		r.state = runUnverified
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -200,6 +200,8 @@
 		Free:           h.info.Capacity.Sub(h.used()),
 		RecentFailures: h.history.recentFailures(now),
 		CountGroups:    len(c.interference.evidence) > 0,
+		Slow:           c.speeds.UseLast(h.id),
+		NeedsProbe:     c.speeds.NeedsProbe(h.id, now),
 	}
 	if h.restartedAt != 0 && len(c.hosts) > 1 {
 		candidate.QuietIn = max(0, h.restartedAt+restartSettleTime-clock)
