place: obstacles and the parts of costs

An explanation of a placement must name the first requirement that a host doesn't meet and each cost that counted, but Feasible returned a bool and Cost a sum. Feasible now tests FirstObstacle, and Cost sums Costs, in the same order as before.

--- a/place/interference.go
+++ b/place/interference.go
@@ -48,7 +48,7 @@
 
 // interferenceCost returns the cost of running a task beside those of a host. Without
 // evidence, best-effort and serving tasks are kept apart, whatever their images are.
-func interferenceCost(req Requirements, host *Host) float64 {
+func interferenceCost(req *Requirements, host *Host) float64 {
 	step := req.Step
 	cost := 0.0
 	if len(req.Evidence) == 0 || !host.CountGroups {
--- a/place/interference_test.go
+++ b/place/interference_test.go
@@ -75,7 +75,7 @@
 			plain.CountTask(other)
 		}
 		step := drawStep(t)
-		if got, want := interferenceCost(Requirements{Step: step, Evidence: evidence}, counted), referenceCost(evidence, step, others); math.Abs(got-want) > 1e-9 {
+		if got, want := interferenceCost(&Requirements{Step: step, Evidence: evidence}, counted), referenceCost(evidence, step, others); math.Abs(got-want) > 1e-9 {
 			t.Fatalf("got cost %v, want %v", got, want)
 		}
 		constant := 0.0
@@ -86,7 +86,7 @@
 			constant += 20 * float64(plain.BestEffortTasks)
 		}
 		for _, host := range []*Host{counted, plain} {
-			if got := interferenceCost(Requirements{Step: step}, host); got != constant {
+			if got := interferenceCost(&Requirements{Step: step}, host); got != constant {
 				t.Fatalf("got cost %v without evidence, want %v", got, constant)
 			}
 		}
--- a/place/pick.go
+++ b/place/pick.go
@@ -75,49 +75,107 @@
 // request some, although none is reserved for them.
 func requestsNoCPU(step *tasks.Step) bool { return step.Room.CPU <= 0 }
 
+// Obstacle is the first reason why a host can't run a task, or NoObstacle.
+type Obstacle int
+
+// The obstacles, in the order in which they are tested.
+const (
+	NoObstacle Obstacle = iota
+	NoRoom
+	NoLabel
+	NotAllowed
+	TooManyWithoutCPU
+	TooManySiblings
+	NotQuiet
+	ReservedHost
+)
+
+// String returns the obstacle as it is shown to operators.
+func (o Obstacle) String() string {
+	names := []string{
+		"none", "not enough CPU, memory or GPUs are free", "it lacks the required label", "the advisor has not allowed it",
+		"it has as many tasks without CPU as it may", "it has as many tasks of the step as it may",
+		"something has just started or crashed there, and the task needs a quiet host", "it is reserved for a task under which hosts crashed",
+	}
+	if o < 0 || int(o) >= len(names) {
+		return "unknown"
+	}
+	return names[o]
+}
+
 // Feasible reports whether a host meets all hard requirements of a task.
-func Feasible(req Requirements, host *Host) bool {
+func Feasible(req Requirements, host *Host) bool { return req.firstObstacle(host) == NoObstacle }
+
+// FirstObstacle returns the first hard requirement of a task that a host doesn't meet.
+func FirstObstacle(req Requirements, host *Host) Obstacle { return req.firstObstacle(host) }
+
+// firstObstacle takes a pointer since copies of the requirements would slow Pick down.
+func (req *Requirements) firstObstacle(host *Host) Obstacle {
 	step := req.Step
 	switch {
 	case !host.Free.CanFit(step.RequiredResources()):
-		return false
+		return NoRoom
 	case step.Label != "" && !slices.Contains(host.Labels, step.Label):
-		return false
+		return NoLabel
 	case req.AllowedHosts != nil && !req.AllowedHosts[host.ID]:
-		return false
+		return NotAllowed
 	case requestsNoCPU(step) && host.TasksWithoutCPU >= MaxTasksWithoutCPU:
-		return false
+		return TooManyWithoutCPU
 	case step.MaxPerHost > 0 && req.SiblingsByHost[host.ID] >= step.MaxPerHost:
-		return false
-	case req.Isolated:
-		return host.QuietIn <= 0
+		return TooManySiblings
+	case req.Isolated && host.QuietIn > 0:
+		return NotQuiet
+	case !req.Isolated && host.Reserved:
+		return ReservedHost
 	}
-	return !host.Reserved
+	return NoObstacle
+}
+
+// CostParts are the costs of running a task on a feasible host that Cost sums.
+type CostParts struct {
+	// IdleCPU ranks hosts by the CPU that stays free.
+	IdleCPU      float64
+	RemoteData   float64
+	AvoidedHost  float64
+	Failures     float64
+	Siblings     float64
+	Interference float64
+}
+
+// Total returns the sum of the costs.
+func (p CostParts) Total() float64 {
+	return p.IdleCPU + p.RemoteData + p.AvoidedHost + p.Failures + p.Siblings + p.Interference
 }
 
 // Cost returns the cost of running a task on a feasible host; lower is better.
-func Cost(req Requirements, host *Host) float64 {
+func Cost(req Requirements, host *Host) float64 { return req.costs(host).Total() }
+
+// Costs returns the parts of the cost of running a task on a feasible host.
+func Costs(req Requirements, host *Host) CostParts { return req.costs(host) }
+
+func (req *Requirements) costs(host *Host) CostParts {
 	step := req.Step
-	cost := idleCPUShare(step, host)
+	parts := CostParts{IdleCPU: idleCPUShare(step, host)}
 	if req.Isolated {
 		// A further crash should take few other runs along.
-		cost = 1 - cost
+		parts.IdleCPU = 1 - parts.IdleCPU
 	}
 	if step.DataRack != "" && host.Rack != step.DataRack {
-		cost += remoteDataCost
+		parts.RemoteData = remoteDataCost
 	}
 	if req.AvoidHost == host.ID {
-		cost += avoidedHostCost
+		parts.AvoidedHost = avoidedHostCost
 	}
 	weight := recentFailureCost
 	if req.LastAttempt {
 		weight *= 2
 	}
-	cost += weight * float64(host.RecentFailures)
+	parts.Failures = weight * float64(host.RecentFailures)
 	if step.Lasting {
-		cost += siblingCost * float64(req.SiblingsByHost[host.ID])
+		parts.Siblings = siblingCost * float64(req.SiblingsByHost[host.ID])
 	}
-	return cost + interferenceCost(req, host)
+	parts.Interference = interferenceCost(req, host)
+	return parts
 }
 
 // idleCPUShare returns the fraction of a host's CPU, from 0 to 1, that stays free
@@ -158,10 +216,10 @@
 	var best *Host
 	bestCost := 0.0
 	for _, host := range hosts {
-		if !Feasible(req, host) {
+		if req.firstObstacle(host) != NoObstacle {
 			continue
 		}
-		if cost := Cost(req, host); best == nil || cost < bestCost {
+		if cost := req.costs(host).Total(); best == nil || cost < bestCost {
 			best, bestCost = host, cost
 		}
 	}
