sched: separate decisions from what they record

A decision can be explained only by code that changes nothing. Refusing a job counted and logged it, a query for hosts counted stale records, the number of cells and the advisor's cache were updated by reading them, and the reason why a host is unusable was a copy of the test.

newJobError and admissionError now only decide, and Submit records the refusal; a gang that the link can't start has an error of its own, which is an ErrOverloaded as before. hostObstacle decides which hosts are usable and says why; a host whose machine has left is no longer shown as usable. heldBy names what holds back a step.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -31,7 +33,6 @@
 	if name == "" || len(c.quotas.organisations()) == 0 {
 		return ErrOverloaded
 	}
-	c.recordRefused(name, refusedShare)
 	bytes := c.organisationBacklog(name) + e.job.UnassignedTasks()*e.startSize()
 	wait := c.options.Link.transferTime(bytes)
 	// Callers that were refused at the same time return at different times.
@@ -39,6 +40,32 @@
 	return &OverloadError{RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait))}
 }
 
+// GangError is ErrOverloaded for a job with a gang whose start commands take the link too long.
+type GangError struct {
+	// Step is the index of the gang, and Bytes the size of each of Members start commands.
+	Step    int
+	Members int
+	Bytes   int
+}
+
+// Error implements error.
+func (e *GangError) Error() string { return ErrOverloaded.Error() }
+
+// Unwrap makes the error an ErrOverloaded.
+func (e *GangError) Unwrap() error { return ErrOverloaded }
+
+// recordRefusal records why a new job is not accepted.
+func (c *Cell) recordRefusal(e *jobEntry, err error) {
+	var overload *OverloadError
+	var gang *GangError
+	switch {
+	case errors.As(err, &overload):
+		c.recordRefused(e.job.Policy.Organisation, refusedShare)
+	case errors.As(err, &gang):
+		c.logger.Info("job with a gang too large for the link", "job", e.job.Key.ID, "step", gang.Step, "members", gang.Members, "bytes", gang.Bytes)
+	}
+}
+
 // isWithinBacklogShare reports whether the start commands of an organisation, with those of a new
 // job that must be sent within a time, take no more than its part of the link. Such a job is
 // accepted also while others' start commands keep the link busy for longer, since those wait
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -67,9 +67,12 @@
 		return nil
 	}
 	allowed := make(map[string]bool)
-	cache := e.adviceOf(key).cache
+	a := e.advice[key]
+	if a == nil {
+		return allowed
+	}
 	for id, h := range c.hosts {
-		if _, valid := cache.Ticket(h.ticketHost(), now); valid {
+		if _, valid := a.cache.Ticket(h.ticketHost(), now); valid {
 			allowed[id] = true
 		}
 	}
--- a/sched/bandwidth.go
+++ b/sched/bandwidth.go
@@ -75,14 +75,19 @@
 // startQueueFull reports whether no further run may be assigned before planned start
 // commands have been sent.
 func (c *Cell) startQueueFull() bool {
-	limit := c.options.Link.startQueue
-	if limit == 0 || c.plannedBytes < limit {
+	if !c.hasFullStartQueue() {
 		return false
 	}
 	c.startQueueFullAt = c.options.Clock()
 	return true
 }
 
+// hasFullStartQueue does the same without recording that assignment waited.
+func (c *Cell) hasFullStartQueue() bool {
+	limit := c.options.Link.startQueue
+	return limit != 0 && c.plannedBytes >= limit
+}
+
 // transferTime returns how long start commands of a size keep their share of the link
 // busy.
 func (l *Link) transferTime(bytes int) time.Duration {
--- a/sched/gangstart.go
+++ b/sched/gangstart.go
@@ -79,20 +79,19 @@
 	return reqs
 }
 
-// hasGangBeyondLink reports whether the link takes too long for the start commands of a gang
-// of the job, even if nothing else is sent.
-func (c *Cell) hasGangBeyondLink(e *jobEntry) bool {
+// gangError returns an error if the link takes too long for the start commands of a gang of
+// the job, even if nothing else is sent.
+func (c *Cell) gangError(e *jobEntry) error {
 	link := c.options.Link
 	if link.starts == nil {
-		return false
+		return nil
 	}
 	for i := range e.job.Plan.Steps {
 		if step := &e.job.Plan.Steps[i]; step.Gang && link.transferTime(step.Count*e.startSize()) > gangStartTime {
-			c.logger.Info("job with a gang too large for the link", "job", e.job.Key.ID, "step", i, "members", step.Count, "bytes", e.startSize())
-			return true
+			return &GangError{Step: i, Members: step.Count, Bytes: e.startSize()}
 		}
 	}
-	return false
+	return nil
 }
 
 // abandonGangStart gives up the start of a gang of which a member can't be started: the
--- a/sched/host.go
+++ b/sched/host.go
@@ -121,8 +121,24 @@
 }
 
 // usable reports whether runs can be assigned to the host.
-func (h *host) usable() bool {
-	return h.inPool && h.synced && h.missedHeartbeats == 0 && !h.info.Draining && h.clock.Synced() && !h.isRetired()
+func (h *host) usable() bool { return h.obstacle() == "" }
+
+// obstacle returns the first reason why no runs can be assigned to the host, or "".
+func (h *host) obstacle() string {
+	switch {
+	case !h.inPool:
+		return "its entry is gone"
+	case h.info.Draining:
+		return "draining"
+	case h.missedHeartbeats > 0:
+		return "does not answer"
+	case !h.synced || !h.clock.Synced():
+		return "has not answered this owner yet"
+	case h.isRetired():
+		return "its machine has left the pool"
+	default:
+		return ""
+	}
 }
 
 // updateHost updates a host with the pool's information.
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -18,16 +18,9 @@
 	}
 	e := c.jobs[key]
 	if e == nil {
-		if c.isReassigned(key.Queue, caller) {
-			c.mu.Unlock()
-			return ErrReassigned
-		}
-		if other := c.byID[key.ID]; other != nil {
-			c.mu.Unlock()
-			return ErrIDConflict
-		}
 		e = &jobEntry{job: tasks.NewJob(key, plan, policy, time.Now())}
-		if err := c.admissionError(e); err != nil {
+		if err := c.newJobError(caller, e); err != nil {
+			c.recordRefusal(e, err)
 			c.mu.Unlock()
 			return err
 		}
@@ -51,6 +44,19 @@
 	return c.awaitSubmitted(ctx, e, persisted)
 }
 
+// newJobError returns why a job that doesn't exist can't be accepted from a caller, or nil. It
+// changes nothing, so that it can explain the decision as well.
+func (c *Cell) newJobError(caller Caller, e *jobEntry) error {
+	switch key := e.job.Key; {
+	case c.isReassigned(key.Queue, caller):
+		return ErrReassigned
+	case c.byID[key.ID] != nil:
+		return ErrIDConflict
+	default:
+		return c.admissionError(e)
+	}
+}
+
 // admissionError returns why a new job can't be accepted at present, or nil.
 func (c *Cell) admissionError(e *jobEntry) error {
 	switch {
@@ -58,10 +64,8 @@
 		return ErrStoreUnavailable
 	case c.wouldStartLate(e, time.Now()):
 		return c.overloadError(e)
-	case c.hasGangBeyondLink(e):
-		return ErrOverloaded
 	default:
-		return nil
+		return c.gangError(e)
 	}
 }
 
@@ -104,6 +108,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return statusOf(e, caller)
+}
+
+// statusOf returns the persisted state of a job.
+func statusOf(e *jobEntry, caller Caller) (Status, error) {
 	switch {
 	case !caller.mayAccess(e.job):
 		return Status{}, ErrForbidden
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -73,12 +73,12 @@
 		if full && !reqs.Isolated {
 			continue
 		}
-		if p.fair.holdsBack(e) {
-			return
-		}
-		if !p.quota.mayStart(e.job.Policy.Organisation, reqs, 1) {
+		switch p.heldBy(e, reqs, 1) {
+		case heldByCap:
 			p.quota.countWanted(e.job.Policy.Organisation, reqs, 1, round.Waiting(step), p.hosts)
 			return
+		case heldByShare:
+			return
 		}
 		picked := place.Pick(reqs, p.hosts)
 		switch {
@@ -94,18 +94,30 @@
 	}
 }
 
+// heldBy returns why a unit of tasks isn't started although hosts may have room, or "".
+func (p *schedulePass) heldBy(e *jobEntry, reqs place.Requirements, unit int) string {
+	switch {
+	case p.fair.holdsBack(e):
+		return heldByShare
+	case !p.quota.mayStart(e.job.Policy.Organisation, reqs, unit):
+		return heldByCap
+	default:
+		return ""
+	}
+}
+
 // placeGang assigns all tasks of a gang to hosts, or none.
 func (p *schedulePass) placeGang(e *jobEntry, round *tasks.Round, step int) {
 	if round.Waiting(step) < len(round.Steps[step]) || p.cell.startQueueFull() {
 		return
 	}
 	reqs := ofTask(p.cell.requirements(e, round, step, p.now), e, &round.Steps[step][0])
-	if p.fair.holdsBack(e) {
-		return
-	}
-	if unit := len(round.Steps[step]); !p.quota.mayStart(e.job.Policy.Organisation, reqs, unit) {
+	switch unit := len(round.Steps[step]); p.heldBy(e, reqs, unit) {
+	case heldByCap:
 		p.quota.countWanted(e.job.Policy.Organisation, reqs, unit, 1, p.hosts)
 		return
+	case heldByShare:
+		return
 	}
 	reqs = p.cell.withStartableMembers(reqs, len(round.Steps[step]))
 	for index, h := range p.pickGang(reqs, len(round.Steps[step])) {
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -150,7 +150,7 @@
 // serviceRemovalTime.
 func (q *quotas) setServices(services int, now time.Duration) {
 	if current := q.cellCount(now); services > 0 && services < current {
-		q.fewer, q.fewerAt = services, now+serviceRemovalTime
+		q.services, q.fewer, q.fewerAt = current, services, now+serviceRemovalTime
 		return
 	}
 	q.services, q.fewerAt = services, 0
@@ -159,7 +159,7 @@
 // cellCount returns the number of cells among which the bases are divided at a local time.
 func (q *quotas) cellCount(now time.Duration) int {
 	if q.fewerAt != 0 && now >= q.fewerAt {
-		q.services, q.fewerAt = q.fewer, 0
+		return q.fewer
 	}
 	return q.services
 }
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -100,20 +100,27 @@
 			continue
 		}
 		e.job.StartDueRounds(now)
-		if now.Before(e.retryAfter) {
-			continue
-		}
-		waiting, begun := e.job.WaitingCPUTime()
-		if waiting == 0 && e.job.Policy.Advice == nil {
-			continue
+		if j := c.jobToPlace(e, now); j != nil {
+			toPlace = append(toPlace, j)
 		}
-		urgency := c.urgency(e, now)
-		urgency.Backlog, urgency.Begun = waiting, begun || e.job.LongRunning()
-		toPlace = append(toPlace, &jobToPlace{entry: e, urgency: urgency})
 	}
 	return toPlace
 }
 
+// jobToPlace returns a job with its urgency, or nil if it has no task to start.
+func (c *Cell) jobToPlace(e *jobEntry, now time.Time) *jobToPlace {
+	if now.Before(e.retryAfter) {
+		return nil
+	}
+	waiting, begun := e.job.WaitingCPUTime()
+	if waiting == 0 && e.job.Policy.Advice == nil {
+		return nil
+	}
+	urgency := c.urgency(e, now)
+	urgency.Backlog, urgency.Begun = waiting, begun || e.job.LongRunning()
+	return &jobToPlace{entry: e, urgency: urgency}
+}
+
 // sortByUrgency sorts jobs by the order in which they are placed on hosts, and puts those that
 // have begun first if startedFirst is set.
 func sortByUrgency(jobs []*jobToPlace, hosts []*place.Host, startedFirst bool) {
@@ -174,20 +181,46 @@
 // candidates returns the hosts to which runs can be assigned now, ordered by
 // ID.
 func (c *Cell) candidates(now time.Time) []*place.Host {
-	var hosts []*place.Host
-	clock, stale := c.options.Clock(), 0
+	hosts, stale := c.usableHosts(now)
+	c.activity.staleRecords = max(c.activity.staleRecords, stale)
+	return hosts
+}
+
+// usableHosts returns the hosts to which runs can be assigned now, ordered by ID, and how many
+// can't get any only because their records are out of date.
+func (c *Cell) usableHosts(now time.Time) (hosts []*place.Host, stale int) {
+	clock := c.options.Clock()
 	for _, h := range c.hosts {
-		switch {
-		case !h.usable() || now.Before(h.backoffUntil) || now.Before(h.cordonedUntil):
-		case !c.hasRecentRecord(h, clock):
-			stale++
-		default:
+		switch c.hostObstacle(h, now, clock) {
+		case "":
 			hosts = append(hosts, c.candidate(h, now, clock))
+		case staleRecord:
+			stale++
 		}
 	}
-	c.activity.staleRecords = max(c.activity.staleRecords, stale)
 	slices.SortFunc(hosts, func(a, b *place.Host) int { return cmp.Compare(a.ID, b.ID) })
-	return hosts
+	return hosts, stale
+}
+
+// staleRecord is the obstacle of a host that may have shrunk since its record was written.
+const staleRecord = "its entry is out of date"
+
+// hostObstacle returns the first reason why no run can be assigned to a host at present,
+// whatever it requires, or "". now and clock are the same moment.
+func (c *Cell) hostObstacle(h *host, now time.Time, clock time.Duration) string {
+	obstacle := h.obstacle()
+	switch {
+	case obstacle != "":
+		return obstacle
+	case now.Before(h.cordonedUntil):
+		return "cordoned"
+	case now.Before(h.backoffUntil):
+		return "refused an order a moment ago"
+	case !c.hasRecentRecord(h, clock):
+		return staleRecord
+	default:
+		return ""
+	}
 }
 
 // candidate describes a host and what it runs. now and clock are the same moment.
--- a/sched/view.go
+++ b/sched/view.go
@@ -137,7 +137,7 @@
 
 // noHostReason returns why the ready tasks of a job have no host.
 func (c *Cell) noHostReason(e *jobEntry, now time.Time) string {
-	hosts := c.candidates(now)
+	hosts, _ := c.usableHosts(now)
 	if len(hosts) == 0 {
 		return "no host of the pool is usable"
 	}
@@ -218,21 +218,9 @@
 
 // hostState returns "usable" or the reason why no runs are assigned to the host.
 func (c *Cell) hostState(h *host, now time.Time) string {
-	switch {
-	case !h.inPool:
-		return "its entry is gone"
-	case h.info.Draining:
-		return "draining"
-	case h.missedHeartbeats > 0:
-		return "does not answer"
-	case !h.synced || !h.clock.Synced():
-		return "has not answered this owner yet"
-	case now.Before(h.cordonedUntil):
-		return "cordoned"
-	case now.Before(h.backoffUntil):
-		return "refused an order a moment ago"
-	case !c.hasRecentRecord(h, c.options.Clock()):
-		return "its entry is out of date"
+	switch obstacle := c.hostObstacle(h, now, c.options.Clock()); {
+	case obstacle != "":
+		return obstacle
 	case h.history.recentFailures(now) > 0:
 		return "usable; runs failed or stood still there"
 	default:
