intake: decisions on requests as functions without a response

Which queue, caller and operation a request has, and which response an outcome gets, were decided while the response was written. They are now functions that return the decision, for explanations. Responses are the same; the tests of intake pass unchanged.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -109,30 +109,65 @@
 		x.writeError(http.StatusServiceUnavailable, "no configuration is known yet")
 		return
 	}
-	host, _, _ := strings.Cut(r.Host, ":")
 	h.history.update(x.config, true)
-	x.queue = x.config.Find(host, r.URL.Path)
-	if x.queue == nil {
-		x.writeError(http.StatusNotFound, "no queue has this host and path")
+	if x.queue = findQueue(x.config, r.Host, r.URL.Path); x.queue == nil {
+		x.writeError(http.StatusNotFound, noQueue)
 		return
 	}
 	if !x.identifyCaller() {
 		return
 	}
 	x.id = strings.TrimPrefix(r.URL.Path, x.queue.Prefix)
-	switch {
-	case x.id == "" && r.Method == http.MethodGet:
+	switch requested, status, reason := operationOf(r.Method, x.id); requested {
+	case pendingOperation:
 		x.getPending()
-	case !isJobID(x.id):
-		x.writeError(http.StatusNotFound, "the path names no job: 16 hexadecimal digits must follow the queue's prefix")
-	case r.Method == http.MethodPost:
+	case submitOperation:
 		x.submit()
-	case r.Method == http.MethodGet:
+	case statusOperation:
 		x.getStatus()
-	case r.Method == http.MethodDelete:
+	case cancelOperation:
 		x.cancel()
 	default:
-		x.writeError(http.StatusMethodNotAllowed, "a job is handed in with POST, shown with GET and cancelled with DELETE")
+		x.writeError(status, reason)
+	}
+}
+
+// noQueue is the reason of responses to requests that no queue takes.
+const noQueue = "no queue has this host and path"
+
+// findQueue returns the queue that a request's host, with or without a port, and path select, or
+// nil.
+func findQueue(config *queue.Config, hostPort, path string) *queue.Queue {
+	host, _, _ := strings.Cut(hostPort, ":")
+	return config.Find(host, path)
+}
+
+// operation is what a request to a queue asks for; empty if it isn't valid.
+type operation string
+
+const (
+	pendingOperation operation = "pending"
+	submitOperation  operation = "submit"
+	statusOperation  operation = "status"
+	cancelOperation  operation = "cancel"
+)
+
+// operationOf returns what a request asks for whose path has id after the queue's prefix, or the
+// status code and the reason why it isn't valid.
+func operationOf(method, id string) (requested operation, status int, reason string) {
+	switch {
+	case id == "" && method == http.MethodGet:
+		return pendingOperation, 0, ""
+	case !isJobID(id):
+		return "", http.StatusNotFound, "the path names no job: 16 hexadecimal digits must follow the queue's prefix"
+	case method == http.MethodPost:
+		return submitOperation, 0, ""
+	case method == http.MethodGet:
+		return statusOperation, 0, ""
+	case method == http.MethodDelete:
+		return cancelOperation, 0, ""
+	default:
+		return "", http.StatusMethodNotAllowed, "a job is handed in with POST, shown with GET and cancelled with DELETE"
 	}
 }
 
@@ -161,9 +196,14 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(time.Duration(float64(timeout)*ownerTimeoutFraction), maxOwnerTimeout))
 	defer cancel()
+	return x.client.Call(ctx, method, x.ownerRequest(service, plan))
+}
+
+// ownerRequest returns the arguments of a call to the owner of a service.
+func (x *exchange) ownerRequest(service string, plan tasks.Plan) owner.Request {
 	policy := x.queue.Policy
 	policy.Organisation = x.organisation
-	return x.client.Call(ctx, method, owner.Request{
+	return owner.Request{
 		Service:       service,
 		Key:           tasks.Key{Queue: x.queue.Key(), ID: x.id},
 		Plan:          plan,
@@ -171,19 +211,29 @@
 		ConfigVersion: x.config.Version,
 		KeysRequired:  x.config.RequiresKeys,
 		KeyHash:       x.keyHash,
-	})
+	}
 }
 
-func (x *exchange) submit() {
-	limit := x.config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
+// bodyLimit returns the largest size of a body in bytes.
+func bodyLimit(config *queue.Config) int64 {
+	if config.Limits.BodyBytes <= 0 {
+		return defaultMaxBody
 	}
+	return config.Limits.BodyBytes
+}
+
+// bodyTooLarge returns the reason of responses to requests with a larger body.
+func bodyTooLarge(limit int64) string {
+	return "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"
+}
+
+func (x *exchange) submit() {
+	limit := bodyLimit(x.config)
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		x.writeError(http.StatusRequestEntityTooLarge, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+		x.writeError(http.StatusRequestEntityTooLarge, bodyTooLarge(limit))
 		return
 	case err != nil:
 		x.writeError(http.StatusBadRequest, "the body could not be read")
@@ -274,23 +324,33 @@
 // writeFailure writes the error response for an outcome other than Done.
 func (x *exchange) writeFailure(outcome owner.Outcome) {
 	switch outcome {
-	case owner.UnknownJob:
-		x.writeError(http.StatusGone, "no such job")
-	case owner.IDConflict:
-		x.writeError(http.StatusConflict, "another queue has a job of that ID")
 	case owner.Unauthorised:
 		x.refuseKey(refusedWithdrawn)
+		return
 	case owner.Forbidden:
 		x.countRefusal(refusedOrganisation)
-		status := http.StatusForbidden
-		if x.r.Method == http.MethodPost {
-			status = http.StatusConflict
+	}
+	x.writeError(failure(outcome, x.r.Method))
+}
+
+// failure returns the status code and the reason of the response for an outcome other than Done.
+func failure(outcome owner.Outcome, method string) (status int, reason string) {
+	switch outcome {
+	case owner.UnknownJob:
+		return http.StatusGone, "no such job"
+	case owner.IDConflict:
+		return http.StatusConflict, "another queue has a job of that ID"
+	case owner.Unauthorised:
+		return http.StatusUnauthorized, keyRefusal(refusedWithdrawn)
+	case owner.Forbidden:
+		if method == http.MethodPost {
+			return http.StatusConflict, "the job belongs to another organisation"
 		}
-		x.writeError(status, "the job belongs to another organisation")
+		return http.StatusForbidden, "the job belongs to another organisation"
 	case owner.Uncertain:
-		x.writeError(http.StatusGatewayTimeout, "the request may have been done")
+		return http.StatusGatewayTimeout, "the request may have been done"
 	default:
-		x.writeError(http.StatusServiceUnavailable, "nothing was done: "+outcome.String())
+		return http.StatusServiceUnavailable, "nothing was done: " + outcome.String()
 	}
 }
 
--- a/intake/key.go
+++ b/intake/key.go
@@ -18,28 +18,39 @@
 // needs a valid key and there is none, it refuses the request and returns false. The key
 // itself isn't kept, so that nothing can show it.
 func (x *exchange) identifyCaller() bool {
-	key := x.codec.Key(x.r.Header)
-	var organisation *queue.Organisation
-	if key != "" {
+	if key := x.codec.Key(x.r.Header); key != "" {
 		// An owner with a newer configuration may require keys that this one doesn't.
 		hash := queue.HashKey(key)
 		x.keyHash = hash[:]
-		organisation = x.config.KeyHolder(hash)
+	}
+	organisation, refused := identify(x.config, x.queue, x.keyHash)
+	if refused != "" {
+		x.refuseKey(refused)
+		return false
+	}
+	x.organisation = organisation
+	return true
+}
+
+// identify returns the organisation that holds the key with a hash, which is empty for callers
+// without a key, or why the queue refuses the caller.
+func identify(config *queue.Config, q *queue.Queue, keyHash []byte) (organisation, refused string) {
+	if !config.RequiresKeys {
+		return "", ""
+	}
+	if len(keyHash) == len(queue.KeyHash{}) {
+		if holder := config.KeyHolder(queue.KeyHash(keyHash)); holder != nil {
+			return holder.Name, ""
+		}
 	}
 	switch {
-	case !x.config.RequiresKeys:
-		return true
-	case organisation != nil:
-		x.organisation = organisation.Name
-		return true
-	case x.queue.Public:
-		return true
-	case key == "":
-		x.refuseKey(refusedMissing)
+	case q.Public:
+		return "", ""
+	case len(keyHash) == 0:
+		return "", refusedMissing
 	default:
-		x.refuseKey(refusedUnknown)
+		return "", refusedUnknown
 	}
-	return false
 }
 
 // refuseKey answers that the caller has no valid key. The connection is closed if a body
@@ -49,7 +60,12 @@
 	if x.r.ContentLength != 0 {
 		x.w.Header().Set("Connection", "close")
 	}
-	x.writeError(http.StatusUnauthorized, "the queue needs the key of an organisation: key "+reason)
+	x.writeError(http.StatusUnauthorized, keyRefusal(reason))
+}
+
+// keyRefusal returns the text of the response to a caller without a valid key.
+func keyRefusal(reason string) string {
+	return "the queue needs the key of an organisation: key " + reason
 }
 
 // countRefusal counts a refused request by one of the reasons above.
