intake, owner: explain a request without sending it

Handler.Explain follows the steps of a request, with the same functions, and asks owners by a call of their own, Preview: Status confirms ownership by a write. It asks at most 16 services, once each. An owner of an older version or none is said so.

--- /dev/null
+++ b/intake/explain.go
@@ -0,0 +1,238 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+
+	"rattanpath/owner"
+	"rattanpath/queue"
+	"rattanpath/tasks"
+	"rattanpath/views"
+)
+
+// maxServicesAsked limits the owners that are asked for one explanation.
+const maxServicesAsked = 16
+
+// Previewer asks the owner of a service what it would do with a request.
+type Previewer interface {
+	Preview(ctx context.Context, request owner.Request) (owner.Response, error)
+}
+
+// Explain returns what this node and the owners would do with a request now. Nothing is done,
+// stored, logged or counted.
+func (h *Handler) Explain(ctx context.Context, owners Previewer, request views.ExplainRequest) views.Explanation {
+	x := &explainer{owners: owners, request: request}
+	x.exchange = &exchange{Handler: h, config: h.config.Config(), keyHash: request.KeyHash}
+	x.explain(ctx)
+	return x.view
+}
+
+// explainer holds the state of one explanation.
+type explainer struct {
+	*exchange
+	owners  Previewer
+	request views.ExplainRequest
+	view    views.Explanation
+}
+
+// respond records the response that the caller would get.
+func (x *explainer) respond(status int, reason string) { x.view.Status, x.view.Reason = status, reason }
+
+// explain follows the steps of Handler.serve.
+func (x *explainer) explain(ctx context.Context) {
+	if x.config == nil {
+		x.respond(http.StatusServiceUnavailable, "no configuration is known yet")
+		return
+	}
+	x.view.Version = x.config.Version
+	target, err := url.ParseRequestURI(x.request.Path)
+	if err != nil || !strings.HasPrefix(x.request.Path, "/") {
+		x.respond(http.StatusBadRequest, "the path must begin with / and be encoded as in a URL")
+		return
+	}
+	if x.queue = findQueue(x.config, x.request.Host, target.Path); x.queue == nil {
+		x.respond(http.StatusNotFound, noQueue)
+		return
+	}
+	x.view.Queue, x.view.Service, x.view.Priority = x.queue.Name, x.queue.Policy.Service, x.queue.Policy.Priority
+	if !x.explainKey() {
+		return
+	}
+	x.id = strings.TrimPrefix(target.Path, x.queue.Prefix)
+	requested, status, reason := operationOf(x.request.Method, x.id)
+	if requested == "" {
+		x.respond(status, reason)
+		return
+	}
+	x.view.Operation, x.view.JobID = string(requested), x.id
+	x.explainOperation(ctx, requested)
+}
+
+// explainKey reports whether the caller's key admits it to the queue.
+func (x *explainer) explainKey() bool {
+	organisation, refused := identify(x.config, x.queue, x.keyHash)
+	x.organisation, x.view.Organisation = organisation, organisation
+	x.view.Key = describeKey(x.config, x.keyHash, organisation, refused)
+	if refused != "" {
+		x.respond(http.StatusUnauthorized, keyRefusal(refused))
+		return false
+	}
+	return true
+}
+
+// describeKey says in words what identify found.
+func describeKey(config *queue.Config, keyHash []byte, organisation, refused string) string {
+	switch {
+	case !config.RequiresKeys:
+		return "not needed: the configuration has no organisations"
+	case organisation != "":
+		return "valid"
+	case refused != "":
+		return refused
+	case len(keyHash) == 0:
+		return "none, and the queue is public"
+	default:
+		return "unknown, and the queue is public"
+	}
+}
+
+func (x *explainer) explainOperation(ctx context.Context, requested operation) {
+	switch requested {
+	case submitOperation:
+		x.explainSubmit(ctx)
+	case pendingOperation:
+		x.view.Asked = x.jobServices()
+		x.respond(http.StatusOK, "the sum of what these services hold")
+	default:
+		services := append([]string{x.queue.Policy.Service}, x.otherServices()...)
+		if found, ok := x.findPreview(ctx, services); found || !ok {
+			return
+		}
+		x.respond(failure(owner.UnknownJob, x.request.Method))
+	}
+}
+
+// explainSubmit follows the steps of exchange.submit.
+func (x *explainer) explainSubmit(ctx context.Context) {
+	limit := bodyLimit(x.config)
+	if int64(len(x.request.Body)) > limit {
+		x.view.Body = bodyTooLarge(limit)
+		x.respond(http.StatusRequestEntityTooLarge, x.view.Body)
+		return
+	}
+	plan, err := x.codec.DecodeJob(x.request.Body)
+	if err != nil {
+		x.view.Body = err.Error()
+		x.respond(http.StatusBadRequest, x.view.Body)
+		return
+	}
+	x.view.Body = describePlan(plan)
+	if found, ok := x.findPreview(ctx, x.earlierServices()); found || !ok {
+		return
+	}
+	response, ok := x.preview(ctx, x.queue.Policy.Service, plan)
+	if !ok {
+		return
+	}
+	// As in submitPlan: a job that exists isn't refused.
+	wait, refuses := x.overloaded.refuses(x.queue.Key()+" "+x.organisation, startSize(plan))
+	switch {
+	case refuses && response.Preview != nil && response.Preview.Job == "":
+		x.view.RetryAfter = max(retryAfter, wait)
+		x.respond(failure(owner.Overloaded, x.request.Method))
+		x.view.Reason += "; this node refuses such jobs for a moment since the owner has refused one"
+	case response.Outcome == owner.Done:
+		x.respond(http.StatusOK, describeSubmitted(response.Preview))
+	default:
+		x.respondTo(response)
+	}
+}
+
+// earlierServices returns the services that findEarlier asks.
+func (x *explainer) earlierServices() []string {
+	services := x.history.previous(x.queue.Key())
+	for _, service := range x.history.unsettledServices(x.queue.Policy.Service) {
+		if !slices.Contains(services, service) {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// findPreview looks for the job at services, as findJob does, and reports whether one has it. ok
+// is false if some owner could not be asked; the response is recorded in both cases.
+func (x *explainer) findPreview(ctx context.Context, services []string) (found, ok bool) {
+	for _, service := range services {
+		response, answered := x.preview(ctx, service, tasks.Plan{})
+		preCancelled := response.Preview != nil && response.Preview.PreCancelled
+		switch {
+		case !answered:
+			return false, false
+		case response.Outcome == owner.UnknownJob && !preCancelled:
+			x.view.Placement = nil
+			continue
+		case response.Outcome == owner.Done, preCancelled && x.request.Method == http.MethodPost:
+			x.respond(http.StatusOK, describeSubmitted(response.Preview))
+		default:
+			x.respondTo(response)
+		}
+		return true, true
+	}
+	return false, true
+}
+
+// preview asks the owner of a service. It returns false, and records the response, if the owner
+// could not be asked.
+func (x *explainer) preview(ctx context.Context, service string, plan tasks.Plan) (owner.Response, bool) {
+	if len(x.view.Asked) >= maxServicesAsked {
+		x.respond(http.StatusServiceUnavailable, fmt.Sprintf("unknown: more than %d services would have to be asked", maxServicesAsked))
+		return owner.Response{}, false
+	}
+	x.view.Asked = append(x.view.Asked, service)
+	response, err := x.owners.Preview(ctx, x.ownerRequest(service, plan))
+	if err != nil {
+		x.respond(http.StatusServiceUnavailable, fmt.Sprintf("unknown: the owner of service %s could not be asked: %v", service, err))
+		return owner.Response{}, false
+	}
+	x.view.Placement = response.Preview
+	return response, true
+}
+
+// respondTo records the response for an outcome other than Done.
+func (x *explainer) respondTo(response owner.Response) {
+	x.respond(failure(response.Outcome, x.request.Method))
+	if p := response.Preview; p != nil && p.Refused != "" {
+		x.view.Reason += ": " + p.Refused
+	}
+	if x.view.Status == http.StatusServiceUnavailable {
+		x.view.RetryAfter = retryAfter
+		if response.Preview != nil {
+			x.view.RetryAfter = max(retryAfter, response.Preview.RetryAfter)
+		}
+	}
+}
+
+// describePlan describes a valid job.
+func describePlan(plan tasks.Plan) string {
+	count := 0
+	for i := range plan.Steps {
+		count += plan.Steps[i].Count
+	}
+	return fmt.Sprintf("a valid job: steps %d, tasks %d, rounds %d", len(plan.Steps), count, max(1, plan.Repeats))
+}
+
+// describeSubmitted says what a positive response means.
+func describeSubmitted(p *views.Placement) string {
+	switch {
+	case p == nil || p.Job == "":
+		return "the job would be accepted"
+	case p.PreCancelled:
+		return "the job was cancelled before it was submitted: nothing would run"
+	default:
+		return "a job of that ID exists"
+	}
+}
--- a/owner/client.go
+++ b/owner/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 
 	// MethodOrganisations returns a view for operators.
 	MethodOrganisations Method = "Organisations"
+	// MethodPreview explains what the owner would do with a request.
+	MethodPreview Method = "Preview"
 )
 
 // Client calls the owners of services, on this node or on another.
@@ -264,6 +267,7 @@
 		MethodQueues:  c.local.Queues,
 
 		MethodOrganisations: c.local.Organisations,
+		MethodPreview:       c.local.Preview,
 	}
 	call := calls[method]
 	if call == nil {
@@ -333,6 +337,19 @@
 	return *response.Organisations, nil
 }
 
+// Preview asks the owner of a service once what it would do with a request. The error is that of
+// the call; the outcome is the request's.
+func (c *Client) Preview(ctx context.Context, request Request) (Response, error) {
+	response, _, err := c.attempt(ctx, MethodPreview, request)
+	switch {
+	case err != nil && strings.Contains(err.Error(), "can't find method"):
+		return Response{}, errors.New("the owner's version can't explain requests")
+	case err == nil && response.Outcome == NotOwner:
+		return Response{}, outcomeError(response, nil)
+	}
+	return response, err
+}
+
 // Explain returns the details of a job. The error is sched.ErrUnknownJob if the
 // service has no job of that ID.
 func (c *Client) Explain(ctx context.Context, service, id string) (views.JobDetail, error) {
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -116,6 +116,8 @@
 	Pool   views.Pool
 	// Organisations is nil unless it was asked for.
 	Organisations *views.CellOrganisations
+	// Preview is set by Preview only. The outcome is then that of the request it is for.
+	Preview *views.Placement
 }
 
 // outcomeFor maps an error of a cell to an outcome.
--- a/owner/service.go
+++ b/owner/service.go
@@ -193,6 +193,22 @@
 	})
 }
 
+// Preview returns what the cell would do with a job, or with a query for one if the plan has no
+// steps, without doing it.
+func (s *Service) Preview(request *Request, response *Response) error {
+	if len(request.Plan.Steps) > 0 {
+		if err := request.Plan.CheckSteps(); err != nil {
+			return err
+		}
+	}
+	return s.withCaller(request, response, func(_ context.Context, c *sched.Cell, caller sched.Caller) (err error) {
+		policy := request.Policy
+		policy.Organisation = caller.Organisation
+		response.Preview, err = c.Preview(caller, request.Key, request.Plan, policy)
+		return err
+	})
+}
+
 // Await waits for up to awaitTime until this node runs the cell of the requested
 // service. The outcome is NotOwner if it doesn't.
 func (s *Service) Await(request *Request, response *Response) error {
