rattanpath: command explain

The command says where a caller's request or job would go now and why, without sending it: queue, organisation, key, body, owner, admission, the hosts of each ready step by cost, those ruled out, and the start. Only the hash of the key leaves the command. Responses that the command's client reads are limited to 64 MiB, for all commands of management nodes.

The tests explain 13 requests at the owner and at another node of a fleet on loopback: the stored records are the same before and after, and no key or hash is in logs or answers. Others check the errors for bad files, keys, nodes that can't be reached and nodes of an older version.

--- a/cmd/rattanpath/cmds/cmds.go
+++ b/cmd/rattanpath/cmds/cmds.go
@@ -40,7 +40,8 @@
 	Fake   fakeCommand   `cmd:"" help:"Run a fake of the outside platform; for testing only."`
 	Load   loadCommand   `cmd:"" help:"Send requests to entry nodes and check the responses; for testing only."`
 
-	Organisations organisationsCommand `cmd:"" help:"Show what organisations use, wait for and may use of their caps and shares."`
+	Organisations organisationsCommand  `cmd:"" help:"Show what organisations use, wait for and may use of their caps and shares."`
+	Explain       requestExplainCommand `cmd:"" help:"Say where a caller's request or job would go now, and why, without sending it."`
 
 	Measure measureCommand `cmd:"" help:"Measure costs on this machine; for testing only."`
 }
--- a/engine/admin.go
+++ b/engine/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"rattanpath/core"
+	"rattanpath/intake"
 	"rattanpath/owner"
 	"rattanpath/pool"
 	"rattanpath/queue"
@@ -31,14 +33,17 @@
 	member     *owner.Member
 	supervisor *owner.Supervisor
 	client     *owner.Client
+	handler    *intake.Handler
 	metrics    *metrics.Set
 	server     *core.AdminServer
 	logger     logr.Logger
+	// explaining is held while a request is explained.
+	explaining sync.Mutex
 }
 
-func newAdminServer(settings Settings, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, set *metrics.Set, logger logr.Logger) *adminServer {
+func newAdminServer(settings Settings, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, handler *intake.Handler, set *metrics.Set, logger logr.Logger) *adminServer {
 	s := &adminServer{
-		settings: settings, config: config, pools: pools, member: member, supervisor: supervisor, client: client,
+		settings: settings, config: config, pools: pools, member: member, supervisor: supervisor, client: client, handler: handler,
 		metrics: set, logger: logger.WithName("desk"),
 	}
 	set.NewGauge("rattanpath_config_age_seconds", func() float64 { return s.nodeView().ConfigAge.Seconds() })
@@ -58,6 +63,7 @@
 	router.HandleFunc(views.JobPath+"{ID}", s.serveCancel).Methods(http.MethodDelete)
 	router.HandleFunc(views.PoolsPath, s.servePools).Methods(http.MethodGet)
 	router.HandleFunc(views.OrganisationsPath, s.serveOrganisations).Methods(http.MethodGet)
+	router.HandleFunc(views.ExplainPath, s.serveExplain).Methods(http.MethodPost)
 	return router
 }
 
--- a/query/client.go
+++ b/query/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -17,6 +18,18 @@
 // maxReasonBytes is the maximum length of the error text read from a response.
 const maxReasonBytes = 4 << 10
 
+// maxResponseBytes is the maximum length of a response. The largest lists the tasks of a job.
+const maxResponseBytes = 64 << 20
+
+// StatusError is a response of a node other than 200.
+type StatusError struct {
+	Code int
+	text string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return e.text }
+
 // Client calls the admin API of nodes.
 type Client struct {
 	http *http.Client
@@ -81,7 +94,11 @@
 }
 
 func (c *Client) call(ctx context.Context, method, address, path string, value any) error {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	return c.send(ctx, method, address, path, http.NoBody, value)
+}
+
+func (c *Client) send(ctx context.Context, method, address, path string, body io.Reader, value any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
 	if err != nil {
 		return errors.Wrap(err, "calling a node")
 	}
@@ -95,7 +112,7 @@
 		if err != nil {
 			return errors.Wrap(err, "reading a node's error response")
 		}
-		return errors.Errorf("node %s responded %s: %s", address, response.Status, strings.TrimSpace(string(reason)))
+		return &StatusError{Code: response.StatusCode, text: fmt.Sprintf("node %s responded %s: %s", address, response.Status, strings.TrimSpace(string(reason)))}
 	}
-	return errors.Wrap(json.NewDecoder(response.Body).Decode(value), "decoding a node's response")
+	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(value), "decoding a node's response")
 }
