intake, sched: explain queries as they are answered

An explanation gave up on the first service that could not be asked, also where a query goes on to the others, and said "no such job" while the store is away, when a query is refused. A job that exists was said to be refused if this node had just seen an overload. Explanations now ask in the groups in which requests do.

TestExplainQuery compares them with the queries themselves. Further tests: waiting for a share and for other jobs, and the command against a node. Gangs are compared host by host up to 20,000 pairs, to bound the time for which the cell is held.

--- a/engine/explain_test.go
+++ b/engine/explain_test.go
@@ -4,10 +4,13 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"rattanpath/cmd/rattanpath/cmds"
 	"rattanpath/core"
 	"rattanpath/query"
 	"rattanpath/queue"
@@ -89,6 +92,17 @@
 			_, _ = fmt.Fprintf(&shown, "%+v %+v", got, got.Placement)
 		}
 	}
+	body := filepath.Join(t.TempDir(), "job.json")
+	if err := os.WriteFile(body, []byte(testBody), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("RATTANPATH_KEY", "secret-1")
+	var out, errOut strings.Builder
+	args := []string{"explain", "--node", f.adminAddresses["b"], "--host", "a.example", "--path", newPath, body}
+	if code := cmds.Run(args, &out, &errOut); code != 0 || !strings.Contains(out.String(), "response      200: the job would be accepted") || !strings.Contains(out.String(), "idle CPU") {
+		t.Errorf("got exit code %d, output\n%s\nand error %q of the command, want the hosts for the job", code, out.String(), errOut.String())
+	}
+	shown.WriteString(out.String() + errOut.String())
 	if got := records(); got != before {
 		t.Errorf("got records\n%s\nafter the explanations, want\n%s", got, before)
 	}
--- a/intake/explain.go
+++ b/intake/explain.go
@@ -108,9 +108,10 @@
 		x.view.Asked = x.jobServices()
 		x.respond(http.StatusOK, "the sum of what these services hold")
 	default:
-		services := append([]string{x.queue.Policy.Service}, x.otherServices()...)
-		if found, ok := x.findPreview(ctx, services); found || !ok {
-			return
+		for _, services := range [][]string{{x.queue.Policy.Service}, x.otherServices()} {
+			if found, ok := x.findPreview(ctx, services); found || !ok {
+				return
+			}
 		}
 		x.respond(failure(owner.UnknownJob, x.request.Method))
 	}
@@ -131,17 +132,18 @@
 		return
 	}
 	x.view.Body = describePlan(plan)
-	if found, ok := x.findPreview(ctx, x.earlierServices()); found || !ok {
-		return
+	for _, services := range x.earlierServices() {
+		if found, ok := x.findPreview(ctx, services); found || !ok {
+			return
+		}
 	}
 	response, ok := x.preview(ctx, x.queue.Policy.Service, plan)
 	if !ok {
 		return
 	}
-	// As in submitPlan: a job that exists isn't refused.
 	wait, refuses := x.overloaded.refuses(x.queue.Key()+" "+x.organisation, startSize(plan))
 	switch {
-	case refuses && response.Preview != nil && response.Preview.Job == "":
+	case refuses && isUnknownJob(response):
 		x.view.RetryAfter = max(retryAfter, wait)
 		x.respond(failure(owner.Overloaded, x.request.Method))
 		x.view.Reason += "; this node refuses such jobs for a moment since the owner has refused one"
@@ -152,37 +154,49 @@
 	}
 }
 
-// earlierServices returns the services that findEarlier asks.
-func (x *explainer) earlierServices() []string {
-	services := x.history.previous(x.queue.Key())
+// isUnknownJob reports whether the owner, asked by submitPlan for the status of the job, would
+// answer that it has none: jobs that exist are not refused because of an earlier overload.
+func isUnknownJob(response owner.Response) bool {
+	switch response.Outcome {
+	case owner.Done, owner.Overloaded, owner.IDConflict, owner.Reassigned:
+		return response.Preview != nil && response.Preview.Job == ""
+	default:
+		return false
+	}
+}
+
+// earlierServices returns the groups of services that findEarlier asks one after the other.
+func (x *explainer) earlierServices() [][]string {
+	groups := [][]string{x.history.previous(x.queue.Key())}
 	for _, service := range x.history.unsettledServices(x.queue.Policy.Service) {
-		if !slices.Contains(services, service) {
-			services = append(services, service)
+		if !slices.Contains(groups[0], service) {
+			groups = append(groups, []string{service})
 		}
 	}
-	return services
+	return groups
 }
 
 // findPreview looks for the job at services, as findJob does, and reports whether one has it. ok
-// is false if some owner could not be asked; the response is recorded in both cases.
+// is false if none has and some owner could not answer. The response is recorded in both cases.
 func (x *explainer) findPreview(ctx context.Context, services []string) (found, ok bool) {
+	ok = true
 	for _, service := range services {
 		response, answered := x.preview(ctx, service, tasks.Plan{})
 		preCancelled := response.Preview != nil && response.Preview.PreCancelled
 		switch {
 		case !answered:
-			return false, false
-		case response.Outcome == owner.UnknownJob && !preCancelled:
-			x.view.Placement = nil
-			continue
+			ok = false
 		case response.Outcome == owner.Done, preCancelled && x.request.Method == http.MethodPost:
 			x.respond(http.StatusOK, describeSubmitted(response.Preview))
+			return true, true
+		case response.Outcome == owner.UnknownJob && !preCancelled:
+			x.view.Placement = nil
 		default:
 			x.respondTo(response)
+			ok = false
 		}
-		return true, true
 	}
-	return false, true
+	return false, ok
 }
 
 // preview asks the owner of a service. It returns false, and records the response, if the owner
--- a/intake/explain_test.go
+++ b/intake/explain_test.go
@@ -170,6 +170,44 @@
 	}
 }
 
+// TestExplainQuery checks which services are asked for a job, as with a query: others than the
+// queue's own only if that has none, and all of these although the owner of one can't be asked.
+func TestExplainQuery(t *testing.T) {
+	found := owner.Response{Preview: &views.Placement{Job: "open"}}
+	tests := []struct {
+		name      string
+		previewer fakePreviewer
+		status    int
+		asked     []string
+	}{
+		{"own service", fakePreviewer{responses: map[string]owner.Response{"one": found}}, 200, []string{"one"}},
+		{"own service lost", fakePreviewer{lost: []string{"one"}, responses: map[string]owner.Response{"two": found}}, 503, []string{"one"}},
+		{"other service lost", fakePreviewer{lost: []string{"three"}, responses: map[string]owner.Response{"two": found}}, 200, []string{"one", "three", "two"}},
+		{"not found, other service lost", fakePreviewer{lost: []string{"three"}}, 503, []string{"one", "three", "two"}},
+		{"not found", fakePreviewer{}, 410, []string{"one", "three", "two"}},
+	}
+	for _, test := range tests {
+		config := newTestConfig(1, "one")
+		h, _, client := newTestHandler(queue.NewConfig(1, config.Queues, append(config.Services, queue.Service{Name: "three"}), config.Limits))
+		got := h.Explain(t.Context(), &test.previewer, views.ExplainRequest{Host: "a.example", Method: "GET", Path: "/x/" + testID})
+		if got.Status != test.status || !slices.Equal(got.Asked, test.asked) {
+			t.Errorf("%s: got %+v, want status %d after asking %v", test.name, got, test.status, test.asked)
+		}
+		client.setOutcomes(map[string]owner.Outcome{})
+		for service := range test.previewer.responses {
+			client.jobs[service] = map[string]bool{testID: true}
+		}
+		for _, service := range test.previewer.lost {
+			client.outcomes[service] = owner.NotOwner
+		}
+		request := httptest.NewRequest("GET", "http://a.example/x/"+testID, nil)
+		recorder := httptest.NewRecorder()
+		if h.ServeHTTP(recorder, request); recorder.Code != test.status {
+			t.Errorf("%s: got status %d of the query itself, want %d", test.name, recorder.Code, test.status)
+		}
+	}
+}
+
 // Guards against a path that no request can have.
 func TestExplainInvalidPath(t *testing.T) {
 	h, _, _ := newTestHandler(newTestConfig(1, "one"))
--- a/sched/preview.go
+++ b/sched/preview.go
@@ -18,7 +18,7 @@
 	startNow = "now"
 	// maxPreviewPicks limits the pairs of members and hosts that are compared for a gang, which
 	// holds up the cell for some milliseconds. Larger gangs are only counted.
-	maxPreviewPicks = 50_000
+	maxPreviewPicks = 20_000
 )
 
 // Preview returns what the cell would do with a job now, or with a query for one if the plan has
@@ -39,7 +39,12 @@
 	if e := c.jobs[key]; e != nil {
 		return view, c.previewExisting(view, caller, e, len(plan.Steps) > 0, now)
 	}
-	if len(plan.Steps) == 0 {
+	switch {
+	case len(plan.Steps) > 0:
+	case c.storeUnavailable():
+		// Status could not confirm that no other node has accepted the job.
+		return view, ErrStoreUnavailable
+	default:
 		return view, ErrUnknownJob
 	}
 	e := &jobEntry{job: tasks.NewJob(key, plan, policy, now)}
--- a/sched/preview_test.go
+++ b/sched/preview_test.go
@@ -212,6 +212,49 @@
 	})
 }
 
+// TestPreviewShareAndOrder checks that a job waits for the share of its organisation, and for jobs
+// that come first.
+func TestPreviewShareAndOrder(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.profileOf = longRuns
+		n := tc.claim("a")
+		n.shareOrganisations(map[string]float64{"acme": 1, "beta": 1})
+		time.Sleep(2 * time.Second)
+		for _, job := range []struct {
+			organisation, id string
+			size             int64
+		}{{"acme", "runs", 1000}, {"beta", "waits", 6000}} {
+			if err := tc.submitAs(n, job.organisation, job.id, 0, simplePlan(6, job.size)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		tests := []struct {
+			organisation string
+			priority     int
+			start        string
+			ahead        bool
+		}{
+			{"acme", 1, "its organisation is beyond its share: it gets what others leave", true},
+			{"beta", 1, "other jobs come first; a host has room at present", true},
+			{"beta", -1, startNow, false},
+		}
+		for _, test := range tests {
+			policy := tc.policy
+			policy.Organisation, policy.Priority = test.organisation, test.priority
+			view, err := n.cell.Preview(Caller{}, tasks.Key{Queue: testQueue, ID: "new"}, simplePlan(1, 1000), policy)
+			if err != nil || view.Start != test.start || (view.Ahead > 0) != test.ahead {
+				t.Errorf("got %+v and error %v for %s with priority %d, want start %q", view, err, test.organisation, test.priority, test.start)
+			}
+		}
+		for _, id := range []string{"runs", "waits"} {
+			if err := n.cell.Cancel(tc.ctx, Caller{}, tasks.Key{Queue: testQueue, ID: id}); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
 // TestPreviewRefusals checks that a preview gives the error that Submit gives, and its reason, and
 // that the refusal isn't counted.
 func TestPreviewRefusals(t *testing.T) {
@@ -255,6 +298,7 @@
 		{"ID of another queue", busy(existing(acme)), "other/", simplePlan(1, 1), ErrIDConflict, "another queue of the service"},
 		{"other organisation", busy(existing(tasks.Policy{Organisation: "beta"})), testQueue, simplePlan(1, 1), ErrForbidden, "another organisation"},
 		{"unknown", busy(func(*Cell) {}), testQueue, tasks.Plan{}, ErrUnknownJob, ""},
+		{"unknown, store away", busy(func(c *Cell) { c.failingSince = time.Now().Add(-time.Second) }), testQueue, tasks.Plan{}, ErrStoreUnavailable, ""},
 	}
 	for _, test := range tests {
 		caller := Caller{Restricted: true, Organisation: "acme"}
