--- a/place/explain_test.go
+++ b/place/explain_test.go
@@ -42,6 +42,12 @@
 	if req.Isolated {
 		cost = 1 - cost
 	}
+	switch probed := host.NeedsProbe && req.MayProbe && !req.Isolated && !req.LastAttempt; {
+	case host.Slow && probed:
+		cost -= probeGain
+	case host.Slow:
+		cost += slowHostCost
+	}
 	if req.Step.DataRack != "" && host.Rack != req.Step.DataRack {
 		cost += remoteDataCost
 	}
@@ -69,6 +75,7 @@
 			Lasting:  rapid.Bool().Draw(t, "lasting"), Fills: rapid.Bool().Draw(t, "fills"),
 		}
 		req := Requirements{Step: step, AvoidHost: "h0", SiblingsByHost: map[string]int{"h1": 2}}
+		req.MayProbe = rapid.Bool().Draw(t, "mayProbe")
 		req.LastAttempt, req.Isolated = rapid.Bool().Draw(t, "lastAttempt"), rapid.Bool().Draw(t, "isolated")
 		for _, host := range generateHosts(t) {
 			if got, want := Cost(req, host), summedCost(req, host); got != want {
