sched: start the next isolated task only after a report on the last

Cause: a host counted as quiet 500 ms after the start of an isolated task, by the owner's clock. The report that clears the task comes up to a second after the start, so the next isolated task was started beside it. Change: a host with an isolated task that no report has cleared is reserved and not quiet, and the owner requests a report as soon as one can clear the task.

--- a/sched/command.go
+++ b/sched/command.go
@@ -8,6 +8,7 @@
 
 	"rattanpath/core"
 	"rattanpath/lease"
+	"rattanpath/place"
 	"rattanpath/tasks"
 )
 
@@ -23,6 +24,9 @@
 	// refusalRetryDelay is how long a job waits after a host refused one of its
 	// tasks.
 	refusalRetryDelay = 100 * time.Millisecond
+	// provenReportTime is how long after the reply to a start command even the slowest clock
+	// of a host has advanced by place.FreshTime.
+	provenReportTime = place.FreshTime*51/50 + 5*time.Millisecond
 )
 
 // sentCommand is the token and send time of a command or heartbeat in flight.
@@ -113,6 +117,22 @@
 	}
 	r.entry.job.MarkRunning(r.id, r.number)
 	c.stopEndedJob(r.entry)
+	if r.isUnproven() {
+		c.spawn(func(ctx context.Context) { c.proveRun(ctx, h, r) })
+	}
+}
+
+// proveRun requests a report when a run has begun that needs isolation, as soon as one can show
+// that its host outlasts it: until then the host takes nothing else.
+func (c *Cell) proveRun(ctx context.Context, h *host, r *run) {
+	if core.Sleep(ctx, provenReportTime) != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.runs[r.key()] == r && r.isUnproven() {
+		c.requestReport(h)
+	}
 }
 
 // handleStartRefused handles a host's refusal to start a run.
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -285,3 +285,47 @@
 		tc.wantPhase(n, "job", tasks.Open)
 	})
 }
+
+// unprovenRuns returns the largest number of runs on one host whose tasks need isolation.
+func (n *node) unprovenRuns() int {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	highest := 0
+	for _, h := range n.cell.hosts {
+		count := 0
+		for _, r := range h.runs {
+			if r.isUnproven() {
+				count++
+			}
+		}
+		highest = max(highest, count)
+	}
+	return highest
+}
+
+// TestIsolatedTasksStartOneByOne guards against a task under which a host has crashed by chance
+// and which is lost again and again beside others that need isolation: the next one started on
+// its host before a report had cleared it.
+func TestIsolatedTasksStartOneByOne(t *testing.T) {
+	for _, hosts := range []int{1, 2, 6} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			runCluster(t, hosts, func(tc *testCluster) {
+				tc.useCrashingTask(func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 3 * time.Second} })
+				n := tc.claim("a")
+				time.Sleep(100 * time.Millisecond)
+				if err := tc.submit(n, crashingTask.Job, simplePlan(4, 1000)); err != nil {
+					t.Fatal(err)
+				}
+				got := 0
+				for range 4000 {
+					time.Sleep(10 * time.Millisecond)
+					got = max(got, n.unprovenRuns())
+				}
+				if got != 1 {
+					t.Errorf("got up to %d runs on one host whose tasks need isolation, want 1", got)
+				}
+				tc.wantPhase(n, crashingTask.Job, tasks.Failed)
+			})
+		})
+	}
+}
--- a/sched/run.go
+++ b/sched/run.go
@@ -89,6 +89,16 @@
 	return r.state == runSettled && hostTime-r.settledAt >= place.FreshTime
 }
 
+// isUnproven reports whether the run is of a task that needs isolation, and no report has shown
+// yet that its host outlasts it.
+func (r *run) isUnproven() bool {
+	if r.entry == nil || !r.entry.job.HasCrashes {
+		return false
+	}
+	task := r.entry.job.Task(r.id)
+	return task != nil && task.Run == r.number && r.entry.job.Step(r.id).Isolates(task)
+}
+
 // isVerified reports whether the run belongs to the current incarnation of its
 // host and to this owner.
 func (r *run) isVerified() bool { return r.state != runUnverified && r.state != runInherited }
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -204,15 +204,14 @@
 		candidate.QuietIn = max(0, h.restartedAt+restartSettleTime-clock)
 	}
 	for _, r := range h.runs {
-		freshFor := r.freshFor(clock)
-		candidate.QuietIn = max(candidate.QuietIn, freshFor)
+		candidate.QuietIn = max(candidate.QuietIn, r.freshFor(clock))
+		if r.isUnproven() {
+			candidate.QuietIn = max(candidate.QuietIn, provenReportTime)
+			candidate.Reserved = true
+		}
 		if r.entry == nil {
 			continue
 		}
-		if freshFor > 0 && r.entry.job.HasCrashes {
-			task := r.entry.job.Task(r.id)
-			candidate.Reserved = candidate.Reserved || task != nil && r.entry.job.Step(r.id).Isolates(task)
-		}
 		candidate.CountTask(r.entry.job.Step(r.id))
 	}
 	return candidate
