sched: count a crash that only the record of the host shows

Cause: a new owner that gets no answer from a host until all leases have expired counted no crash, although the record of the host showed that it had restarted since. Change: such a run counts as gone with a restart of its host if the host's record is of a later incarnation, as if the host had reported it. Without a record, or with one of the same incarnation, the host may just be out of reach, as before.

--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -329,3 +329,43 @@
 		})
 	}
 }
+
+// TestCrashCountsAtOwnerThatCannotReachHost guards against a task that crashes its hosts more
+// often than allowed because owners change: a new one that can't reach the host until all leases
+// have expired still learns from the host's record that it has restarted.
+func TestCrashCountsAtOwnerThatCannotReachHost(t *testing.T) {
+	runCluster(t, 3, func(tc *testCluster) {
+		tc.useCrashingTask(halfSecondRun)
+		n := tc.claim("n0")
+		time.Sleep(100 * time.Millisecond)
+		if err := tc.submit(n, crashingTask.Job, simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		host := n.hostOf(crashingTask.Job, 0)
+		n.stop()
+		<-n.done
+		n = tc.claim("n1")
+		n.hosts.SetPartitioned(host, true)
+		for range 300 {
+			if time.Sleep(50 * time.Millisecond); tc.checker.Crashes(crashingTask) > 1 {
+				break
+			}
+		}
+		if got := n.crashesOf(crashingTask); got != 1 {
+			t.Errorf("got %d counted crashes at the start of the second run, want 1", got)
+		}
+		time.Sleep(40 * time.Second)
+		tc.wantPhase(n, crashingTask.Job, tasks.Failed)
+		if got := tc.checker.Crashes(crashingTask); got != 4 {
+			t.Errorf("got %d hosts crashed by the task, want 4", got)
+		}
+	})
+}
+
+// crashesOf returns how many hosts count as crashed by a task.
+func (n *node) crashesOf(taskID tasks.ID) int {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	return n.cell.byID[taskID.Job].job.Task(taskID).Crashes
+}
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -63,7 +63,7 @@
 			case r.hasLeft(h) && c.isUnresponsive(h):
 				c.loseRun(h, r, lossRetired)
 			case r.state == runInherited && now > inheritedUntil && c.isUnresponsive(h):
-				c.loseRun(h, r, lossInheritedLease)
+				c.loseRun(h, r, r.inheritedLoss(h))
 			case r.state != runInherited && r.state != runPlanned && expired && h.missedHeartbeats > 0:
 				c.loseRun(h, r, lossLease)
 			}
@@ -74,6 +74,17 @@
 	}
 }
 
+// inheritedLoss returns why a run of a previous owner is over whose lease has expired. If the
+// record of its host is of a later incarnation, the host has restarted, as it would itself have
+// reported (see loseInherited).
+func (r *run) inheritedLoss(h *host) lossReason {
+	task := r.entry.job.Task(r.id)
+	if h.info != nil && task != nil && task.HostIncarnation != 0 && h.info.Incarnation > task.HostIncarnation {
+		return lossRestarted
+	}
+	return lossInheritedLease
+}
+
 // remainingLease returns how long leases may still be valid on a host with runs that
 // this owner can't reach. It is unknown for others.
 func (c *Cell) remainingLease(h *host, now time.Duration) (remaining time.Duration, known bool) {
