--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -285,3 +285,87 @@
 		tc.wantPhase(n, "job", tasks.Open)
 	})
 }
+
+// unprovenRuns returns the largest number of runs on one host whose tasks need isolation.
+func (n *node) unprovenRuns() int {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	highest := 0
+	for _, h := range n.cell.hosts {
+		count := 0
+		for _, r := range h.runs {
+			if r.isUnproven() {
+				count++
+			}
+		}
+		highest = max(highest, count)
+	}
+	return highest
+}
+
+// TestIsolatedTasksStartOneByOne guards against a task under which a host has crashed by chance
+// and which is lost again and again beside others that need isolation: the next one started on
+// its host before a report had cleared it.
+func TestIsolatedTasksStartOneByOne(t *testing.T) {
+	for _, hosts := range []int{1, 2, 6} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			runCluster(t, hosts, func(tc *testCluster) {
+				tc.useCrashingTask(func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 3 * time.Second} })
+				n := tc.claim("a")
+				time.Sleep(100 * time.Millisecond)
+				if err := tc.submit(n, crashingTask.Job, simplePlan(4, 1000)); err != nil {
+					t.Fatal(err)
+				}
+				got := 0
+				for range 4000 {
+					time.Sleep(10 * time.Millisecond)
+					got = max(got, n.unprovenRuns())
+				}
+				if got != 1 {
+					t.Errorf("got up to %d runs on one host whose tasks need isolation, want 1", got)
+				}
+				tc.wantPhase(n, crashingTask.Job, tasks.Failed)
+			})
+		})
+	}
+}
+
+// TestCrashCountsAtOwnerThatCannotReachHost guards against a task that crashes its hosts more
+// often than allowed because owners change: a new one that can't reach the host until all leases
+// have expired still learns from the host's record that it has restarted.
+func TestCrashCountsAtOwnerThatCannotReachHost(t *testing.T) {
+	runCluster(t, 3, func(tc *testCluster) {
+		tc.useCrashingTask(halfSecondRun)
+		n := tc.claim("n0")
+		time.Sleep(100 * time.Millisecond)
+		if err := tc.submit(n, crashingTask.Job, simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		host := n.hostOf(crashingTask.Job, 0)
+		n.stop()
+		<-n.done
+		n = tc.claim("n1")
+		n.hosts.SetPartitioned(host, true)
+		for range 300 {
+			if time.Sleep(50 * time.Millisecond); tc.checker.Crashes(crashingTask) > 1 {
+				break
+			}
+		}
+		if got := n.crashesOf(crashingTask); got != 1 {
+			t.Errorf("got %d counted crashes at the start of the second run, want 1", got)
+		}
+		time.Sleep(40 * time.Second)
+		tc.wantPhase(n, crashingTask.Job, tasks.Failed)
+		if got := tc.checker.Crashes(crashingTask); got != 4 {
+			t.Errorf("got %d hosts crashed by the task, want 4", got)
+		}
+	})
+}
+
+// crashesOf returns how many hosts count as crashed by a task.
+func (n *node) crashesOf(taskID tasks.ID) int {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	return n.cell.byID[taskID.Job].job.Task(taskID).Crashes
+}
