engine, intake, link: limits on clients of a management node

The tests of abuse failed for memory or descriptors with each pattern.

Change: the listeners for callers, readiness, admin and other nodes have gates, with limits from limits.memoryMb and limits.maxFds and flags of manage that are checked at the start. Bodies are read and decoded within the budget; a job's JSON is measured before it is decoded, and refused if no legal job is that large. Calls of other nodes are charged while they are in progress; a connection whose calls take its share isn't read further. What is refused for the budget gets 503 with Retry-After before anything is forwarded. The runtime's memory limit is 0.8 of limits.memoryMb. Handler.IsKnown is where a check of keys says who is known; without it everyone is.

--- a/abuse/node_test.go
+++ b/abuse/node_test.go
@@ -52,7 +52,7 @@
 
 // node is a management node in a process of its own.
 type node struct {
-	t        *testing.T
+	t        testing.TB
 	platform *standIn
 	basePort int
 	cmd      *exec.Cmd
@@ -63,7 +63,7 @@
 }
 
 // startNode starts a node and waits until it has run a job.
-func startNode(t *testing.T) *node {
+func startNode(t testing.TB) *node {
 	t.Helper()
 	n := &node{t: t, platform: newStandIn(t), exited: make(chan struct{})}
 	var err error
--- a/abuse/platform_test.go
+++ b/abuse/platform_test.go
@@ -50,7 +50,7 @@
 }
 
 // newStandIn starts a stand-in with one queue.
-func newStandIn(t *testing.T) *standIn {
+func newStandIn(t testing.TB) *standIn {
 	t.Helper()
 	s := &standIn{store: fake.NewStore(), started: make(map[string]bool)}
 	s.client = s.store.Client("node")
--- a/cmd/rattanpath/cmds/manage.go
+++ b/cmd/rattanpath/cmds/manage.go
@@ -20,17 +20,16 @@
 // fleet.
 type manageCommand struct {
 	AdminPort int `help:"Port of the admin server; 0 selects the second internal port."`
+	// Clients are the limits on clients.
+	Clients clientFlags `embed:"" group:"Limits on clients"`
 }
 
 // Run starts the node, waits for a signal and stops it gracefully.
 func (c *manageCommand) Run(e *env) error {
-	settings, err := platform.ReadSettings()
+	settings, err := c.readSettings()
 	if err != nil {
 		return err
 	}
-	if c.AdminPort != 0 {
-		settings.AdminListen = net.JoinHostPort(settings.IP, strconv.Itoa(c.AdminPort))
-	}
 	logWriter := sink.New(e.out)
 	defer logWriter.Close()
 	logger := logWriter.Logger(settings.Name)
@@ -47,6 +46,19 @@
 	return app.Stop(stopCtx)
 }
 
+// readSettings reads the settings file and applies the flags.
+func (c *manageCommand) readSettings() (engine.Settings, error) {
+	settings, err := platform.ReadSettings()
+	if err != nil {
+		return settings, err
+	}
+	if c.AdminPort != 0 {
+		settings.AdminListen = net.JoinHostPort(settings.IP, strconv.Itoa(c.AdminPort))
+	}
+	settings.Clients, err = c.Clients.apply(settings.Clients)
+	return settings, err
+}
+
 // waitForStop returns when ctx is done. On SIGHUP it reads the settings file again
 // and logs whether a restart would change the settings.
 func (c *manageCommand) waitForStop(ctx context.Context, settings engine.Settings, logger logr.Logger) {
@@ -56,12 +68,11 @@
 	for {
 		select {
 		case <-reload:
-			reread, err := platform.ReadSettings()
+			reread, err := c.readSettings()
 			if err != nil {
 				logger.Error(err, "can't load the settings file; the current settings stay active")
 				continue
 			}
-			reread.AdminListen = settings.AdminListen
 			logger.Info("settings file read again", "changed", reread != settings)
 		case <-ctx.Done():
 			return
--- a/core/adminserver.go
+++ b/core/adminserver.go
@@ -19,6 +19,8 @@
 	address string
 	logger  logr.Logger
 	server  *http.Server
+	// wrap is nil unless Limit was called.
+	wrap func(net.Listener) net.Listener
 }
 
 // NewAdminServer returns a server for the address; Start makes it listen.
@@ -30,6 +32,13 @@
 	}
 }
 
+// Limit sets limits on the server's clients: configure changes the server, and wrap its
+// listener. It must be called before Start.
+func (s *AdminServer) Limit(configure func(*http.Server), wrap func(net.Listener) net.Listener) {
+	configure(s.server)
+	s.wrap = wrap
+}
+
 // Start listens on the address and serves requests in the background.
 func (s *AdminServer) Start(ctx context.Context) error {
 	var config net.ListenConfig
@@ -38,6 +47,9 @@
 		return errors.Wrap(err, "listening on the admin address")
 	}
 	s.logger.Info("admin server listening", "address", listener.Addr().String())
+	if s.wrap != nil {
+		listener = s.wrap(listener)
+	}
 	go s.run(listener)
 	return nil
 }
--- a/engine/admin.go
+++ b/engine/admin.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"rattanpath/core"
+	"rattanpath/guard"
 	"rattanpath/owner"
 	"rattanpath/pool"
 	"rattanpath/queue"
@@ -36,7 +37,7 @@
 	logger     logr.Logger
 }
 
-func newAdminServer(settings Settings, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, set *metrics.Set, logger logr.Logger) *adminServer {
+func newAdminServer(settings Settings, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, set *metrics.Set, gates *guard.Gates, logger logr.Logger) *adminServer {
 	s := &adminServer{
 		settings: settings, config: config, pools: pools, member: member, supervisor: supervisor, client: client,
 		metrics: set, logger: logger.WithName("desk"),
@@ -46,6 +47,7 @@
 	set.NewGauge("rattanpath_membership_age_seconds", func() float64 { return s.nodeView().MembersAge.Seconds() })
 	set.NewGauge("rattanpath_cells", func() float64 { return float64(len(s.nodeView().Cells)) })
 	s.server = core.NewAdminServer(settings.AdminListen, s.routes(), s.logger)
+	s.server.Limit(gates.Admin.Configure, gates.Admin.Listen)
 	return s
 }
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -12,6 +12,7 @@
 
 	"rattanpath/claim"
 	"rattanpath/core"
+	"rattanpath/guard"
 	"rattanpath/infra"
 	"rattanpath/intake"
 	"rattanpath/lease"
@@ -62,6 +63,7 @@
 			func() logr.Logger { return logger },
 			core.NewLoopGroup,
 			newGCTuner,
+			newGates,
 			newConfigWatcher,
 			newMember,
 			newSupervisor,
@@ -76,6 +78,13 @@
 	)
 }
 
+func newGates(settings Settings, set *metrics.Set, logger logr.Logger) *guard.Gates {
+	if settings.Clients == (guard.Limits{}) {
+		settings.Clients = guard.DefaultLimits(settings.MemoryLimit, 0)
+	}
+	return guard.NewGates(settings.Clients, set, logger)
+}
+
 func newConfigWatcher(platform Platform, logger logr.Logger) *queue.Watcher {
 	return queue.NewWatcher(platform.Config, platform.OperatorTopic, platform.DecodeUpdate, logger)
 }
@@ -127,9 +136,9 @@
 	return handler
 }
 
-func newServer(settings Settings, handler *intake.Handler, config *queue.Watcher, logger logr.Logger) *intake.Server {
+func newServer(settings Settings, handler *intake.Handler, config *queue.Watcher, gates *guard.Gates, logger logr.Logger) *intake.Server {
 	ready := func() bool { return config.Config() != nil }
-	return intake.NewServer(settings.CallerListen, settings.HealthListen, handler, ready, settings.StopGrace, logger)
+	return intake.NewServer(settings.CallerListen, settings.HealthListen, handler, ready, settings.StopGrace, gates, logger)
 }
 
 func newMachineController(settings Settings, platform Platform, supervisor *owner.Supervisor, client *owner.Client, config *queue.Watcher, set *metrics.Set, logger logr.Logger) *infra.Controller {
@@ -158,8 +167,9 @@
 // register adds the node's loops and servers to the lifecycle. On shutdown the node
 // leaves the group first, so that other nodes take over its cells while it still
 // serves callers.
-func register(lifecycle fx.Lifecycle, settings Settings, loops *core.LoopGroup, tuner *gcTuner, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, controller *infra.Controller, admin *adminServer, server *intake.Server, logger logr.Logger) error {
+func register(lifecycle fx.Lifecycle, settings Settings, loops *core.LoopGroup, tuner *gcTuner, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, controller *infra.Controller, admin *adminServer, server *intake.Server, gates *guard.Gates, logger logr.Logger) error {
 	peers := link.NewServer(settings.PeerListen, func(conn net.Conn) net.Conn { return conn }, logger.WithName("peers"))
+	peers.Limit(gates.Peers)
 	if err := peers.Register(owner.RPCName, owner.NewService(supervisor)); err != nil {
 		return err
 	}
@@ -168,6 +178,7 @@
 	}
 	member.OnRelease = client.NotifyPeers
 	loops.Go(tuner.loop)
+	loops.Go(gates.Run)
 	loops.Go(config.Run)
 	loops.Go(pools.Run)
 	loops.Go(member.Run)
--- a/engine/gctuner.go
+++ b/engine/gctuner.go
@@ -19,6 +19,10 @@
 	// heapShare is the share of the memory limit that the heap may take. The rest is left
 	// to stacks and to memory outside the heap.
 	heapShare = 0.4
+	// memoryLimitShare is the share of the memory limit that the runtime may take before it
+	// collects garbage more often. The rest is left to the program itself and to what the
+	// runtime doesn't count.
+	memoryLimitShare = 0.8
 	// tuneInterval is the time between two looks at the heap.
 	tuneInterval = time.Second
 )
@@ -37,6 +41,9 @@
 
 // loop adjusts the percentage until ctx ends.
 func (t *gcTuner) loop(ctx context.Context) {
+	if t.memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(t.memory)))
+	}
 	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
 	for core.Sleep(ctx, tuneInterval) == nil {
 		metrics.Read(sample)
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"rattanpath/guard"
+)
 
 // Settings holds the settings of a node, independent of the platform's format.
 type Settings struct {
@@ -31,6 +35,9 @@
 	LinkRate int64
 	// MemoryLimit is the memory in bytes beyond which the node is killed, 0 if unknown.
 	MemoryLimit int64
+	// Clients are the limits on what clients can make the node hold. The zero value means
+	// the defaults.
+	Clients guard.Limits
 	// MinMemberTTL is the lower bound of the TTL of a group membership.
 	MinMemberTTL time.Duration
 
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,8 +10,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
-	"github.com/pkg/errors"
 
+	"rattanpath/guard"
 	"rattanpath/owner"
 	"rattanpath/queue"
 	"rattanpath/tasks"
@@ -38,7 +37,10 @@
 // Codec decodes callers' requests and encodes the responses.
 type Codec struct {
 	// Timeout returns the caller's timeout, or 0 if the header states none.
-	Timeout       func(header http.Header) time.Duration
+	Timeout func(header http.Header) time.Duration
+	// JobSize returns how much memory DecodeJob takes at most for a body, or an error if no
+	// legal job takes that much.
+	JobSize       func(body []byte) (int64, error)
 	DecodeJob     func(body []byte) (tasks.Plan, error)
 	EncodeState   func(phase tasks.Phase, started bool) ([]byte, error)
 	EncodePending func(count int) ([]byte, error)
@@ -62,6 +64,10 @@
 	logger  logr.Logger
 	metrics *metrics.Set
 	router  *mux.Router
+	// IsKnown reports whether a request is that of a known caller. Others may hold only a
+	// share of the memory for callers, and are disconnected first. All are known if it
+	// is nil.
+	IsKnown func(r *http.Request, q *queue.Queue) bool
 	history serviceHistory
 	// overloaded holds the queues that accept no large jobs at present.
 	overloaded overloadedQueues
@@ -104,6 +110,7 @@
 		x.writeError(http.StatusNotFound, "no queue has this host and path")
 		return
 	}
+	guard.SetKnown(r, h.IsKnown == nil || h.IsKnown(r, x.queue))
 	x.id = strings.TrimPrefix(r.URL.Path, x.queue.Prefix)
 	switch {
 	case x.id == "" && r.Method == http.MethodGet:
@@ -155,23 +162,8 @@
 }
 
 func (x *exchange) submit() {
-	limit := x.config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.writeError(http.StatusRequestEntityTooLarge, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
-		return
-	case err != nil:
-		x.writeError(http.StatusBadRequest, "the body could not be read")
-		return
-	}
-	plan, err := x.codec.DecodeJob(body)
-	if err != nil {
-		x.writeError(http.StatusBadRequest, err.Error())
+	plan, ok := x.readJob()
+	if !ok {
 		return
 	}
 	if service, response := x.findJob(x.history.previous(x.queue.Key())); service != "" || response.Outcome != owner.UnknownJob {
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -70,6 +70,7 @@
 	client := &fakeClient{jobs: make(map[string]map[string]bool)}
 	codec := Codec{
 		Timeout: func(http.Header) time.Duration { return 0 },
+		JobSize: func(body []byte) (int64, error) { return int64(len(body)), nil },
 		DecodeJob: func(body []byte) (tasks.Plan, error) {
 			if string(body) == "bad" {
 				return tasks.Plan{}, errors.New("invalid body")
--- a/intake/server.go
+++ b/intake/server.go
@@ -12,12 +12,10 @@
 	"github.com/pkg/errors"
 
 	"rattanpath/core"
+	"rattanpath/guard"
 )
 
 const (
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 16 << 10
 	// drainFraction is the fraction of the grace period in which a stopping node
 	// still accepts requests, so that the load balancer notices that it is not
 	// ready.
@@ -35,24 +33,21 @@
 	grace     time.Duration
 	ready     func() bool
 	stopping  atomic.Bool
+	gates     *guard.Gates
 	logger    logr.Logger
 }
 
 // NewServer returns a server that serves callers at one address and the load
-// balancer's readiness check at another.
-func NewServer(callers, health string, handler *Handler, ready func() bool, grace time.Duration, logger logr.Logger) *Server {
-	s := &Server{grace: grace, ready: ready, logger: logger.WithName("intake"), addresses: [2]string{callers, health}}
+// balancer's readiness check at another, both through their gates.
+func NewServer(callers, health string, handler *Handler, ready func() bool, grace time.Duration, gates *guard.Gates, logger logr.Logger) *Server {
+	s := &Server{gates: gates, grace: grace, ready: ready, logger: logger.WithName("intake"), addresses: [2]string{callers, health}}
 	errorLog := core.StandardLog(s.logger)
-	s.callers = &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          errorLog,
-	}
+	s.callers = &http.Server{Handler: handler, ErrorLog: errorLog}
+	gates.Callers.Configure(s.callers)
 	router := mux.NewRouter()
 	router.HandleFunc("/ready", s.serveReady).Methods(http.MethodGet)
-	s.health = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
+	s.health = &http.Server{Handler: router, ErrorLog: errorLog}
+	gates.Readiness.Configure(s.health)
 	return s
 }
 
@@ -67,13 +62,14 @@
 
 // Start listens at both addresses.
 func (s *Server) Start(ctx context.Context) error {
+	gates := []*guard.Gate{s.gates.Callers, s.gates.Readiness}
 	for i, server := range []*http.Server{s.callers, s.health} {
 		var config net.ListenConfig
 		listener, err := config.Listen(ctx, "tcp", s.addresses[i])
 		if err != nil {
 			return errors.Wrapf(err, "listening at %s", s.addresses[i])
 		}
-		go (&listenerServer{server: server, listener: listener, logger: s.logger}).run()
+		go (&listenerServer{server: server, listener: gates[i].Listen(listener), logger: s.logger}).run()
 	}
 	s.logger.Info("listening for callers", "address", s.addresses[0])
 	return nil
--- a/link/server.go
+++ b/link/server.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+
+	"rattanpath/guard"
 )
 
 // maxConnections limits the open connections of a server.
@@ -18,6 +20,7 @@
 	address  string
 	rpc      *rpc.Server
 	wrap     func(net.Conn) net.Conn
+	gate     *guard.Gate
 	logger   logr.Logger
 	listener net.Listener
 	mu       sync.Mutex
@@ -36,6 +39,10 @@
 	}
 }
 
+// Limit sets the gate that accepted connections must pass, instead of wrap. It must be
+// called before Start.
+func (s *Server) Limit(gate *guard.Gate) { s.gate = gate }
+
 // Register publishes the methods of a receiver under a service name. It must be
 // called before Start.
 func (s *Server) Register(name string, receiver any) error {
@@ -62,34 +69,58 @@
 		if err != nil {
 			return
 		}
-		session := &session{server: s, conn: s.wrap(conn)}
-		if !s.track(session.conn) {
+		if session := s.newSession(conn); session != nil {
+			go session.run()
+		} else {
 			_ = conn.Close()
-			continue
 		}
-		go session.run()
 	}
 }
 
+// newSession returns the session of an accepted connection, or nil if there are too many.
+func (s *Server) newSession(conn net.Conn) *session {
+	if s.gate != nil {
+		guarded := s.gate.Admit(conn)
+		if guarded == nil {
+			return nil
+		}
+		session := &session{server: s, conn: guarded, guarded: guarded}
+		s.track(guarded)
+		return session
+	}
+	session := &session{server: s, conn: s.wrap(conn)}
+	if !s.track(session.conn) {
+		return nil
+	}
+	return session
+}
+
 // session serves the calls of one connection.
 type session struct {
 	server *Server
 	conn   net.Conn
+	// guarded is the connection if it passed a gate, or nil.
+	guarded *guard.Conn
 }
 
 // run serves calls until either side closes the connection.
 func (s *session) run() {
-	s.server.rpc.ServeConn(s.conn)
+	if s.guarded != nil {
+		s.server.rpc.ServeCodec(newGuardedCodec(s.guarded))
+	} else {
+		s.server.rpc.ServeConn(s.conn)
+	}
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
 	delete(s.server.conns, s.conn)
 }
 
-// track adds an open connection; it reports false if the limit is reached.
+// track adds an open connection; it reports false if the limit is reached. A gate has a
+// limit of its own.
 func (s *Server) track(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= maxConnections {
+	if s.gate == nil && len(s.conns) >= maxConnections {
 		return false
 	}
 	s.conns[conn] = true
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"time"
+	"unsafe"
 
 	"github.com/pkg/errors"
 
@@ -77,6 +78,13 @@
 	return retired
 }
 
+// HeldBytes returns approximately how much memory the request takes, so that the
+// connection that it came over can be charged with it.
+func (r *Request) HeldBytes() int64 {
+	bytes := unsafe.Sizeof(*r) + uintptr(cap(r.Hosts))*unsafe.Sizeof("") + uintptr(cap(r.Retired))*unsafe.Sizeof(sched.RetiredHost{})
+	return int64(bytes) + r.Plan.HeldBytes()
+}
+
 // Response holds the results of all methods of owners.
 type Response struct {
 	Outcome Outcome
