--- a/cmd/rattanpath/cmds/jobs.go
+++ b/cmd/rattanpath/cmds/jobs.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -166,6 +168,22 @@
 	for _, cell := range node.Cells {
 		_, _ = fmt.Fprintf(table, "cell %s\tepoch %d, %d of %d jobs open\tconfirmed %s ago\n", cell.Service, cell.Epoch, cell.Open, cell.Kept, formatAge(cell.Confirmed))
 	}
+	for _, limits := range node.Clients {
+		_, _ = fmt.Fprintf(table, "clients of %s\t%d of %d connections, %d of %d KB held\t%s\n", limits.Listener,
+			limits.Connections, limits.MaxConnections, limits.Bytes>>10, limits.MaxBytes>>10, refusalsText(limits.Refusals))
+	}
 	_ = table.Flush()
 	return text.String()
 }
+
+// refusalsText lists the numbers of refused clients by reason.
+func refusalsText(refusals map[string]uint64) string {
+	if len(refusals) == 0 {
+		return "none refused"
+	}
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(refusals)) {
+		parts = append(parts, fmt.Sprintf("%d %s", refusals[reason], reason))
+	}
+	return "refused: " + strings.Join(parts, ", ")
+}
--- a/cmd/rattanpath/cmds/jobs_test.go
+++ b/cmd/rattanpath/cmds/jobs_test.go
@@ -25,6 +25,10 @@
 	}}}) + "\n" + nodeText(views.Node{
 		Node: "front-1", Version: 12, ConfigAge: 80 * time.Millisecond, HostsAge: -1, MembersAge: 200 * time.Millisecond, Depot: true,
 		Cells: []views.Cell{{Service: "index", Epoch: 3, Confirmed: 20 * time.Millisecond, Open: 4, Kept: 90}},
+		Clients: []views.ClientLimits{
+			{Listener: "callers", Connections: 12, MaxConnections: 1733, Bytes: 70_000, MaxBytes: 28_400_000, Refusals: map[string]uint64{"size": 2, "bytes": 1}},
+			{Listener: "admin", MaxConnections: 64, MaxBytes: 4_437_500},
+		},
 	})
 	const path = "_fixtures/manager.golden"
 	if os.Getenv("UPDATE_GOLDEN") != "" {
--- a/engine/admin.go
+++ b/engine/admin.go
@@ -33,6 +33,7 @@
 	supervisor *owner.Supervisor
 	client     *owner.Client
 	metrics    *metrics.Set
+	gates      *guard.Gates
 	server     *core.AdminServer
 	logger     logr.Logger
 }
@@ -40,7 +41,7 @@
 func newAdminServer(settings Settings, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, set *metrics.Set, gates *guard.Gates, logger logr.Logger) *adminServer {
 	s := &adminServer{
 		settings: settings, config: config, pools: pools, member: member, supervisor: supervisor, client: client,
-		metrics: set, logger: logger.WithName("desk"),
+		metrics: set, gates: gates, logger: logger.WithName("desk"),
 	}
 	set.NewGauge("rattanpath_config_age_seconds", func() float64 { return s.nodeView().ConfigAge.Seconds() })
 	set.NewGauge("rattanpath_hosts_age_seconds", func() float64 { return s.nodeView().HostsAge.Seconds() })
@@ -77,7 +78,7 @@
 func (s *adminServer) nodeView() views.Node {
 	view := views.Node{
 		Node: s.settings.Name, ConfigAge: -1, HostsAge: -1, MembersAge: -1,
-		Cells: s.supervisor.Views(), Depot: s.supervisor.OwnsFleetPartition(),
+		Cells: s.supervisor.Views(), Clients: clientLimits(s.gates), Depot: s.supervisor.OwnsFleetPartition(),
 	}
 	if config := s.config.Config(); config != nil {
 		view.Version, view.ConfigAge = config.Version, s.config.Age()
@@ -91,6 +92,15 @@
 	return view
 }
 
+// clientLimits returns the status of the limits on clients.
+func clientLimits(gates *guard.Gates) []views.ClientLimits {
+	var all []views.ClientLimits
+	for _, status := range gates.Status() {
+		all = append(all, views.ClientLimits(status))
+	}
+	return all
+}
+
 // requestedServices returns the service named by the query parameter "service", or
 // all services if there is none.
 func (s *adminServer) requestedServices(r *http.Request) []string {
--- a/guard/gate.go
+++ b/guard/gate.go
@@ -1,7 +1,9 @@
 package guard
 
 import (
+	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,11 +52,13 @@
 	budget *Budget
 	logger logr.Logger
 
+	// refusals counts refused and disconnected clients by reason.
+	refusals [reasonCount]*metrics.Counter
+
 	mu    sync.Mutex
 	conns map[*Conn]bool
-	// refusals counts by reason, and logged is what was logged of it at loggedAt.
-	refusals [reasonCount]int64
-	logged   [reasonCount]int64
+	// logged is what was logged of refusals at loggedAt.
+	logged   [reasonCount]uint64
 	loggedAt time.Time
 	// peakConns is the largest number of connections so far.
 	peakConns int
@@ -64,18 +68,14 @@
 func NewGate(name string, limits Limits, connections int, budget *Budget, set *metrics.Set, logger logr.Logger) *Gate {
 	g := &Gate{name: name, limits: limits, most: connections, budget: budget, logger: logger.WithName("guard"), conns: make(map[*Conn]bool)}
 	for reason := range reasonCount {
-		set.NewGauge(`rattanpath_guard_refusals_total{listener="`+name+`",reason="`+reason.String()+`"}`, func() float64 { return float64(g.count(reason)) })
+		g.refusals[reason] = set.NewCounter(`rattanpath_guard_refusals_total{listener="` + name + `",reason="` + reason.String() + `"}`)
 	}
 	set.NewGauge(`rattanpath_guard_connections{listener="`+name+`"}`, func() float64 { return float64(g.Status().Connections) })
 	set.NewGauge(`rattanpath_guard_bytes{listener="`+name+`"}`, func() float64 { return float64(g.Status().Bytes) })
 	return g
 }
 
-func (g *Gate) count(reason Reason) int64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.refusals[reason]
-}
+func (g *Gate) count(reason Reason) uint64 { return g.refusals[reason].Get() }
 
 // Status is the state of a gate.
 type Status struct {
@@ -85,7 +85,7 @@
 	Connections, MaxConnections, PeakConnections int
 	Bytes, MaxBytes, PeakBytes                   int64
 	// Refusals counts the refused or disconnected clients by reason.
-	Refusals map[string]int64
+	Refusals map[string]uint64
 }
 
 // Status returns the state of the gate. Refusals holds the reasons that have occurred.
@@ -95,11 +95,11 @@
 	defer g.mu.Unlock()
 	s := Status{
 		Listener: g.name, Connections: len(g.conns), MaxConnections: g.most, Bytes: used, MaxBytes: limit,
-		PeakConnections: g.peakConns, PeakBytes: peak, Refusals: make(map[string]int64),
+		PeakConnections: g.peakConns, PeakBytes: peak, Refusals: make(map[string]uint64),
 	}
-	for reason, count := range g.refusals {
-		if count > 0 {
-			s.Refusals[Reason(reason).String()] = count
+	for reason := range reasonCount {
+		if count := g.count(reason); count > 0 {
+			s.Refusals[reason.String()] = count
 		}
 	}
 	return s
@@ -107,20 +107,28 @@
 
 // record counts a refusal, and logs the counts if the last line is old enough.
 func (g *Gate) record(reason Reason) {
+	g.refusals[reason].Inc()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.refusals[reason]++
 	if time.Since(g.loggedAt) < logInterval {
 		return
 	}
-	fields := []any{"listener", g.name, "connections", len(g.conns)}
-	for i, count := range g.refusals {
-		if more := count - g.logged[i]; more > 0 {
-			fields = append(fields, Reason(i).String(), more)
+	g.loggedAt = time.Now()
+	g.logger.Info("clients refused", "listener", g.name, "connections", len(g.conns), "reasons", g.newRefusals())
+}
+
+// newRefusals returns the counts since the last call, such as "bytes=3 size=1". The gate's
+// mutex must be held.
+func (g *Gate) newRefusals() string {
+	var parts []string
+	for reason := range reasonCount {
+		count := g.count(reason)
+		if more := count - g.logged[reason]; more > 0 {
+			parts = append(parts, fmt.Sprintf("%s=%d", reason, more))
 		}
+		g.logged[reason] = count
 	}
-	g.logged, g.loggedAt = g.refusals, time.Now()
-	g.logger.Info("clients refused", fields...)
+	return strings.Join(parts, " ")
 }
 
 // Listen returns a listener whose connections pass the gate.
--- a/guard/gate_test.go
+++ b/guard/gate_test.go
@@ -31,7 +31,7 @@
 	if got := gate.Admit(&scriptedConn{}); got != nil {
 		t.Error("got a connection admitted while all others are served, want none")
 	}
-	if got, want := gate.count(Connections), int64(3); got != want {
+	if got, want := gate.count(Connections), uint64(3); got != want {
 		t.Errorf("got %d refusals counted, want %d", got, want)
 	}
 	for _, c := range conns {
--- a/views/manager.go
+++ b/views/manager.go
@@ -24,10 +24,23 @@
 	MembersAge time.Duration
 	// Cells are the cells that the node runs.
 	Cells []Cell
+	// Clients are the limits on clients by listener, and what they hold.
+	Clients []ClientLimits
 	// Depot reports whether the node's machine controller is active.
 	Depot bool
 }
 
+// ClientLimits is the status of the limits on the clients of one listener.
+type ClientLimits struct {
+	Listener string
+	// Connections are open, and Bytes held for requests in progress. The peaks are the
+	// largest numbers so far.
+	Connections, MaxConnections, PeakConnections int
+	Bytes, MaxBytes, PeakBytes                   int64
+	// Refusals counts the clients that were refused or disconnected, by reason.
+	Refusals map[string]uint64
+}
+
 // Cell is the status of a cell, which schedules the jobs of one service.
 type Cell struct {
 	Service string
