--- a/cmd/rattanpath/cmds/manage.go
+++ b/cmd/rattanpath/cmds/manage.go
@@ -22,22 +22,21 @@
 // fleet.
 type manageCommand struct {
 	AdminPort int `help:"Port of the admin server; 0 selects the second internal port."`
+	// Clients are the limits on clients.
+	Clients clientFlags `embed:"" group:"Limits on clients"`
 }
 
 // Run starts the node, waits for a signal and stops it gracefully.
 func (c *manageCommand) Run(e *env) error {
-	settings, err := platform.ReadSettings()
+	settings, err := c.readSettings()
 	if err != nil {
 		return err
 	}
-	if c.AdminPort != 0 {
-		settings.AdminListen = net.JoinHostPort(settings.IP, strconv.Itoa(c.AdminPort))
-	}
 	logWriter := sink.New(e.out)
 	defer logWriter.Close()
 	logger := logWriter.Logger(settings.Name)
 	slog.SetDefault(slog.New(logr.ToSlogHandler(logger)))
-	return runNode(e.ctx, engine.New(settings, platform.New(settings), logger), settings, logger)
+	return runNode(e.ctx, engine.New(settings, platform.New(settings), logger), &reloader{read: c.readSettings, settings: settings, logger: logger})
 }
 
 // application is a node that can be started once.
@@ -49,8 +48,8 @@
 }
 
 // runNode starts a node, waits until ctx is done and stops the node gracefully.
-func runNode(ctx context.Context, app application, settings engine.Settings, logger logr.Logger) error {
-	defer handleReloads(settings, logger)()
+func runNode(ctx context.Context, app application, reload *reloader) error {
+	defer reload.start()()
 	startCtx, cancel := context.WithTimeout(ctx, app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
@@ -62,15 +61,35 @@
 	return app.Stop(stopCtx)
 }
 
-// handleReloads reads the settings file again on each SIGHUP, and logs whether a restart would
-// change the settings, until the returned function is called. From then on the signal is
+// readSettings reads the settings file and applies the flags.
+func (c *manageCommand) readSettings() (engine.Settings, error) {
+	settings, err := platform.ReadSettings()
+	if err != nil {
+		return settings, err
+	}
+	if c.AdminPort != 0 {
+		settings.AdminListen = net.JoinHostPort(settings.IP, strconv.Itoa(c.AdminPort))
+	}
+	settings.Clients, err = c.Clients.apply(settings.Clients)
+	return settings, err
+}
+
+// reloader reads the settings file again on each SIGHUP, and logs whether a restart would change
+// the settings.
+type reloader struct {
+	read     func() (engine.Settings, error)
+	settings engine.Settings
+	logger   logr.Logger
+}
+
+// start handles signals until the returned function is called. From then on the signal is
 // ignored, as the process is about to end: by default, it ends a process at once.
-func handleReloads(settings engine.Settings, logger logr.Logger) (end func()) {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
+func (r *reloader) start() (end func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { loopReloads(ctx, reload, settings, logger) })
+	wg.Go(func() { r.run(ctx, signals) })
 	return func() {
 		signal.Ignore(syscall.SIGHUP)
 		cancel()
@@ -78,17 +97,17 @@
 	}
 }
 
-func loopReloads(ctx context.Context, reload <-chan os.Signal, settings engine.Settings, logger logr.Logger) {
+// run handles signals until ctx is done.
+func (r *reloader) run(ctx context.Context, signals <-chan os.Signal) {
 	for {
 		select {
-		case <-reload:
-			reread, err := platform.ReadSettings()
+		case <-signals:
+			reread, err := r.read()
 			if err != nil {
-				logger.Error(err, "can't load the settings file; the current settings stay active")
+				r.logger.Error(err, "can't load the settings file; the current settings stay active")
 				continue
 			}
-			reread.AdminListen = settings.AdminListen
-			logger.Info("settings file read again", "changed", reread != settings)
+			r.logger.Info("settings file read again", "changed", reread != r.settings)
 		case <-ctx.Done():
 			return
 		}
--- a/cmd/rattanpath/cmds/manage_test.go
+++ b/cmd/rattanpath/cmds/manage_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-logr/logr"
 
-	"rattanpath/engine"
+	"rattanpath/platform"
 )
 
 // hangupPhase is the environment variable that makes this test a process with a node that gets
@@ -41,7 +41,7 @@
 	if phase := os.Getenv(hangupPhase); phase != "" {
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 		defer cancel()
-		if err := runNode(ctx, hangupNode{phase}, engine.Settings{}, logr.Discard()); err != nil {
+		if err := runNode(ctx, hangupNode{phase}, &reloader{read: platform.ReadSettings, logger: logr.Discard()}); err != nil {
 			t.Errorf("got error %v, want none", err)
 		}
 		return
--- a/engine/admin.go
+++ b/engine/admin.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"rattanpath/core"
+	"rattanpath/guard"
 	"rattanpath/intake"
 	"rattanpath/owner"
 	"rattanpath/pool"
@@ -35,22 +36,24 @@
 	client     *owner.Client
 	handler    *intake.Handler
 	metrics    *metrics.Set
+	gates      *guard.Gates
 	server     *core.AdminServer
 	logger     logr.Logger
 	// explaining is held while a request is explained.
 	explaining sync.Mutex
 }
 
-func newAdminServer(settings Settings, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, handler *intake.Handler, set *metrics.Set, logger logr.Logger) *adminServer {
+func newAdminServer(settings Settings, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, handler *intake.Handler, set *metrics.Set, gates *guard.Gates, logger logr.Logger) *adminServer {
 	s := &adminServer{
 		settings: settings, config: config, pools: pools, member: member, supervisor: supervisor, client: client, handler: handler,
-		metrics: set, logger: logger.WithName("desk"),
+		metrics: set, gates: gates, logger: logger.WithName("desk"),
 	}
 	set.NewGauge("rattanpath_config_age_seconds", func() float64 { return s.nodeView().ConfigAge.Seconds() })
 	set.NewGauge("rattanpath_hosts_age_seconds", func() float64 { return s.nodeView().HostsAge.Seconds() })
 	set.NewGauge("rattanpath_membership_age_seconds", func() float64 { return s.nodeView().MembersAge.Seconds() })
 	set.NewGauge("rattanpath_cells", func() float64 { return float64(len(s.nodeView().Cells)) })
 	s.server = core.NewAdminServer(settings.AdminListen, s.routes(), s.logger)
+	s.server.Limit(gates.Admin.Configure, gates.Admin.Listen)
 	return s
 }
 
@@ -82,7 +85,7 @@
 func (s *adminServer) nodeView() views.Node {
 	view := views.Node{
 		Node: s.settings.Name, ConfigAge: -1, HostsAge: -1, MembersAge: -1,
-		Cells: s.supervisor.Views(), Depot: s.supervisor.OwnsFleetPartition(),
+		Cells: s.supervisor.Views(), Clients: clientLimits(s.gates), Depot: s.supervisor.OwnsFleetPartition(),
 	}
 	if config := s.config.Config(); config != nil {
 		view.Version, view.ConfigAge = config.Version, s.config.Age()
@@ -96,6 +99,15 @@
 	return view
 }
 
+// clientLimits returns the status of the limits on clients.
+func clientLimits(gates *guard.Gates) []views.ClientLimits {
+	var all []views.ClientLimits
+	for _, status := range gates.Status() {
+		all = append(all, views.ClientLimits(status))
+	}
+	return all
+}
+
 // requestedServices returns the service named by the query parameter "service", or
 // all services if there is none.
 func (s *adminServer) requestedServices(r *http.Request) []string {
--- a/intake/explain.go
+++ b/intake/explain.go
@@ -125,7 +125,11 @@
 		x.respond(http.StatusRequestEntityTooLarge, x.view.Body)
 		return
 	}
-	plan, err := x.codec.DecodeJob(x.request.Body)
+	_, err := x.codec.JobSize(x.request.Body)
+	var plan tasks.Plan
+	if err == nil {
+		plan, err = x.codec.DecodeJob(x.request.Body)
+	}
 	if err != nil {
 		x.view.Body = err.Error()
 		x.respond(http.StatusBadRequest, x.view.Body)
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -12,7 +11,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
-	"github.com/pkg/errors"
 
 	"rattanpath/owner"
 	"rattanpath/queue"
@@ -42,7 +40,10 @@
 	// Timeout returns the caller's timeout, or 0 if the header states none.
 	Timeout func(header http.Header) time.Duration
 	// Key returns the caller's API key, or "" if the header holds none.
-	Key           func(header http.Header) string
+	Key func(header http.Header) string
+	// JobSize returns how much memory DecodeJob takes at most for a body, or an error if no
+	// legal job takes that much.
+	JobSize       func(body []byte) (int64, error)
 	DecodeJob     func(body []byte) (tasks.Plan, error)
 	EncodeState   func(phase tasks.Phase, started bool) ([]byte, error)
 	EncodePending func(count int) ([]byte, error)
@@ -111,10 +112,13 @@
 	}
 	h.history.update(x.config, true)
 	if x.queue = findQueue(x.config, r.Host, r.URL.Path); x.queue == nil {
+		x.limitUnknown()
 		x.writeError(http.StatusNotFound, noQueue)
 		return
 	}
-	if !x.identifyCaller() {
+	identified := x.identifyCaller()
+	x.limitUnknown()
+	if !identified {
 		return
 	}
 	x.id = strings.TrimPrefix(r.URL.Path, x.queue.Prefix)
@@ -228,20 +232,8 @@
 }
 
 func (x *exchange) submit() {
-	limit := bodyLimit(x.config)
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.writeError(http.StatusRequestEntityTooLarge, bodyTooLarge(limit))
-		return
-	case err != nil:
-		x.writeError(http.StatusBadRequest, "the body could not be read")
-		return
-	}
-	plan, err := x.codec.DecodeJob(body)
-	if err != nil {
-		x.writeError(http.StatusBadRequest, err.Error())
+	plan, ok := x.readJob()
+	if !ok {
 		return
 	}
 	switch service, response := x.findEarlier(); {
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -138,6 +138,7 @@
 	codec := Codec{
 		Timeout: func(http.Header) time.Duration { return 0 },
 		Key:     func(header http.Header) string { return header.Get("Test-Key") },
+		JobSize: func(body []byte) (int64, error) { return int64(len(body)), nil },
 		DecodeJob: func(body []byte) (tasks.Plan, error) {
 			if string(body) == "bad" {
 				return tasks.Plan{}, errors.New("invalid body")
--- a/intake/key.go
+++ b/intake/key.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"rattanpath/guard"
 	"rattanpath/queue"
 )
 
@@ -53,6 +54,12 @@
 	}
 }
 
+// limitUnknown limits what a caller without a valid key makes this node hold, where keys are
+// required, so that it can't spend what known callers need.
+func (x *exchange) limitUnknown() {
+	guard.SetKnown(x.r, !x.config.RequiresKeys || x.organisation != "")
+}
+
 // refuseKey answers that the caller has no valid key. The connection is closed if a body
 // follows: the HTTP server would otherwise read it before it sends the response.
 func (x *exchange) refuseKey(reason string) {
