guard: name the choice of the account to evict, clearer comments

"standing" and "worst" needed an explanation: they are candidates for eviction and the choice of one. No change of behaviour; TestWorst is TestChooseVictim.

--- a/guard/budget.go
+++ b/guard/budget.go
@@ -11,12 +11,12 @@
 const (
 	// chargeWait is how long a charge waits for bytes that others release.
 	chargeWait = 500 * time.Millisecond
-	// victimInterval is the time between two choices of an account to evict, since one
-	// stands worse the longer the process waits for it.
+	// victimInterval is the time between two choices of an account to evict, since the
+	// weight of an account grows while the process waits for it.
 	victimInterval = 50 * time.Millisecond
-	// minStanding is added to the time for which a client keeps the process waiting, so
+	// minWait is added to the time for which a client keeps the process waiting, so
 	// that among clients without delay the one that holds most is chosen.
-	minStanding = 100 * time.Millisecond
+	minWait = 100 * time.Millisecond
 )
 
 var (
@@ -100,8 +100,8 @@
 	a.unknown.Store(!known)
 }
 
-// Charge adds bytes to an account. If the budget is spent, it evicts the account that
-// stands worst, unless that is this one, and waits until the bytes are free.
+// Charge adds bytes to an account. If the budget is spent, it evicts the account
+// that chooseVictim selects, if any, and waits until the bytes are free.
 func (a *Account) Charge(bytes int64) error {
 	freed, err := a.tryCharge(bytes)
 	if !errors.Is(err, ErrSpent) {
@@ -171,36 +171,36 @@
 // is none while evictions that have not ended yet free enough.
 func (b *Budget) victim(self *Account, bytes int64) *Account {
 	now := clock()
-	own := self.standing(now)
+	own := self.candidate(now)
 	own.held += bytes
 	needed := b.used + bytes - b.limit
 	onlyUnknown := self.unknown.Load() && b.unknownUsed+bytes > b.unknownLimit
 	if onlyUnknown {
 		needed = max(needed, b.unknownUsed+bytes-b.unknownLimit)
 	}
-	var candidates []*Account
-	var standings []standing
+	var accounts []*Account
+	var candidates []candidate
 	for a := range b.accounts {
 		switch {
 		case a == self || onlyUnknown && !a.unknown.Load():
 		case a.evicted:
 			needed -= a.held
 		default:
-			candidates = append(candidates, a)
-			standings = append(standings, a.standing(now))
+			accounts = append(accounts, a)
+			candidates = append(candidates, a.candidate(now))
 		}
 	}
 	if needed <= 0 {
 		return nil
 	}
-	if i := worst(own, standings); i >= 0 {
-		return candidates[i]
+	if i := chooseVictim(own, candidates); i >= 0 {
+		return accounts[i]
 	}
 	return nil
 }
 
-// standing is what the choice of an account to evict rests on.
-type standing struct {
+// candidate holds what the choice of an account to evict depends on.
+type candidate struct {
 	held int64
 	// waited is how long the process has been waiting for the client, negative if it
 	// doesn't.
@@ -208,42 +208,44 @@
 	unknown bool
 }
 
-// standing returns the standing of an account. The budget's mutex must be held.
-func (a *Account) standing(now int64) standing {
-	s := standing{held: a.held, waited: -1, unknown: a.unknown.Load()}
+// candidate returns an account as a candidate for eviction. The budget's mutex must be held.
+func (a *Account) candidate(now int64) candidate {
+	c := candidate{held: a.held, waited: -1, unknown: a.unknown.Load()}
 	if since := a.waitingSince.Load(); since != 0 {
-		s.waited = max(0, time.Duration(now-since))
+		c.waited = max(0, time.Duration(now-since))
 	}
-	return s
+	return c
 }
 
 // weight is how much a client holds for how long, in bytes times seconds. It is 0 for one
 // that the process doesn't wait for.
-func (s standing) weight() float64 {
-	if s.waited < 0 {
+func (c candidate) weight() float64 {
+	if c.waited < 0 {
 		return 0
 	}
-	return float64(s.held) * (s.waited + minStanding).Seconds()
+	return float64(c.held) * (c.waited + minWait).Seconds()
 }
 
-// worst returns the index of the standing of largest weight, or -1 if none is worse than
-// one's own. Any of an unknown caller is worse than one of a known caller.
-func worst(own standing, others []standing) int {
+// chooseVictim returns the index of the candidate to evict in favour of own, or -1 if own
+// comes before all of them.
+func chooseVictim(own candidate, others []candidate) int {
 	own.waited = max(0, own.waited)
 	found, last := -1, own
-	for i, s := range others {
-		if s.weight() > 0 && s.worseThan(last) {
-			found, last = i, s
+	for i, c := range others {
+		if c.weight() > 0 && c.evictedBefore(last) {
+			found, last = i, c
 		}
 	}
 	return found
 }
 
-func (s standing) worseThan(other standing) bool {
-	if s.unknown != other.unknown {
-		return s.unknown
+// evictedBefore orders candidates: unknown callers come before known ones, then those of larger
+// weight.
+func (c candidate) evictedBefore(other candidate) bool {
+	if c.unknown != other.unknown {
+		return c.unknown
 	}
-	return s.weight() > other.weight()
+	return c.weight() > other.weight()
 }
 
 // Release takes bytes off an account, at most what it holds.
--- a/guard/budget_test.go
+++ b/guard/budget_test.go
@@ -74,13 +74,13 @@
 	})
 }
 
-// naiveWorst is a second implementation of worst: it compares all pairs.
-func naiveWorst(own standing, others []standing) int {
+// naiveVictim is a second implementation of chooseVictim: it compares all pairs.
+func naiveVictim(own candidate, others []candidate) int {
 	own.waited = max(0, own.waited)
 	for i, s := range others {
-		beaten := s.weight() <= 0 || !s.worseThan(own)
+		beaten := s.weight() <= 0 || !s.evictedBefore(own)
 		for j, other := range others {
-			if other.weight() > 0 && (other.worseThan(s) || j < i && !s.worseThan(other)) {
+			if other.weight() > 0 && (other.evictedBefore(s) || j < i && !s.evictedBefore(other)) {
 				beaten = true
 			}
 		}
@@ -91,12 +91,12 @@
 	return -1
 }
 
-// TestWorst compares the choice of the account to evict with the naive one. It guards
-// against the eviction of a client that the process doesn't wait for, or of one that stands
-// better than the one that needs the bytes.
-func TestWorst(t *testing.T) {
-	draw := rapid.Custom(func(t *rapid.T) standing {
-		return standing{
+// TestChooseVictim compares the choice of the account to evict with the naive one. It guards
+// against the eviction of a client that the process doesn't wait for, or of one that
+// should be evicted after the one that needs the bytes.
+func TestChooseVictim(t *testing.T) {
+	draw := rapid.Custom(func(t *rapid.T) candidate {
+		return candidate{
 			held:    int64(rapid.IntRange(0, 3).Draw(t, "held")),
 			waited:  time.Duration(rapid.IntRange(-1, 3).Draw(t, "waited")) * time.Second,
 			unknown: rapid.Bool().Draw(t, "unknown"),
@@ -105,12 +105,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		own := draw.Draw(t, "own")
 		others := rapid.SliceOfN(draw, 0, 6).Draw(t, "others")
-		got, want := worst(own, others), naiveWorst(own, others)
+		got, want := chooseVictim(own, others), naiveVictim(own, others)
 		if got != want {
 			t.Fatalf("got %d, want %d", got, want)
 		}
 		if got >= 0 && (others[got].waited < 0 || others[got].held == 0 || own.unknown && !others[got].unknown) {
-			t.Fatalf("got %+v for %+v, want one that holds bytes and stands worse", others[got], own)
+			t.Fatalf("got %+v for %+v, want one that holds bytes and is evicted before it", others[got], own)
 		}
 	})
 }
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -19,10 +19,11 @@
 	net.Conn
 	gate    *Gate
 	account *Account
-	close   sync.Once
-	// evicted is set before the read deadline passes for good.
+	// closeOnce makes Close release the account and leave the gate once.
+	closeOnce sync.Once
+	// evicted is set before the read deadline is moved into the past for good.
 	evicted atomic.Bool
-	// inHeader is set while the header of a request is read, which header follows.
+	// inHeader is set while the header of a request is read, which the field header tracks.
 	inHeader   atomic.Bool
 	header     headerScanner
 	deadlineMu sync.Mutex
@@ -52,7 +53,7 @@
 	return late
 }
 
-// checkTimes makes reads or writes fail whose time has passed.
+// checkTimes makes a read or a write fail if its time has passed.
 func (c *Conn) checkTimes(now int64) {
 	if by := c.writeBy.Load(); by != 0 && now > by {
 		_ = c.Conn.SetWriteDeadline(past)
@@ -106,7 +107,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
-	c.close.Do(func() {
+	c.closeOnce.Do(func() {
 		c.account.Close()
 		c.gate.remove(c)
 	})
--- a/guard/gate.go
+++ b/guard/gate.go
@@ -48,25 +48,26 @@
 type Gate struct {
 	name   string
 	limits Limits
-	most   int
-	budget *Budget
-	logger logr.Logger
+	// maxConns is how many connections may be open.
+	maxConns int
+	budget   *Budget
+	logger   logr.Logger
 
 	// refusals counts refused and disconnected clients by reason.
 	refusals [reasonCount]*metrics.Counter
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
-	// logged is what was logged of refusals at loggedAt.
+	// logged holds the counts of refusals in the last log line, which was written at loggedAt.
 	logged   [reasonCount]uint64
 	loggedAt time.Time
 	// peakConns is the largest number of connections so far.
 	peakConns int
 }
 
-// NewGate returns the gate of a listener for at most so many connections.
+// NewGate returns the gate of a listener, which admits a number of connections at a time.
 func NewGate(name string, limits Limits, connections int, budget *Budget, set *metrics.Set, logger logr.Logger) *Gate {
-	g := &Gate{name: name, limits: limits, most: connections, budget: budget, logger: logger.WithName("guard"), conns: make(map[*Conn]bool)}
+	g := &Gate{name: name, limits: limits, maxConns: connections, budget: budget, logger: logger.WithName("guard"), conns: make(map[*Conn]bool)}
 	for reason := range reasonCount {
 		g.refusals[reason] = set.NewCounter(`rattanpath_guard_refusals_total{listener="` + name + `",reason="` + reason.String() + `"}`)
 	}
@@ -94,7 +95,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := Status{
-		Listener: g.name, Connections: len(g.conns), MaxConnections: g.most, Bytes: used, MaxBytes: limit,
+		Listener: g.name, Connections: len(g.conns), MaxConnections: g.maxConns, Bytes: used, MaxBytes: limit,
 		PeakConnections: g.peakConns, PeakBytes: peak, Refusals: make(map[string]uint64),
 	}
 	for reason := range reasonCount {
@@ -159,8 +160,9 @@
 	}
 }
 
-// Admit returns the connection under the limits of the gate, or nil if there are too many.
-// It closes the one that has kept the process waiting longest, if there are too many.
+// Admit returns the connection under the limits of the gate. If there are too many, it closes
+// the one whose client has kept the process waiting longest, or returns nil if the process
+// waits for none.
 func (g *Gate) Admit(conn net.Conn) *Conn {
 	c := &Conn{Conn: conn, gate: g}
 	c.account = g.budget.Open(c.evict)
@@ -184,7 +186,7 @@
 func (g *Gate) add(c *Conn) (admitted bool, victim *Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.conns) >= g.most {
+	if len(g.conns) >= g.maxConns {
 		if victim = g.longestWaiting(); victim == nil {
 			return false, nil
 		}
--- a/guard/gates.go
+++ b/guard/gates.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// checkInterval is the time between two looks at the times by which clients must have sent
+// checkInterval is the time between two checks of the times by which clients must have sent
 // or read more.
 const checkInterval = 250 * time.Millisecond
 
--- a/guard/header.go
+++ b/guard/header.go
@@ -2,8 +2,8 @@
 
 import "bytes"
 
-// headerScanner follows the header of a request in what is read from a connection, which
-// may go on with the body.
+// headerScanner finds the end of a request's header, and its lines, in the bytes that are read
+// from a connection. The body may follow in the same bytes.
 type headerScanner struct {
 	// lines is the number of lines so far, and lineLength the length of the one that has
 	// begun, without the characters that end it.
--- a/guard/http.go
+++ b/guard/http.go
@@ -148,8 +148,9 @@
 	return body.ended
 }
 
-// closeAfterResponse makes package net/http close the connection so that a client that is
-// still sending gets the response: as when a body is found to be too large.
+// closeAfterResponse makes package net/http close the connection after the response, and leave
+// a client that is still sending the time to read it. http.MaxBytesReader is the only way to
+// request that; it does so when a body exceeds its limit.
 func closeAfterResponse(w http.ResponseWriter) {
 	one := io.NopCloser(strings.NewReader("x"))
 	_, _ = http.MaxBytesReader(w, one, 0).Read(make([]byte, 1))
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -17,7 +17,7 @@
 	// limits of the machine: those of the smallest one.
 	assumedMemory      = 184_000_000
 	assumedDescriptors = 4100
-	// connectionBytes is enough for a legal job of the largest size in both forms, and
+	// connectionBytes is enough for a legal job of the largest size, encoded and decoded, and
 	// messageBytes for it as a message to another node. minServiceBytes is enough for
 	// some headers.
 	connectionBytes = 6 << 20
@@ -74,8 +74,8 @@
 	MessageTimeout time.Duration
 }
 
-// DefaultLimits returns the limits for a machine with so much memory in bytes and so many
-// descriptors, 0 if unknown.
+// DefaultLimits returns the limits for a machine with an amount of memory in bytes and a number
+// of descriptors. Either is 0 if unknown.
 func DefaultLimits(memory int64, descriptors int) Limits {
 	if memory <= 0 {
 		memory = assumedMemory
@@ -107,15 +107,14 @@
 	}
 }
 
-// Limits of the configuration that a legal client may use fully, and the smallest of
-// ours that allow that.
+// What the platform's configuration allows a client. Limits of the process must not be smaller.
 const (
 	legalHeaderBytes   = 16_384
 	legalHeaderFields  = 64
 	legalHeaderTimeout = 3 * time.Second
 	legalIdleTimeout   = 15 * time.Second
 	legalBodyBytes     = 262_144
-	// legalJobBytes is what a job of that size takes in both forms.
+	// legalJobBytes is what a job of that size takes, encoded and decoded.
 	legalJobBytes = 5 << 20
 )
 
--- a/guard/message.go
+++ b/guard/message.go
@@ -9,9 +9,9 @@
 // ErrMessage means that a message is too large, or its length invalid.
 var ErrMessage = errors.New("the message is too large")
 
-// MessageReader reads the messages of package gob from a connection: each is its length
-// and so many bytes. Package gob allocates a message by the length that it claims, so that
-// the connection is charged with that before it is passed on.
+// MessageReader reads the messages of package gob from a connection: each is a length and
+// that number of bytes. Package gob allocates a buffer of the length that is claimed, so the
+// connection is charged with it before the length is passed on.
 type MessageReader struct {
 	conn *Conn
 	// left is how much of the current message is missing.
@@ -25,7 +25,8 @@
 	// charged is the size of the last message, whose buffer package gob keeps until the
 	// next one.
 	charged int64
-	timed   bool
+	// timed is set while a time limit for the rest of a message is in effect.
+	timed bool
 }
 
 // Messages returns a reader of the messages of a connection, on which no headers are
@@ -45,7 +46,7 @@
 // Release takes bytes off again.
 func (c *Conn) Release(bytes int64) { c.account.Release(bytes) }
 
-// Refused counts the error of a Charge of which the connection is closed.
+// Refused counts the failure of a Charge after which the connection is closed.
 func (c *Conn) Refused(err error) {
 	if !errors.Is(err, ErrEvicted) {
 		c.gate.record(reasonOf(err))
