--- a/queue/organisation.go
+++ b/queue/organisation.go
@@ -9,7 +9,7 @@
 // Organisation is a group of callers that share keys, a weight and a cap.
 type Organisation struct {
 	Name string
-	// Weight is the organisation's share of full hosts relative to other weights.
+	// Weight is the organisation's share of a full pool relative to the weights of others.
 	Weight float64
 	// Cap limits what the organisation has running on the hosts of all services. A
 	// resource of 0 has no limit.
@@ -57,3 +57,13 @@
 
 // KeyHolder returns the organisation that holds a key, or nil.
 func (c *Config) KeyHolder(key KeyHash) *Organisation { return c.byKey[key] }
+
+// KeyHolderByHash returns the organisation that holds the key with a hash as it is sent between
+// nodes, or nil. A hash of another length, such as the empty one of callers without a key, has
+// no holder.
+func (c *Config) KeyHolderByHash(hash []byte) *Organisation {
+	if len(hash) != len(KeyHash{}) {
+		return nil
+	}
+	return c.KeyHolder(KeyHash(hash))
+}
--- a/queue/watch.go
+++ b/queue/watch.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// reload reads the newest record of each key, which hides what they have replaced.
+// reload reads the newest record of each key. Versions that those have replaced aren't read.
 func (w *Watcher) reload(ctx context.Context) error {
 	snapshot, err := w.reader.Newest(ctx, w.topic)
 	if err != nil {
