--- a/owner/client.go
+++ b/owner/client.go
@@ -343,6 +343,7 @@
 	response, _, err := c.attempt(ctx, MethodPreview, request)
 	switch {
 	case err != nil && strings.Contains(err.Error(), "can't find method"):
+		// Package net/rpc has no error value for an unknown method.
 		return Response{}, errors.New("the owner's version can't explain requests")
 	case err == nil && response.Outcome == NotOwner:
 		return Response{}, outcomeError(response, nil)
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -37,12 +37,12 @@
 	// effect.
 	Overloaded
 	// Unauthorised means that the owner's configuration, which is newer than that of the
-	// caller's node, doesn't accept the caller's key; the call had no effect.
+	// forwarding node, doesn't accept the caller's key; the call had no effect.
 	Unauthorised
 	// Forbidden means that the job belongs to another organisation; the call had no effect.
 	Forbidden
 	// Reassigned means that the owner's configuration, which is newer than that of the
-	// caller's node, assigns the queue to another service; the call had no effect.
+	// forwarding node, assigns the queue to another service; the call had no effect.
 	Reassigned
 	// TooLarge means that the store doesn't take the records of the job; the call had no
 	// effect.
@@ -69,7 +69,7 @@
 	// caller.
 	Plan   tasks.Plan
 	Policy tasks.Policy
-	// ConfigVersion is the version of the configuration on which the caller's node has
+	// ConfigVersion is the version of the configuration by which the forwarding node has
 	// acted, and KeysRequired whether it requires keys. KeyHash is the hash of the key that
 	// the caller presented, empty if it presented none. Nodes of older versions send none
 	// of them, so that owners check their requests as if they came without a key.
--- a/owner/service.go
+++ b/owner/service.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 
-	"rattanpath/queue"
 	"rattanpath/sched"
 )
 
@@ -35,7 +34,7 @@
 	return nil
 }
 
-// withCaller does the same on behalf of the caller of a request. The outcome is
+// withCaller calls withCell on behalf of the caller of a request. The outcome is
 // Unauthorised if this node's configuration doesn't accept its key.
 func (s *Service) withCaller(request *Request, response *Response, call func(ctx context.Context, c *sched.Cell, caller sched.Caller) error) error {
 	caller, accepted := s.caller(request)
@@ -47,8 +46,8 @@
 }
 
 // caller returns the caller of a request, and whether it may use the queue. Its key is
-// checked again if this node knows a newer configuration than the one that has forwarded
-// the request, so that a key that was withdrawn is refused if either of them knows.
+// checked again if this node has a newer configuration than the one that has forwarded
+// the request, so that a withdrawn key is refused as soon as either node knows of it.
 func (s *Service) caller(request *Request) (caller sched.Caller, accepted bool) {
 	caller.ConfigVersion = request.ConfigVersion
 	config := s.supervisor.config.Config()
@@ -62,7 +61,7 @@
 		return caller, true
 	}
 	caller.Restricted = true
-	if organisation := keyHolder(config, request.KeyHash); organisation != nil {
+	if organisation := config.KeyHolderByHash(request.KeyHash); organisation != nil {
 		caller.Organisation = organisation.Name
 		return caller, true
 	}
@@ -70,14 +69,6 @@
 	return caller, q != nil && q.Public
 }
 
-// keyHolder returns the organisation that holds the key with a hash, or nil.
-func keyHolder(config *queue.Config, hash []byte) *queue.Organisation {
-	if len(hash) != len(queue.KeyHash{}) {
-		return nil
-	}
-	return config.KeyHolder(queue.KeyHash(hash))
-}
-
 // Submit submits a job. A plan that can't be run is an error: it may come from a node
 // of another version.
 func (s *Service) Submit(request *Request, response *Response) error {
--- a/owner/supervisor.go
+++ b/owner/supervisor.go
@@ -206,10 +206,9 @@
 	return assigned
 }
 
-// reconcile starts the cells assigned to this node, stops all others, and passes the
-// configuration's organisations to them. While the
-// membership is expired it claims no cell, since another node may own it by now.
-// Running cells go on: they notice if they have been claimed.
+// reconcile starts the cells assigned to this node, stops all others, and updates the
+// organisations of those that run. While the membership is expired it claims no cell, since
+// another node may own it by now. Running cells go on: they notice if they have been claimed.
 func (s *Supervisor) reconcile(ctx context.Context) {
 	assigned, expired := s.assignedServices(), s.member.Expired()
 	s.mu.Lock()
@@ -229,6 +228,12 @@
 			s.startCell(ctx, service)
 		}
 	}
+	s.updateOrganisations()
+}
+
+// updateOrganisations passes the organisations of the configuration to the cells that run. s.mu
+// must be held.
+func (s *Supervisor) updateOrganisations() {
 	config := s.config.Config()
 	for _, r := range s.runners {
 		if r.cell != nil {
