--- a/intake/discovery.go
+++ b/intake/discovery.go
@@ -10,8 +10,8 @@
 
 const (
 	// minAskDelay and maxAskDelay bound the backoff between two rounds of calls to the
-	// services that have not listed their queues. Until all have, submissions cost a call
-	// to each, so that the first rounds follow quickly.
+	// services that have not listed their queues. The first rounds follow quickly because
+	// submissions cost a call to each of these services.
 	minAskDelay = 50 * time.Millisecond
 	maxAskDelay = time.Second
 )
--- a/intake/explain.go
+++ b/intake/explain.go
@@ -84,7 +84,7 @@
 	return true
 }
 
-// describeKey says in words what identify found.
+// describeKey returns the result of identify as a text.
 func describeKey(config *queue.Config, keyHash []byte, organisation, refused string) string {
 	switch {
 	case !config.RequiresKeys:
@@ -145,7 +145,7 @@
 	if !ok {
 		return
 	}
-	wait, refuses := x.overloaded.refuses(x.queue.Key()+" "+x.organisation, startSize(plan))
+	wait, refuses := x.overloaded.refuses(x.overloadKey(), startSize(plan))
 	switch {
 	case refuses && isUnknownJob(response):
 		x.view.RetryAfter = max(retryAfter, wait)
@@ -158,8 +158,8 @@
 	}
 }
 
-// isUnknownJob reports whether the owner, asked by submitPlan for the status of the job, would
-// answer that it has none: jobs that exist are not refused because of an earlier overload.
+// isUnknownJob reports whether the owner would tell submitPlan that it has no such job. Jobs that
+// exist are not refused because of an earlier overload.
 func isUnknownJob(response owner.Response) bool {
 	switch response.Outcome {
 	case owner.Done, owner.Overloaded, owner.IDConflict, owner.Reassigned:
@@ -236,11 +236,7 @@
 
 // describePlan describes a valid job.
 func describePlan(plan tasks.Plan) string {
-	count := 0
-	for i := range plan.Steps {
-		count += plan.Steps[i].Count
-	}
-	return fmt.Sprintf("a valid job: steps %d, tasks %d, rounds %d", len(plan.Steps), count, max(1, plan.Repeats))
+	return fmt.Sprintf("a valid job: steps %d, tasks %d, rounds %d", len(plan.Steps), countTasks(plan), max(1, plan.Repeats))
 }
 
 // describeSubmitted says what a positive response means.
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// noQueue is the reason of responses to requests that no queue takes.
+// noQueue is the error text for requests whose host and path select no queue.
 const noQueue = "no queue has this host and path"
 
 // findQueue returns the queue that a request's host, with or without a port, and path select, or
@@ -171,7 +171,7 @@
 	case method == http.MethodDelete:
 		return cancelOperation, 0, ""
 	default:
-		return "", http.StatusMethodNotAllowed, "a job is handed in with POST, shown with GET and cancelled with DELETE"
+		return "", http.StatusMethodNotAllowed, "a job is submitted with POST, queried with GET and cancelled with DELETE"
 	}
 }
 
--- a/intake/key.go
+++ b/intake/key.go
@@ -7,7 +7,8 @@
 	"rattanpath/queue"
 )
 
-// The reasons of refusals are the values of the label "reason" of the metric of refusals.
+// The reasons why a caller is refused because of its key. They are label values of
+// rattanpath_intake_key_refusals_total.
 const (
 	refusedMissing      = "missing"
 	refusedUnknown      = "unknown"
@@ -39,10 +40,8 @@
 	if !config.RequiresKeys {
 		return "", ""
 	}
-	if len(keyHash) == len(queue.KeyHash{}) {
-		if holder := config.KeyHolder(queue.KeyHash(keyHash)); holder != nil {
-			return holder.Name, ""
-		}
+	if holder := config.KeyHolderByHash(keyHash); holder != nil {
+		return holder.Name, ""
 	}
 	switch {
 	case q.Public:
--- a/intake/overload.go
+++ b/intake/overload.go
@@ -13,7 +13,8 @@
 // their bodies would only add to the load of the owner's link. The owner may still
 // accept smaller ones.
 type overloadedQueues struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// refusals holds the last refusal by overloadKey.
 	refusals map[string]refusal
 }
 
@@ -25,23 +26,23 @@
 	wait time.Duration
 }
 
-// record remembers that the owner of a queue has refused a job of a size, for as long as
-// callers are usually asked to wait, and the wait that the owner asks for.
-func (o *overloadedQueues) record(queue string, size int, wait time.Duration) {
+// record remembers that an owner has refused a job with an overload key and a size, for as long
+// as callers are usually asked to wait, and the wait that the owner asks for.
+func (o *overloadedQueues) record(key string, size int, wait time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.refusals == nil {
 		o.refusals = make(map[string]refusal)
 	}
-	o.refusals[queue] = refusal{size: size, until: time.Now().Add(retryAfter), wait: wait}
+	o.refusals[key] = refusal{size: size, until: time.Now().Add(retryAfter), wait: wait}
 }
 
-// refuses reports whether the owner of a queue would refuse a job of a size, and the wait that it
-// asked for.
-func (o *overloadedQueues) refuses(queue string, size int) (wait time.Duration, refuses bool) {
+// refuses reports whether the owner would refuse a job with an overload key and a size, and the
+// wait that it asked for.
+func (o *overloadedQueues) refuses(key string, size int) (wait time.Duration, refuses bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	last := o.refusals[queue]
+	last := o.refusals[key]
 	return last.wait, size >= last.size && time.Now().Before(last.until)
 }
 
@@ -49,21 +50,26 @@
 const commandOverhead = 500
 
 // startSize returns the approximate size of a job's start commands, in bytes.
-func startSize(plan tasks.Plan) int {
+func startSize(plan tasks.Plan) int { return countTasks(plan) * (commandOverhead + len(plan.Spec)) }
+
+// countTasks returns the number of tasks of one round of a job.
+func countTasks(plan tasks.Plan) int {
 	count := 0
 	for i := range plan.Steps {
 		count += plan.Steps[i].Count
 	}
-	return count * (commandOverhead + len(plan.Spec))
+	return count
 }
 
+// overloadKey identifies the queue and the organisation for which refusals are remembered: an
+// owner refuses organisations by their share, so that others of the queue may be accepted.
+func (x *exchange) overloadKey() string { return x.queue.Key() + " " + x.organisation }
+
 // submitPlan submits a job to its owner, or refuses it if the owner is overloaded. A
 // job that was accepted before is not refused, even if its response was lost.
 func (x *exchange) submitPlan(plan tasks.Plan) owner.Response {
-	// The owner refuses organisations by their share, so that others of the queue may be
-	// accepted.
-	queue, size := x.queue.Key()+" "+x.organisation, startSize(plan)
-	if wait, refuses := x.overloaded.refuses(queue, size); refuses {
+	key, size := x.overloadKey(), startSize(plan)
+	if wait, refuses := x.overloaded.refuses(key, size); refuses {
 		response := x.callOwner(owner.MethodStatus, tasks.Plan{})
 		if response.Outcome == owner.UnknownJob {
 			response.Outcome, response.RetryAfter = owner.Overloaded, wait
@@ -72,7 +78,7 @@
 	}
 	response := x.callOwner(owner.MethodSubmit, plan)
 	if response.Outcome == owner.Overloaded {
-		x.overloaded.record(queue, size, response.RetryAfter)
+		x.overloaded.record(key, size, response.RetryAfter)
 	}
 	return response
 }
