--- a/cmd/rattanpath/cmds/cmds.go
+++ b/cmd/rattanpath/cmds/cmds.go
@@ -36,13 +36,13 @@
 	Jobs   jobsCommand   `cmd:"" help:"List, explain and cancel jobs."`
 	Hosts  hostsCommand  `cmd:"" help:"Show the hosts of pools, as known to the nodes that own the services."`
 	Trace  traceCommand  `cmd:"" help:"Show the timeline of a job from the logs of nodes."`
-	Demo   demoCommand   `cmd:"" help:"Run a whole fleet on loopback in this process, inject changes and faults, and report which guarantees held."`
-	Fake   fakeCommand   `cmd:"" help:"Run a fake of the outside platform; for testing only."`
-	Load   loadCommand   `cmd:"" help:"Send requests to entry nodes and check the responses; for testing only."`
 
 	Organisations organisationsCommand  `cmd:"" help:"Show what organisations use, wait for and may use of their caps and shares."`
 	Explain       requestExplainCommand `cmd:"" help:"Say where a caller's request or job would go now, and why, without sending it."`
 
+	Demo    demoCommand    `cmd:"" help:"Run a whole fleet on loopback in this process, inject changes and faults, and report which guarantees held."`
+	Fake    fakeCommand    `cmd:"" help:"Run a fake of the outside platform; for testing only."`
+	Load    loadCommand    `cmd:"" help:"Send requests to entry nodes and check the responses; for testing only."`
 	Measure measureCommand `cmd:"" help:"Measure costs on this machine; for testing only."`
 }
 
--- a/cmd/rattanpath/cmds/explain.go
+++ b/cmd/rattanpath/cmds/explain.go
@@ -69,8 +69,8 @@
 	return request, nil
 }
 
-// readKey returns the caller's key, or "" if there is none. As in a header, space around it
-// doesn't count.
+// readKey returns the caller's key, or "" if there is none. Space around it is removed, as in a
+// header.
 func (c *requestExplainCommand) readKey() (string, error) {
 	if c.KeyFile == "" {
 		return strings.TrimSpace(os.Getenv(keyVariable)), nil
--- a/cmd/rattanpath/cmds/jobs.go
+++ b/cmd/rattanpath/cmds/jobs.go
@@ -131,8 +131,8 @@
 	return text.String() + interferenceTable(pools)
 }
 
-// interferenceTable returns which images slow each other down, or nothing if that isn't known
-// of any.
+// interferenceTable returns a table of the images that are known to slow each other down or not
+// to, or "" if none are.
 func interferenceTable(pools []views.Pool) string {
 	var text strings.Builder
 	table := newTable(&text)
--- a/cmd/rattanpath/cmds/manage.go
+++ b/cmd/rattanpath/cmds/manage.go
@@ -49,7 +49,8 @@
 
 // runNode starts a node, waits until ctx is done and stops the node gracefully.
 func runNode(ctx context.Context, app application, reload *reloader) error {
-	defer reload.start()()
+	stopReloading := reload.start()
+	defer stopReloading()
 	startCtx, cancel := context.WithTimeout(ctx, app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
@@ -83,8 +84,8 @@
 }
 
 // start handles signals until the returned function is called. From then on the signal is
-// ignored, as the process is about to end: by default, it ends a process at once.
-func (r *reloader) start() (end func()) {
+// ignored while the process ends: by default it would end the process at once.
+func (r *reloader) start() (stop func()) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
