--- a/link/codec.go
+++ b/link/codec.go
@@ -78,7 +78,8 @@
 	return c.err
 }
 
-// charge charges a call, after the end of others if the connection's share is spent.
+// charge charges the connection with a call. If the connection's share is spent, it waits until
+// other calls have ended.
 func (c *guardedCodec) charge(bytes int64) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -87,7 +88,7 @@
 	}
 	for {
 		idle, endings := len(c.calls) == 0, c.endings
-		// A call that ends meanwhile releases bytes for this one.
+		// Unlocked, so that calls can end and release their bytes meanwhile.
 		c.mu.Unlock()
 		err := c.conn.Charge(bytes)
 		c.mu.Lock()
--- a/link/server.go
+++ b/link/server.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// Limit sets the gate that accepted connections must pass, instead of wrap. It must be
-// called before Start.
+// Limit sets the gate that accepted connections must pass. It replaces wrap and
+// maxConnections. It must be called before Start.
 func (s *Server) Limit(gate *guard.Gate) { s.gate = gate }
 
 // Register publishes the methods of a receiver under a service name. It must be
