--- a/guard/budget.go
+++ b/guard/budget.go
@@ -256,8 +256,8 @@
 	b.release(a, min(bytes, a.held))
 }
 
-// ReleaseAll takes all bytes off an account.
-func (a *Account) ReleaseAll() {
+// releaseAll takes all bytes off an account.
+func (a *Account) releaseAll() {
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/guard/budget_test.go
+++ b/guard/budget_test.go
@@ -55,7 +55,7 @@
 				accounts[i].Release(bytes)
 				n.held[i] = max(0, n.held[i]-bytes)
 			case "releaseAll":
-				accounts[i].ReleaseAll()
+				accounts[i].releaseAll()
 				n.held[i] = 0
 			case "known":
 				n.unknown[i] = bytes%2 == 0
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -169,7 +169,7 @@
 
 // startHeader notes that the next request is awaited.
 func (c *Conn) startHeader() {
-	c.account.ReleaseAll()
+	c.account.releaseAll()
 	c.header = headerScanner{}
 	c.inHeader.Store(true)
 	c.account.restartWaiting()
