--- a/abuse/node_test.go
+++ b/abuse/node_test.go
@@ -32,9 +32,9 @@
 	// checked. An idle node has 33 MB resident and 20 descriptors.
 	memoryMB = 96
 	maxFDs   = 200
-	// patience bounds how long a test waits for something that must come. It is far above
+	// awaitTimeout bounds how long a test waits for something that must come. It is far above
 	// what a slow machine needs.
-	patience = 60 * time.Second
+	awaitTimeout = 60 * time.Second
 	// callTimeout is the deadline of one ordinary request.
 	callTimeout = 3 * time.Second
 	// retryInterval is the time between two attempts of an ordinary client.
@@ -207,14 +207,14 @@
 func (n *node) await(what string, holds func() (bool, string)) {
 	n.t.Helper()
 	var seen string
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(retryInterval) {
+	for deadline := time.Now().Add(awaitTimeout); time.Now().Before(deadline); time.Sleep(retryInterval) {
 		n.alive()
 		var ok bool
 		if ok, seen = holds(); ok {
 			return
 		}
 	}
-	n.t.Fatalf("%s: got %s, want it within %s", what, seen, patience)
+	n.t.Fatalf("%s: got %s, want it within %s", what, seen, awaitTimeout)
 }
 
 // runJob submits a job until it is accepted, as a client does, and waits for its end.
