guard: an eviction ends an unread response, a legal job without a key has room

Cause: an evicted connection kept its bytes until its client had read the response or the write timed out after 15 s, and these counted as about to become free, so that others got 503. With a small budget the share of callers without a key was below one legal job, which was then always refused. A write that ended just after its time left a deadline behind that failed the next one. Change: the write in progress fails with the eviction, one legal job always fits, and the end of a write clears its deadline.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -34,6 +34,8 @@
 	writeBy atomic.Int64
 	// late is set after readBy has passed.
 	late bool
+	// writeFailed is set once the write in progress was made to fail. deadlineMu guards it.
+	writeFailed bool
 }
 
 // expectRead sets the time within which the client must have sent more; 0 means none. It
@@ -55,27 +57,55 @@
 
 // checkTimes makes a read or a write fail if its time has passed.
 func (c *Conn) checkTimes(now int64) {
-	if by := c.writeBy.Load(); by != 0 && now > by {
-		_ = c.Conn.SetWriteDeadline(past)
-	}
-	if by := c.readBy.Load(); by == 0 || now <= by {
+	if !isPast(&c.readBy, now) && !isPast(&c.writeBy, now) {
 		return
 	}
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
-	if by := c.readBy.Load(); by != 0 && now > by {
+	if isPast(&c.readBy, now) {
 		c.late = true
 		_ = c.Conn.SetReadDeadline(past)
 	}
+	if isPast(&c.writeBy, now) {
+		c.failWrite()
+	}
+}
+
+// isPast reports whether a time by which something must have happened, 0 for none, is over.
+func isPast(by *atomic.Int64, now int64) bool {
+	limit := by.Load()
+	return limit != 0 && now > limit
+}
+
+// failWrite makes the write in progress fail. c.deadlineMu must be held.
+func (c *Conn) failWrite() {
+	c.writeFailed = true
+	_ = c.Conn.SetWriteDeadline(past)
+}
+
+// endWrite notes the end of a write. If it succeeded just before it would have failed, the next
+// one must not fail in its place.
+func (c *Conn) endWrite() {
+	c.writeBy.Store(0)
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if c.writeFailed {
+		_ = c.Conn.SetWriteDeadline(time.Time{})
+	}
+	c.writeFailed = false
 }
 
-// evict makes reads fail from now on.
+// evict makes reads fail from now on, and the write in progress: what the connection holds must
+// become free even if the client doesn't read.
 func (c *Conn) evict() {
 	c.gate.record(Bytes)
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
 	c.evicted.Store(true)
 	_ = c.Conn.SetReadDeadline(past)
+	if c.writeBy.Load() != 0 {
+		c.failWrite()
+	}
 }
 
 // SetReadDeadline implements net.Conn. The deadline of an evicted connection stays in the
@@ -154,7 +184,7 @@
 // Write implements net.Conn. It fails if the client doesn't read in time.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writeBy.Store(clock() + int64(c.gate.limits.WriteTimeout))
-	defer c.writeBy.Store(0)
+	defer c.endWrite()
 	wasWaiting := c.account.waitingSince.Load()
 	c.account.startWaiting()
 	n, err := c.Conn.Write(p)
--- a/guard/gates.go
+++ b/guard/gates.go
@@ -19,11 +19,14 @@
 	budget := func(bytes, share int64) *Budget {
 		return NewBudget(bytes, min(bytes, share), int64(limits.UnknownShare*float64(bytes)))
 	}
+	callers := budget(limits.CallerBytes, limits.ConnectionBytes)
+	// One legal job always has room, whoever submits it.
+	callers.unknownLimit = max(callers.unknownLimit, min(limits.CallerBytes, legalJobBytes))
 	service := func(name string) *Gate {
 		return NewGate(name, limits, limits.ServiceConnections, budget(limits.ServiceBytes, limits.ServiceBytes), set, logger)
 	}
 	return &Gates{
-		Callers:   NewGate("callers", limits, limits.CallerConnections, budget(limits.CallerBytes, limits.ConnectionBytes), set, logger),
+		Callers:   NewGate("callers", limits, limits.CallerConnections, callers, set, logger),
 		Peers:     NewGate("peers", limits, limits.PeerConnections, budget(limits.PeerBytes, max(limits.PeerBytes/2, int64(limits.MessageBytes))), set, logger),
 		Readiness: service("readiness"),
 		Admin:     service("admin"),
--- a/guard/http_test.go
+++ b/guard/http_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 )
 
@@ -186,6 +188,54 @@
 	}
 }
 
+// TestEvictedResponse guards against bytes that stay held after an eviction since the client
+// doesn't read its response.
+func TestEvictedResponse(t *testing.T) {
+	gate := newTestGate(DefaultLimits(0, 0), 1)
+	server, client := net.Pipe()
+	conn := gate.Admit(server)
+	defer func() { _ = client.Close() }()
+	written := make(chan error)
+	go func() {
+		_, err := conn.Write([]byte("response"))
+		written <- err
+	}()
+	for conn.writeBy.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	conn.evict()
+	if err := <-written; err == nil {
+		t.Error("got no error for a response that nobody reads, want one")
+	}
+}
+
+// TestLateDeadlineSparesNextWrite guards against a write that fails since the time of the one
+// before it passed just as that ended.
+func TestLateDeadlineSparesNextWrite(t *testing.T) {
+	gate := newTestGate(DefaultLimits(0, 0), 1)
+	server, client := net.Pipe()
+	conn := gate.Admit(server)
+	go func() { _, _ = io.Copy(io.Discard, client) }()
+	defer func() { _ = client.Close() }()
+	conn.writeBy.Store(1)
+	conn.checkTimes(2)
+	conn.endWrite()
+	if _, err := conn.Write([]byte("response")); err != nil {
+		t.Errorf("got error %v for the next write, want none", err)
+	}
+}
+
+// TestUnknownJobHasRoom guards against a share of callers without a key in which no legal job
+// fits, so that one is refused though nothing else is held.
+func TestUnknownJobHasRoom(t *testing.T) {
+	limits := DefaultLimits(0, 0)
+	limits.CallerBytes, limits.UnknownShare = 2*legalJobBytes, 0.1
+	callers := NewGates(limits, metrics.NewSet(), logr.Discard()).Callers
+	if got := callers.budget.unknownLimit; got < legalJobBytes {
+		t.Errorf("got a limit of %d bytes for callers without a key, want %d or more", got, legalJobBytes)
+	}
+}
+
 // TestUnreadResponse guards against a connection that is held for a client that never reads.
 func TestUnreadResponse(t *testing.T) {
 	limits := DefaultLimits(0, 0)
