--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -17,7 +17,7 @@
 		c.logger.Info("host heartbeat recovered", "host", h.id, "runs", len(h.runs), "missed", h.missedHeartbeats)
 	}
 	if h.missedHeartbeats >= minMissed {
-		c.recordFall(h)
+		c.recordOutage(h)
 	}
 	h.missedHeartbeats = 0
 	wake(c.scheduleWake)
@@ -90,7 +90,7 @@
 	}
 	h.incarnation = incarnation
 	h.restarts++
-	c.recordFall(h)
+	c.recordOutage(h)
 	h.restartedAt = c.options.Clock()
 	h.clock.Reset(c.options.MaxLease)
 	h.synced, h.ackValid = false, false
--- a/sched/host.go
+++ b/sched/host.go
@@ -34,8 +34,8 @@
 	incarnation int64
 	restarts    int64
 	restartedAt time.Duration
-	// fellAt is when the host was last found to have gone down and up.
-	fellAt time.Time
+	// outageAt is when the host was last found to have been down.
+	outageAt time.Time
 	// retiredIncarnation is the incarnation that the machine controller retired
 	// at retiredAt; 0 means none.
 	retiredIncarnation int64
--- a/sched/speed.go
+++ b/sched/speed.go
@@ -37,18 +37,18 @@
 	// minMissed is the number of failed heartbeats, which follow each other in 0.3 s or more,
 	// after which a host that answers again counts as having been down.
 	minMissed = 3
-	// fallTime is how long different signs of a host being down count as one fall.
-	fallTime = 2 * time.Second
+	// outageTime is how long different signs of a host being down count as one outage.
+	outageTime = 2 * time.Second
 )
 
-// recordFall records that a host was down and is up again.
-func (c *Cell) recordFall(h *host) {
+// recordOutage records that a host was down and is up again.
+func (c *Cell) recordOutage(h *host) {
 	if !c.options.JudgeHosts {
 		return
 	}
-	if now := time.Now(); now.Sub(h.fellAt) >= fallTime {
-		h.fellAt = now
-		c.speeds.Fall(h.id, now)
+	if now := time.Now(); now.Sub(h.outageAt) >= outageTime {
+		h.outageAt = now
+		c.speeds.RecordOutage(h.id, now)
 	}
 }
 
--- a/speed/reference_test.go
+++ b/speed/reference_test.go
@@ -26,13 +26,13 @@
 	slow     map[string]bool
 	unsteady map[string]bool
 	slowness map[string]float64
-	falls    map[string][]time.Time
+	outages  map[string][]time.Time
 }
 
 var referenceLives = [2]time.Duration{time.Second, 5 * time.Second}
 
 func newReference() *reference {
-	return &reference{slow: make(map[string]bool), unsteady: make(map[string]bool), slowness: make(map[string]float64), falls: make(map[string][]time.Time)}
+	return &reference{slow: make(map[string]bool), unsteady: make(map[string]bool), slowness: make(map[string]float64), outages: make(map[string][]time.Time)}
 }
 
 // drop marks the entries of which less than 0.05 s remains.
@@ -224,13 +224,13 @@
 	for _, host := range pool {
 		before[host] = r.slow[host] || r.unsteady[host]
 		r.slowness[host], slow[host] = r.judgeHost(host, pool, now)
-		falls := 0
-		for _, at := range r.falls[host] {
+		outages := 0
+		for _, at := range r.outages[host] {
 			if now.Sub(at) < 20*time.Second {
-				falls++
+				outages++
 			}
 		}
-		unsteady[host] = falls >= 2
+		unsteady[host] = outages >= 2
 		if slow[host] || unsteady[host] {
 			wanted = append(wanted, host)
 		}
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -42,10 +42,11 @@
 	// of a minute that shows too little progress.
 	shortLife = time.Second
 	longLife  = 5 * time.Second
-	// fallWindow is how long a fall of a host counts, and minFalls the number of falls from
-	// which a host counts as unsteady: each host falls once in a while, by maintenance too.
-	fallWindow = 20 * time.Second
-	minFalls   = 2
+	// outageWindow is how long an outage of a host counts, and minOutages the number of
+	// outages from which a host counts as unsteady: each host is down once in a while, also
+	// for maintenance.
+	outageWindow = 20 * time.Second
+	minOutages   = 2
 	// expiry is how long a host counts as slow without an observation.
 	expiry = 15 * time.Second
 	// probeInterval is the time without an observation after which a slow host gets a
@@ -76,16 +77,16 @@
 
 // verdict is what is known of a host.
 type verdict struct {
-	// slow means that runs take longer on the host, unsteady that it goes down and up by
-	// turns.
+	// slow means that runs take longer on the host, unsteady that it restarts or is
+	// lost repeatedly.
 	slow     bool
 	unsteady bool
 	slowness float64
 	// observedAt and probedAt are the times of the last observation and probe.
 	observedAt time.Time
 	probedAt   time.Time
-	// falls are the times of the last minFalls falls.
-	falls []time.Time
+	// outages are the times of the last minOutages outages.
+	outages []time.Time
 }
 
 // Estimator estimates the slowness of hosts. It isn't safe for concurrent use.
@@ -120,11 +121,11 @@
 	e.verdict(host).observedAt = now
 }
 
-// Fall records that a host restarted or was lost.
-func (e *Estimator) Fall(host string, now time.Time) {
+// RecordOutage records that a host restarted or was lost.
+func (e *Estimator) RecordOutage(host string, now time.Time) {
 	v := e.verdict(host)
-	v.falls = append(v.falls, now)
-	v.falls = v.falls[max(0, len(v.falls)-minFalls):]
+	v.outages = append(v.outages, now)
+	v.outages = v.outages[max(0, len(v.outages)-minOutages):]
 }
 
 func (e *Estimator) verdict(host string) *verdict {
@@ -150,7 +151,7 @@
 	return v != nil && (v.slow || v.unsteady)
 }
 
-// IsUnsteady reports whether a host is to be used last because it goes down and up by turns.
+// IsUnsteady reports whether a host is to be used last because it restarts or is lost repeatedly.
 func (e *Estimator) IsUnsteady(host string) bool {
 	v := e.verdicts[host]
 	return v != nil && v.unsteady
@@ -166,7 +167,7 @@
 }
 
 // NeedsProbe reports whether a slow host should get a run because it hasn't been observed for
-// a while. An unsteady host gets none: its falls show without runs.
+// a while. An unsteady host gets none: its outages show without runs.
 func (e *Estimator) NeedsProbe(host string, now time.Time) bool {
 	v := e.verdicts[host]
 	return v != nil && v.slow && !v.unsteady && now.Sub(v.observedAt) >= probeInterval && now.Sub(v.probedAt) >= probeInterval
@@ -207,16 +208,16 @@
 		// What a host did some time ago can't be compared with what others do now.
 		return now.Sub(v.observedAt) <= shortLife && j.suffices() && j.slowness >= slowFrom
 	}
-	j := firstEnough(host, views, judgement.says)
-	if j.says() {
+	j := firstEnough(host, views, judgement.isKnown)
+	if j.isKnown() {
 		v.slowness = j.slowness
 	}
-	return now.Sub(v.observedAt) < expiry && (!j.says() || j.slowness >= normalBelow)
+	return now.Sub(v.observedAt) < expiry && (!j.isKnown() || j.slowness >= normalBelow)
 }
 
-// isUnsteady reports whether a host has fallen too often of late.
+// isUnsteady reports whether a host had too many outages within outageWindow.
 func (v *verdict) isUnsteady(now time.Time) bool {
-	return len(v.falls) == minFalls && now.Sub(v.falls[0]) < fallWindow
+	return len(v.outages) == minOutages && now.Sub(v.outages[0]) < outageWindow
 }
 
 // candidate is a host that should be used last.
@@ -224,15 +225,15 @@
 	host     string
 	slow     bool
 	unsteady bool
-	// already means that it is.
-	already  bool
+	// wasLast means that the previous assessment chose the host too.
+	wasLast  bool
 	slowness float64
 }
 
 // rank returns a higher value for hosts that are used last already, so that equals don't take
 // turns.
 func (c candidate) rank() int {
-	if c.already {
+	if c.wasLast {
 		return 1
 	}
 	return 0
@@ -277,7 +278,7 @@
 		if v == nil {
 			continue
 		}
-		c := candidate{host: host, slow: v.isSlow(host, views, now), unsteady: v.isUnsteady(now), already: e.UseLast(host), slowness: v.slowness}
+		c := candidate{host: host, slow: v.isSlow(host, views, now), unsteady: v.isUnsteady(now), wasLast: e.UseLast(host), slowness: v.slowness}
 		if c.slow || c.unsteady {
 			found = append(found, c)
 		}
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -53,8 +53,8 @@
 				estimator.Fail(host, kind, now)
 				want.fail(host, kind, now)
 			case 1:
-				estimator.Fall(host, now)
-				want.falls[host] = append(want.falls[host], now)
+				estimator.RecordOutage(host, now)
+				want.outages[host] = append(want.outages[host], now)
 			case 2:
 				slowFactor = rapid.SampledFrom([]float64{1, 2, 5, 5}).Draw(t, "factor")
 			case 3, 4:
@@ -360,15 +360,15 @@
 }
 
 // TestUnsteadyHost checks that a host which goes down and up by turns is used last until it has
-// stayed up, and that one that falls once isn't.
+// stayed up, and that one with a single outage isn't.
 func TestUnsteadyHost(t *testing.T) {
 	l := newLoad(4, 3)
-	l.estimator.Fall("h1", l.now)
+	l.estimator.RecordOutage("h1", l.now)
 	l.run(3 * time.Second)
-	l.want(t, "after one fall")
-	l.estimator.Fall("h1", l.now)
+	l.want(t, "after one outage")
+	l.estimator.RecordOutage("h1", l.now)
 	l.run(time.Second)
-	l.want(t, "after two falls", "h1")
-	l.run(fallWindow)
+	l.want(t, "after two outages", "h1")
+	l.run(outageWindow)
 	l.want(t, "after it has stayed up")
 }
--- a/speed/window.go
+++ b/speed/window.go
@@ -87,7 +87,7 @@
 	return time.Duration(c.slowness() * perPercent), time.Duration(perPercent), true
 }
 
-// evidence is what one kind of tasks says of a host.
+// evidence is what the runs of one kind of tasks show of a host.
 type evidence struct {
 	slowness float64
 	weight   float64
@@ -154,10 +154,11 @@
 	kinds float64
 }
 
-// suffices reports whether there is enough evidence to call a host slow, and says whether there
-// is any.
+// suffices reports whether there is enough evidence to call a host slow.
 func (j judgement) suffices() bool { return j.expected >= minExpected && j.kinds >= minKinds }
-func (j judgement) says() bool     { return j.expected >= minPercent }
+
+// isKnown reports whether there is any evidence, which is enough to call a slow host normal.
+func (j judgement) isKnown() bool { return j.expected >= minPercent }
 
 // judge combines the evidence of a host.
 func (p poolEvidence) judge(host string) judgement {
