--- a/pace/groups.go
+++ b/pace/groups.go
@@ -20,8 +20,8 @@
 //
 // Groups of which nothing is known get the common share. Of the others, those that disturb most
 // are throttled first, by at least as much in all as the common share would, and harmless ones
-// are not. That holds only while it helps: if a tail latency was close to its target before as
-// well, as urgent says, all groups are limited to the common share.
+// are not. If this doesn't help, that is if urgent says that the previous report was urgent too
+// (see IsUrgent) and this one still is, all groups are limited to the common share.
 func NextShares(groups []Group, tails []TailLatency, common int, urgent bool) []int {
 	shares := make([]int, len(groups))
 	worst := worstRatio(tails)
@@ -52,12 +52,12 @@
 // IsNear reports whether tasks are throttled for a serving task with this tail latency.
 func IsNear(tail TailLatency) bool { return worstRatio([]TailLatency{tail}) > lowerAbove }
 
-// IsUrgent reports whether the tail latencies are so close to their targets that what is known
-// of interference is no longer relied on if that doesn't change.
+// IsUrgent reports whether a tail latency is so close to its target that all groups are to be
+// throttled if the next report is urgent too.
 func IsUrgent(tails []TailLatency) bool { return worstRatio(tails) > halveAbove }
 
-// reduction returns by how much the known groups are to lower the worst tail latency: as much
-// as halving, or lowering, all their shares would, and at least to where it may stay.
+// reduction returns by how much the known groups are to lower the worst tail latency: by as much
+// as one step of the common share would. If it is urgent, at least down to lowerAbove.
 func reduction(groups []Group, worst float64) float64 {
 	slowdown, lowered := 0.0, 0.0
 	for _, g := range groups {
