--- a/coloc/estimator.go
+++ b/coloc/estimator.go
@@ -15,7 +15,8 @@
 	// of tasks beside each of them.
 	maxVictims = 32
 	maxKinds   = 15
-	// minWeight is the weight below which what is known of an image may be replaced.
+	// minWeight is the weight below which the sums of an image or a kind may be replaced by
+	// those of a new one.
 	minWeight = 0.5
 	// ridge is the weight, in observations, of the assumption that nothing interferes. It
 	// makes the effect of kinds that always occur together shared among them, and that of
@@ -26,8 +27,8 @@
 	// and priorWeight the number of observations that the assumption counts for.
 	priorNoise  = 0.15
 	priorWeight = 4
-	// maxTail and maxActivity bound the figures that are believed, and cappedTail is the
-	// tail beyond which more makes no difference.
+	// maxTail and maxActivity are the largest plausible figures; observations with a larger
+	// one are ignored. Tails above cappedTail count as cappedTail.
 	maxTail     = 1000
 	maxActivity = 10000
 	cappedTail  = 4
@@ -96,7 +97,8 @@
 // isPossible reports whether a figure is from 0 to a limit; NaN isn't.
 func isPossible(figure, limit float64) bool { return figure >= 0 && figure <= limit }
 
-// regression returns the regression of an image, or nil if there is no place for one more.
+// regression returns the regression of an image, which is created if missing, or nil if there
+// are too many.
 func (e *Estimator) regression(victim string, at time.Duration) *regression {
 	if r := e.victims[victim]; r != nil {
 		return r
@@ -114,7 +116,8 @@
 	least, leastWeight := "", math.Inf(1)
 	for image, r := range e.victims {
 		r.decay(at)
-		if weight := r.products[0][0]; weight < leastWeight || weight == leastWeight && image < least {
+		weight := r.products[0][0]
+		if weight < leastWeight || weight == leastWeight && image < least {
 			least, leastWeight = image, weight
 		}
 	}
@@ -213,8 +216,8 @@
 	r.tails = append(r.tails, 0)
 }
 
-// evict removes the kind with the least evidence, unless it is part of an observation or
-// there is too much evidence, and reports whether it did.
+// evict removes the kind with the least evidence among those that aren't in the loads, if that
+// is below minWeight, and reports whether it did.
 func (r *regression) evict(loads []Load) bool {
 	least := -1
 	for i, kind := range r.kinds {
@@ -248,7 +251,7 @@
 		normal[i] = slices.Clone(r.products[i])
 		normal[i][i] += ridge
 	}
-	// Of the tail without load nothing is assumed, but the matrix must stay invertible.
+	// The tail without load is not biased to 0 by ridge; baseRidge keeps the matrix invertible.
 	normal[0][0] += baseRidge - ridge
 	inverse := invert(normal)
 	slopes := make([]float64, size)
--- a/coloc/evidence.go
+++ b/coloc/evidence.go
@@ -1,6 +1,6 @@
 package coloc
 
-// Verdict is what is taken for certain of a pair.
+// Verdict is the conclusion from the estimate of a pair.
 type Verdict int
 
 // The verdicts. Only pairs with one of the last two are part of Evidence.
@@ -49,7 +49,8 @@
 	return f.Estimate.Slowdown / f.Estimate.Error
 }
 
-// Evidence holds the pairs that are known to disturb or not to disturb. It isn't changed.
+// Evidence holds the pairs that are known to disturb or not to disturb. It must not be modified,
+// since requirements of tasks refer to it.
 type Evidence map[Pair]Finding
 
 // Judge returns the evidence that follows from estimates and the evidence before.
