--- a/quota/divide.go
+++ b/quota/divide.go
@@ -15,7 +15,7 @@
 	baseDivisor = 2
 	// maxUnits limits the work of one division.
 	maxUnits = 1024
-	// freeUnits is into how many parts a demand without a unit is divided.
+	// freeUnits is the number of units into which a demand without a reported unit is divided.
 	freeUnits = 16
 )
 
@@ -78,7 +78,7 @@
 	// target is what the cell gets once others have given back what they have beyond
 	// theirs, and granted what it gets now.
 	target, granted amounts
-	// full means that the next unit isn't left.
+	// full means that the rest of the cap is smaller than the cell's next unit.
 	full bool
 }
 
@@ -190,7 +190,8 @@
 	d.grantLarge(order, left)
 }
 
-// raise grants a cell its target, or as many units as are left, and returns what is left then.
+// raise grants a cell its target, or as many units as the rest of the cap holds, and returns what
+// is left of the cap.
 func (d *division) raise(c *cellState, left amounts) amounts {
 	for _, raised := range []amounts{c.target, c.unitsWithin(left)} {
 		step := merge(merge(raised, c.charged, difference), amounts{}, larger)
--- a/quota/resources.go
+++ b/quota/resources.go
@@ -54,7 +54,7 @@
 	return true
 }
 
-// fits reports whether need is left. What isn't needed may be overdrawn.
+// fits reports whether need fits into what is left. Resources that aren't needed may be overdrawn.
 func fits(left, need amounts) bool {
 	for i := range need {
 		if need[i] > 0 && need[i] > left[i] {
--- a/quota/restrict.go
+++ b/quota/restrict.go
@@ -8,9 +8,10 @@
 const overcommitDivisor = 10
 
 // Restrict returns what the cells may have running although their bases are larger, or nil if
-// the cap isn't overcommitted. It is after the cap was lowered, or a service was added while
-// all of the cap was in use. What is left of the cap is divided evenly; if nothing is left, no
-// cell may start anything. One that uses more than it is allotted doesn't replace what ends.
+// the cap isn't overcommitted. A cap is overcommitted after it was lowered, or after a service was
+// added while all of it was in use. What is left of the cap is divided evenly; if nothing is left,
+// no cell may start anything. A cell that uses more than it is allotted starts no replacement for
+// runs that end.
 func Restrict(limit tasks.Resources, cells []Cell, allotted []tasks.Resources) []tasks.Resources {
 	caps, left, reporting := amountsOf(limit), amountsOf(limit), int64(0)
 	var charged, task amounts
@@ -47,7 +48,8 @@
 	return false
 }
 
-// restrictedOf returns what one of a number of cells may have running if left is left.
+// restrictedOf returns what one of a number of cells may have running if an amount of the cap is
+// left for all of them.
 func restrictedOf(caps, left amounts, c Cell, allotted amounts, cells int64) amounts {
 	restricted := amountsOf(c.Used)
 	for i := range restricted {
