--- a/place/interference.go
+++ b/place/interference.go
@@ -5,8 +5,8 @@
 	"rattanpath/tasks"
 )
 
-// Costs of a known disturbance. The least of them outweighs a pair of tasks of which nothing
-// is known, and the worst four of these.
+// Costs of a pair of tasks that is known to interfere. The smallest exceeds the cost of a pair
+// without evidence, colocationCost; the largest is five times colocationCost.
 const (
 	disturbanceCost = 1.25 * colocationCost
 	// maxSlowdown is the slow-down, as a fraction of the target, beyond which more makes
@@ -28,7 +28,7 @@
 	return coloc.Kind{Image: step.Image, BestEffort: step.Fills}
 }
 
-// groupOf returns the group of a task of a step, which is alone in it.
+// groupOf returns a group of one task of a step.
 func groupOf(step *tasks.Step) taskGroup {
 	serving := step.Lasting && !step.Fills
 	return taskGroup{kind: KindOf(step), serving: serving, hasTarget: serving && step.Target > 0, count: 1}
