--- a/sched/claim.go
+++ b/sched/claim.go
@@ -38,7 +38,7 @@
 	c.claim = acquired
 	c.writer = acquired.NewWriter(options.Journal, Topic(options.Service), options.Clock)
 	c.writer.OnRetry = c.writeFailed
-	c.writer.OnVerified = c.verified
+	c.writer.OnVerified = c.ownershipVerified
 	c.load(acquired.Records)
 	c.topic.add(acquired.Records)
 	c.topic.appended = 0
@@ -96,8 +96,8 @@
 	return key[:jobKeyBytes] + id, part
 }
 
-// findOrphans remembers the parts of jobs that no longer exist: a node of a version that
-// knows no parts has replaced and then removed the job.
+// findOrphans collects the keys of the parts of jobs that no longer exist. Such parts remain when
+// a node of a version without parts has replaced and then removed the job.
 func (c *Cell) findOrphans(definitions map[string][]byte, parts map[string]map[string][]byte) {
 	for job, names := range parts {
 		if definitions[job] != nil {
@@ -112,8 +112,9 @@
 // maxOrphans limits the orphans that are deleted by one write.
 const maxOrphans = 1000
 
-// removeOrphans returns a write that deletes orphans.
-func (c *Cell) removeOrphans() jobWrite {
+// takeOrphans removes up to maxOrphans keys from orphanKeys and returns the write that deletes
+// their records.
+func (c *Cell) takeOrphans() jobWrite {
 	count := min(len(c.orphanKeys), maxOrphans)
 	var records []store.Record
 	for _, key := range c.orphanKeys[:count] {
--- a/sched/command.go
+++ b/sched/command.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// proveRun requests a report when a run has begun that needs isolation, as soon as one can show
-// that its host outlasts it: until then the host takes nothing else.
+// proveRun requests a report on a run that needs isolation as soon as one can show that the run
+// hasn't crashed its host. Until then nothing else is started on the host.
 func (c *Cell) proveRun(ctx context.Context, h *host, r *run) {
 	if core.Sleep(ctx, provenReportTime) != nil {
 		return
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -13,11 +13,11 @@
 	// takeoverSettleTime is how long after a takeover no serving task is stopped:
 	// those that the previous owner has stopped may still be reported as running.
 	takeoverSettleTime = 2 * time.Second
-	// maxReportAge is how long after its last confirmed write a cell vouches for ends on its
-	// hosts. While writes take up to 750 ms, that write is never older: two of them, and one
-	// maxWriteInterval in between. If they take longer, the machine controller can't confirm
-	// its leadership in time and sends no orders in any case.
-	maxReportAge = maxWriteInterval + 1500*time.Millisecond
+	// maxConfirmedAge is the age of the last confirmed write up to which a cell reports ends on
+	// its hosts as persisted. While writes take up to 750 ms, that write is never older: two of
+	// them, and one maxWriteInterval in between. If they take longer, the machine controller
+	// can't confirm its leadership in time and sends no orders in any case.
+	maxConfirmedAge = maxWriteInterval + 1500*time.Millisecond
 )
 
 // HostReport is the state of a host of the pool.
@@ -104,7 +104,7 @@
 // endsPending reports whether the host may have listed ends that are not persisted. If this
 // owner's writes fail, another may have taken over and may have had runs there.
 func (c *Cell) endsPending(h *host) bool {
-	unconfirmed := c.storeUnavailable() || c.options.Clock()-c.confirmedAt > maxReportAge
+	unconfirmed := c.storeUnavailable() || c.options.Clock()-c.confirmedAt > maxConfirmedAge
 	return unconfirmed || h.reportedSequence > h.acknowledgedSequence
 }
 
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -67,7 +67,7 @@
 		return ErrStoreUnavailable
 	case c.wouldStartLate(e, time.Now()):
 		return c.overloadError(e)
-	case !c.hasRoomFor(e):
+	case !c.hasStoreSpaceFor(e):
 		return ErrStoreFull
 	case c.exceedsRecord(e):
 		return ErrTooLarge
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -85,3 +86,42 @@
 func (m *Metrics) recordVerdict(verdict coloc.Verdict) {
 	m.set.GetOrCreateCounter(`rattanpath_cell_interference_total{verdict="` + verdict.String() + `"}`).Inc()
 }
+
+// maxOrganisationLabels limits the values of the metrics' label "organisation". One of them stands
+// for all organisations beyond the limit.
+const maxOrganisationLabels = 64
+
+// otherOrganisations is the label value of organisations beyond the limit, in quotes.
+const otherOrganisations = `"(others)"`
+
+// organisationLabel returns the label value of an organisation in quotes.
+func (m *Metrics) organisationLabel(name string) string {
+	m.labelsMu.Lock()
+	defer m.labelsMu.Unlock()
+	if label, known := m.labels[name]; known {
+		return label
+	}
+	if len(m.labels) >= maxOrganisationLabels-1 {
+		return otherOrganisations
+	}
+	if m.labels == nil {
+		m.labels = make(map[string]string)
+	}
+	m.labels[name] = strconv.QuoteToASCII(name)
+	return m.labels[name]
+}
+
+// recordHeld counts a pass that held back tasks of an organisation.
+func (m *Metrics) recordHeld(name, reason string) {
+	m.set.GetOrCreateCounter(`rattanpath_organisation_held_passes_total{organisation=` + m.organisationLabel(name) + `,reason="` + reason + `"}`).Inc()
+}
+
+// recordRefused counts a job of an organisation that was refused.
+func (m *Metrics) recordRefused(name, reason string) {
+	m.set.GetOrCreateCounter(`rattanpath_organisation_refusals_total{organisation=` + m.organisationLabel(name) + `,reason="` + reason + `"}`).Inc()
+}
+
+// recordAssigned counts a run of an organisation that was assigned to a host.
+func (m *Metrics) recordAssigned(name string) {
+	m.set.GetOrCreateCounter(`rattanpath_organisation_runs_total{organisation=` + m.organisationLabel(name) + `}`).Inc()
+}
--- a/sched/preview.go
+++ b/sched/preview.go
@@ -56,7 +56,7 @@
 		}
 		return view, err
 	}
-	// The entry is not one of the cell's.
+	// The job isn't added to the cell, so that the change stays local to this call.
 	e.job.StartDueRounds(now)
 	c.previewPlacement(view, e, now)
 	return view, nil
@@ -98,7 +98,8 @@
 
 // previewPlacement describes where the ready tasks of a job would be placed if a pass began now.
 func (c *Cell) previewPlacement(view *views.Placement, e *jobEntry, now time.Time) {
-	p := c.previewPass(e, now, &view.Ahead)
+	p, ahead := c.previewPass(e, now)
+	view.Ahead = ahead
 	for _, round := range e.job.Rounds {
 		for step := range round.Steps {
 			switch {
@@ -108,7 +109,7 @@
 			case len(view.Steps) >= views.MaxPlacementSteps:
 				view.StepsOmitted++
 			default:
-				view.Steps = append(view.Steps, p.previewStep(e, round, step, view.Ahead))
+				view.Steps = append(view.Steps, p.previewStep(e, round, step, ahead))
 			}
 		}
 	}
@@ -118,8 +119,8 @@
 
 // previewPass returns a pass over copies of the hosts, as schedule would begin it if the job had
 // been accepted, and how many jobs come before it.
-func (c *Cell) previewPass(e *jobEntry, now time.Time, ahead *int) *schedulePass {
-	jobs := []*jobToPlace{}
+func (c *Cell) previewPass(e *jobEntry, now time.Time) (p *schedulePass, ahead int) {
+	var jobs []*jobToPlace
 	for other := range c.open {
 		if j := c.jobToPlace(other, now); other != e && (other.definitionWritten || other.dirty) && j != nil {
 			jobs = append(jobs, j)
@@ -129,15 +130,15 @@
 		jobs = append(jobs, j)
 	}
 	hosts, _ := c.usableHosts(now)
-	p := &schedulePass{cell: c, hosts: hosts, now: now, quota: c.newQuotaPass()}
+	p = &schedulePass{cell: c, hosts: hosts, now: now, quota: c.newQuotaPass()}
 	sortByUrgency(jobs, hosts, now.Before(c.recoveringUntil))
-	*ahead = max(0, slices.IndexFunc(jobs, func(j *jobToPlace) bool { return j.entry == e }))
+	ahead = max(0, slices.IndexFunc(jobs, func(j *jobToPlace) bool { return j.entry == e }))
 	place.Reserve(c.isolatedTasks(jobs, now), hosts)
 	p.fair = c.newFairPass(jobs, hosts, p.quota.usedSoFar())
 	if p.fair != nil {
 		p.fair.enforced = true
 	}
-	return p
+	return p, ahead
 }
 
 // previewStart returns "now" if any step starts now, or else what the first one waits for.
@@ -148,7 +149,7 @@
 	case len(view.Steps) > 0:
 		return view.Steps[0].Start
 	case len(e.job.Rounds) == 0:
-		return "no round is due before " + e.job.DueTime(e.job.NextRound).UTC().Format(time.RFC3339)
+		return waitForRoundReason(e.job)
 	default:
 		return "no task waits for a host"
 	}
@@ -158,9 +159,8 @@
 func (p *schedulePass) previewStep(e *jobEntry, round *tasks.Round, step, ahead int) views.StepPlacement {
 	view := views.StepPlacement{Round: round.Number, Step: step, Waiting: round.Waiting(step)}
 	reqs := ofTask(p.cell.requirements(e, round, step, p.now), e, firstWaiting(round.Steps[step]))
-	unit := 1
+	unit := startUnit(reqs.Step, round.Steps[step])
 	if reqs.Step.Gang {
-		unit = len(round.Steps[step])
 		reqs = p.cell.withStartableMembers(reqs, unit)
 	}
 	view.Start = p.previewStepStart(e, reqs, unit, view.Waiting, ahead)
@@ -202,9 +202,9 @@
 	c := p.cell
 	switch {
 	case c.storeUnavailable():
-		return "the store does not take writes"
+		return waitsForStore
 	case p.now.Before(e.retryAfter):
-		return "a host refused a task a moment ago"
+		return waitsAfterRefusal
 	case reqs.Step.Gang && waiting < unit:
 		return "a member of the gang still runs"
 	case c.hasFullStartQueue():
@@ -212,7 +212,7 @@
 	}
 	switch p.heldBy(e, reqs, unit) {
 	case heldByCap:
-		return "the cap of its organisation allows no more at present"
+		return waitsForCap
 	case heldByShare:
 		return "its organisation is beyond its share: it gets what others leave"
 	}
@@ -242,9 +242,9 @@
 	feasible := slices.ContainsFunc(p.hosts, func(h *place.Host) bool { return place.Feasible(reqs, h) })
 	switch {
 	case len(p.hosts) == 0:
-		return "no host of the pool is usable"
+		return waitsForUsableHost
 	case reqs.AllowedHosts != nil && len(reqs.AllowedHosts) == 0:
-		return "the advisor has allowed no host yet"
+		return waitsForAdvisor
 	case feasible:
 		return fmt.Sprintf("the hosts have no room for all %d members of the gang", unit)
 	default:
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -84,14 +84,14 @@
 type quotas struct {
 	config *queue.Config
 	// services is the number of cells among which the bases are divided, 0 for a cell that
-	// has none. From fewerAt on it is fewer, unless that is 0.
-	services int
-	fewer    int
-	fewerAt  time.Duration
-	// held holds the organisations of which nothing is started until a local time, unless
-	// the leader has confirmed version pending of the configuration.
-	held    map[string]time.Duration
-	pending int64
+	// has none. From reducedAt on it is reducedTo, unless reducedAt is 0.
+	services  int
+	reducedTo int
+	reducedAt time.Duration
+	// holdUntil holds the local time until which nothing of an organisation is started, unless
+	// the leader confirms version pending of the configuration before.
+	holdUntil map[string]time.Duration
+	pending   int64
 	// limited is set if any organisation has a cap.
 	limited   bool
 	allotment Allotment
@@ -138,10 +138,10 @@
 	}
 	for _, organisation := range config.Organisations {
 		if quota.IsLimited(organisation.Cap) && (isFirst || quota.IsLower(organisation.Cap, q.capOf(organisation.Name))) {
-			if q.held == nil {
-				q.held = make(map[string]time.Duration)
+			if q.holdUntil == nil {
+				q.holdUntil = make(map[string]time.Duration)
 			}
-			q.held[organisation.Name], q.pending = now+maxHoldTime, config.Version
+			q.holdUntil[organisation.Name], q.pending = now+maxHoldTime, config.Version
 		}
 	}
 }
@@ -150,23 +150,23 @@
 // serviceRemovalTime.
 func (q *quotas) setServices(services int, now time.Duration) {
 	if current := q.cellCount(now); services > 0 && services < current {
-		q.services, q.fewer, q.fewerAt = current, services, now+serviceRemovalTime
+		q.services, q.reducedTo, q.reducedAt = current, services, now+serviceRemovalTime
 		return
 	}
-	q.services, q.fewerAt = services, 0
+	q.services, q.reducedAt = services, 0
 }
 
 // cellCount returns the number of cells among which the bases are divided at a local time.
 func (q *quotas) cellCount(now time.Duration) int {
-	if q.fewerAt != 0 && now >= q.fewerAt {
-		return q.fewer
+	if q.reducedAt != 0 && now >= q.reducedAt {
+		return q.reducedTo
 	}
 	return q.services
 }
 
 // allowance returns what an organisation with a cap may have running at a local time.
 func (q *quotas) allowance(name string, limit tasks.Resources, now time.Duration) tasks.Resources {
-	if now < q.held[name] {
+	if now < q.holdUntil[name] {
 		return tasks.Resources{}
 	}
 	if restricted, ok := q.allotment.Limits[name]; ok && now < q.allotment.Until {
@@ -207,7 +207,7 @@
 	now, before := c.options.Clock(), c.quotas.allotment
 	c.quotas.allotment, c.quotas.allottedAt = a, now
 	if a.Version >= c.quotas.pending {
-		c.quotas.held, c.quotas.pending = nil, 0
+		c.quotas.holdUntil, c.quotas.pending = nil, 0
 	}
 	c.logAllotment(&before, now)
 	wake(c.scheduleWake)
@@ -358,8 +358,8 @@
 	}
 }
 
-// roomFor returns how many tasks the hosts have room for, at most count. It counts hosts as if
-// they were independent, which the limit of tasks per host is.
+// roomFor returns how many tasks the hosts have room for, at most count. It adds up the room of
+// each host: no requirement of a task depends on its siblings on other hosts.
 func roomFor(reqs place.Requirements, hosts []*place.Host, count int) int {
 	room := 0
 	for _, h := range hosts {
--- a/sched/run.go
+++ b/sched/run.go
@@ -100,7 +100,7 @@
 }
 
 // isUnproven reports whether the run is of a task that needs isolation, and no report has shown
-// yet that its host outlasts it.
+// yet that it hasn't crashed its host.
 func (r *run) isUnproven() bool {
 	if r.entry == nil || !r.entry.job.HasCrashes {
 		return false
--- a/sched/stall.go
+++ b/sched/stall.go
@@ -37,8 +37,8 @@
 	// other runs of the kind show, 0 if none does.
 	estimate time.Duration
 	observed time.Duration
-	// lasting is set for a serving task, whose progress is that of its startup: it isn't
-	// left without progress for minutes, since it is missed meanwhile.
+	// lasting is set for a serving task, whose progress is that of its startup: it doesn't
+	// get minutes without progress, since it serves nothing until then.
 	lasting bool
 	// stalls is how many runs of the task were stopped as stalled.
 	stalls int
@@ -50,11 +50,11 @@
 	if p.percent >= fullPercent || p.idle <= minStallTime {
 		return false
 	}
-	patience := time.Duration(1)
+	factor := time.Duration(1)
 	for range min(p.stalls, maxStallsCounted) {
-		patience *= repeatedStallFactor
+		factor *= repeatedStallFactor
 	}
-	return p.idle/patience > p.stallTime()
+	return p.idle/factor > p.stallTime()
 }
 
 // stallTime returns how long a run may go without progress if no run of its task was
--- a/sched/room.go
+++ b/sched/storespace.go
@@ -32,8 +32,8 @@
 	// fullPause is how long after the store was full no new jobs are accepted, so that
 	// ends and the changes of accepted jobs are stored first.
 	fullPause = 2 * time.Second
-	// taskRoom is what a task of a new job takes in the store while it runs.
-	taskRoom = 100
+	// taskBytes is about what a task of a new job takes in the store while it runs.
+	taskBytes = 100
 )
 
 // ErrStoreFull means that the records of the service take so much of the store that no
@@ -99,13 +99,13 @@
 	return min(max(minTrimBytes, int(trimShare*float64(c.topicBytes()))), maxTrimBytes)
 }
 
-// hasRoomFor reports whether the records of a new job may be added to the topic. c.mu must be
+// hasStoreSpaceFor reports whether the records of a new job may be added to the topic. c.mu must be
 // held.
-func (c *Cell) hasRoomFor(e *jobEntry) bool {
+func (c *Cell) hasStoreSpaceFor(e *jobEntry) bool {
 	if !c.topic.fullAt.IsZero() && time.Since(c.topic.fullAt) < fullPause {
 		return false
 	}
-	return c.topic.live+len(e.job.Plan.Spec)+e.job.UnassignedTasks()*taskRoom <= c.topicBytes()
+	return c.topic.live+len(e.job.Plan.Spec)+e.job.UnassignedTasks()*taskBytes <= c.topicBytes()
 }
 
 // recordsConfirmed counts records that the store has confirmed, and trims the topic if enough
@@ -143,23 +143,23 @@
 	})
 }
 
-// storeFull records that the store has refused records because it is full. What this
-// cell has appended since the last trim is given back at once. c.mu must be held.
-func (c *Cell) storeFull() {
+// handleStoreFull records that the store has refused records because it is full, and trims the
+// topic even if little was appended since the last trim. c.mu must be held.
+func (c *Cell) handleStoreFull() {
 	c.topic.fullAt = time.Now()
 	c.trim()
 }
 
-// verified records that no other node had claimed the cell at a local time, although the
-// store is full. Leases are renewed meanwhile.
-func (c *Cell) verified(sent time.Duration) {
+// ownershipVerified records that no other node had claimed the cell at a local time. It is called
+// while the store is full, so that leases are renewed although nothing can be written.
+func (c *Cell) ownershipVerified(sent time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.confirmedAt = sent
 }
 
-// acquire claims the topic of the cell. If the store is full it first trims the topic, which
-// the previous owner may not be able to do: the newest of each key are all that counts.
+// acquire claims the topic of the cell. If the store is full it first trims the topic, since the
+// previous owner may be unable to. Only the newest record of each key is needed.
 func acquire(ctx context.Context, options Options, nonce string) (*claim.Claim, error) {
 	topic := Topic(options.Service)
 	acquired, err := claim.Acquire(ctx, options.Journal, topic, options.Node, nonce, options.Clock)
--- a/sched/throttle.go
+++ b/sched/throttle.go
@@ -60,7 +60,7 @@
 		switch step := r.entry.job.Step(r.id); {
 		case step.Fills:
 			bestEffort++
-		case step.Lasting && step.Target > 0 && r.percent >= fullPercent:
+		case r.isReadyWithTarget():
 			tailLatencies = append(tailLatencies, pace.TailLatency{Measured: r.tailLatency, Target: step.Target})
 		}
 	}
--- a/sched/view.go
+++ b/sched/view.go
@@ -114,23 +114,45 @@
 	return view
 }
 
+// What jobs and steps wait for, as it is shown to operators.
+const (
+	waitsForStore      = "the store does not take writes"
+	waitsAfterRefusal  = "a host refused a task a moment ago"
+	waitsForUsableHost = "no host of the pool is usable"
+	waitsForAdvisor    = "the advisor has allowed no host yet"
+	waitsForCap        = "the cap of its organisation allows no more at present"
+)
+
+// waitForRoundReason returns what a job without rounds in progress waits for.
+func waitForRoundReason(job *tasks.Job) string {
+	return "no round is due before " + job.DueTime(job.NextRound).UTC().Format(time.RFC3339)
+}
+
+// startUnit returns how many tasks of a step are only started together.
+func startUnit(step *tasks.Step, members []tasks.Task) int {
+	if step.Gang {
+		return len(members)
+	}
+	return 1
+}
+
 // waitReason returns what a job waits for, or "" if it doesn't wait.
 func (c *Cell) waitReason(e *jobEntry, now time.Time) string {
 	switch {
 	case e.job.Phase != tasks.Open:
 		return ""
 	case c.storeUnavailable():
-		return "the store does not take writes"
+		return waitsForStore
 	case !e.persisted:
 		return "the store has not confirmed the job yet"
 	case len(e.job.Rounds) == 0:
-		return "no round is due before " + e.job.DueTime(e.job.NextRound).UTC().Format(time.RFC3339)
+		return waitForRoundReason(e.job)
 	case !hasStartableTask(e.job) && hasAbandonedTask(e.job):
 		return "a task crashes its hosts and isn't started any more"
 	case !hasStartableTask(e.job):
 		return ""
 	case now.Before(e.retryAfter):
-		return "a host refused a task a moment ago"
+		return waitsAfterRefusal
 	}
 	return c.noHostReason(e, now)
 }
@@ -139,8 +161,9 @@
 func (c *Cell) noHostReason(e *jobEntry, now time.Time) string {
 	hosts, _ := c.usableHosts(now)
 	if len(hosts) == 0 {
-		return "no host of the pool is usable"
+		return waitsForUsableHost
 	}
+	pass := c.newQuotaPass()
 	for _, round := range e.job.Rounds {
 		for step := range round.Steps {
 			if !e.job.DependenciesDone(round, step) || round.Waiting(step) == 0 {
@@ -148,17 +171,13 @@
 			}
 			reqs := ofTask(c.requirements(e, round, step, now), e, firstWaiting(round.Steps[step]))
 			if reqs.AllowedHosts != nil && len(reqs.AllowedHosts) == 0 {
-				return "the advisor has allowed no host yet"
+				return waitsForAdvisor
 			}
 			if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return place.Feasible(reqs, h) }) {
 				return infeasibleReason(reqs, hosts)
 			}
-			unit := 1
-			if reqs.Step.Gang {
-				unit = len(round.Steps[step])
-			}
-			if !c.newQuotaPass().mayStart(e.job.Policy.Organisation, reqs, unit) {
-				return "the cap of its organisation allows no more at present"
+			if !pass.mayStart(e.job.Policy.Organisation, reqs, startUnit(reqs.Step, round.Steps[step])) {
+				return waitsForCap
 			}
 		}
 	}
--- a/sched/write.go
+++ b/sched/write.go
@@ -105,7 +105,7 @@
 	var b batch
 	size, limit := 0, c.options.Link.batchBytes(c.options.BatchBytes)
 	if len(c.orphanKeys) > 0 {
-		b.jobs = append(b.jobs, c.removeOrphans())
+		b.jobs = append(b.jobs, c.takeOrphans())
 	}
 	for len(c.dirtyJobs) > 0 && size < limit {
 		e := c.dirtyJobs[0]
@@ -287,7 +287,7 @@
 		return
 	}
 	if errors.Is(err, store.ErrFull) {
-		c.storeFull()
+		c.handleStoreFull()
 	}
 	if c.failingSince.IsZero() {
 		c.failingSince = time.Now()
