--- a/infra/doc.go
+++ b/infra/doc.go
@@ -1,4 +1,5 @@
 // Package infra implements the machine controller, which assigns the machines
-// of the fleet to pools and schedules their maintenance. It is active on
-// one node at a time, the leader.
+// of the fleet to pools, schedules their maintenance and divides the caps of
+// organisations between the cells of services. It is active on one node at a time, the
+// leader.
 package infra
--- a/infra/quota.go
+++ b/infra/quota.go
@@ -16,7 +16,7 @@
 
 const (
 	// allotmentTime is how long an allotment is valid: what a lost owner was lent can't be
-	// lent to others before, and cells go on without a leader for as long.
+	// lent to others before, and cells keep their allotments without a leader for as long.
 	allotmentTime = 2500 * time.Millisecond
 	// renewBefore is the remaining time at which an allotment is renewed. A round of the
 	// leader may take a second if calls time out.
@@ -41,8 +41,9 @@
 	// epoch is that of the cell in the newest report, and at its clock then.
 	epoch int64
 	at    time.Duration
-	// reported is set if the report is from this round, and seenAt is when the last one
-	// came. adopted is set once the cell has shown that it refuses older leaders.
+	// reported is set if the cell has reported in this round, and seenAt is when it last
+	// did. adopted is set once a report has shown an allotment of this leader: the cell then
+	// refuses those of older leaders.
 	reported bool
 	adopted  bool
 	seenAt   time.Duration
@@ -129,7 +130,7 @@
 	short map[string]bool
 }
 
-// keepLast leaves a cell what it was allotted last.
+// keepLast allots a cell the same as last time.
 func (d *distribution) keepLast(b *borrower) {
 	if b.last != nil {
 		d.amounts[b], d.limits[b] = b.last.Amounts, b.last.Limits
@@ -168,7 +169,7 @@
 // update records a report that came at a local time of the leader of an epoch.
 func (b *borrower) update(report *sched.Report, leader int64, now time.Duration) {
 	if report.Epoch < b.epoch || report.Epoch == b.epoch && report.Quota.At < b.at {
-		// A former owner still answers.
+		// The report is of a previous owner, or older than one that was already processed.
 		return
 	}
 	if report.Epoch > b.epoch {
@@ -247,17 +248,17 @@
 	for i, b := range cells {
 		b.share(name).recordShort(short[i], d.now)
 		if quota.Max(allotted[i], base) != base {
-			add(d.amounts, b, name, allotted[i])
+			setAmount(d.amounts, b, name, allotted[i])
 		}
 	}
 	for i, limit := range quota.Restrict(organisation.Cap, states, allotted) {
-		add(d.limits, cells[i], name, limit)
+		setAmount(d.limits, cells[i], name, limit)
 	}
 	d.short[name] = slices.Contains(short, true)
 }
 
-// add adds the amount of an organisation in a cell.
-func add(amounts map[*borrower]map[string]tasks.Resources, b *borrower, name string, amount tasks.Resources) {
+// setAmount sets the amount of an organisation in a cell.
+func setAmount(amounts map[*borrower]map[string]tasks.Resources, b *borrower, name string, amount tasks.Resources) {
 	if amounts[b] == nil {
 		amounts[b] = make(map[string]tasks.Resources)
 	}
--- a/infra/retire.go
+++ b/infra/retire.go
@@ -58,19 +58,19 @@
 	if p := t.pools[service]; p != nil {
 		epoch = p.report.Epoch
 	}
-	var news []*departedHost
+	var unreported []*departedHost
 	var retired []sched.RetiredHost
 	for _, d := range hosts {
 		if !d.called || epoch != 0 && d.toldEpoch != epoch {
-			news = append(news, d)
+			unreported = append(unreported, d)
 			retired = append(retired, d.RetiredHost)
 		}
 	}
-	if len(news) == 0 {
+	if len(unreported) == 0 {
 		return
 	}
 	done := t.retire(ctx, service, retired)
-	for _, d := range news {
+	for _, d := range unreported {
 		d.called = true
 		if done {
 			d.toldEpoch = epoch
