--- a/claim/writer.go
+++ b/claim/writer.go
@@ -22,8 +22,8 @@
 	// timeoutFactor is the timeout of the first attempt as a multiple of the average
 	// latency.
 	timeoutFactor = 4
-	// maxInvalid is how often a write is rejected as invalid before it is given up, in case
-	// a proxy has answered.
+	// maxInvalid is how often a write must be rejected as invalid before it is given up: a
+	// single response may come from a proxy.
 	maxInvalid = 5
 	// latencyWeight is the weight of the latest write in the average latency.
 	latencyWeight = 0.2
@@ -139,10 +139,10 @@
 	uncertain bool
 }
 
-// isFinal reports whether an error of an attempt means that the write can't be applied. Whether
-// a write is too large depends on its records alone, so that holds for earlier attempts too. Any
-// other rejection must repeat, and says nothing of an attempt whose outcome is unknown: its
-// sequence number can't be used for other records.
+// isFinal reports whether an error of an attempt means that no attempt of the write was or will be
+// applied. Whether a write is too large depends on its records alone, so one response is enough.
+// Other rejections must be repeated, and don't count if the outcome of another attempt is
+// unknown: its sequence number can't be used for other records.
 func (r *rejectionCounter) isFinal(err error) bool {
 	switch {
 	case errors.Is(err, store.ErrTooLarge):
