--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -171,7 +171,6 @@
 	r.markStarted(now)
 	r.recordProgress(active.Percent, hostTime)
 	r.load = active.Load
-	r.tailLatency = time.Duration(active.Load * float64(time.Millisecond))
 	if r.entry == nil {
 		return
 	}
--- a/sched/interference.go
+++ b/sched/interference.go
@@ -200,7 +200,7 @@
 			continue
 		}
 		all = append(all, r)
-		if pace.IsNear(pace.TailLatency{Measured: r.tailLatency, Target: r.entry.job.Step(r.id).Target}) {
+		if pace.IsNear(r.tailLatency()) {
 			near = append(near, r)
 		}
 	}
--- a/sched/run.go
+++ b/sched/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rattanpath/pace"
 	"rattanpath/place"
 	"rattanpath/tasks"
 )
@@ -75,9 +76,6 @@
 	basePercent     int
 	// measured is the progress from which the speed of the host was last measured.
 	measured measurement
-	// tailLatency is the response time of a serving task that its host last
-	// reported.
-	tailLatency time.Duration
 	// load is the figure that the host last reported of the run: for a serving task its
 	// response time in ms, for others the CPU in use in thousandths of a core.
 	load float64
@@ -99,6 +97,12 @@
 	return r.state == runSettled && hostTime-r.settledAt >= place.FreshTime
 }
 
+// tailLatency returns the response time of a serving task that its host last reported, and its
+// upper limit.
+func (r *run) tailLatency() pace.TailLatency {
+	return pace.TailLatency{Measured: time.Duration(r.load * float64(time.Millisecond)), Target: r.entry.job.Step(r.id).Target}
+}
+
 // isUnproven reports whether the run is of a task that needs isolation, and no report has shown
 // yet that it hasn't crashed its host.
 func (r *run) isUnproven() bool {
--- a/sched/speed.go
+++ b/sched/speed.go
@@ -173,7 +173,7 @@
 // slowState describes a host that is used last to operators.
 func (c *Cell) slowState(h *host) string {
 	if c.speeds.IsUnsteady(h.id) {
-		return "usable; used last, it goes down and up by turns"
+		return "usable; used last, it restarts or is lost repeatedly"
 	}
 	return fmt.Sprintf("usable; used last, runs take %.1f times as long as elsewhere", c.speeds.Slowness(h.id))
 }
--- a/sched/throttle.go
+++ b/sched/throttle.go
@@ -57,11 +57,11 @@
 		if r.entry == nil {
 			continue
 		}
-		switch step := r.entry.job.Step(r.id); {
-		case step.Fills:
+		switch {
+		case r.entry.job.Step(r.id).Fills:
 			bestEffort++
 		case r.isReadyWithTarget():
-			tailLatencies = append(tailLatencies, pace.TailLatency{Measured: r.tailLatency, Target: step.Target})
+			tailLatencies = append(tailLatencies, r.tailLatency())
 		}
 	}
 	return bestEffort, tailLatencies
