--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -17,7 +17,7 @@
 		c.logger.Info("host heartbeat recovered", "host", h.id, "runs", len(h.runs), "missed", h.missedHeartbeats)
 	}
 	if h.missedHeartbeats >= minMissed {
-		c.recordFall(h)
+		c.recordOutage(h)
 	}
 	h.missedHeartbeats = 0
 	wake(c.scheduleWake)
@@ -90,7 +90,7 @@
 	}
 	h.incarnation = incarnation
 	h.restarts++
-	c.recordFall(h)
+	c.recordOutage(h)
 	h.restartedAt = c.options.Clock()
 	h.clock.Reset(c.options.MaxLease)
 	h.synced, h.ackValid = false, false
@@ -171,7 +171,6 @@
 	r.markStarted(now)
 	r.recordProgress(active.Percent, hostTime)
 	r.load = active.Load
-	r.tailLatency = time.Duration(active.Load * float64(time.Millisecond))
 	if r.entry == nil {
 		return
 	}
--- a/sched/throttle.go
+++ b/sched/throttle.go
@@ -57,11 +57,11 @@
 		if r.entry == nil {
 			continue
 		}
-		switch step := r.entry.job.Step(r.id); {
-		case step.Fills:
+		switch {
+		case r.entry.job.Step(r.id).Fills:
 			bestEffort++
-		case step.Lasting && step.Target > 0 && r.percent >= fullPercent:
-			tailLatencies = append(tailLatencies, pace.TailLatency{Measured: r.tailLatency, Target: step.Target})
+		case r.isReadyWithTarget():
+			tailLatencies = append(tailLatencies, r.tailLatency())
 		}
 	}
 	return bestEffort, tailLatencies
