sched: find a rejected job by halving its batch

Cause: if the store rejected one job of a batch, all of them were written one after the other, and none was confirmed before the last: of a burst of 400 jobs, callers got 504 after their time. Change: halves are written, and each part is confirmed at once. Shown by TestRejectedJobAmongManyDelaysNoOther, which failed before.

--- a/sched/unstored.go
+++ b/sched/unstored.go
@@ -45,22 +45,31 @@
 	return size
 }
 
-// writeSeparately writes the jobs of a batch that the store has rejected one by one, and returns
-// the batch without those that are rejected again.
-func (c *Cell) writeSeparately(ctx context.Context, b batch) (batch, error) {
-	written := batch{onPersisted: b.onPersisted}
-	for _, job := range b.jobs {
-		err := c.appendAll(ctx, job.writes)
-		if claim.IsRejected(err) {
-			c.handleRejected(job, err)
-			continue
-		}
-		if err != nil {
-			return batch{}, err
+// writeParts writes the jobs of a batch that the store has rejected in halves, and those in
+// halves again, until the rejected jobs are alone. Each part is confirmed at once: its callers
+// don't wait for the others.
+func (c *Cell) writeParts(ctx context.Context, jobs []jobWrite, rejection error) error {
+	if len(jobs) == 1 {
+		c.handleRejected(jobs[0], rejection)
+		return nil
+	}
+	middle := len(jobs) / 2
+	for _, part := range [][]jobWrite{jobs[:middle], jobs[middle:]} {
+		b := batch{jobs: part}
+		start := time.Now()
+		err := c.appendAll(ctx, b.writes(c.maxWriteBytes()))
+		switch {
+		case err == nil:
+			c.writeConfirmed(b, time.Since(start))
+		case !claim.IsRejected(err):
+			return err
+		default:
+			if err := c.writeParts(ctx, part, err); err != nil {
+				return err
+			}
 		}
-		written.jobs = append(written.jobs, job)
 	}
-	return written, nil
+	return nil
 }
 
 // handleRejected handles a job whose records the store has rejected. A job that was never
--- a/sched/unstored_test.go
+++ b/sched/unstored_test.go
@@ -78,6 +78,37 @@
 	}
 }
 
+// TestRejectedJobAmongManyDelaysNoOther guards against a burst that is written job by job since
+// the store rejects one of them: callers at the end would wait for hundreds of writes.
+func TestRejectedJobAmongManyDelaysNoOther(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		tc.useRejectingJournal(store.ErrTooLarge).Store(true)
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		const count = 400
+		results := make(chan error, count)
+		for i := range count {
+			id := fmt.Sprintf("job%d", i)
+			if i == count/2 {
+				id = "odd"
+			}
+			go func() { results <- tc.submit(n, id, simplePlan(1, 10)) }()
+		}
+		refused := 0
+		for range count {
+			switch err := <-results; {
+			case errors.Is(err, ErrTooLarge):
+				refused++
+			case err != nil:
+				t.Fatalf("got %v for a job beside the rejected one, want it accepted", err)
+			}
+		}
+		if refused != 1 {
+			t.Errorf("got %d jobs refused as too large, want 1", refused)
+		}
+	})
+}
+
 // TestRejectedChangeHoldsUpNothingElse guards against an accepted job whose change the store
 // rejects: other jobs must go on, no end of the job may be acknowledged, and the job must
 // go on once the store takes its records.
--- a/sched/write.go
+++ b/sched/write.go
@@ -217,13 +217,17 @@
 	return records
 }
 
+// maxWriteBytes returns the size by which the changes of several jobs are split into writes.
+func (c *Cell) maxWriteBytes() int { return c.options.BatchBytes + c.options.BatchBytes/2 }
+
 // write appends a batch to the store and reports whether that succeeded. If
 // another node has claimed the cell, it marks the cell as lost.
 func (c *Cell) write(ctx context.Context, b batch) bool {
 	start := time.Now()
-	err := c.appendAll(ctx, b.writes(c.options.BatchBytes+c.options.BatchBytes/2))
-	if claim.IsRejected(err) {
-		b, err = c.writeSeparately(ctx, b)
+	err := c.appendAll(ctx, b.writes(c.maxWriteBytes()))
+	if claim.IsRejected(err) && len(b.jobs) > 0 {
+		err = c.writeParts(ctx, b.jobs, err)
+		b.jobs = nil
 	}
 	if claim.IsSuperseded(err) {
 		c.markLost(err.Error())
