owner, infra: the response of a failed call is not read

Cause: a call that times out returned its response, into which a late reply may still be decoded: the race detector reported it once in TestForwardedJobIsRefusedTruthfully, beside load. Change: the response counts only if the call succeeded. The test passes 3 times under the detector; the race itself needs a reply in that instant and isn't forced.

--- a/infra/rpc.go
+++ b/infra/rpc.go
@@ -47,6 +47,9 @@
 	client := link.NewClient(address, c.dial)
 	defer client.Close()
 	var response ResignResponse
-	err := client.Call(ctx, RPCName+".Resign", &ResignRequest{Epoch: epoch}, &response)
-	return response.Ages, err
+	if err := client.Call(ctx, RPCName+".Resign", &ResignRequest{Epoch: epoch}, &response); err != nil {
+		// A late reply may still be decoded into the response.
+		return nil, err
+	}
+	return response.Ages, nil
 }
--- a/owner/client.go
+++ b/owner/client.go
@@ -244,9 +244,12 @@
 		err := c.callLocal(method, &request, &response)
 		return response, false, err
 	}
-	err := c.link(address).Call(ctx, RPCName+"."+string(method), &request, &response)
-	var connect *link.ConnectError
-	return response, err != nil && !errors.As(err, &connect), err
+	if err := c.link(address).Call(ctx, RPCName+"."+string(method), &request, &response); err != nil {
+		// A late reply may still be decoded into the response.
+		var connect *link.ConnectError
+		return Response{}, !errors.As(err, &connect), err
+	}
+	return response, false, nil
 }
 
 // callLocal calls a method of the node's own service.
