--- a/cmd/rattanpath/cmds/manage.go
+++ b/cmd/rattanpath/cmds/manage.go
@@ -22,6 +22,9 @@
 // fleet.
 type manageCommand struct {
 	AdminPort int `help:"Port of the admin server; 0 selects the second internal port."`
+	// JudgeHosts is off by default since an owner that is short of processor time starts fewer
+	// tasks with it.
+	JudgeHosts bool `help:"Place tasks by the observed speed of hosts; takes processor time of owners."`
 	// Clients are the limits on clients.
 	Clients clientFlags `embed:"" group:"Limits on clients"`
 }
@@ -71,6 +74,7 @@
 	if c.AdminPort != 0 {
 		settings.AdminListen = net.JoinHostPort(settings.IP, strconv.Itoa(c.AdminPort))
 	}
+	settings.JudgeHosts = c.JudgeHosts
 	settings.Clients, err = c.Clients.apply(settings.Clients)
 	return settings, err
 }
--- a/cmd/rattanpath/cmds/manage_test.go
+++ b/cmd/rattanpath/cmds/manage_test.go
@@ -56,3 +56,16 @@
 		})
 	}
 }
+
+// Guards against judging hosts without being asked to, which costs the owners of large pools
+// started tasks.
+func TestHostsAreJudgedOnRequestOnly(t *testing.T) {
+	t.Setenv(platform.SettingsVariable, "../../../platform/_fixtures/settings.yaml")
+	for _, want := range []bool{false, true} {
+		command := manageCommand{JudgeHosts: want}
+		settings, err := command.readSettings()
+		if err != nil || settings.JudgeHosts != want {
+			t.Errorf("got hosts judged: %t and error %v, want %t", settings.JudgeHosts, err, want)
+		}
+	}
+}
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -50,8 +50,8 @@
 	// MaxRecordAge is how old a host's record may be when a run is started on it, 0 if
 	// there is no limit.
 	MaxRecordAge time.Duration
-	// JudgeHosts means that hosts may be slow or unsteady while they say that they are
-	// healthy, so that cells judge them by their runs.
+	// JudgeHosts makes cells judge hosts by their runs: they may be slow or unsteady while
+	// they say that they are healthy.
 	JudgeHosts bool
 	// JobRetention is how long the status of an ended job must be available.
 	JobRetention time.Duration
