claim: a write of unknown outcome that is then rejected ends the claim

Cause: such a write was repeated for ever, since its sequence number can't carry other records while the lost attempt may have been applied. A write that was abandoned at its deadline and then rejected by the next call was even taken for never applied, and its sequence number used again: the store would have answered for the new records without storing them.

Now the rejections of a write are counted over calls, an abandoned attempt counts as lost, and after 20 rejections (some 5 s) the claim is given up. The next one has a higher epoch: it fences what is still on its way and reads what is stored.

Evidence: TestUnresolvedWriteEndsClaim, before: repeated for the whole minute of the test, and ErrInvalid after an abandoned write; now within 10 s.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -287,6 +287,45 @@
 	}
 }
 
+// invalidJournal loses the reply to the first append, which is applied late or never, and rejects
+// all others as invalid.
+type invalidJournal struct {
+	Journal
+	attempts int
+}
+
+func (j *invalidJournal) Append(ctx context.Context, _ store.Write) (int64, error) {
+	if j.attempts++; j.attempts == 1 {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return 0, store.ErrInvalid
+}
+
+// TestUnresolvedWriteEndsClaim guards against an owner that stands still for good because the
+// store rejects the repetitions of a write that may have been applied, and against other records
+// under the sequence number of that write.
+func TestUnresolvedWriteEndsClaim(t *testing.T) {
+	for name, timeout := range map[string]time.Duration{"in one write": time.Minute, "over several writes": 700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := fake.NewStore()
+				writer := acquire(t, s.Client("a"), "a").NewWriter(&invalidJournal{Journal: s.Client("a")}, testTopic, clock)
+				var err error
+				start := time.Now()
+				for time.Since(start) < time.Minute && !EndsClaim(err) {
+					ctx, cancel := context.WithTimeout(t.Context(), timeout)
+					_, err = writer.Write(ctx, []store.Record{{Key: "k", Value: []byte("1")}})
+					cancel()
+				}
+				if took := time.Since(start); !errors.Is(err, ErrUnresolved) || took > 10*time.Second {
+					t.Errorf("got %v after %v, want %v within 10s", err, took, ErrUnresolved)
+				}
+			})
+		})
+	}
+}
+
 // TestFullStoreVerifiesOwnership guards against an owner that a full store keeps from learning
 // whether it still owns the topic, either way.
 func TestFullStoreVerifiesOwnership(t *testing.T) {
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -25,10 +25,17 @@
 	// maxInvalid is how often a write must be rejected as invalid before it is given up: a
 	// single response may come from a proxy.
 	maxInvalid = 5
+	// maxUnresolved is how often a write must be rejected as invalid before the claim is given
+	// up if an earlier attempt may have been applied: some 5 s.
+	maxUnresolved = 20
 	// latencyWeight is the weight of the latest write in the average latency.
 	latencyWeight = 0.2
 )
 
+// ErrUnresolved means that the store rejects the repetition of a write that may have been applied.
+// Nothing more can be written under the claim: only a new one can tell what is stored.
+var ErrUnresolved = errors.New("the store rejects the repetition of a write of unknown outcome")
+
 // Writer writes to a topic under a claim. It must not be used concurrently.
 type Writer struct {
 	journal  Journal
@@ -36,8 +43,10 @@
 	epoch    int64
 	sequence int64
 	clock    core.Clock
-	// unconfirmed holds the records of the last write if its outcome is unknown.
-	unconfirmed []store.Record
+	// unconfirmed holds the records of the last write if its outcome is unknown, and
+	// unconfirmedRejections the rejections of its attempts.
+	unconfirmed           []store.Record
+	unconfirmedRejections rejectionCounter
 	// avgLatency is the moving average of the latency of successful writes.
 	avgLatency time.Duration
 	// end is the end of the topic after the last confirmed write with records, 0 if unknown.
@@ -65,26 +74,26 @@
 // Write appends records, retrying until the store confirms them, and returns the time
 // at which the successful attempt was sent. Without records it only confirms that no
 // other node has claimed the topic. Errors store.ErrFenced and store.ErrOutOfSequence mean
-// that another node has. After any other error the outcome is unknown; the next Write
-// first repeats the same records, since a repeated sequence number must carry the
-// same records.
+// that another node has, and ErrUnresolved that the topic must be claimed again. After any
+// other error the outcome is unknown; the next Write first repeats the same records, since a
+// repeated sequence number must carry the same records.
 func (w *Writer) Write(ctx context.Context, records []store.Record) (time.Duration, error) {
 	if w.unconfirmed != nil {
-		if _, err := w.writeWithRetry(ctx, w.unconfirmed); err != nil && !IsRejected(err) {
+		if _, err := w.writeWithRetry(ctx, w.unconfirmed, &w.unconfirmedRejections); err != nil && !IsRejected(err) {
 			return 0, err
 		}
 		w.unconfirmed = nil
 	}
-	sent, err := w.writeWithRetry(ctx, records)
-	if err != nil && !IsSuperseded(err) && !IsRejected(err) && len(records) > 0 {
-		w.unconfirmed = records
+	rejections := rejectionCounter{}
+	sent, err := w.writeWithRetry(ctx, records, &rejections)
+	if err != nil && !EndsClaim(err) && !IsRejected(err) && len(records) > 0 {
+		w.unconfirmed, w.unconfirmedRejections = records, rejections
 	}
 	return sent, err
 }
 
-func (w *Writer) writeWithRetry(ctx context.Context, records []store.Record) (time.Duration, error) {
+func (w *Writer) writeWithRetry(ctx context.Context, records []store.Record, rejections *rejectionCounter) (time.Duration, error) {
 	delay := minRetryDelay
-	rejections := rejectionCounter{}
 	timeout := min(max(minAttemptTimeout, timeoutFactor*w.avgLatency), maxAttemptTimeout)
 	for {
 		sent := w.clock()
@@ -99,9 +108,12 @@
 			}
 			return sent, nil
 		case ctx.Err() != nil:
+			rejections.uncertain = true
 			return 0, ctx.Err()
 		case IsSuperseded(err) || rejections.isFinal(err):
 			return 0, err
+		case rejections.isUnresolved():
+			return 0, errors.WithMessage(ErrUnresolved, err.Error())
 		}
 		if w.OnRetry != nil {
 			w.OnRetry(err)
@@ -157,6 +169,10 @@
 	return false
 }
 
+// isUnresolved reports whether the store rejects the repetitions of a write that may have been
+// applied: neither these nor other records can be written under its sequence number.
+func (r *rejectionCounter) isUnresolved() bool { return r.uncertain && r.invalid >= maxUnresolved }
+
 // appendOnce makes one attempt to append records.
 func (w *Writer) appendOnce(ctx context.Context, timeout time.Duration, records []store.Record) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -175,6 +191,9 @@
 	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrOutOfSequence)
 }
 
+// EndsClaim reports whether err means that nothing more can be written under the claim.
+func EndsClaim(err error) bool { return IsSuperseded(err) || errors.Is(err, ErrUnresolved) }
+
 // IsRejected reports whether err means that the store doesn't take the records of a write.
 func IsRejected(err error) bool {
 	return errors.Is(err, store.ErrTooLarge) || errors.Is(err, store.ErrInvalid)
--- a/infra/controller.go
+++ b/infra/controller.go
@@ -311,7 +311,7 @@
 	case err == nil:
 		t.confirmedAt = sentAt
 		return true
-	case claim.IsSuperseded(err):
+	case claim.EndsClaim(err):
 		t.loseLeadership(err.Error())
 	default:
 		t.logger.Info("failed to write the machine controller's records", "err", err.Error())
