sched: an owner that can't confirm its ownership gives the cell up

Cause: the loop of writes ended at any error, but only one that means another claim marked the cell as lost. The cell stayed, without writes, on a node that still held its partition.

Now every error but the end of the cell itself marks it as lost, and the node claims it again.

Evidence: TestRejectedConfirmationEndsClaim, before: the loop is gone and Run waits for ever; now the job is accepted and completed.

--- a/sched/unstored_test.go
+++ b/sched/unstored_test.go
@@ -41,6 +41,46 @@
 
 var rejections = map[string]error{"too large": store.ErrTooLarge, "invalid": store.ErrInvalid}
 
+// emptyRejectingJournal rejects writes without records while rejecting is set.
+type emptyRejectingJournal struct {
+	claim.Journal
+	rejecting *atomic.Bool
+}
+
+func (j emptyRejectingJournal) Append(ctx context.Context, write store.Write) (int64, error) {
+	if len(write.Records) == 0 && j.rejecting.Load() {
+		return 0, store.ErrInvalid
+	}
+	return j.Journal.Append(ctx, write)
+}
+
+// TestRejectedConfirmationEndsClaim guards against an owner that writes nothing more for good,
+// and that no other replaces, after the store has rejected a write without records.
+func TestRejectedConfirmationEndsClaim(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		var rejecting atomic.Bool
+		tc.wrapJournal = func(journal claim.Journal) claim.Journal { return emptyRejectingJournal{journal, &rejecting} }
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		rejecting.Store(true)
+		time.Sleep(10 * time.Second)
+		rejecting.Store(false)
+		if n.cell.isLost() {
+			n = tc.claim("a")
+			time.Sleep(100 * time.Millisecond)
+		}
+		ctx, cancel := context.WithTimeout(tc.ctx, 5*time.Second)
+		defer cancel()
+		plan := simplePlan(1, 100)
+		tc.plans.Store("job", plan)
+		if err := n.cell.Submit(ctx, Caller{}, tasks.Key{Queue: testQueue, ID: "job"}, plan, tc.policy); err != nil {
+			t.Fatalf("got %v for a job once the store takes all writes, want it accepted", err)
+		}
+		time.Sleep(3 * time.Second)
+		tc.wantPhase(n, "job", tasks.Completed)
+	})
+}
+
 // TestRejectedJobIsNotAccepted guards against one job that the store doesn't take and that holds
 // up all others of the service. Its caller must be told truly that it wasn't accepted.
 func TestRejectedJobIsNotAccepted(t *testing.T) {
--- a/sched/write.go
+++ b/sched/write.go
@@ -220,8 +220,8 @@
 // maxWriteBytes returns the size by which the changes of several jobs are split into writes.
 func (c *Cell) maxWriteBytes() int { return c.options.BatchBytes + c.options.BatchBytes/2 }
 
-// write appends a batch to the store and reports whether that succeeded. If the claim has
-// ended, it marks the cell as lost.
+// write appends a batch to the store and reports whether that succeeded. If nothing more can be
+// written under the claim, it marks the cell as lost.
 func (c *Cell) write(ctx context.Context, b batch) bool {
 	start := time.Now()
 	err := c.appendAll(ctx, b.writes(c.maxWriteBytes()))
@@ -229,10 +229,10 @@
 		err = c.writeParts(ctx, b.jobs, err)
 		b.jobs = nil
 	}
-	if claim.EndsClaim(err) {
-		c.markLost(err.Error())
-	}
 	if err != nil {
+		if ctx.Err() == nil {
+			c.markLost(err.Error())
+		}
 		return false
 	}
 	c.writeConfirmed(b, time.Since(start))
