sched, tasks: records fit into the store whatever a checkpoint holds

What callers saw: an accepted job that never goes on, and hosts whose other ends stay unacknowledged, if a host reports a checkpoint longer than recordBytes, or if the store's recordBytes is below some 100 KB: parts of up to 64 KB and, in JSON, six bytes for each byte of a checkpoint didn't heed it.

Now the sizes follow recordBytes, and stay the same for 256 KB. A checkpoint beyond an eighth of it isn't taken, with a log line: the task resumes from an earlier one, or from its start.

--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -117,7 +117,7 @@
 		}
 		c.recordEnd(h, r, f.Reason)
 		c.observeEnd(h, r, f.Reason)
-		c.endRun(h, r, f.Reason, f.Checkpoint)
+		c.endRun(h, r, f.Reason, c.storableCheckpoint(r, f.Checkpoint))
 		if r.entry != nil && f.Reason == tasks.EndDone {
 			c.recordStepTime(r)
 		}
@@ -147,6 +147,7 @@
 		key := runKey{active.Task, active.Run}
 		listed[key] = true
 		if r := h.runs[key]; r != nil {
+			active.Checkpoint = c.storableCheckpoint(r, active.Checkpoint)
 			c.updateRun(r, active, report.HostTime, now)
 			c.observeSpeed(h, r, active.Percent, active.Checkpoint, report.HostTime)
 		} else {
--- a/sched/unstored.go
+++ b/sched/unstored.go
@@ -35,6 +35,17 @@
 	return err != nil || len(value)+len(definitionPrefix)+jobKeyBytes+len(e.job.Key.ID)+recordOverhead > limit
 }
 
+// storableCheckpoint returns the checkpoint that a host reported for a run, or "" if its record
+// would be larger than the store allows: the task then resumes from an earlier one.
+func (c *Cell) storableCheckpoint(r *run, checkpoint string) string {
+	limit := tasks.Limits{Record: c.options.RecordBytes}.Checkpoint()
+	if limit == 0 || len(checkpoint) <= limit {
+		return checkpoint
+	}
+	c.logger.Info("checkpoint too large to be stored", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "bytes", len(checkpoint), "limit", limit)
+	return ""
+}
+
 // maxDefinitionBytes returns an upper bound of the size of a job's definition.
 func maxDefinitionBytes(plan *tasks.Plan) int {
 	size := jobBytes + escapedBytes*len(plan.Spec)
@@ -148,9 +159,9 @@
 
 // encodeChanges returns the changes of the job's progress. Of a job that has ended and whose
 // records were rejected, only that is stored: its tasks are of no more use.
-func (e *jobEntry) encodeChanges(limit int) ([][]tasks.ProgressRecord, error) {
+func (e *jobEntry) encodeChanges(limits tasks.Limits) ([][]tasks.ProgressRecord, error) {
 	if e.held && e.job.Phase != tasks.Open {
 		return e.job.EncodeEnd(&e.stored)
 	}
-	return e.job.EncodeChanges(&e.stored, limit)
+	return e.job.EncodeChanges(&e.stored, limits)
 }
--- a/sched/unstored_test.go
+++ b/sched/unstored_test.go
@@ -11,6 +11,8 @@
 
 	"rattanpath/claim"
 	"rattanpath/fake"
+	"rattanpath/lease"
+	"rattanpath/pool"
 	"rattanpath/store"
 	"rattanpath/tasks"
 )
@@ -261,3 +263,43 @@
 		}
 	})
 }
+
+// largeCheckpoints makes the hosts report a long checkpoint for each run of the job "odd".
+type largeCheckpoints struct {
+	lease.HostClient
+	length int
+}
+
+func (l largeCheckpoints) Heartbeat(ctx context.Context, host *pool.Host, beat lease.Heartbeat) (lease.HeartbeatReply, error) {
+	reply, err := l.HostClient.Heartbeat(ctx, host, beat)
+	for i := range reply.Runs {
+		if reply.Runs[i].Task.Job == "odd" {
+			reply.Runs[i].Checkpoint = strings.Repeat("c", l.length)
+		}
+	}
+	return reply, err
+}
+
+// TestOversizedCheckpointHoldsUpNoJob guards against an accepted job that can't go on, and whose
+// ends can't be acknowledged, because a checkpoint that a host reports doesn't fit into a record.
+func TestOversizedCheckpointHoldsUpNoJob(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		tc.store.SetLimits(testLimits)
+		tc.configure = func(options *Options) { options.RecordBytes = testLimits.Record }
+		tc.wrapHosts = func(client lease.HostClient) lease.HostClient { return largeCheckpoints{client, 300_000} }
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 3 * time.Second} }
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		for _, id := range []string{"odd", "job"} {
+			if err := tc.submit(n, id, simplePlan(4, 100)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(8 * time.Second)
+		tc.wantPhase(n, "odd", tasks.Completed)
+		tc.wantPhase(n, "job", tasks.Completed)
+		if got, want := tc.checker.Starts(), 8; got != want {
+			t.Errorf("got %d starts, want %d", got, want)
+		}
+	})
+}
--- a/sched/write.go
+++ b/sched/write.go
@@ -191,7 +191,7 @@
 		definition = []store.Record{{Key: definitionPrefix + suffix, Value: value}}
 		e.definitionWritten = true
 	}
-	changes, err := e.encodeChanges(max(limit, minSplitBytes))
+	changes, err := e.encodeChanges(tasks.Limits{Write: max(limit, minSplitBytes), Record: c.options.RecordBytes})
 	if err != nil {
 		return nil, err
 	}
--- a/tasks/parts.go
+++ b/tasks/parts.go
@@ -15,19 +15,26 @@
 
 const (
 	// maxSingleBytes is the approximate size beyond which the progress of a job is stored in
-	// parts. It is a sixteenth of what the store allows for a record, and holds some 200 tasks
-	// that run. A larger record would be rewritten as a whole at each change.
+	// parts, and singleShare the part of a record, as a divisor, up to which it isn't: in JSON a
+	// byte may take six. It holds some 200 tasks that run. A larger record would be rewritten
+	// as a whole at each change.
 	maxSingleBytes = 16 << 10
-	// minPartedBytes is the size below which a job returns to a single record. The distance
-	// to maxSingleBytes keeps it from changing its form back and forth.
-	minPartedBytes = maxSingleBytes / 4
+	singleShare    = 16
+	// partedShare is the part of maxSingleBytes, as a divisor, below which a job returns to a
+	// single record. The distance keeps it from changing its form back and forth.
+	partedShare = 4
 	// partTasks is the number of consecutive tasks of a round in a part. A change of one
 	// task rewrites some 1.2 KB. With half of it, a task costs a tenth to a third fewer bytes,
 	// but the largest job has twice as many records.
 	partTasks = 16
 	// maxPartBytes is the size beyond which each task of a part gets a record of its own,
-	// since checkpoints are chosen by callers.
+	// since checkpoints are chosen by callers, and partShare the part of a record, as a
+	// divisor, beyond which it does.
 	maxPartBytes = 64 << 10
+	partShare    = 4
+	// checkpointShare is the part of a record, as a divisor, that a checkpoint takes at most
+	// before it is encoded.
+	checkpointShare = 8
 	// partsFormat is the version of the format of parts.
 	partsFormat = 1
 	// taskBytes and hostBytes are the approximate sizes of a task's record without its
@@ -36,6 +43,29 @@
 	hostBytes = 24
 )
 
+// Limits are sizes in bytes: of a write beyond which the changes of a job are split, and of the
+// largest record that the store takes, 0 if unknown.
+type Limits struct {
+	Write  int
+	Record int
+}
+
+// Checkpoint returns the size of the longest checkpoint that surely fits into a record with its
+// task, 0 if unknown.
+func (l Limits) Checkpoint() int { return l.Record / checkpointShare }
+
+func (l Limits) single() int { return l.shareOfRecord(singleShare, maxSingleBytes) }
+
+func (l Limits) part() int { return l.shareOfRecord(partShare, maxPartBytes) }
+
+// shareOfRecord returns the part of a record that a divisor gives, at most a limit.
+func (l Limits) shareOfRecord(divisor, limit int) int {
+	if l.Record == 0 {
+		return limit
+	}
+	return min(limit, l.Record/divisor)
+}
+
 // ProgressRecord is a record of a job's progress. Part is empty for the main record. A
 // record without a value deletes the part.
 type ProgressRecord struct {
@@ -156,15 +186,15 @@
 func isPartsMarker(tasks []byte) bool { return bytes.HasPrefix(tasks, []byte("{")) }
 
 // EncodeChanges returns the records that bring the stored progress up to date, as writes to
-// be made in this order. It returns several only if they don't fit into limit bytes.
+// be made in this order. It returns several only if they don't fit into one of limits.Write bytes.
 //
 // After any number of these writes, what is stored must not lack an end that was acknowledged
 // before, so the last write that is needed to read new parts comes last, and the first that
 // ends the use of old ones comes first. See docs/design/records.md.
-func (j *Job) EncodeChanges(stored *StoredProgress, limit int) ([][]ProgressRecord, error) {
+func (j *Job) EncodeChanges(stored *StoredProgress, limits Limits) ([][]ProgressRecord, error) {
 	size := j.progressSize()
-	if size > maxSingleBytes || stored.inParts && size > minPartedBytes {
-		return j.encodeParts(stored, limit)
+	if size > limits.single() || stored.inParts && size > limits.single()/partedShare {
+		return j.encodeParts(stored, limits)
 	}
 	value, err := j.EncodeProgress()
 	if err != nil {
@@ -208,19 +238,19 @@
 }
 
 // encodeParts returns the changes of a job in parts.
-func (j *Job) encodeParts(stored *StoredProgress, limit int) ([][]ProgressRecord, error) {
+func (j *Job) encodeParts(stored *StoredProgress, limits Limits) ([][]ProgressRecord, error) {
 	head, err := j.encodePartsHead(stored)
 	if err != nil {
 		return nil, err
 	}
-	p := packer{limit: limit}
+	p := packer{limit: limits.Write}
 	if stored.inParts {
 		p.add([][]ProgressRecord{head})
 	}
 	inProgress := make(map[int]bool)
 	for _, round := range j.Rounds {
 		inProgress[round.Number] = true
-		changes, err := stored.updateRound(round)
+		changes, err := stored.updateRound(round, limits.part())
 		if err != nil {
 			return nil, err
 		}
@@ -249,8 +279,9 @@
 	return []ProgressRecord{{Value: value}}, nil
 }
 
-// updateRound returns the changes of each part of a round.
-func (s *StoredProgress) updateRound(round *Round) ([][]ProgressRecord, error) {
+// updateRound returns the changes of each part of a round. Beyond limit bytes the tasks of a part
+// get records of their own.
+func (s *StoredProgress) updateRound(round *Round, limit int) ([][]ProgressRecord, error) {
 	var changes [][]ProgressRecord
 	var err error
 	round.forEachPart(func(first int, state *partState) {
@@ -260,7 +291,7 @@
 			return
 		}
 		var records []ProgressRecord
-		records, err = s.part(id).update(id, state)
+		records, err = s.part(id).update(id, state, limit)
 		changes = append(changes, records)
 	})
 	return changes, err
@@ -286,8 +317,8 @@
 }
 
 // update returns the records of a changed part, which must be written together.
-func (p *storedPart) update(id partID, state *partState) ([]ProgressRecord, error) {
-	records, err := encodePart(id, state)
+func (p *storedPart) update(id partID, state *partState, limit int) ([]ProgressRecord, error) {
+	records, err := encodePart(id, state, limit)
 	if err != nil {
 		return nil, err
 	}
@@ -309,8 +340,9 @@
 	return records, nil
 }
 
-// encodePart encodes the assigned tasks of a part, as one record unless that is too large.
-func encodePart(id partID, state *partState) ([]ProgressRecord, error) {
+// encodePart encodes the assigned tasks of a part, as one record unless that has more than limit
+// bytes.
+func encodePart(id partID, state *partState, limit int) ([]ProgressRecord, error) {
 	var assigned []taskRecord
 	var alone []ProgressRecord
 	for i := range state {
@@ -327,7 +359,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encoding tasks")
 	}
-	if len(whole) <= maxPartBytes {
+	if len(whole) <= limit {
 		return []ProgressRecord{{Part: partName(id.round, id.first), Value: whole}}, nil
 	}
 	for i := range alone {
--- a/tasks/parts_test.go
+++ b/tasks/parts_test.go
@@ -87,7 +87,7 @@
 	runTask(job, taskID(0, 1), EndFailed)
 	runTask(job, taskID(0, 2), EndDone)
 	var stored StoredProgress
-	writes, err := job.EncodeChanges(&stored, partLimit)
+	writes, err := job.EncodeChanges(&stored, Limits{Write: partLimit})
 	want := `{"Next":1,"Begun":true,"Rounds":[0],"Tasks":[{"P":2,"R":1,"H":"h\u003c1\u003e","B":17,"C":"c"},{"I":1,"R":1,"F":1,"A":"h"},{"I":2,"P":3,"R":1}]}`
 	if err != nil || len(writes) != 1 || len(writes[0]) != 1 || string(writes[0][0].Value) != want || writes[0][0].Part != "" {
 		t.Errorf("got %q, error %v, want the single record %s", writes, err, want)
@@ -100,7 +100,7 @@
 	job := newLargeJob(t, 4, 4096)
 	records := newStoredJob(t, job)
 	var stored StoredProgress
-	writes, err := job.EncodeChanges(&stored, 1<<20)
+	writes, err := job.EncodeChanges(&stored, Limits{Write: 1 << 20})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,7 +120,7 @@
 		t.Errorf("got error %v for the records of the largest job, want none and the same state", err)
 	}
 	job.EndRun(ID{Job: "job", Round: 2, Index: 100}, 1, EndDone, "", testTime)
-	writes, err = job.EncodeChanges(&stored, 1<<20)
+	writes, err = job.EncodeChanges(&stored, Limits{Write: 1 << 20})
 	if err != nil || len(writes) != 1 || len(writes[0]) != 1 || writes[0][0].Part != "2.96" || writes[0][0].size() > 4096 {
 		t.Errorf("got %d writes, error %v for the end of a task, want the record of its part alone", len(writes), err)
 	}
@@ -136,7 +136,7 @@
 		for i := range 40 {
 			job.SaveCheckpoint(ID{Job: "job", Index: i}, 1, strings.Repeat("c", length))
 		}
-		writes, err := job.EncodeChanges(&stored, 1<<20)
+		writes, err := job.EncodeChanges(&stored, Limits{Write: 1 << 20})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -155,6 +155,32 @@
 	}
 }
 
+// TestRecordsFitTheStore guards against a record that the store doesn't take where it allows less
+// than usual, or where the checkpoints take six bytes a character in JSON.
+func TestRecordsFitTheStore(t *testing.T) {
+	for _, limit := range []int{4 << 10, 16 << 10, 256 << 10} {
+		limits := Limits{Write: 1 << 20, Record: limit}
+		for _, length := range []int{0, 10, 200, limits.Checkpoint()} {
+			job := newLargeJob(t, 1, 300)
+			for i := range 40 {
+				job.SaveCheckpoint(ID{Job: "job", Index: i}, 1, strings.Repeat("\x01", length))
+			}
+			var stored StoredProgress
+			writes, err := job.EncodeChanges(&stored, limits)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, write := range writes {
+				for _, record := range write {
+					if got, want := record.size(), limit-100; got > want {
+						t.Errorf("got %d bytes in record %q with checkpoints of %d bytes, want at most %d", got, record.Part, length, want)
+					}
+				}
+			}
+		}
+	}
+}
+
 // TestEarlierVersionCannotReadParts guards against a node of an earlier version that takes a
 // large job for one that has not started.
 func TestEarlierVersionCannotReadParts(t *testing.T) {
@@ -166,7 +192,7 @@
 	}
 	var stored StoredProgress
 	job := newLargeJob(t, 1, 1000)
-	writes, err := job.EncodeChanges(&stored, 1<<20)
+	writes, err := job.EncodeChanges(&stored, Limits{Write: 1 << 20})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,7 +205,7 @@
 		}
 	}
 	job.Cancel(testTime)
-	if writes, err = job.EncodeChanges(&stored, 1<<20); err != nil || len(writes) == 0 {
+	if writes, err = job.EncodeChanges(&stored, Limits{Write: 1 << 20}); err != nil || len(writes) == 0 {
 		t.Fatalf("got %v, error %v for a cancelled job, want a write", writes, err)
 	}
 	if _, _, err := DecodeStored(newStoredJob(t, job).definition, []byte(`{"Rounds":[0],"Tasks":{"Parts":2}}`), nil); err == nil {
@@ -292,7 +318,7 @@
 			if rapid.IntRange(0, 20).Draw(t, "cancel") == 0 {
 				job.Cancel(now)
 			}
-			writes, err := job.EncodeChanges(&stored, rapid.SampledFrom([]int{1000, partLimit, 1 << 20}).Draw(t, "limit"))
+			writes, err := job.EncodeChanges(&stored, Limits{Write: rapid.SampledFrom([]int{1000, partLimit, 1 << 20}).Draw(t, "limit")})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -367,7 +393,7 @@
 			job := newLargeJob(t, 3, 500)
 			records := newStoredJob(t, job)
 			var stored StoredProgress
-			writes, err := job.EncodeChanges(&stored, 1<<20)
+			writes, err := job.EncodeChanges(&stored, Limits{Write: 1 << 20})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -375,7 +401,7 @@
 				records.apply(write)
 			}
 			test.change(job)
-			if writes, err = job.EncodeChanges(&stored, 1); err != nil || len(writes) < 2 {
+			if writes, err = job.EncodeChanges(&stored, Limits{Write: 1}); err != nil || len(writes) < 2 {
 				t.Fatalf("got %d writes, error %v, want several", len(writes), err)
 			}
 			for i, write := range writes {
