sched: a job that can't be stored keeps no host from others

Cause: an accepted job whose records are rejected is held and tried again every 5 s. Its waiting tasks were still assigned to hosts. Such an assignment is never persisted, so no start command was sent, but it occupied the hosts all the while.

Now a held job gets no assignments, and those not sent yet are taken back.

Evidence: TestHeldJobOccupiesNoHost, before: the other job open after 3 s on a host with nothing running; now both are completed, and each task is started once.

--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -107,9 +107,10 @@
 	return toPlace
 }
 
-// jobToPlace returns a job with its urgency, or nil if it has no task to start.
+// jobToPlace returns a job with its urgency, or nil if it has no task that could be started. A held
+// job has none.
 func (c *Cell) jobToPlace(e *jobEntry, now time.Time) *jobToPlace {
-	if now.Before(e.retryAfter) {
+	if e.held || now.Before(e.retryAfter) {
 		return nil
 	}
 	waiting, begun := e.job.WaitingCPUTime()
--- a/sched/unstored.go
+++ b/sched/unstored.go
@@ -103,6 +103,17 @@
 	e.onPersisted = append(job.onPersisted, e.onPersisted...)
 	e.held, e.heldUntil = true, time.Now().Add(heldRetryDelay)
 	c.heldJobs[e] = true
+	c.dropPlannedRuns(e)
+}
+
+// dropPlannedRuns frees the hosts that a job's runs occupy which were not started yet.
+func (c *Cell) dropPlannedRuns(e *jobEntry) {
+	e.job.ForEachActive(func(taskID tasks.ID, _ *tasks.Task) {
+		if h, r := c.runOf(e, taskID); r != nil && r.state == runPlanned {
+			c.dropRun(h, r, "its job can't be stored")
+			c.abandonGangStart(r)
+		}
+	})
 }
 
 func sizeOf(writes [][]store.Record) int {
--- a/sched/unstored_test.go
+++ b/sched/unstored_test.go
@@ -190,6 +190,29 @@
 	}
 }
 
+// TestHeldJobOccupiesNoHost guards against hosts that are kept free for the waiting tasks of a job
+// whose records the store rejects: its runs can't be started, and other jobs wait behind them.
+func TestHeldJobOccupiesNoHost(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		rejecting := tc.useRejectingJournal(store.ErrTooLarge)
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		tc.mustSubmit(n, "odd", simplePlan(24, hostCPU/8))
+		time.Sleep(200 * time.Millisecond)
+		rejecting.Store(true)
+		time.Sleep(2 * time.Second)
+		tc.mustSubmit(n, "job", simplePlan(3, hostCPU/2))
+		time.Sleep(3 * time.Second)
+		tc.wantPhase(n, "job", tasks.Completed)
+		rejecting.Store(false)
+		time.Sleep(2 * heldRetryDelay)
+		tc.wantPhase(n, "odd", tasks.Completed)
+		if got, want := tc.checker.Starts(), 27; got != want {
+			t.Errorf("got %d starts, want %d", got, want)
+		}
+	})
+}
+
 // TestHeldJobCanBeCancelled guards against a job that nobody can get rid of because the store
 // rejects its records.
 func TestHeldJobCanBeCancelled(t *testing.T) {
