intake, sched: a moved queue is closed to nodes that lag behind

A client hands a job in at a node that knows that its queue was assigned to another service, and again at one that doesn't know yet; both answer 200, and its tasks run at both services.

Cause: before a submission a node asks the old service for the job, but nothing kept the old service from accepting it right after. That the owner knows the newer version is no more than likely: its reads of the configuration may be silent for up to 3 s while its other connections work. The list of queues that an owner gives to a node that has started bound that owner alone, not the next one.

Now the call that looks for the job names the version in which the queue moved. The owner stores it in a record of its own before it answers, and from then on it and all later owners refuse new jobs, and cancels in advance, from nodes that act on an older version: 503, not run. A list is stored likewise: an owner that lags behind it takes new jobs from nodes that know its version only. It costs one small record a queue and move, and one for a service and the version in which a node starts.

TestMovedQueueIsClosedToOlderNodes, TestListBindsLaterOwners and TestSubmissionClosesOldService fail without the check, the record and the version in the call, each tried by itself.

--- a/intake/discovery_test.go
+++ b/intake/discovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -152,6 +153,43 @@
 	}
 }
 
+// TestSubmissionClosesOldService guards against a job that a node which lags behind submits at the old
+// service after another has submitted or cancelled it: the old service must learn of the move
+// first, and of the same version until the queue moves again.
+func TestSubmissionClosesOldService(t *testing.T) {
+	h, _, client := newTestHandler(newTestConfig(1, "one"))
+	steps := []struct {
+		version int64
+		service string
+		method  string
+		old     string
+		want    int64
+	}{
+		{3, "two", "POST", "one", 3}, {5, "two", "POST", "one", 3}, {7, "two", "DELETE", "one", 3}, {8, "two", "GET", "one", 0},
+		{9, "one", "POST", "two", 9}, {10, "two", "POST", "one", 10},
+	}
+	for _, step := range steps {
+		config := newTestConfig(step.version, step.service)
+		h.LearnConfig(config, true)
+		h.config = &testConfigSource{config: config}
+		client.requests = nil
+		id := "00000000000000f" + strconv.FormatInt(step.version%10, 10)
+		send(h, step.method, "/x/"+id, "job")
+		asked := false
+		for _, request := range client.requests {
+			if request.Service == step.old {
+				asked = true
+				if got := request.MovedIn; got != step.want {
+					t.Errorf("got version %d of the move in a call for %s of version %d, want %d", got, step.method, step.version, step.want)
+				}
+			}
+		}
+		if !asked {
+			t.Errorf("got no call to service %s for %s of version %d, want one", step.old, step.method, step.version)
+		}
+	}
+}
+
 // TestStandbyServiceWithJobs guards against a job that is reported as unknown because the
 // service that holds it was put on standby.
 func TestStandbyServiceWithJobs(t *testing.T) {
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -194,13 +194,18 @@
 
 // callService calls the owner of a service.
 func (x *exchange) callService(service string, method owner.Method, plan tasks.Plan) owner.Response {
+	return x.call(method, x.ownerRequest(service, plan))
+}
+
+// call calls the owner of the service of a request.
+func (x *exchange) call(method owner.Method, request owner.Request) owner.Response {
 	timeout := x.codec.Timeout(x.r.Header)
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(time.Duration(float64(timeout)*ownerTimeoutFraction), maxOwnerTimeout))
 	defer cancel()
-	return x.client.Call(ctx, method, x.ownerRequest(service, plan))
+	return x.client.Call(ctx, method, request)
 }
 
 // ownerRequest returns the arguments of a call to the owner of a service.
@@ -260,7 +265,7 @@
 func (x *exchange) getStatus() {
 	response := x.callOwner(owner.MethodStatus, tasks.Plan{})
 	if response.Outcome == owner.UnknownJob {
-		_, response = x.findJob(x.otherServices())
+		_, response = x.findJob(x.otherServices(), 0)
 	}
 	if response.Outcome != owner.Done {
 		x.writeFailure(response.Outcome)
@@ -273,7 +278,10 @@
 func (x *exchange) cancel() {
 	service := x.queue.Policy.Service
 	if x.callOwner(owner.MethodStatus, tasks.Plan{}).Outcome == owner.UnknownJob {
-		other, response := x.findJob(x.otherServices())
+		other, response := x.findEarlier()
+		if other == "" && response.Outcome == owner.UnknownJob {
+			other, response = x.findJob(x.servicesWithoutJobs(), 0)
+		}
 		switch {
 		case other != "":
 			service = other
--- a/intake/history.go
+++ b/intake/history.go
@@ -16,8 +16,10 @@
 type serviceHistory struct {
 	mu     sync.Mutex
 	config *queue.Config
-	// services holds the services of each queue by its key, in order of first use.
+	// services holds the services of each queue by its key, in order of first use, and movedIn
+	// the version since which it is known to use the current one.
 	services map[string][]string
+	movedIn  map[string]int64
 	// settled holds the services whose owners have listed the queues that they hold jobs
 	// of, and unsettled the others that may hold jobs of a queue of another service.
 	settled   map[string]bool
@@ -44,6 +46,7 @@
 		h.settled = nil
 	}
 	if h.config == nil || config.Version >= h.config.Version {
+		h.recordMoves(config, complete)
 		h.config = config
 	}
 	for _, q := range config.Queues {
@@ -52,6 +55,31 @@
 	h.updateUnsettled()
 }
 
+// recordMoves records in which version queues were assigned to their services, at the latest, from a
+// configuration that is newer than the last one. h.mu must be held.
+func (h *serviceHistory) recordMoves(config *queue.Config, complete bool) {
+	if h.movedIn == nil {
+		h.movedIn = make(map[string]int64)
+	}
+	for _, q := range config.Queues {
+		var before *queue.Queue
+		if h.config != nil && complete {
+			before = h.config.Queue(q.Key())
+		}
+		if before == nil || before.Policy.Service != q.Policy.Service {
+			h.movedIn[q.Key()] = config.Version
+		}
+	}
+}
+
+// lastMove returns the version of the configuration in which a queue was assigned to its service,
+// at the latest.
+func (h *serviceHistory) lastMove(key string) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.movedIn[key]
+}
+
 // addService records that a queue has used a service. h.mu must be held.
 func (h *serviceHistory) addService(key, service string) {
 	if h.services == nil {
@@ -148,27 +176,39 @@
 	return services
 }
 
-// findEarlier looks for a job that is about to be submitted at the services that may have
-// accepted it before. Of those that have not listed their queues yet, the first that doesn't
-// answer is enough to refuse the job.
+// servicesWithoutJobs returns the services that findEarlier doesn't ask since they are not known to
+// hold jobs of the queue, except those on standby.
+func (x *exchange) servicesWithoutJobs() []string {
+	asked := x.jobServices()
+	return slices.DeleteFunc(x.otherServices(), func(service string) bool { return slices.Contains(asked, service) })
+}
+
+// findEarlier looks for a job that is about to be submitted, or cancelled in advance, at the services
+// that may have accepted it before, and makes them take no more jobs of the queue from nodes that
+// don't know yet that it has moved. Of those that have not listed their queues yet, the first that
+// doesn't answer is enough to refuse the job.
 func (x *exchange) findEarlier() (string, owner.Response) {
-	service, response := x.findJob(x.history.previous(x.queue.Key()))
+	movedIn := x.history.lastMove(x.queue.Key())
+	service, response := x.findJob(x.history.previous(x.queue.Key()), movedIn)
 	for _, other := range x.history.unsettledServices(x.queue.Policy.Service) {
 		if service != "" || response.Outcome != owner.UnknownJob {
 			break
 		}
-		service, response = x.findJob([]string{other})
+		service, response = x.findJob([]string{other}, movedIn)
 	}
 	return service, response
 }
 
 // findJob looks for the job at the given services and returns the one that has it, or
 // where it was cancelled before it was submitted, with outcome UnknownJob. If none has, the
-// outcome is UnknownJob, or another failure if some service could not be queried.
-func (x *exchange) findJob(services []string) (string, owner.Response) {
+// outcome is UnknownJob, or another failure if some service could not be queried. For movedIn see
+// owner.Request.
+func (x *exchange) findJob(services []string, movedIn int64) (string, owner.Response) {
 	last := owner.Response{Outcome: owner.UnknownJob}
 	for _, service := range services {
-		response := x.callService(service, owner.MethodStatus, tasks.Plan{})
+		request := x.ownerRequest(service, tasks.Plan{})
+		request.MovedIn = movedIn
+		response := x.call(owner.MethodStatus, request)
 		switch {
 		case response.Outcome == owner.Done, response.Status.PreCancelled:
 			return service, response
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -76,6 +76,10 @@
 	ConfigVersion int64
 	KeysRequired  bool
 	KeyHash       []byte
+	// MovedIn is set for Status if the job is about to be submitted, or cancelled in advance, at
+	// another service: the version of the configuration in which the queue was assigned to that
+	// one. The owner then takes no new jobs of the queue from nodes that act on an older one.
+	MovedIn int64
 	// Operator means that the call is an operator's, which needs no key.
 	Operator bool
 	// Timeout limits the call at the owner.
--- a/owner/service.go
+++ b/owner/service.go
@@ -90,6 +90,11 @@
 // Status returns the status of a job.
 func (s *Service) Status(request *Request, response *Response) error {
 	return s.withCaller(request, response, func(ctx context.Context, c *sched.Cell, caller sched.Caller) (err error) {
+		if request.MovedIn > 0 {
+			if err := c.RecordMove(ctx, request.Key.Queue, request.MovedIn); err != nil {
+				return err
+			}
+		}
 		response.Status, err = c.Status(ctx, caller, request.Key)
 		return err
 	})
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -226,6 +226,7 @@
 	activity     activity
 	replyTime    replyTime
 	quotas       quotas
+	moved        movedQueues
 	// startRepliedAt is when a host last replied to a start command.
 	startRepliedAt time.Duration
 
@@ -259,6 +260,7 @@
 		interference: interference{estimator: coloc.NewEstimator()},
 		kindTimes:    make(map[runKind]time.Duration),
 		speeds:       speed.New(),
+		moved:        newMovedQueues(),
 		writeWake:    make(chan struct{}, 1),
 		scheduleWake: make(chan struct{}, 1),
 		releasing:    make(chan struct{}),
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -62,6 +62,10 @@
 			definitions[record.Key[len(definitionPrefix):]] = record.Value
 		case record.Key == leasesKey:
 			c.loadLeases(record.Value)
+		case strings.HasPrefix(record.Key, movedPrefix):
+			if err := c.moved.load(record.Value); err != nil {
+				c.logger.Error(err, "cannot decode the record of a moved queue", "key", record.Key)
+			}
 		case strings.HasPrefix(record.Key, progressPrefix):
 			job, part := splitProgressKey(record.Key)
 			if part == "" {
--- a/sched/reassigned_test.go
+++ b/sched/reassigned_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,83 @@
 	})
 }
 
+// movedCluster runs a test with a cell whose nodes' configuration of version 1 has the queue at it,
+// and functions that submit a job and cancel one in advance on behalf of a node of some version.
+func movedCluster(t *testing.T, test func(tc *testCluster, config *atomic.Pointer[queue.Config], submit, cancel func(n *node, id string, version int64) error)) {
+	runCluster(t, 1, func(tc *testCluster) {
+		var config atomic.Pointer[queue.Config]
+		config.Store(configOf(1, testService))
+		tc.config = config.Load
+		submit := func(n *node, id string, version int64) error {
+			tc.plans.Store(id, simplePlan(1, 1000))
+			return n.cell.Submit(tc.ctx, Caller{ConfigVersion: version}, tasks.Key{Queue: testQueue, ID: id}, simplePlan(1, 1000), tc.policy)
+		}
+		cancel := func(n *node, id string, version int64) error {
+			return n.cell.Cancel(tc.ctx, Caller{ConfigVersion: version}, tasks.Key{Queue: testQueue, ID: id})
+		}
+		test(tc, &config, submit, cancel)
+	})
+}
+
+// TestMovedQueueIsClosedToOlderNodes guards against a job that runs at two services: after a node has
+// looked for it at the old one, a node that lags behind must not submit it there, whatever the
+// owners know of the configuration.
+func TestMovedQueueIsClosedToOlderNodes(t *testing.T) {
+	movedCluster(t, func(tc *testCluster, config *atomic.Pointer[queue.Config], submit, cancel func(*node, string, int64) error) {
+		check := func(what string, got, want error) {
+			t.Helper()
+			if !errors.Is(got, want) {
+				t.Errorf("got error %v of %s, want %v", got, what, want)
+			}
+		}
+		n := tc.claim("a")
+		check("a submission before", submit(n, "before", 1), nil)
+		check("the move", n.cell.RecordMove(tc.ctx, testQueue, 2), nil)
+		for i, name := range []string{"the owner", "the next owner"} {
+			id := name[:5] + name[len(name)-1:]
+			check("a submission of an older version at "+name, submit(n, id, 1), ErrReassigned)
+			check("a cancel in advance of an older version at "+name, cancel(n, id, 1), ErrReassigned)
+			check("a repeated submission at "+name, submit(n, "before", 1), nil)
+			check("a submission of the version of the move at "+name, submit(n, id, 2), nil)
+			tc.plans.Store(name, simplePlan(1, 1000))
+			key := tasks.Key{Queue: "another", ID: name}
+			check("a submission to another queue at "+name, n.cell.Submit(tc.ctx, Caller{ConfigVersion: 1}, key, simplePlan(1, 1000), tc.policy), nil)
+			if i == 0 {
+				n = tc.claim("b")
+			}
+		}
+		config.Store(configOf(3, testService))
+		check("a submission of an older version after the queue came back", submit(n, "back", 1), ErrReassigned)
+		check("a submission of the version before it came back", submit(n, "later", 2), nil)
+		n.stop()
+		<-n.done
+		check("a move at an owner that has stopped", n.cell.RecordMove(tc.ctx, testQueue, 3), ErrNotOwner)
+	})
+}
+
+// TestListBindsLaterOwners guards against an owner that lags behind the one that listed the queues
+// before it: it would take jobs of a queue from nodes that lag as well, though the list is final.
+func TestListBindsLaterOwners(t *testing.T) {
+	movedCluster(t, func(tc *testCluster, config *atomic.Pointer[queue.Config], submit, _ func(*node, string, int64) error) {
+		config.Store(configOf(2, "other"))
+		n := tc.claim("a")
+		if list, err := n.cell.Queues(tc.ctx); err != nil || list.ConfigVersion != 2 {
+			t.Fatalf("got %+v and error %v, want a list of version 2", list, err)
+		}
+		config.Store(configOf(1, testService))
+		n = tc.claim("b")
+		for version, want := range map[int64]error{1: ErrReassigned, 2: nil} {
+			if err := submit(n, fmt.Sprint("job", version), version); !errors.Is(err, want) {
+				t.Errorf("got error %v of a submission of version %d while the owner lags, want %v", err, version, want)
+			}
+		}
+		config.Store(configOf(3, testService))
+		if err := submit(n, "later", 1); err != nil {
+			t.Errorf("got error %v of a submission once the owner knows that the queue is its own, want none", err)
+		}
+	})
+}
+
 // TestQueuesOfCell checks that the list holds the queues of all jobs, ended and cancelled
 // ones included, at each owner, with the version of the configuration.
 func TestQueuesOfCell(t *testing.T) {
--- a/sched/unstored.go
+++ b/sched/unstored.go
@@ -91,7 +91,7 @@
 	c.options.Metrics.RejectedWrites.Inc()
 	e := job.entry
 	if e == nil || c.jobs[e.job.Key] != e {
-		c.logger.Error(err, "the store has rejected the deletion of records")
+		c.logger.Error(err, "the store has rejected records of no job", "bytes", sizeOf(job.writes))
 		return
 	}
 	c.logger.Error(err, "the store has rejected the records of a job", "job", e.job.Key.ID, "queue", e.job.Key.Queue, "accepted", e.persisted, "bytes", sizeOf(job.writes))
--- a/sched/write.go
+++ b/sched/write.go
@@ -84,7 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	confirmRequested := c.confirmRequestedAt > c.confirmedAt
-	return len(c.dirtyJobs) > 0 || len(c.onAllPersisted) > 0 || confirmRequested || c.options.Clock()-c.confirmedAt >= maxWriteInterval/2
+	return len(c.dirtyJobs) > 0 || len(c.onAllPersisted) > 0 || len(c.moved.unwritten) > 0 || confirmRequested || c.options.Clock()-c.confirmedAt >= maxWriteInterval/2
 }
 
 // isReleasing reports whether the cell is stopping and writes only once more.
@@ -107,6 +107,13 @@
 	if len(c.orphanKeys) > 0 {
 		b.jobs = append(b.jobs, c.takeOrphans())
 	}
+	if len(c.moved.unwritten) > 0 {
+		moved, err := c.moved.take()
+		if err != nil {
+			c.logger.Error(err, "cannot write the moved queues")
+		}
+		b.jobs = append(b.jobs, moved)
+	}
 	for len(c.dirtyJobs) > 0 && size < limit {
 		e := c.dirtyJobs[0]
 		c.dirtyJobs = c.dirtyJobs[1:]
