intake: a removed service is asked for jobs for 15 s only

What callers saw: 503 for every job of a queue, at every running node until it was started again, after the service that the queue had used was removed from the configuration.

Cause: a submission looks for the job at the services that its queue has used, and a removed one has no owner that could answer.

Now a service counts as gone 15 s after the node has learnt of its removal, when its owners have read that configuration and the leases of its hosts have run out. Until then the answer is 503, not run.

Evidence: TestRemovedServiceIsAskedForAWhile, before: 503 at any time.

--- a/intake/discovery_test.go
+++ b/intake/discovery_test.go
@@ -190,6 +190,28 @@
 	}
 }
 
+// TestRemovedServiceIsAskedForAWhile guards against jobs that are refused until the node is started
+// again because a service that their queue has used was removed, and against accepting them
+// while that service may still run them.
+func TestRemovedServiceIsAskedForAWhile(t *testing.T) {
+	for method, want := range map[string]int{"POST": 200, "DELETE": 410} {
+		synctest.Test(t, func(t *testing.T) {
+			h, source, client := newTestHandler(newTestConfig(1, "one"))
+			client.setOutcomes(map[string]owner.Outcome{"one": owner.NotOwner})
+			source.config = queue.NewConfig(2, newTestConfig(2, "two").Queues, []queue.Service{{Name: "two"}}, queue.Limits{})
+			h.LearnConfig(source.config, true)
+			time.Sleep(removedTime)
+			if got := send(h, method, "/x/"+testID, "job").Code; got != 503 {
+				t.Errorf("got status %d for %s while the removed service may run jobs, want 503", got, method)
+			}
+			time.Sleep(time.Second)
+			if got := send(h, method, "/x/"+testID, "job").Code; got != want {
+				t.Errorf("got status %d for %s once it runs none, want %d", got, method, want)
+			}
+		})
+	}
+}
+
 // TestStandbyServiceWithJobs guards against a job that is reported as unknown because the
 // service that holds it was put on standby.
 func TestStandbyServiceWithJobs(t *testing.T) {
--- a/intake/history.go
+++ b/intake/history.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"rattanpath/core"
 	"rattanpath/owner"
@@ -11,6 +12,10 @@
 	"rattanpath/tasks"
 )
 
+// removedTime is for how long after its removal from the configuration a service may still run jobs:
+// until its owners have read that configuration, and the leases of their hosts have expired.
+const removedTime = 15 * time.Second
+
 // serviceHistory records the services that each queue has used. When a queue moves
 // to another service, its existing jobs stay with the cell that accepted them.
 type serviceHistory struct {
@@ -20,6 +25,8 @@
 	// the version since which it is known to use the current one.
 	services map[string][]string
 	movedIn  map[string]int64
+	// removedAt holds when services were found to be missing from the configuration.
+	removedAt map[string]time.Time
 	// settled holds the services whose owners have listed the queues that they hold jobs
 	// of, and unsettled the others that may hold jobs of a queue of another service.
 	settled   map[string]bool
@@ -48,6 +55,7 @@
 	if h.config == nil || config.Version >= h.config.Version {
 		h.recordMoves(config, complete)
 		h.config = config
+		h.recordRemoved(time.Now())
 	}
 	for _, q := range config.Queues {
 		h.addService(q.Key(), q.Policy.Service)
@@ -72,6 +80,30 @@
 	}
 }
 
+// recordRemoved records which services the newest configuration lacks. h.mu must be held.
+func (h *serviceHistory) recordRemoved(now time.Time) {
+	removedAt := make(map[string]time.Time)
+	for _, services := range h.services {
+		for _, service := range services {
+			if _, exists := h.config.Service(service); exists {
+				continue
+			}
+			removedAt[service] = now
+			if before, known := h.removedAt[service]; known {
+				removedAt[service] = before
+			}
+		}
+	}
+	h.removedAt = removedAt
+}
+
+// isGone reports whether a service was removed so long ago that it runs no job any more. It has no
+// owner to ask. h.mu must be held.
+func (h *serviceHistory) isGone(service string) bool {
+	at, removed := h.removedAt[service]
+	return removed && time.Since(at) > removedTime
+}
+
 // lastMove returns the version of the configuration in which a queue was assigned to its service,
 // at the latest.
 func (h *serviceHistory) lastMove(key string) int64 {
@@ -135,7 +167,7 @@
 	return slices.DeleteFunc(slices.Clone(h.unsettled), func(service string) bool { return service == current })
 }
 
-// previous returns the services that a queue used before its current one.
+// previous returns the services that a queue used before its current one, except those that are gone.
 func (h *serviceHistory) previous(key string) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -144,7 +176,7 @@
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(services), func(service string) bool {
-		return slices.ContainsFunc(h.config.Queues, func(q *queue.Queue) bool {
+		return h.isGone(service) || slices.ContainsFunc(h.config.Queues, func(q *queue.Queue) bool {
 			return q.Key() == key && q.Policy.Service == service
 		})
 	})
