alloc, infra: a pool grows for waiting tasks that request no CPU

What callers saw: jobs that wait although machines are idle in other pools or on standby, if their tasks request GPUs alone, or nothing, and all hosts of the pool are in use; and maintenance that takes a machine from such a pool as from one with hosts to spare.

Now an owner reports how many tasks wait, apart from best-effort ones, which use what is left. The planner counts GPUs as it does CPU and memory, and gives a pool without an idle host one more. Pools whose tasks request CPU are planned as before.

Evidence: TestPoolGrowsForTasksWithoutCPU, before: no move for GPUs and for nothing; TestWaitingTasksWithoutCPUAreReported fails without the number.

--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -38,6 +38,9 @@
 	Used    tasks.Resources
 	Serving tasks.Resources
 	Waiting tasks.Resources
+	// IsShort means that ready tasks other than best-effort ones have no host. They may
+	// request nothing of what Waiting counts.
+	IsShort bool
 	// ArrivalCPU is the processor time that new jobs request per second.
 	// ForecastCPU is what tasks other than serving ones will need once a
 	// machine has moved.
@@ -63,16 +66,19 @@
 // RequiredHosts returns how many hosts of the given capacity a pool should
 // have.
 func RequiredHosts(pool Pool, capacity tasks.Resources) int {
-	if capacity.CPU <= 0 {
-		return pool.MinHosts
+	required := pool.MinHosts
+	if capacity.CPU > 0 {
+		expected := pool.Serving.CPU + max(pool.ArrivalCPU, pool.ForecastCPU)
+		current := pool.Used.CPU + expectedBacklog(pool.Waiting.CPU)
+		required = max(required, hostsForDemand(max(expected, current), capacity.CPU))
 	}
-	expected := pool.Serving.CPU + max(pool.ArrivalCPU, pool.ForecastCPU)
-	current := pool.Used.CPU + expectedBacklog(pool.Waiting.CPU)
-	required := max(pool.MinHosts, hostsForDemand(max(expected, current), capacity.CPU))
 	if capacity.MemMB > 0 {
 		required = max(required, hostsForDemand(pool.Used.MemMB+expectedBacklog(pool.Waiting.MemMB), capacity.MemMB))
 	}
-	if pool.Waiting.CPU > 0 && pool.idleCount() == 0 {
+	if capacity.GPU > 0 {
+		required = max(required, hostsForDemand(pool.Used.GPU+expectedBacklog(pool.Waiting.GPU), capacity.GPU))
+	}
+	if (pool.IsShort || pool.Waiting.CPU > 0) && pool.idleCount() == 0 {
 		// A waiting task may fit on no single host although the total capacity
 		// suffices.
 		required = max(required, len(pool.Hosts)+1)
--- a/alloc/plan_test.go
+++ b/alloc/plan_test.go
@@ -69,6 +69,36 @@
 	}
 }
 
+// TestPoolGrowsForTasksWithoutCPU guards against a full pool that gets no machine because its waiting
+// tasks request no CPU: a GPU, memory, or nothing that is counted.
+func TestPoolGrowsForTasksWithoutCPU(t *testing.T) {
+	tests := map[string]struct {
+		capacity      tasks.Resources
+		used, waiting tasks.Resources
+		isShort       bool
+		want          int
+	}{
+		"GPUs":                      {tasks.Resources{CPU: testCPU, GPU: 4}, tasks.Resources{GPU: 8}, tasks.Resources{GPU: 16}, true, 3},
+		"GPUs of hosts without CPU": {tasks.Resources{GPU: 4}, tasks.Resources{GPU: 8}, tasks.Resources{GPU: 16}, true, 3},
+		"memory":                    {tasks.Resources{MemMB: testMem}, tasks.Resources{MemMB: 2 * testMem}, tasks.Resources{MemMB: 4 * testMem}, true, 3},
+		"nothing":                   {tasks.Resources{CPU: testCPU}, tasks.Resources{}, tasks.Resources{}, true, 1},
+		"no tasks":                  {tasks.Resources{CPU: testCPU}, tasks.Resources{}, tasks.Resources{}, false, 0},
+	}
+	for name, test := range tests {
+		short, spare := testPool("short", 2, 0), testPool("spare", 8, 8)
+		spare.Standby = true
+		short.Used, short.Waiting, short.IsShort = test.used, test.waiting, test.isShort
+		for _, pool := range []Pool{short, spare} {
+			for i := range pool.Hosts {
+				pool.Hosts[i].Capacity = test.capacity
+			}
+		}
+		if got := len(Plan([]Pool{short, spare}, 10)); got != test.want {
+			t.Errorf("%s: got %d machines moved, want %d", name, got, test.want)
+		}
+	}
+}
+
 // TestShrunkenPoolGrows checks that a pool whose hosts have shrunk to a quarter, and are
 // full, gets a machine for its waiting tasks: by the capacity of its machines it would
 // have enough.
--- a/infra/maintenance.go
+++ b/infra/maintenance.go
@@ -161,7 +161,7 @@
 	h, known := p.hosts[m.Host]
 	c.Idle = !known || h.Idle()
 	c.Evicting = h.Cordoned
-	c.PoolSaturated = p.report.Waiting.CPU > 0
+	c.PoolSaturated = p.report.IsShort()
 	return c
 }
 
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -39,6 +39,7 @@
 		if p := t.pools[service.Name]; p != nil {
 			input.Serving = p.report.Serving
 			input.Waiting = p.report.Waiting
+			input.IsShort = p.report.IsShort()
 			input.ArrivalCPU = int64(p.arrivalRate)
 			input.ForecastCPU = int64(p.forecastDemand())
 			input.MinHosts = p.report.Apart + spareHosts
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -50,8 +50,10 @@
 	Hosts   []HostReport
 	// Serving is the sum of the resources of serving tasks.
 	Serving tasks.Resources
-	// Waiting is the sum of the resources of ready tasks without a host.
-	Waiting tasks.Resources
+	// Waiting is the sum of the resources of ready tasks without a host, and WaitingTasks the
+	// number of those that aren't best-effort. Owners of older versions report only the sum.
+	Waiting      tasks.Resources
+	WaitingTasks int
 	// Arrived is the CPU time requested by jobs submitted since the cell was
 	// claimed, in millicore-milliseconds.
 	Arrived int64
@@ -62,6 +64,10 @@
 	Quota *QuotaReport
 }
 
+// IsShort reports whether ready tasks other than best-effort ones have no host, whatever they
+// request.
+func (r *Report) IsShort() bool { return r.WaitingTasks > 0 || r.Waiting.CPU > 0 }
+
 // Report returns the state of the pool.
 func (c *Cell) Report() (Report, error) {
 	c.mu.Lock()
@@ -131,9 +137,11 @@
 			if !job.DependenciesDone(round, step) {
 				continue
 			}
-			for range round.Waiting(step) {
-				report.Waiting = report.Waiting.Add(spec.RequiredResources())
+			count := round.Waiting(step)
+			if !spec.Fills {
+				report.WaitingTasks += count
 			}
+			report.Waiting = report.Waiting.Add(multiply(spec.RequiredResources(), int64(count)))
 		}
 	}
 }
--- a/sched/nocpu_test.go
+++ b/sched/nocpu_test.go
@@ -29,6 +29,28 @@
 	})
 }
 
+// Guards against a pool that gets no machines, and is taken for one with hosts to spare, while tasks
+// that request no CPU wait. Best-effort tasks use what is left and aren't counted.
+func TestWaitingTasksWithoutCPUAreReported(t *testing.T) {
+	for name, step := range map[string]tasks.Step{
+		"GPU":         {Room: tasks.Resources{GPU: 1}},
+		"nothing":     {Label: "none"},
+		"best-effort": {Label: "none", Fills: true, Room: tasks.Resources{MemMB: 10}},
+	} {
+		runCluster(t, 2, func(tc *testCluster) {
+			n := tc.claim("a")
+			time.Sleep(100 * time.Millisecond)
+			step.Count = 3
+			tc.mustSubmit(n, "job", tasks.Plan{Steps: []tasks.Step{step}})
+			time.Sleep(time.Second)
+			report, err := n.cell.Report()
+			if want := name != "best-effort"; err != nil || report.IsShort() != want {
+				t.Errorf("%s: got %d waiting tasks and error %v, want the pool short of hosts: %t", name, report.WaitingTasks, err, want)
+			}
+		})
+	}
+}
+
 // Guards against a host that is given any number of tasks because nothing that they request
 // runs out.
 func TestTasksWithoutCPUAreBoundedPerHost(t *testing.T) {
