place, sched: the bound on tasks without CPU holds up no whole job

Now the first task of a job, and each serving task, counts against a bound of 2,000. The bound stays: each task is a process, and an entry of each report.

Evidence: TestJobWithoutCPUIsNotHeldUpByOthers, before: the job open after 6 s and no run of the serving tasks; now both run, and the rest of the large job still waits.

--- a/place/pick.go
+++ b/place/pick.go
@@ -42,9 +42,14 @@
 // the run may be the cause.
 const FreshTime = 500 * time.Millisecond
 
-// MaxTasksWithoutCPU is how many tasks that request no CPU a host gets. Nothing that they
-// request need ever run out, but each of them is a process, and an entry of each report.
-const MaxTasksWithoutCPU = 1000
+const (
+	// MaxTasksWithoutCPU is how many tasks that request no CPU a host gets. Nothing that they
+	// request need ever run out, but each of them is a process, and an entry of each report.
+	MaxTasksWithoutCPU = 1000
+	// MaxUrgentWithoutCPU is the same for serving tasks, and for the first task of a job: a job
+	// must not stand still behind others while hosts have room for it.
+	MaxUrgentWithoutCPU = 2 * MaxTasksWithoutCPU
+)
 
 // Requirements describes what a task requires of its host.
 type Requirements struct {
@@ -59,6 +64,8 @@
 	AllowedHosts map[string]bool
 	// MayProbe means that the task is short enough to be run on a slow host as a probe.
 	MayProbe bool
+	// FirstOfJob means that no other task of the job runs.
+	FirstOfJob bool
 	// Isolated means that a host has crashed under the task: it is not to be started beside
 	// fresh runs, nor others beside it while it is fresh.
 	Isolated bool
@@ -126,7 +133,7 @@
 		return NoLabel
 	case req.AllowedHosts != nil && !req.AllowedHosts[host.ID]:
 		return NotAllowed
-	case requestsNoCPU(step) && host.TasksWithoutCPU >= MaxTasksWithoutCPU:
+	case requestsNoCPU(step) && host.TasksWithoutCPU >= req.maxWithoutCPU():
 		return TooManyWithoutCPU
 	case step.MaxPerHost > 0 && req.SiblingsByHost[host.ID] >= step.MaxPerHost:
 		return TooManySiblings
@@ -138,6 +145,14 @@
 	return NoObstacle
 }
 
+// maxWithoutCPU returns how many tasks that request no CPU a host may have before it gets one more.
+func (req *Requirements) maxWithoutCPU() int {
+	if req.FirstOfJob || req.Step.Lasting && !req.Step.Fills {
+		return MaxUrgentWithoutCPU
+	}
+	return MaxTasksWithoutCPU
+}
+
 // CostParts are the costs of running a task on a feasible host that Cost sums.
 type CostParts struct {
 	// IdleCPU ranks hosts by the CPU that stays free.
--- a/sched/nocpu_test.go
+++ b/sched/nocpu_test.go
@@ -74,3 +74,31 @@
 		tc.wantPhase(n, "job", tasks.Completed)
 	})
 }
+
+// Guards against a job that has nothing running, or a serving task without a run, because other
+// tasks that request no CPU are as many on each host as they may be.
+func TestJobWithoutCPUIsNotHeldUpByOthers(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		tc.profileOf = func(id tasks.ID, _ int) fake.RunProfile {
+			if id.Job == "job" {
+				return fake.RunProfile{Duration: time.Second}
+			}
+			return fake.RunProfile{Duration: time.Minute}
+		}
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		many := simplePlan(place.MaxTasksWithoutCPU+10, 0)
+		many.Steps[0].Room, many.Steps[0].Estimate = tasks.Resources{}, time.Minute
+		tc.mustSubmit(n, "many", many)
+		time.Sleep(4500 * time.Millisecond)
+		tc.mustSubmit(n, "job", simplePlan(3, 0))
+		serving := simplePlan(2, 0)
+		serving.Steps[0].Lasting = true
+		tc.mustSubmit(n, "serving", serving)
+		time.Sleep(6 * time.Second)
+		tc.wantPhase(n, "job", tasks.Completed)
+		if got, want := tc.checker.Starts(), place.MaxTasksWithoutCPU+5; got != want {
+			t.Errorf("got %d starts, want %d", got, want)
+		}
+	})
+}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -80,7 +80,7 @@
 		case heldByShare:
 			return
 		}
-		picked := place.Pick(reqs, p.hosts)
+		picked := p.pick(e, reqs)
 		switch {
 		case picked != nil:
 			picked.Place(reqs)
@@ -94,6 +94,16 @@
 	}
 }
 
+// pick returns the host for a task of a job, or nil.
+func (p *schedulePass) pick(e *jobEntry, reqs place.Requirements) *place.Host {
+	picked := place.Pick(reqs, p.hosts)
+	if picked != nil || reqs.Step.Room.CPU > 0 || p.cell.hasActiveTasks(e) {
+		return picked
+	}
+	reqs.FirstOfJob = true
+	return place.Pick(reqs, p.hosts)
+}
+
 // heldBy returns why a unit of tasks isn't started although hosts may have room, or "".
 func (p *schedulePass) heldBy(e *jobEntry, reqs place.Requirements, unit int) string {
 	switch {
