sched: a huge estimate is the same on all processors

A job whose estRuntimeMs is years, in a queue with a large stretch, counts as late from its start.

Cause: a multiple of the estimate doesn't fit into a time.Duration. The result of that conversion is the largest value on arm64 and the smallest on x86-64, and adding the target to the largest wraps.

Evidence: TestHugeEstimateIsNotLate, without the limit: late on arm64, too.

--- a/sched/cell_test.go
+++ b/sched/cell_test.go
@@ -457,3 +457,19 @@
 		}
 	})
 }
+
+// TestHugeEstimateIsNotLate guards against a job that is late from the start, on some processors or on
+// all, because a multiple of its estimate is no time.Duration any more.
+func TestHugeEstimateIsNotLate(t *testing.T) {
+	now := time.Now()
+	for _, ratio := range []float64{0, maxStepRatio} {
+		c := newCell(Options{})
+		c.stepRatios[testQueue] = ratio
+		plan := tasks.Plan{Steps: []tasks.Step{{Count: 1, Estimate: maxScaledTime / 16}}}
+		policy := tasks.Policy{Stretch: 100, Target: maxScaledTime}
+		e := &jobEntry{job: tasks.NewJob(tasks.Key{Queue: testQueue, ID: "job"}, plan, policy, now)}
+		if urgency := c.urgency(e, now); urgency.Late || urgency.LatestStart.Before(now) {
+			t.Errorf("got late %t and the latest start %v with ratio %v, want it in the future", urgency.Late, urgency.LatestStart, ratio)
+		}
+	}
+}
--- a/sched/runtimes.go
+++ b/sched/runtimes.go
@@ -66,5 +66,14 @@
 	if ratio == 0 {
 		return total, remaining
 	}
-	return time.Duration(ratio * float64(total)), time.Duration(ratio * float64(remaining))
+	return scaleTime(total, ratio), scaleTime(remaining, ratio)
+}
+
+// maxScaledTime limits what callers' estimates amount to. The sum of two is still a time.Duration.
+const maxScaledTime = 100 * 365 * 24 * time.Hour
+
+// scaleTime returns a multiple of a time, at most maxScaledTime: what a float64 becomes that is too
+// large for a time.Duration depends on the processor.
+func scaleTime(d time.Duration, factor float64) time.Duration {
+	return time.Duration(min(factor*float64(d), float64(maxScaledTime)))
 }
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -165,7 +165,7 @@
 		start = e.job.DueTime(e.job.Rounds[0].Number)
 	}
 	total, remaining := c.criticalPath(e)
-	objective := time.Duration(e.job.Policy.Stretch*float64(total)) + e.job.Policy.Target
+	objective := scaleTime(total, e.job.Policy.Stretch) + e.job.Policy.Target
 	latestStart := start.Add(objective - remaining)
 	return place.Urgency{
 		Priority:    e.job.Policy.Priority,
