sched: an image's tasks are ordered by kind as well

Views of interference, and the loads given to the estimator, were in the order of a map where one image has best-effort tasks and others. TestKindsOfOneImageAreOrdered compares all pairs.

--- a/sched/interference.go
+++ b/sched/interference.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rattanpath/coloc"
+	"rattanpath/core"
 	"rattanpath/pace"
 	"rattanpath/place"
 	"rattanpath/tasks"
@@ -31,6 +32,11 @@
 	updatedAt time.Duration
 }
 
+// compareKinds orders kinds of tasks by image.
+func compareKinds(a, b coloc.Kind) int {
+	return cmp.Or(cmp.Compare(a.Image, b.Image), core.CompareBools(a.BestEffort, b.BestEffort))
+}
+
 // isReadyWithTarget reports whether the run is a serving task that is ready and has a limit
 // for its response time.
 func (r *run) isReadyWithTarget() bool {
@@ -114,7 +120,7 @@
 			others = append(others, coloc.Load{Kind: kind, Activity: activity})
 		}
 	}
-	slices.SortFunc(others, func(a, b coloc.Load) int { return cmp.Compare(a.Kind.Image, b.Kind.Image) })
+	slices.SortFunc(others, func(a, b coloc.Load) int { return compareKinds(a.Kind, b.Kind) })
 	tail := r.load * float64(time.Millisecond) / float64(step.Target)
 	c.interference.estimator.Observe(now, step.Image, tail, others)
 }
@@ -160,7 +166,7 @@
 		})
 	}
 	slices.SortFunc(all, func(a, b views.Interference) int {
-		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Image, b.Image))
+		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Image, b.Image), core.CompareBools(a.BestEffort, b.BestEffort))
 	})
 	return all
 }
--- a/sched/interference_test.go
+++ b/sched/interference_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"rattanpath/coloc"
 	"rattanpath/fake"
 	"rattanpath/lease"
 	"rattanpath/pool"
@@ -268,3 +270,16 @@
 		}
 	})
 }
+
+// TestKindsOfOneImageAreOrdered guards against a view, and an estimate, that depend on the order of a
+// map where an image has both best-effort tasks and others.
+func TestKindsOfOneImageAreOrdered(t *testing.T) {
+	ordered := []coloc.Kind{{Image: "a"}, {Image: "a", BestEffort: true}, {Image: "b"}, {Image: "b", BestEffort: true}}
+	for i, a := range ordered {
+		for k, b := range ordered {
+			if got, want := compareKinds(a, b), cmp.Compare(i, k); got != want {
+				t.Errorf("got %d for %+v and %+v, want %d", got, a, b, want)
+			}
+		}
+	}
+}
