--- a/engine/admin.go
+++ b/engine/admin.go
@@ -124,31 +124,28 @@
 }
 
 func (s *adminServer) serveJobs(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), adminTimeout)
-	defer cancel()
-	all := []views.Job{}
-	for _, service := range s.requestedServices(r) {
-		jobs, err := s.client.Jobs(ctx, service)
-		if err != nil {
-			s.writeError(w, http.StatusServiceUnavailable, errors.WithMessagef(err, "service %s", service))
-			return
-		}
-		all = append(all, jobs...)
-	}
-	s.server.WriteJSON(w, all)
+	serveAll(s, w, r, s.client.Jobs)
 }
 
 func (s *adminServer) servePools(w http.ResponseWriter, r *http.Request) {
+	serveAll(s, w, r, func(ctx context.Context, service string) ([]views.Pool, error) {
+		p, err := s.client.Pool(ctx, service)
+		return []views.Pool{p}, err
+	})
+}
+
+// serveAll shows what the owners of the requested services list, or the first error.
+func serveAll[View any](s *adminServer, w http.ResponseWriter, r *http.Request, list func(ctx context.Context, service string) ([]View, error)) {
 	ctx, cancel := context.WithTimeout(r.Context(), adminTimeout)
 	defer cancel()
-	all := []views.Pool{}
+	all := []View{}
 	for _, service := range s.requestedServices(r) {
-		p, err := s.client.Pool(ctx, service)
+		listed, err := list(ctx, service)
 		if err != nil {
 			s.writeError(w, http.StatusServiceUnavailable, errors.WithMessagef(err, "service %s", service))
 			return
 		}
-		all = append(all, p)
+		all = append(all, listed...)
 	}
 	s.server.WriteJSON(w, all)
 }
