sched: the test of a large job fails if any of its records is too large

TestLargeJobDoesNotStallItsService passed with the parts left out: the job was held, its rounds ended in memory, and a record small enough came within the 60 s. Now a write rejected for its size fails it: 2 of them with the parts left out, none with them.

--- a/sched/large_test.go
+++ b/sched/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -25,10 +26,26 @@
 	return plan
 }
 
+// oversizedJournal counts the writes that the store rejects for their size.
+type oversizedJournal struct {
+	claim.Journal
+	count *atomic.Int64
+}
+
+func (j oversizedJournal) Append(ctx context.Context, write store.Write) (int64, error) {
+	offset, err := j.Journal.Append(ctx, write)
+	if errors.Is(err, store.ErrTooLarge) {
+		j.count.Add(1)
+	}
+	return offset, err
+}
+
 // TestLargeJobDoesNotStallItsService guards against a job whose progress outgrows a record of
 // the store: its write was repeated for ever, and nothing else of the service was written.
 func TestLargeJobDoesNotStallItsService(t *testing.T) {
 	runCluster(t, 8, func(tc *testCluster) {
+		var oversized atomic.Int64
+		tc.wrapJournal = func(journal claim.Journal) claim.Journal { return oversizedJournal{journal, &oversized} }
 		tc.store.SetLimits(testLimits)
 		tc.profileOf = func(taskID tasks.ID, _ int) fake.RunProfile {
 			if taskID.Job == "large" {
@@ -51,6 +68,9 @@
 		time.Sleep(40 * time.Second)
 		tc.wantPhase(n, "large", tasks.Completed)
 		tc.wantPhase(n, "job4", tasks.Completed)
+		if got := oversized.Load(); got != 0 {
+			t.Errorf("got %d writes rejected for their size, want none", got)
+		}
 	})
 }
 
