--- a/sched/reassigned.go
+++ b/sched/reassigned.go
@@ -16,7 +16,8 @@
 const (
 	// movedPrefix begins the keys of the records of moved queues.
 	movedPrefix = "m/"
-	// allQueues stands for the queues that a list of Queues doesn't hold.
+	// allQueues stands in the place of a queue for a version that holds for all of them: the newest
+	// of which Queues has given a list.
 	allQueues = ""
 )
 
@@ -25,8 +26,8 @@
 // on an older one don't know which jobs the other service may have accepted.
 type movedQueues struct {
 	versions map[string]int64
-	// stored holds the versions that are persisted, and unwritten is called once those of
-	// these queues are.
+	// stored holds the versions that are persisted, and unwritten what to call once those of
+	// other queues are.
 	stored    map[string]int64
 	unwritten map[string][]func()
 }
