queue, intake: a queue is found by its key in an index

What callers saw: requests that wait at a node while it learns a configuration with many routes. The record of moved queues compared each queue with the one of the same key in the last version, and Config.Queue walked all queues, building each key anew, for each of them; requests wait for the lock that is held meanwhile. The owner's check of a lagging node's job walked them, too.

Now a configuration has an index by key, as it has by host; the first of two equal keys wins, as before.

--- a/intake/discovery_test.go
+++ b/intake/discovery_test.go
@@ -190,6 +190,27 @@
 	}
 }
 
+// TestManyQueuesAreLearnedInLinearTime guards against a node that answers no request while it compares
+// each queue of a large configuration with all of the one before: requests wait for the comparison.
+func TestManyQueuesAreLearnedInLinearTime(t *testing.T) {
+	const count = 1000
+	var queues []*queue.Queue
+	for i := range count {
+		// A key this long is allocated each time that it is built.
+		prefix := "/a-prefix-of-more-than-32-bytes/" + strconv.Itoa(i) + "/"
+		queues = append(queues, &queue.Queue{Host: "a.example", Prefix: prefix, Policy: tasks.Policy{Service: "one"}})
+	}
+	var h serviceHistory
+	version := int64(0)
+	got := testing.AllocsPerRun(3, func() {
+		version++
+		h.update(queue.NewConfig(version, queues, []queue.Service{{Name: "one"}, {Name: "two"}}, queue.Limits{}), true)
+	})
+	if want := 10.0 * count; got > want {
+		t.Errorf("got %.0f allocations for %d queues, want at most %.0f", got, count, want)
+	}
+}
+
 // TestRemovedServiceIsAskedForAWhile guards against jobs that are refused until the node is started
 // again because a service that their queue has used was removed, and against accepting them
 // while that service may still run them.
--- a/queue/config.go
+++ b/queue/config.go
@@ -53,16 +53,21 @@
 	Organisations []Organisation
 
 	byHost map[string][]*Queue
+	// queues holds the queues by key.
+	queues map[string]*Queue
 	byName map[string]*Organisation
 	byKey  map[KeyHash]*Organisation
 }
 
 // NewConfig returns a configuration whose services are sorted by name.
 func NewConfig(version int64, queues []*Queue, services []Service, limits Limits) *Config {
-	c := &Config{Version: version, Queues: queues, Services: services, Limits: limits, byHost: make(map[string][]*Queue)}
+	c := &Config{Version: version, Queues: queues, Services: services, Limits: limits, byHost: make(map[string][]*Queue), queues: make(map[string]*Queue, len(queues))}
 	slices.SortFunc(c.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
 	for _, q := range queues {
 		c.byHost[q.Host] = append(c.byHost[q.Host], q)
+		if key := q.Key(); c.queues[key] == nil {
+			c.queues[key] = q
+		}
 	}
 	for _, list := range c.byHost {
 		slices.SortFunc(list, func(a, b *Queue) int { return len(b.Prefix) - len(a.Prefix) })
@@ -82,14 +87,7 @@
 }
 
 // Queue returns the queue with a key, or nil.
-func (c *Config) Queue(key string) *Queue {
-	for _, q := range c.Queues {
-		if q.Key() == key {
-			return q
-		}
-	}
-	return nil
-}
+func (c *Config) Queue(key string) *Queue { return c.queues[key] }
 
 // Service returns the service with a name and whether it exists.
 func (c *Config) Service(name string) (Service, bool) {
