sched: the tests of moved queues share their scene

TestNewJobsOfReassignedQueue had its own copy of what movedCluster does, and two tests the same check. All expectations are kept; leaving out the check of the version still fails the tests.

--- a/sched/reassigned_test.go
+++ b/sched/reassigned_test.go
@@ -19,41 +19,6 @@
 	return queue.NewConfig(version, []*queue.Queue{q}, []queue.Service{{Name: testService}, {Name: "other"}}, queue.Limits{})
 }
 
-// TestNewJobsOfReassignedQueue guards against jobs that the owner of the old service accepts
-// after another node has learnt which queues it holds jobs of: they would run at both.
-func TestNewJobsOfReassignedQueue(t *testing.T) {
-	runCluster(t, 1, func(tc *testCluster) {
-		var config atomic.Pointer[queue.Config]
-		config.Store(configOf(1, testService))
-		tc.config = config.Load
-		n := tc.claim("a")
-		submit := func(id string, version int64) error {
-			tc.plans.Store(id, simplePlan(1, 1000))
-			return n.cell.Submit(tc.ctx, Caller{ConfigVersion: version}, tasks.Key{Queue: testQueue, ID: id}, simplePlan(1, 1000), tc.policy)
-		}
-		cancel := func(id string, version int64) error {
-			return n.cell.Cancel(tc.ctx, Caller{ConfigVersion: version}, tasks.Key{Queue: testQueue, ID: id})
-		}
-		check := func(what string, got, want error) {
-			t.Helper()
-			if !errors.Is(got, want) {
-				t.Errorf("got error %v of %s, want %v", got, what, want)
-			}
-		}
-		check("a submission before", submit("before", 1), nil)
-		config.Store(configOf(2, "other"))
-		check("a repeated submission", submit("before", 1), nil)
-		check("a submission by a node that lags behind", submit("lagging", 1), ErrReassigned)
-		check("a submission by a node of unknown version", submit("older", 0), ErrReassigned)
-		check("a cancel in advance by a node that lags behind", cancel("lagging", 1), ErrReassigned)
-		check("a submission of the same version", submit("same", 2), nil)
-		check("a submission of a newer version", submit("newer", 3), nil)
-		check("a cancel of a job", cancel("before", 1), nil)
-		config.Store(configOf(3, testService))
-		check("a submission after the queue came back", submit("back", 2), nil)
-	})
-}
-
 // movedCluster runs a test with a cell whose nodes' configuration of version 1 has the queue at it,
 // and functions that submit a job and cancel one in advance on behalf of a node of some version.
 func movedCluster(t *testing.T, test func(tc *testCluster, config *atomic.Pointer[queue.Config], submit, cancel func(n *node, id string, version int64) error)) {
@@ -72,39 +37,59 @@
 	})
 }
 
+func wantError(t *testing.T, what string, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Errorf("got error %v of %s, want %v", got, what, want)
+	}
+}
+
+// TestNewJobsOfReassignedQueue guards against jobs that the owner of the old service accepts
+// after another node has learnt which queues it holds jobs of: they would run at both.
+func TestNewJobsOfReassignedQueue(t *testing.T) {
+	movedCluster(t, func(tc *testCluster, config *atomic.Pointer[queue.Config], submit, cancel func(*node, string, int64) error) {
+		n := tc.claim("a")
+		wantError(t, "a submission before", submit(n, "before", 1), nil)
+		config.Store(configOf(2, "other"))
+		wantError(t, "a repeated submission", submit(n, "before", 1), nil)
+		wantError(t, "a submission by a node that lags behind", submit(n, "lagging", 1), ErrReassigned)
+		wantError(t, "a submission by a node of unknown version", submit(n, "older", 0), ErrReassigned)
+		wantError(t, "a cancel in advance by a node that lags behind", cancel(n, "lagging", 1), ErrReassigned)
+		wantError(t, "a submission of the same version", submit(n, "same", 2), nil)
+		wantError(t, "a submission of a newer version", submit(n, "newer", 3), nil)
+		wantError(t, "a cancel of a job", cancel(n, "before", 1), nil)
+		config.Store(configOf(3, testService))
+		wantError(t, "a submission after the queue came back", submit(n, "back", 2), nil)
+	})
+}
+
 // TestMovedQueueIsClosedToOlderNodes guards against a job that runs at two services: after a node has
 // looked for it at the old one, a node that lags behind must not submit it there, whatever the
 // owners know of the configuration.
 func TestMovedQueueIsClosedToOlderNodes(t *testing.T) {
 	movedCluster(t, func(tc *testCluster, config *atomic.Pointer[queue.Config], submit, cancel func(*node, string, int64) error) {
-		check := func(what string, got, want error) {
-			t.Helper()
-			if !errors.Is(got, want) {
-				t.Errorf("got error %v of %s, want %v", got, what, want)
-			}
-		}
 		n := tc.claim("a")
-		check("a submission before", submit(n, "before", 1), nil)
-		check("the move", n.cell.RecordMove(tc.ctx, testQueue, 2), nil)
+		wantError(t, "a submission before", submit(n, "before", 1), nil)
+		wantError(t, "the move", n.cell.RecordMove(tc.ctx, testQueue, 2), nil)
 		for i, name := range []string{"the owner", "the next owner"} {
-			id := name[:5] + name[len(name)-1:]
-			check("a submission of an older version at "+name, submit(n, id, 1), ErrReassigned)
-			check("a cancel in advance of an older version at "+name, cancel(n, id, 1), ErrReassigned)
-			check("a repeated submission at "+name, submit(n, "before", 1), nil)
-			check("a submission of the version of the move at "+name, submit(n, id, 2), nil)
+			id := fmt.Sprint("job", i)
+			wantError(t, "a submission of an older version at "+name, submit(n, id, 1), ErrReassigned)
+			wantError(t, "a cancel in advance of an older version at "+name, cancel(n, id, 1), ErrReassigned)
+			wantError(t, "a repeated submission at "+name, submit(n, "before", 1), nil)
+			wantError(t, "a submission of the version of the move at "+name, submit(n, id, 2), nil)
 			tc.plans.Store(name, simplePlan(1, 1000))
 			key := tasks.Key{Queue: "another", ID: name}
-			check("a submission to another queue at "+name, n.cell.Submit(tc.ctx, Caller{ConfigVersion: 1}, key, simplePlan(1, 1000), tc.policy), nil)
+			wantError(t, "a submission to another queue at "+name, n.cell.Submit(tc.ctx, Caller{ConfigVersion: 1}, key, simplePlan(1, 1000), tc.policy), nil)
 			if i == 0 {
 				n = tc.claim("b")
 			}
 		}
 		config.Store(configOf(3, testService))
-		check("a submission of an older version after the queue came back", submit(n, "back", 1), ErrReassigned)
-		check("a submission of the version before it came back", submit(n, "later", 2), nil)
+		wantError(t, "a submission of an older version after the queue came back", submit(n, "back", 1), ErrReassigned)
+		wantError(t, "a submission of the version before it came back", submit(n, "later", 2), nil)
 		n.stop()
 		<-n.done
-		check("a move at an owner that has stopped", n.cell.RecordMove(tc.ctx, testQueue, 3), ErrNotOwner)
+		wantError(t, "a move at an owner that has stopped", n.cell.RecordMove(tc.ctx, testQueue, 3), ErrNotOwner)
 	})
 }
 
