infra, sched, platform: a host that is on no machine any more is over

While its owner lives, each task of a crashed host waits 4.6 s.

Cause: an owner that can't reach a host can only wait until every lease that it, or an owner before it, may have granted has expired: 9.1 s from its claim, anew with each owner. It decided by less than is known: a host is one life of a machine, and the cloud's list of machines, which the machine controller reads twice a second, shows within half a second that the host is gone.

Now: owners report the hosts with runs, also those that have no record and have not answered. The machine controller reports a host as gone once lists over a second lack it, to each owner of the pool anew, as it does with hosts that left because of its orders. The owner calls the host, if it has a record, and gives up its runs if that doesn't answer. A host that goes without an order may have been crashed by a fresh run, which counts as before.

--- /dev/null
+++ b/infra/absent.go
@@ -0,0 +1,113 @@
+package infra
+
+import (
+	"time"
+
+	"rattanpath/sched"
+)
+
+// absencePeriod is how long the lists of the machines must lack a host with runs until it
+// counts as gone.
+const absencePeriod = time.Second
+
+// machineList is what the last list of the machines says of hosts.
+type machineList struct {
+	// machineOf is the machine of each listed host, and states the state of each machine.
+	machineOf map[string]string
+	states    map[string]State
+	// hasUnknown is set if a machine is in an unknown state.
+	hasUnknown bool
+}
+
+func newMachineList(machines []Machine) machineList {
+	l := machineList{machineOf: make(map[string]string), states: make(map[string]State)}
+	for _, m := range machines {
+		l.states[m.Name] = m.State
+		l.hasUnknown = l.hasUnknown || m.State == Unknown
+		if m.Host != "" {
+			l.machineOf[m.Host] = m.Name
+		}
+	}
+	return l
+}
+
+// lacks reports whether a host runs on no machine, given the machine that it was on, or "" if
+// that isn't known. A machine in an unknown state may have any host.
+func (l *machineList) lacks(host, machine string) bool {
+	if l.machineOf[host] != "" {
+		return false
+	}
+	state, listed := l.states[machine]
+	return !l.hasUnknown || listed && state != Unknown
+}
+
+// findAbsent adds the hosts to t.departed that have runs but are on no machine: a host is one life
+// of its machine, so that it and its runs are over, whoever may reach it. An owner alone would
+// have to wait until their leases have expired.
+func (t *term) findAbsent() {
+	list := newMachineList(t.machines)
+	now := t.options.Clock()
+	for service, p := range t.pools {
+		if t.listedAt <= p.reportedAt {
+			continue
+		}
+		for _, host := range p.hostsWithRuns() {
+			if !list.lacks(host.ID, t.machineOf[host.ID]) {
+				delete(t.absentSince, host)
+				continue
+			}
+			if _, known := t.absentSince[host]; !known {
+				t.absentSince[host] = t.listedAt
+			}
+			if t.listedAt-t.absentSince[host] >= absencePeriod {
+				t.addAbsent(service, host, now)
+			}
+		}
+	}
+	t.rememberMachines(list)
+	for host, since := range t.absentSince {
+		if now-since > sched.MaxTakeoverWait(t.options.MaxLease) {
+			delete(t.absentSince, host)
+		}
+	}
+}
+
+// addAbsent adds a host to t.departed, unless it is there.
+func (t *term) addAbsent(service string, host sched.RetiredHost, now time.Duration) {
+	for _, d := range t.departed[service] {
+		if d.ID == host.ID && d.Incarnation == host.Incarnation {
+			return
+		}
+	}
+	t.logger.Info("host is on no machine any more", "host", host.ID, "service", service, "machine", t.machineOf[host.ID], "absent", t.listedAt-t.absentSince[host])
+	host.Unordered = true
+	t.departed[service] = append(t.departed[service], &departedHost{RetiredHost: host, at: now})
+}
+
+// rememberMachines updates t.machineOf by a list. The machine of an unlisted host is kept while
+// the host has runs.
+func (t *term) rememberMachines(list machineList) {
+	previous := t.machineOf
+	t.machineOf = list.machineOf
+	for _, p := range t.pools {
+		for _, host := range p.hostsWithRuns() {
+			if machine := previous[host.ID]; machine != "" && t.machineOf[host.ID] == "" {
+				t.machineOf[host.ID] = machine
+			}
+		}
+	}
+}
+
+// hostsWithRuns returns the hosts of the pool that had runs at the last report.
+func (p *poolState) hostsWithRuns() []sched.RetiredHost {
+	var hosts []sched.RetiredHost
+	for _, h := range p.report.Hosts {
+		if h.Runs > 0 {
+			hosts = append(hosts, sched.RetiredHost{ID: h.ID, Incarnation: h.Incarnation})
+		}
+	}
+	for _, h := range p.report.Unlisted {
+		hosts = append(hosts, sched.RetiredHost{ID: h.ID, Incarnation: h.Incarnation})
+	}
+	return hosts
+}
--- a/infra/controller.go
+++ b/infra/controller.go
@@ -146,7 +146,11 @@
 	operations map[string]*operation
 	// departed holds, by service, the hosts that have left the pool a short time ago.
 	departed map[string][]*departedHost
-	lender   lender
+	// machineOf is the machine on which each host was last listed, and absentSince when the
+	// first list was requested that lacked a host with runs.
+	machineOf   map[string]string
+	absentSince map[sched.RetiredHost]time.Duration
+	lender      lender
 }
 
 // operation is an order that a machine is carrying out.
@@ -221,6 +225,8 @@
 		pools:        make(map[string]*poolState),
 		operations:   make(map[string]*operation),
 		departed:     make(map[string][]*departedHost),
+		machineOf:    make(map[string]string),
+		absentSince:  make(map[sched.RetiredHost]time.Duration),
 	}
 	c.beginTerm(acquired.Epoch)
 	t.loadRecords(acquired.Records)
--- a/infra/controller_test.go
+++ b/infra/controller_test.go
@@ -69,6 +69,8 @@
 	endsPending    bool
 	epoch          int64
 	retireFailures int
+	// running is what the owner of east reports of hosts with runs, whatever the cloud lists.
+	running []sched.HostReport
 }
 
 func newFakeFleet(t *testing.T) *fakeFleet {
@@ -104,7 +106,7 @@
 		listed := *m
 		if time.Now().Before(f.readyAt[name]) {
 			listed.Host = ""
-		} else {
+		} else if m.State != Down {
 			listed.State = Up
 		}
 		if f.odd[name] {
@@ -191,7 +193,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	report := sched.Report{Service: service, Epoch: f.epoch, Waiting: tasks.Resources{CPU: f.waiting[service]}}
+	if service == "east" {
+		report.Hosts = slices.Clone(f.running)
+	}
 	for name, m := range f.machines {
+		if slices.ContainsFunc(f.running, func(h sched.HostReport) bool { return h.ID == m.Host }) {
+			continue
+		}
 		if m.Pool == service && !time.Now().Before(f.readyAt[name]) {
 			report.Hosts = append(report.Hosts, sched.HostReport{ID: m.Host, Room: m.Capacity, Usable: true, EndsPending: f.endsPending})
 		}
--- a/infra/retire.go
+++ b/infra/retire.go
@@ -9,7 +9,7 @@
 	"rattanpath/sched"
 )
 
-// departedHost is a host that has left its pool because of an order.
+// departedHost is a host that has left its pool, because of an order or by itself.
 type departedHost struct {
 	sched.RetiredHost
 	// at is when a list of the machines showed that it has left.
@@ -20,12 +20,13 @@
 	toldEpoch int64
 }
 
-// retireDeparted informs the owners of pools which hosts have left because of an order. It
-// goes by a list of the machines from after the order: the cloud also accepts an order that
+// retireDeparted informs the owners of pools which hosts have left. It goes by a list of the
+// machines from after the order, if there was one: the cloud also accepts an order that
 // it has carried out before, and the machine then stays up with its host. A new owner of a
 // pool is told again: the previous one may not have been able to store it.
 func (t *term) retireDeparted(ctx context.Context) {
 	t.findDeparted()
+	t.findAbsent()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for service, hosts := range t.departed {
@@ -39,7 +40,8 @@
 	}
 }
 
-// findDeparted adds the hosts to t.departed that have left since the last call.
+// findDeparted adds the hosts to t.departed that have left because of an order since the last
+// call.
 func (t *term) findDeparted() {
 	for _, m := range t.machines {
 		op := t.operations[m.Name]
--- a/infra/retire_test.go
+++ b/infra/retire_test.go
@@ -153,3 +153,45 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// Guards against an owner that waits for the leases on a host that is gone without an order, and
+// against reporting a host as gone that may be on a machine in an unknown state.
+func TestHostOnNoMachineIsReported(t *testing.T) {
+	tests := []struct {
+		name string
+		// change changes the machine m0, and odd is another machine that is listed in an unknown
+		// state.
+		change func(m *Machine)
+		odd    string
+		want   bool
+	}{
+		{"machine is down", func(m *Machine) { m.State, m.Host = Down, "" }, "", true},
+		{"machine has another host", func(m *Machine) { m.Host = "h-next" }, "", true},
+		{"machine stays", func(*Machine) {}, "", false},
+		{"machine is in an unknown state", func(m *Machine) { m.State = Unknown }, "m0", false},
+		{"machine is down, another in an unknown state", func(m *Machine) { m.State, m.Host = Down, "" }, "m1", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				fleet, s := newFakeFleet(t), fake.NewStore()
+				fleet.running = []sched.HostReport{{ID: "h-m0", Incarnation: testIncarnation, Runs: 1, Usable: true}}
+				leader := fleet.start(ctx, s, "first")
+				leader.isLeader.Store(true)
+				time.Sleep(3 * time.Second)
+				fleet.mu.Lock()
+				test.change(fleet.machines["m0"])
+				fleet.odd = map[string]bool{test.odd: true}
+				fleet.mu.Unlock()
+				time.Sleep(3 * time.Second)
+				gone := sched.RetiredHost{ID: "h-m0", Incarnation: testIncarnation, Unordered: true}
+				if got := slices.Contains(fleet.retiredHosts(), gone); got != test.want {
+					t.Errorf("got the host reported as gone: %t, want %t", got, test.want)
+				}
+				cancel()
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+}
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"rattanpath/tasks"
@@ -48,6 +49,9 @@
 type Report struct {
 	Service string
 	Hosts   []HostReport
+	// Unlisted are the hosts that have no record and have not answered this owner, but may have
+	// runs of a previous one.
+	Unlisted []UnlistedHost
 	// Serving is the sum of the resources of serving tasks.
 	Serving tasks.Resources
 	// Waiting is the sum of the resources of ready tasks without a host, and WaitingTasks the
@@ -64,6 +68,12 @@
 	Quota *QuotaReport
 }
 
+// UnlistedHost is the incarnation of a host on which a run was started.
+type UnlistedHost struct {
+	ID          string
+	Incarnation int64
+}
+
 // IsShort reports whether ready tasks other than best-effort ones have no host, whatever they
 // request.
 func (r *Report) IsShort() bool { return r.WaitingTasks > 0 || r.Waiting.CPU > 0 }
@@ -78,6 +88,7 @@
 	now := time.Now()
 	report := Report{Service: c.options.Service, Epoch: c.epoch, Arrived: c.submittedCPU}
 	for _, h := range c.hosts {
+		report.Unlisted = append(report.Unlisted, h.unlisted()...)
 		if h.info != nil && !h.isRetired() {
 			report.Hosts = append(report.Hosts, c.hostReport(h, now))
 			_, resources := h.serving()
@@ -91,6 +102,22 @@
 	return report, nil
 }
 
+// unlisted returns the incarnations of a host without a record on which a previous owner started
+// the runs there. Runs whose incarnation isn't known are left out.
+func (h *host) unlisted() []UnlistedHost {
+	if h.info != nil {
+		return nil
+	}
+	var unlisted []UnlistedHost
+	for _, r := range h.runs {
+		incarnation := r.assignedIncarnation()
+		if life := (UnlistedHost{h.id, incarnation}); incarnation != 0 && !slices.Contains(unlisted, life) {
+			unlisted = append(unlisted, life)
+		}
+	}
+	return unlisted
+}
+
 func (c *Cell) hostReport(h *host, now time.Time) HostReport {
 	serving, _ := h.serving()
 	return HostReport{
--- a/sched/end.go
+++ b/sched/end.go
@@ -24,6 +24,9 @@
 	// lossRetired means that the machine controller has moved the machine or started
 	// its maintenance, and the host no longer answers.
 	lossRetired lossReason = "the machine was taken out of the pool"
+	// lossHostGone means that the cloud lists no machine with the host, without an order of the
+	// machine controller.
+	lossHostGone lossReason = "the host is on no machine any more"
 	// lossLease means that every lease granted by this owner has expired.
 	lossLease lossReason = "the lease has expired"
 	// lossInheritedLease means that every lease granted by previous owners has
--- a/sched/host.go
+++ b/sched/host.go
@@ -40,6 +40,8 @@
 	// at retiredAt; 0 means none.
 	retiredIncarnation int64
 	retiredAt          time.Time
+	// retiredFor is why the runs of the retired incarnation are lost.
+	retiredFor lossReason
 	// ackUntil is the local time until which ends that the last report of the current
 	// incarnation listed may be acknowledged.
 	ackUntil time.Duration
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -61,7 +61,7 @@
 		for _, r := range h.runs {
 			switch {
 			case r.hasLeft(h) && c.isUnresponsive(h):
-				c.loseRun(h, r, lossRetired)
+				c.loseRun(h, r, h.retiredFor)
 			case r.state == runInherited && now > inheritedUntil && c.isUnresponsive(h):
 				c.loseRun(h, r, r.inheritedLoss(h))
 			case r.state != runInherited && r.state != runPlanned && expired && h.missedHeartbeats > 0:
--- a/sched/retire.go
+++ b/sched/retire.go
@@ -17,6 +17,8 @@
 	ID string
 	// Incarnation is the one that has ended; 0 means the current one.
 	Incarnation int64
+	// Unordered means that no order took the host out of the pool: it may have crashed.
+	Unordered bool
 }
 
 // Retire records that hosts have left the pool, and ends the runs on them unless they answer.
@@ -36,8 +38,12 @@
 		if retired.Incarnation != 0 {
 			h.retiredIncarnation = retired.Incarnation
 		}
+		h.retiredFor = lossRetired
+		if retired.Unordered {
+			h.retiredFor = lossHostGone
+		}
 		h.synced = false
-		c.logger.Info("host retired", "host", h.id, "runs", len(h.runs))
+		c.logger.Info("host retired", "host", h.id, "runs", len(h.runs), "ordered", !retired.Unordered)
 		c.probeRetired(h)
 	}
 	return nil
@@ -49,8 +55,20 @@
 	if r.state != runInherited || h.info != nil || h.retiredIncarnation == 0 {
 		return false
 	}
+	return r.assignedIncarnation() == h.retiredIncarnation
+}
+
+// assignedIncarnation returns the incarnation of the host that the run was assigned to, or 0 if
+// that isn't known.
+func (r *run) assignedIncarnation() int64 {
+	if r.entry == nil {
+		return 0
+	}
 	task := r.entry.job.Task(r.id)
-	return task != nil && task.Run == r.number && task.HostIncarnation == h.retiredIncarnation
+	if task == nil || task.Run != r.number {
+		return 0
+	}
+	return task.HostIncarnation
 }
 
 // retireProbe is the call that shows whether a retired host has stayed.
@@ -109,6 +127,6 @@
 	p.cell.mu.Lock()
 	defer p.cell.mu.Unlock()
 	if !p.host.synced && p.host.restarts == p.restarts {
-		p.cell.loseAllRuns(p.host, lossRetired)
+		p.cell.loseAllRuns(p.host, p.host.retiredFor)
 	}
 }
--- a/sched/run.go
+++ b/sched/run.go
@@ -127,6 +127,9 @@
 	switch why {
 	case lossRestarted, lossReplaced:
 		return r.state != runPlanned
+	case lossHostGone:
+		// How long a run of a previous owner had gone on isn't known, nor why its host is gone.
+		return r.state != runPlanned && r.state != runInherited
 	case lossLease:
 		return r.startedBy != 0 || r.startBroke
 	default:
