infra: a host counts as gone after two lists in a row without it

A second of lists was three of them: a list is read each half second, and each one tells as of its time. An empty list says nothing of the hosts: the cloud doesn't know its machines then.

--- a/infra/absent.go
+++ b/infra/absent.go
@@ -7,8 +7,8 @@
 )
 
 // absencePeriod is how long the lists of the machines must lack a host with runs until it
-// counts as gone.
-const absencePeriod = time.Second
+// counts as gone: two lists in a row.
+const absencePeriod = listInterval
 
 // machineList is what the last list of the machines says of hosts.
 type machineList struct {
@@ -45,6 +45,10 @@
 // of its machine, so that it and its runs are over, whoever may reach it. An owner alone would
 // have to wait until their leases have expired.
 func (t *term) findAbsent() {
+	if len(t.machines) == 0 {
+		// The cloud doesn't know its machines.
+		return
+	}
 	list := newMachineList(t.machines)
 	now := t.options.Clock()
 	for service, p := range t.pools {
