soak: nodes as processes in real time, while hosts and nodes crash

Package soak starts five management nodes as processes, the test binary executed again, against ten hosts, a store and a cloud over HTTP in the test's process. Hosts run 15 serving tasks whose siblings are kept apart, clients submit short jobs. It checks LOST (9 s from the end of a serving task's last run, if the last 7 s were calm and two hosts had room for 3 s), TWICE and LIMIT, and prints how long tasks were without a run. The stand-in of ./abuse moves to package stub, which both use; it now has several hosts, leases that expire, records that expire after 4.5 s, a store that refuses or is silent for one node or all, and machines that are down.

--- a/abuse/abuse_test.go
+++ b/abuse/abuse_test.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"rattanpath/stub"
 )
 
 const (
-	// crowdSize is above maxFDs, so that a node that holds a descriptor for each client
+	// crowdSize is above stub.MaxFDs, so that a node that holds a descriptor for each client
 	// exceeds its bound.
 	crowdSize = 240
 	// onceJobs is the number of jobs that are submitted once during a crowd.
@@ -40,7 +42,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	n := &node{}
+	n := &node{Process: &stub.Process{}}
 	for i, to := range n.targets() {
 		t.Run(to.name, func(t *testing.T) {
 			n := startNode(t)
@@ -84,11 +86,11 @@
 	n.alive()
 	rss, fds := n.peakRSS(), n.peakFDs.Load()
 	n.t.Logf("peak: %d MB resident, %d descriptors", rss, fds)
-	if rss > memoryMB {
-		n.t.Errorf("resident memory: got a peak of %d MB, want at most %d MB", rss, memoryMB)
+	if rss > stub.MemoryMB {
+		n.t.Errorf("resident memory: got a peak of %d MB, want at most %d MB", rss, stub.MemoryMB)
 	}
-	if fds > maxFDs {
-		n.t.Errorf("descriptors: got a peak of %d, want at most %d", fds, maxFDs)
+	if fds > stub.MaxFDs {
+		n.t.Errorf("descriptors: got a peak of %d, want at most %d", fds, stub.MaxFDs)
 	}
 }
 
@@ -96,8 +98,8 @@
 // the callers'.
 func (n *node) checkAddresses() {
 	n.t.Helper()
-	n.awaitStatus("http://" + n.health() + "/ready")
-	n.awaitStatus("http://" + n.admin() + "/metrics")
+	n.awaitStatus("http://" + n.Health() + "/ready")
+	n.awaitStatus("http://" + n.Admin() + "/metrics")
 	n.await("a call of another node", func() (bool, string) {
 		err := n.callAsPeer()
 		return err == nil, fmt.Sprint(err)
@@ -116,7 +118,7 @@
 	time.Sleep(lateRunTime)
 	for name, status := range statuses {
 		refused := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
-		if refused && n.platform.hasStarted(jobID(name)) {
+		if refused && n.hasStarted(jobID(name)) {
 			n.t.Errorf("job %s: got a run after status %d, want none", name, status)
 		}
 	}
--- a/abuse/crowd_test.go
+++ b/abuse/crowd_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"rattanpath/stub"
 )
 
 const (
@@ -30,11 +32,11 @@
 // targets returns all kinds of addresses and paths of a node.
 func (n *node) targets() []target {
 	return []target{
-		{name: "queue", address: n.callers(), path: queuePrefix + jobID("abuse")},
-		{name: "unknown", address: n.callers(), path: "/nowhere"},
-		{name: "ready", address: n.health(), path: "/ready"},
-		{name: "admin", address: n.admin(), path: "/metrics"},
-		{name: "peer", address: n.peers(), peer: true},
+		{name: "queue", address: n.Callers(), path: stub.QueuePrefix + jobID("abuse")},
+		{name: "unknown", address: n.Callers(), path: "/nowhere"},
+		{name: "ready", address: n.Health(), path: "/ready"},
+		{name: "admin", address: n.Admin(), path: "/metrics"},
+		{name: "peer", address: n.Peers(), peer: true},
 	}
 }
 
--- a/abuse/node_test.go
+++ b/abuse/node_test.go
@@ -8,30 +8,25 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"rattanpath/cmd/rattanpath/cmds"
 	"rattanpath/fake"
 	"rattanpath/link"
 	"rattanpath/owner"
-	"rattanpath/platform"
+	"rattanpath/stub"
+	"rattanpath/tasks"
 )
 
 const (
-	// nodeVariable makes the test binary run as the rattanpath command.
-	nodeVariable = "RATTANPATH_ABUSE_NODE"
-	// memoryMB and maxFDs are the limits in the node's settings, and the bounds that are
-	// checked. An idle node has 33 MB resident and 20 descriptors.
-	memoryMB = 96
-	maxFDs   = 200
+	// taskTime is the run time of each task.
+	taskTime = 50 * time.Millisecond
 	// awaitTimeout bounds how long a test waits for something that must come. It is far above
 	// what a slow machine needs.
 	awaitTimeout = 60 * time.Second
@@ -44,70 +39,68 @@
 )
 
 func TestMain(m *testing.M) {
-	if os.Getenv(nodeVariable) != "" {
-		os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr))
-	}
+	stub.RunIfNode()
 	os.Exit(m.Run())
 }
 
-// node is a management node in a process of its own.
+// node is a management node in a process of its own, on a platform with one host.
 type node struct {
-	t        testing.TB
-	platform *standIn
-	basePort int
-	cmd      *exec.Cmd
-	logPath  string
-	exited   chan struct{}
+	*stub.Process
+	t testing.TB
 	// peakFDs is the largest number of open descriptors that was seen.
 	peakFDs atomic.Int64
+
+	mu sync.Mutex
+	// started holds the jobs of which the host has started tasks.
+	started map[string]bool
 }
 
 // startNode starts a node and waits until it has run a job.
 func startNode(t testing.TB) *node {
 	t.Helper()
-	n := &node{t: t, platform: newStandIn(t), exited: make(chan struct{})}
-	var err error
-	if n.basePort, err = fake.FreePorts(4); err != nil {
+	n := &node{t: t, started: make(map[string]bool)}
+	outside := stub.NewPlatform(n.profile, func(tasks.ID) tasks.Resources { return tasks.Resources{} })
+	if _, err := outside.AddHost(t.Context(), "host-1", tasks.Resources{CPU: 64_000, MemMB: 64_000}, 1); err != nil {
 		t.Fatal(err)
 	}
-	dir := t.TempDir()
-	settings := filepath.Join(dir, "settings.yaml")
-	n.logPath = filepath.Join(dir, "node.log")
-	log, err := os.Create(n.logPath)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(settings, []byte(n.settings()), 0o600); err != nil {
+	server := outside.NewServer("node")
+	t.Cleanup(server.Close)
+	var err error
+	if n.Process, err = stub.NewProcess("node", t.TempDir(), server.Listener.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	n.cmd = exec.Command(os.Args[0], "manage")
-	n.cmd.Env = append(os.Environ(), nodeVariable+"=1", platform.SettingsVariable+"="+settings)
-	n.cmd.Stdout, n.cmd.Stderr = log, log
-	if err := n.cmd.Start(); err != nil {
+	if err := n.Start(); err != nil {
 		t.Fatal(err)
 	}
-	_ = log.Close()
-	go n.run()
 	go n.loop()
 	t.Cleanup(n.stop)
 	n.runJob("warm-up")
 	return n
 }
 
-// run waits for the end of the process.
-func (n *node) run() {
-	_ = n.cmd.Wait()
-	close(n.exited)
+// profile records that a task of a job has started, and describes the run.
+func (n *node) profile(task tasks.ID, _ int) fake.RunProfile {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.started[task.Job] = true
+	return fake.RunProfile{Duration: taskTime, EndReason: tasks.EndDone}
+}
+
+// hasStarted reports whether the host has started a task of a job.
+func (n *node) hasStarted(job string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.started[job]
 }
 
 // loop counts the open descriptors until the process ends.
 func (n *node) loop() {
 	for {
-		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid)); err == nil {
+		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.PID())); err == nil {
 			n.peakFDs.Store(max(n.peakFDs.Load(), int64(len(entries))))
 		}
 		select {
-		case <-n.exited:
+		case <-n.Exited():
 			return
 		case <-time.After(watchInterval):
 		}
@@ -115,40 +108,15 @@
 }
 
 func (n *node) stop() {
-	_ = n.cmd.Process.Kill()
-	<-n.exited
+	n.Kill()
 	if n.t.Failed() {
-		data, _ := os.ReadFile(n.logPath)
-		n.t.Logf("end of the node's log:\n%s", data[max(0, len(data)-2000):])
+		n.t.Logf("end of the node's log:\n%s", n.LogTail(2000))
 	}
 }
 
-func (n *node) address(offset int) string { return fake.LoopbackAddress(n.basePort + offset) }
-
-// The addresses of a node are those of its settings.
-func (n *node) callers() string { return n.address(0) }
-func (n *node) health() string  { return n.address(1) }
-func (n *node) peers() string   { return n.address(2) }
-func (n *node) admin() string   { return n.address(3) }
-
-func (n *node) settings() string {
-	return fmt.Sprintf(`nodeName: "node"
-ip: "127.0.0.1"
-listen:
-  front: %q
-  ready: %q
-internalPorts: [%d, %d]
-heartbeatMs: 1500
-limits: {memoryMb: %d, maxFds: %d}
-bounds: {contactMs: 3000, graceS: 1, holdMaxMs: 6000, status_s: 120, leaseMs: 3000, moveS: 1.5, maintenanceS: 2}
-platform: {address: %q, form: "log", parts: 32, recordBytes: 262144, callBytes: 2097152, ttlMinMs: 1000}
-cloud: {address: %q, dutyPerS: 64.0}
-`, n.callers(), n.health(), n.basePort+2, n.basePort+3, memoryMB, maxFDs, n.platform.address(), n.platform.address())
-}
-
 // peakRSS returns the largest resident memory of the process in MB.
 func (n *node) peakRSS() int {
-	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.PID()))
 	for line := range strings.Lines(string(data)) {
 		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
 			kilobytes, _ := strconv.Atoi(fields[1])
@@ -190,16 +158,14 @@
 }
 
 func (n *node) jobURL(name string) string {
-	return "http://" + n.callers() + queuePrefix + jobID(name)
+	return "http://" + n.Callers() + stub.QueuePrefix + jobID(name)
 }
 
 // alive fails the test if the process has ended.
 func (n *node) alive() {
 	n.t.Helper()
-	select {
-	case <-n.exited:
-		n.t.Fatalf("the node has exited: got %v, want it to live", n.cmd.ProcessState)
-	default:
+	if !n.IsRunning() {
+		n.t.Fatalf("the node has exited: got %v, want it to live", n.ExitState())
 	}
 }
 
@@ -229,7 +195,7 @@
 	n.t.Helper()
 	n.await("running "+name, func() (bool, string) {
 		status, text := n.call(http.MethodGet, n.jobURL(name), nil)
-		return strings.Contains(text, `"completed"`) && n.platform.hasStarted(jobID(name)), fmt.Sprint(status, " ", text)
+		return strings.Contains(text, `"completed"`) && n.hasStarted(jobID(name)), fmt.Sprint(status, " ", text)
 	})
 }
 
@@ -238,9 +204,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	var dialer net.Dialer
-	peer := link.NewClient(n.peers(), dialer.DialContext)
+	peer := link.NewClient(n.Peers(), dialer.DialContext)
 	defer peer.Close()
-	return peer.Call(ctx, owner.RPCName+".Pending", &owner.Request{Service: serviceName, Timeout: callTimeout}, &owner.Response{})
+	return peer.Call(ctx, owner.RPCName+".Pending", &owner.Request{Service: stub.Service, Timeout: callTimeout}, &owner.Response{})
 }
 
 // awaitStatus waits until a GET of a URL has status 200.
--- a/fake/runner.go
+++ b/fake/runner.go
@@ -205,7 +205,14 @@
 	return &info
 }
 
-// clock returns the reading of the host's clock.
+// HostTime returns the reading of the host's clock.
+func (r *Runner) HostTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock()
+}
+
+// clock returns the reading of the host's clock. The caller holds mu.
 func (r *Runner) clock() time.Duration {
 	return (initialClock + time.Duration(float64(time.Since(r.startedAt))*r.clockRate)).Truncate(time.Millisecond)
 }
--- /dev/null
+++ b/soak/scenes_test.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	// steadyTime is how long a scene waits before its faults, so that leases are renewed and
+	// what has started is stored.
+	steadyTime = 3 * time.Second
+	// sceneTimeout bounds the wait for the next runs of all serving tasks after the faults.
+	sceneTimeout = 30 * time.Second
+)
+
+// TestHostAndAllNodesCrash guards against serving tasks that stay without a run when their
+// host crashes for good just before all nodes are killed and restarted.
+func TestHostAndAllNodesCrash(t *testing.T) {
+	playScene(t, func(c *cluster) {
+		c.crashBusiest()
+		time.Sleep(200 * time.Millisecond)
+		for _, n := range c.nodes {
+			n.kill()
+		}
+		for _, n := range c.nodes {
+			time.Sleep(300 * time.Millisecond)
+			n.restart()
+		}
+	})
+}
+
+// TestHostAndOwnerCrash guards against serving tasks that stay without a run when their host
+// and the owner of the cell crash for good at the same time.
+func TestHostAndOwnerCrash(t *testing.T) {
+	playScene(t, func(c *cluster) {
+		owner := c.owner()
+		c.crashBusiest()
+		owner.kill()
+	})
+}
+
+// TestHostAndTwoOwnersCrash guards against serving tasks that stay without a run when each
+// takeover starts the wait for the leases of a host that is gone anew.
+func TestHostAndTwoOwnersCrash(t *testing.T) {
+	playScene(t, func(c *cluster) {
+		owner := c.owner()
+		c.crashBusiest()
+		owner.kill()
+		time.Sleep(3 * time.Second)
+		c.owner().kill()
+	})
+}
+
+// playScene injects the faults of a scene and checks that all serving tasks run again in time.
+func playScene(t *testing.T, inject func(c *cluster)) {
+	c := newCluster(t, 1)
+	time.Sleep(steadyTime)
+	inject(c)
+	c.awaitServing(sceneTimeout)
+	c.finish(t.Name())
+}
+
+// crashBusiest crashes the host with the largest number of serving tasks for good.
+func (c *cluster) crashBusiest() {
+	host := c.busiestHost()
+	host.Crash(true)
+	c.faults.record("%s crashed for good", host.Runner.Info().ID)
+}
--- /dev/null
+++ b/stub/host.go
@@ -0,0 +1,204 @@
+package stub
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"rattanpath/core"
+	"rattanpath/fake"
+	"rattanpath/platform"
+	"rattanpath/pool"
+	"rattanpath/tasks"
+)
+
+const (
+	// hostHeartbeat is the time between two records of a host.
+	hostHeartbeat = 1500 * time.Millisecond
+	// recordTTL is how long a host's record stays without another one.
+	recordTTL = 3 * hostHeartbeat
+	// recordCheckInterval is the time between two looks at whether a record is due.
+	recordCheckInterval = 50 * time.Millisecond
+)
+
+// hostState says what becomes of calls to a host and of the records that it writes.
+type hostState int
+
+const (
+	hostUp hostState = iota
+	// hostCut means that the host runs, but neither calls nor records get through.
+	hostCut
+	// hostSilent means that the host has crashed and calls get no answer.
+	hostSilent
+	// hostRefusing means that the host has crashed and connections are refused.
+	hostRefusing
+)
+
+// Host is a host that is called over HTTP, on a machine of its own.
+type Host struct {
+	// Runner runs the host's tasks.
+	Runner   *fake.Runner
+	platform *Platform
+	address  string
+
+	// commands keeps a crash from happening while a command is carried out.
+	commands sync.RWMutex
+	mu       sync.Mutex
+	server   *http.Server
+	state    hostState
+	// writtenAt is when the host last wrote its record, zero if that has expired.
+	writtenAt time.Time
+}
+
+// AddHost starts a host, which writes its record until ctx ends. Its clock runs clockRate
+// times as fast as the real one.
+func (p *Platform) AddHost(ctx context.Context, id string, capacity tasks.Resources, clockRate float64) (*Host, error) {
+	port, err := fake.FreePorts(1)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{platform: p, address: fake.LoopbackAddress(port)}
+	info := pool.Host{ID: id, Service: Service, Address: h.address, DataCentre: "a", Capacity: capacity}
+	h.Runner = fake.NewRunner(info, clockRate, p.Checker, p.Profile)
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	h.writeRecord()
+	go h.Runner.Run(ctx)
+	go h.loop(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = append(p.hosts, h)
+	return h, nil
+}
+
+func (h *Host) listen() error {
+	listener, err := net.Listen("tcp", h.address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: h.handler()}
+	h.mu.Lock()
+	h.server = server
+	h.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// loop writes the host's record and lets it expire, until ctx ends. Then it stops the host.
+func (h *Host) loop(ctx context.Context) {
+	for core.Sleep(ctx, recordCheckInterval) == nil {
+		h.mu.Lock()
+		age := time.Since(h.writtenAt)
+		due := h.state == hostUp && age >= hostHeartbeat && !h.platform.isStoreDown()
+		expired := !h.writtenAt.IsZero() && age >= recordTTL
+		h.mu.Unlock()
+		switch {
+		case due:
+			h.writeRecord()
+		case expired:
+			h.expireRecord()
+		}
+	}
+	h.close()
+}
+
+func (h *Host) writeRecord() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	info := h.Runner.Info()
+	value, _ := json.Marshal(map[string]any{
+		"service": info.Service, "address": info.Address, "zone": info.DataCentre, "state": "ready",
+		"capacity": capacityOf(info), "born": info.Incarnation, "clockMs": h.Runner.HostTime().Milliseconds(),
+	})
+	h.platform.Store.Put(platform.HostTopic, info.ID, value)
+	h.writtenAt = time.Now()
+}
+
+func (h *Host) expireRecord() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.platform.Store.Put(platform.HostTopic, h.Runner.Info().ID, nil)
+	h.writtenAt = time.Time{}
+}
+
+func capacityOf(info *pool.Host) map[string]int64 {
+	return map[string]int64{"cpu": info.Capacity.CPU, "memMb": info.Capacity.MemMB, "gpu": info.Capacity.GPU}
+}
+
+func (h *Host) setState(state hostState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = state
+}
+
+func (h *Host) isReachable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state == hostUp
+}
+
+// IsUsable reports whether the host is up, can be reached and has a record.
+func (h *Host) IsUsable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state == hostUp && !h.writtenAt.IsZero()
+}
+
+// HasCrashed reports whether the host has crashed and not restarted since.
+func (h *Host) HasCrashed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state == hostSilent || h.state == hostRefusing
+}
+
+// machineState returns the state in which the cloud lists the host's machine.
+func (h *Host) machineState() string {
+	if h.HasCrashed() {
+		return "down"
+	}
+	return "up"
+}
+
+// CutOff keeps calls and records of the host from getting through until Reconnect or Crash.
+func (h *Host) CutOff() { h.setState(hostCut) }
+
+// Reconnect ends CutOff.
+func (h *Host) Reconnect() { h.setState(hostUp) }
+
+// Crash loses all runs of the host. Its machine then refuses connections, or gives no answer
+// if silent is set, until Restart.
+func (h *Host) Crash(silent bool) {
+	h.commands.Lock()
+	defer h.commands.Unlock()
+	if silent {
+		h.setState(hostSilent)
+	} else {
+		h.setState(hostRefusing)
+		h.close()
+	}
+	h.Runner.Crash()
+}
+
+func (h *Host) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.server.Close()
+}
+
+// Restart starts a new incarnation of a crashed host.
+func (h *Host) Restart() error {
+	h.close()
+	h.Runner.Restart()
+	h.setState(hostUp)
+	if err := h.listen(); err != nil {
+		return err
+	}
+	if !h.platform.isStoreDown() {
+		h.writeRecord()
+	}
+	return nil
+}
