infra: no host is on a machine that isn't up

The soak's stand-in of the cloud still names the host of a machine that is down, so that its hosts counted as present and owners waited for their leases.

--- a/infra/absent.go
+++ b/infra/absent.go
@@ -12,7 +12,8 @@
 
 // machineList is what the last list of the machines says of hosts.
 type machineList struct {
-	// machineOf is the machine of each listed host, and states the state of each machine.
+	// machineOf is the machine of each host on a machine that is up, and states the state of
+	// each machine.
 	machineOf map[string]string
 	states    map[string]State
 	// hasUnknown is set if a machine is in an unknown state.
@@ -24,7 +25,7 @@
 	for _, m := range machines {
 		l.states[m.Name] = m.State
 		l.hasUnknown = l.hasUnknown || m.State == Unknown
-		if m.Host != "" {
+		if m.State == Up && m.Host != "" {
 			l.machineOf[m.Host] = m.Name
 		}
 	}
--- a/infra/retire_test.go
+++ b/infra/retire_test.go
@@ -166,6 +166,7 @@
 		want   bool
 	}{
 		{"machine is down", func(m *Machine) { m.State, m.Host = Down, "" }, "", true},
+		{"machine is down, its host is still named", func(m *Machine) { m.State = Down }, "", true},
 		{"machine has another host", func(m *Machine) { m.Host = "h-next" }, "", true},
 		{"machine stays", func(*Machine) {}, "", false},
 		{"machine is in an unknown state", func(m *Machine) { m.State = Unknown }, "m0", false},
