sched: leases of previous owners outlast the first reply

What callers saw: two runs of a task at once. An owner whose claim is answered late, while it then can't reach the store, may grant no lease. A host that answered it in that time and was cut off right after lost its runs at once, and they started elsewhere beside the lease of the previous owner. Cause: from the first reply on only the leases granted by this owner counted. There was none, so that lease.Clock.Expired said that all had expired. Fix: the clock of a host with inherited runs begins with the longest lease that an owner grants. It counts from the first reading: after the call that led to it the host refuses the previous owner. Where this owner grants a lease at once nothing changes: its own ends no earlier.

--- a/lease/clock.go
+++ b/lease/clock.go
@@ -20,8 +20,8 @@
 	calledAt       time.Duration
 	// maxExpiry is the latest lease expiry sent in any command.
 	maxExpiry time.Duration
-	// leaseBeforeSync is the longest lease that may have been granted between a
-	// restart of the host's clock and the next reading; 0 if it didn't restart.
+	// leaseBeforeSync is the longest lease that may have been granted before the next
+	// reading, by a previous owner or since a restart of the host's clock; 0 if none was.
 	leaseBeforeSync time.Duration
 }
 
@@ -69,6 +69,10 @@
 	return expiry
 }
 
+// Inherit records that previous owners may have granted leases of up to the given length before
+// the first reading of the host's clock.
+func (c *Clock) Inherit(length time.Duration) { c.leaseBeforeSync = length }
+
 // Reset records that the host's clock restarted, and that leases of up to maxLease
 // may have been granted on the new clock.
 func (c *Clock) Reset(maxLease time.Duration) {
