sched, lease: runs are given up on a host that never answers after its restart

What callers saw: a task without a run for ever. Its host restarted, or refused a start as late, and then never answered again: crashed a second time, or was cut off. Cause: both reset the host's clock, and lease.Clock.Expired was false until the next reading, which never comes. No other check ends such a run while the host isn't retired. A command of an earlier incarnation that reaches the new one later than that, before any call of the owner, is not guarded against, as where a host restarts unseen.

--- a/lease/clock.go
+++ b/lease/clock.go
@@ -23,6 +23,9 @@
 	// leaseBeforeSync is the longest lease that may have been granted before the next
 	// reading, by a previous owner or since a restart of the host's clock; 0 if none was.
 	leaseBeforeSync time.Duration
+	// unsyncedUntil is the local time at which, after a restart of the host's clock, all
+	// leases have expired without a further reading; 0 if it didn't restart.
+	unsyncedUntil time.Duration
 }
 
 // Restarted reports whether hostTime, read in the reply to a call sent at the given
@@ -73,10 +76,11 @@
 // the first reading of the host's clock.
 func (c *Clock) Inherit(length time.Duration) { c.leaseBeforeSync = length }
 
-// Reset records that the host's clock restarted, and that leases of up to maxLease
-// may have been granted on the new clock.
-func (c *Clock) Reset(maxLease time.Duration) {
-	*c = Clock{leaseBeforeSync: maxLease}
+// Reset records that the host's clock restarted, and that leases of up to maxLease may have been
+// granted on the new clock, by commands that reached the host until the given local time.
+func (c *Clock) Reset(until, maxLease time.Duration) {
+	lasts := time.Duration(float64(maxLease) / MinClockRate)
+	*c = Clock{leaseBeforeSync: maxLease, unsyncedUntil: until + lasts}
 }
 
 // ReadAfter returns a lower bound of the local time at which the host's clock showed a
@@ -102,7 +106,11 @@
 // Remaining returns how long until all granted leases have certainly expired, or
 // false if that isn't known.
 func (c *Clock) Remaining(now time.Duration) (time.Duration, bool) {
-	if !c.synced {
+	switch {
+	case c.synced:
+	case c.unsyncedUntil > 0:
+		return max(0, c.unsyncedUntil-now), true
+	default:
 		return 0, false
 	}
 	remaining := time.Duration(float64(c.maxExpiry-c.hostTime)/MinClockRate) - (now - c.localTime)
@@ -111,5 +119,8 @@
 
 // Expired reports whether all granted leases have certainly expired.
 func (c *Clock) Expired(now time.Duration) bool {
-	return c.synced && c.minHostTime(now) > c.maxExpiry
+	if !c.synced {
+		return c.unsyncedUntil > 0 && now > c.unsyncedUntil
+	}
+	return c.minHostTime(now) > c.maxExpiry
 }
--- a/lease/clock_test.go
+++ b/lease/clock_test.go
@@ -53,3 +53,52 @@
 		}
 	}
 }
+
+// TestResetClockExpires guards against leases that never count as expired because the host's clock
+// was reset and is never read again, and against such leases that count as expired too early.
+func TestResetClockExpires(t *testing.T) {
+	const (
+		until    = 100 * time.Second
+		maxLease = 6 * time.Second
+		slowest  = maxLease * 100 / 98
+	)
+	var clock Clock
+	clock.Observe(50*time.Second, 90*time.Second, 90*time.Second)
+	clock.Reset(until, maxLease)
+	for _, test := range []struct {
+		at      time.Duration
+		expired bool
+	}{
+		{until, false},
+		{until + maxLease, false},
+		{until + slowest - time.Millisecond, false},
+		{until + slowest + time.Millisecond, true},
+		{until + time.Hour, true},
+	} {
+		if got := clock.Expired(test.at); got != test.expired {
+			t.Errorf("got expired %t %v after the reset, want %t", got, test.at-until, test.expired)
+		}
+		remaining, known := clock.Remaining(test.at)
+		if want := max(0, until+slowest-test.at); !known || (remaining-want).Abs() > time.Microsecond {
+			t.Errorf("got %v left and %t %v after the reset, want %v and true", remaining, known, test.at-until, want)
+		}
+	}
+}
+
+// TestInheritedClockExpires guards against leases of previous owners that count as expired from the
+// first reading on.
+func TestInheritedClockExpires(t *testing.T) {
+	const length = 4 * time.Second
+	var clock Clock
+	clock.Inherit(length)
+	if _, known := clock.Remaining(time.Hour); known || clock.Expired(time.Hour) {
+		t.Error("got leases whose end is known before a reading, want none")
+	}
+	clock.Observe(50*time.Second, 90*time.Second, 90*time.Second)
+	if clock.Expired(90*time.Second + length) {
+		t.Errorf("got leases expired %v after the reading, want them valid", length)
+	}
+	if !clock.Expired(90*time.Second + length*103/100) {
+		t.Errorf("got leases valid %v after the reading, want them expired", length*103/100)
+	}
+}
--- a/sched/command.go
+++ b/sched/command.go
@@ -145,7 +145,7 @@
 	case lease.RefusedFenced:
 		c.handleFenced(h, token)
 	case lease.RefusedLeaseExpired:
-		h.clock.Reset(c.options.MaxLease)
+		c.resetClock(h)
 		h.synced = false
 	case lease.RefusedTicket:
 		r.entry.adviceOf(stepKey{r.id.Round, r.id.Step}).cache.Delete(h.ticketHost())
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -208,6 +208,12 @@
 	return nil
 }
 
+// kill ends a node without a release.
+func (tc *testCluster) kill(n *node) {
+	tc.store.SetFailure(n.name, fake.Unresponsive)
+	n.stop()
+}
+
 // pollHosts keeps the cell's hosts up to date.
 func (n *node) pollHosts(ctx context.Context) {
 	for core.Sleep(ctx, 300*time.Millisecond) == nil {
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -92,7 +92,7 @@
 	h.restarts++
 	c.recordOutage(h)
 	h.restartedAt = c.options.Clock()
-	h.clock.Reset(c.options.MaxLease)
+	c.resetClock(h)
 	h.synced, h.ackValid = false, false
 	h.reportedAt, h.answeredAt = 0, 0
 	h.acknowledgedSequence, h.reportedSequence = 0, 0
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -42,6 +42,12 @@
 	return time.Duration(float64(leaseLength(longestLease))/lease.MinClockRate) + takeoverMargin + ownershipTimeout
 }
 
+// resetClock records that the readings of a host's clock no longer hold. Commands on their way
+// may still extend its lease. If it never answers again, its runs must be given up all the same.
+func (c *Cell) resetClock(h *host) {
+	h.clock.Reset(c.options.Clock()+takeoverMargin, c.options.MaxLease)
+}
+
 // firstReplyTime is how long after a takeover a host may take to answer its new owner.
 const firstReplyTime = 750 * time.Millisecond
 
