sched: the time of a serving task between two runs is logged in parts

Missing: neither lines nor metrics told how long a serving task was without a run, nor why. A late loss, a missing host and lost starts looked alike.

Now: when the next run is confirmed, "serving task has a run again" gives how and why the last run ended, and the parts of the time: found (from the host's last word on the run to the record of its end; since=claim if this owner has none), waited (no run assigned), retried (assigned runs that didn't start) and started. The histogram rattanpath_cell_serving_gap_seconds has the same parts. A gap that a previous owner left goes on, from the claim. Nothing is decided by it; the state goes when the job ends.

--- a/sched/claim.go
+++ b/sched/claim.go
@@ -45,6 +45,7 @@
 	c.claimedAt = options.Clock()
 	c.confirmedAt = acquired.SentAt
 	c.inheritRuns()
+	c.inheritGaps()
 	c.logger.Info("cell claimed", "epoch", c.epoch, "before", acquired.PreviousNode, "jobs", len(c.jobs), "open", len(c.open), "took", c.claimedAt-start)
 	options.Metrics.Claims.Inc()
 	options.Metrics.ClaimSeconds.Update((c.claimedAt - start).Seconds())
--- a/sched/command.go
+++ b/sched/command.go
@@ -115,6 +115,7 @@
 		if r.awaitsStart() {
 			r.settle(hostTime)
 		}
+		c.runProven(h, r, hostTime)
 	}
 	r.entry.job.MarkRunning(r.id, r.number)
 	c.stopEndedJob(r.entry)
--- a/sched/end.go
+++ b/sched/end.go
@@ -35,6 +35,7 @@
 func (c *Cell) endRun(h *host, r *run, reason tasks.EndReason, checkpoint string) {
 	if c.removeRun(h, r, reason, checkpoint) {
 		c.logger.Info("run ended", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "took", c.sinceStart(r))
+		c.runOver(h, r, reason, gapReported)
 	}
 }
 
@@ -42,6 +43,7 @@
 func (c *Cell) dropRun(h *host, r *run, why string) {
 	if c.removeRun(h, r, tasks.EndLost, "") {
 		c.logger.Info("run not started", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "why", why)
+		c.runNotStarted(r)
 	}
 }
 
@@ -56,6 +58,7 @@
 		c.options.Metrics.recordLoss(why)
 		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "why", string(why), "took", c.sinceStart(r), "answered", r.answeredFor(h))
 		c.logGivenUp(r, reason)
+		c.runOver(h, r, reason, string(why))
 	}
 }
 
--- /dev/null
+++ b/sched/gap_test.go
@@ -0,0 +1,261 @@
+package sched
+
+import (
+	"bytes"
+	"context"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"rattanpath/fake"
+	"rattanpath/tasks"
+)
+
+// logBuffer collects the log of several nodes.
+type logBuffer struct {
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.Write(line)
+}
+
+// logPair matches a key with its value in a log line.
+var logPair = regexp.MustCompile(`(\w+)=("[^"]*"|\S+)`)
+
+// lines returns the lines with a message, each as its values by key.
+func (b *logBuffer) lines(message string) []map[string]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []map[string]string
+	for line := range strings.Lines(b.out.String()) {
+		values := make(map[string]string)
+		for _, pair := range logPair.FindAllStringSubmatch(line, -1) {
+			values[pair[1]] = strings.Trim(pair[2], `"`)
+		}
+		if values["msg"] == message {
+			found = append(found, values)
+		}
+	}
+	return found
+}
+
+// gapMessage is the message of the line on a gap that has ended.
+const gapMessage = "serving task has a run again"
+
+// useServingTasks makes all tasks serve, and returns the log of all nodes.
+func (tc *testCluster) useServingTasks() *logBuffer {
+	tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Serving: true} }
+	log := &logBuffer{}
+	tc.logOutput = log
+	return log
+}
+
+// startServing claims the cell and starts a job of serving tasks, at most one per host.
+func (tc *testCluster) startServing(count int) *node {
+	tc.t.Helper()
+	n := tc.claim("a")
+	time.Sleep(100 * time.Millisecond)
+	if err := tc.submit(n, "job", servingPlan(count, 1000)); err != nil {
+		tc.t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+	return n
+}
+
+// wantGap checks the line on the only gap and returns the parts of the gap.
+func wantGap(t *testing.T, log *logBuffer, want map[string]string) map[string]time.Duration {
+	t.Helper()
+	lines := log.lines(gapMessage)
+	if len(lines) != 1 {
+		t.Fatalf("got %d gaps %v, want 1", len(lines), lines)
+	}
+	for key, value := range want {
+		if got := lines[0][key]; got != value {
+			t.Errorf("got %s=%q, want %q in %v", key, got, value, lines[0])
+		}
+	}
+	parts := make(map[string]time.Duration)
+	for _, part := range []string{"found", "waited", "retried", "started"} {
+		took, err := time.ParseDuration(lines[0][part])
+		if err != nil {
+			t.Errorf("got %s=%q, want a duration", part, lines[0][part])
+		}
+		parts[part] = took
+	}
+	return parts
+}
+
+// wantBetween checks that a part of a gap is within limits, and that the others are short.
+func wantBetween(t *testing.T, parts map[string]time.Duration, part string, low, high time.Duration) {
+	t.Helper()
+	for name, got := range parts {
+		switch {
+		case name == part && (got < low || got > high):
+			t.Errorf("got %s=%v, want %v to %v", name, got, low, high)
+		case name != part && got > shortPart(name):
+			t.Errorf("got %s=%v, want at most %v", name, got, shortPart(name))
+		}
+	}
+}
+
+// shortPart returns how long a part of a gap takes at most that nothing delays. The last report
+// before the end may be older by the wait of a heartbeat.
+func shortPart(name string) time.Duration {
+	if name == "found" {
+		return heartbeatWait + retireProbeTimeout + 100*time.Millisecond
+	}
+	return 300 * time.Millisecond
+}
+
+// TestGapOfSilentHost guards against a gap whose time until the lease has expired is put down
+// to another part, and against histograms that don't get it.
+func TestGapOfSilentHost(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		log := tc.useServingTasks()
+		set := metrics.NewSet()
+		tc.configure = func(o *Options) { o.Metrics = NewMetrics(set) }
+		n := tc.startServing(1)
+		silent := n.hostOf("job", 0)
+		tc.runners[silent].SetUnresponsive(true)
+		time.Sleep(8 * time.Second)
+		parts := wantGap(t, log, map[string]string{"run": "2", "lastHost": silent, "how": "lost", "why": string(lossLease), "since": "host", "attempts": "1"})
+		wantBetween(t, parts, "found", 4*time.Second, 6500*time.Millisecond)
+		var out bytes.Buffer
+		set.WritePrometheus(&out)
+		for part := range parts {
+			if want := `rattanpath_cell_serving_gap_seconds_count{part="` + part + `",since="host"} 1`; !strings.Contains(out.String(), want) {
+				t.Errorf("got no metric %s, want it", want)
+			}
+		}
+	})
+}
+
+// TestGapOfTakeover guards against a gap that doesn't show how long a new owner waited for the
+// leases of the one before.
+func TestGapOfTakeover(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		log := tc.useServingTasks()
+		n := tc.startServing(1)
+		silent := n.hostOf("job", 0)
+		// The owner loses its store, and the host is gone when the next owner claims.
+		tc.store.SetFailure("a", fake.Unresponsive)
+		tc.runners[silent].SetUnresponsive(true)
+		tc.claim("b")
+		time.Sleep(12 * time.Second)
+		parts := wantGap(t, log, map[string]string{"lastHost": silent, "how": "lost", "why": string(lossInheritedLease), "since": "claim", "node": "b", "attempts": "1"})
+		wait := MaxTakeoverWait(testLease)
+		wantBetween(t, parts, "found", wait, wait+300*time.Millisecond)
+	})
+}
+
+// TestGapWithoutHost guards against a gap that doesn't show that no host was free.
+func TestGapWithoutHost(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		log := tc.useServingTasks()
+		n := tc.startServing(2)
+		host := n.hostOf("job", 0)
+		tc.runners[host].Crash()
+		time.Sleep(100 * time.Millisecond)
+		if err := n.cell.Retire([]RetiredHost{{ID: host}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		tc.addHost("h9", 1)
+		time.Sleep(2 * time.Second)
+		parts := wantGap(t, log, map[string]string{"lastHost": host, "host": "h9", "why": string(lossRetired), "attempts": "1"})
+		wantBetween(t, parts, "waited", 3*time.Second, 3600*time.Millisecond)
+	})
+}
+
+// TestGapOfLostStart guards against a gap that doesn't show that a start was lost.
+func TestGapOfLostStart(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		log := tc.useServingTasks()
+		n := tc.startServing(1)
+		host := n.hostOf("job", 0)
+		for id, runner := range tc.runners {
+			if id != host {
+				// The first start and the first stop get no answer.
+				runner.DelayCommands(2, time.Minute)
+			}
+		}
+		tc.runners[host].Crash()
+		if err := n.cell.Retire([]RetiredHost{{ID: host}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		parts := wantGap(t, log, map[string]string{"lastHost": host, "run": "3", "attempts": "2"})
+		wantBetween(t, parts, "retried", 500*time.Millisecond, time.Second)
+	})
+}
+
+// TestGapIsInherited guards against gaps that end unseen since the owner changed meanwhile.
+func TestGapIsInherited(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		log := tc.useServingTasks()
+		n := tc.startServing(1)
+		tc.runners["h0"].Crash()
+		if err := n.cell.Retire([]RetiredHost{{ID: "h0"}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		n.stop()
+		<-n.done
+		tc.claim("b")
+		time.Sleep(2 * time.Second)
+		tc.addHost("h9", 1)
+		time.Sleep(time.Second)
+		parts := wantGap(t, log, map[string]string{"node": "b", "lastHost": "", "how": "unknown", "why": gapInherited, "since": "claim", "attempts": "1"})
+		wantBetween(t, parts, "waited", 2*time.Second, 2600*time.Millisecond)
+	})
+}
+
+// TestGapsAreDropped guards against gaps that outlive their job, and against some for tasks
+// that are not serving or have never run.
+func TestGapsAreDropped(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		log := tc.useServingTasks()
+		n := tc.startServing(2)
+		tc.profileOf = halfSecondRun
+		if err := tc.submit(n, "batch", simplePlan(1, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		tc.runners["h0"].Crash()
+		if err := n.cell.Retire([]RetiredHost{{ID: "h0"}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if got := n.gaps(); got != 1 {
+			t.Errorf("got %d gaps, want that of the serving task that had a run", got)
+		}
+		if err := n.cell.Cancel(context.Background(), Caller{}, tasks.Key{Queue: testQueue, ID: "job"}); err != nil {
+			t.Fatal(err)
+		}
+		if got := n.gaps(); got != 0 {
+			t.Errorf("got %d gaps after the job was cancelled, want 0", got)
+		}
+		if got := log.lines(gapMessage); len(got) != 0 {
+			t.Errorf("got the lines %v, want none", got)
+		}
+	})
+}
+
+// gaps returns the number of gaps that the cell keeps.
+func (n *node) gaps() int {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	count := 0
+	for _, e := range n.cell.jobs {
+		count += len(e.gaps)
+	}
+	return count
+}
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -149,6 +149,7 @@
 		if r := h.runs[key]; r != nil {
 			active.Checkpoint = c.storableCheckpoint(r, active.Checkpoint)
 			c.updateRun(r, active, report.HostTime, now)
+			c.runProven(h, r, report.HostTime)
 			c.observeSpeed(h, r, active.Percent, active.Checkpoint, report.HostTime)
 		} else {
 			c.stopUnexpected(h, active, report.HostTime)
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -82,6 +82,18 @@
 	m.set.GetOrCreateCounter(`rattanpath_cell_lost_runs_total{why="` + string(why) + `"}`).Inc()
 }
 
+// recordGap records the parts of the time that a serving task was without a run, the last of
+// which is that of the start.
+func (m *Metrics) recordGap(g *gap, started time.Duration) {
+	parts := map[string]time.Duration{
+		"found": g.found, "waited": g.waited, "retried": g.retried, "started": started,
+		"total": g.found + g.waited + g.retried + started,
+	}
+	for part, took := range parts {
+		m.set.GetOrCreateHistogram(`rattanpath_cell_serving_gap_seconds{part="` + part + `",since="` + string(g.since) + `"}`).Update(took.Seconds())
+	}
+}
+
 // recordVerdict counts a change of what is known of a pair of images.
 func (m *Metrics) recordVerdict(verdict coloc.Verdict) {
 	m.set.GetOrCreateCounter(`rattanpath_cell_interference_total{verdict="` + verdict.String() + `"}`).Inc()
--- a/sched/run.go
+++ b/sched/run.go
@@ -51,6 +51,9 @@
 	// startedBy is a local time by which the run had started: when its start was
 	// confirmed or it was first reported. It serves for durations only.
 	startedBy time.Duration
+	// provenAt is the last local time at which the host is known to have had the run, 0 if
+	// it has never confirmed it to this cell.
+	provenAt time.Duration
 	// survived is what answeredFor returned when the host restarted.
 	survived time.Duration
 	// sentAt is the local time at which the start command was sent, 0 if this cell sent none.
--- a/sched/write.go
+++ b/sched/write.go
@@ -25,6 +25,7 @@
 	}
 	if e.job.Phase != tasks.Open && c.open[e] {
 		delete(c.open, e)
+		e.gaps = nil
 		c.reduceBacklog(e, e.unstarted)
 		took := e.job.Ended.Sub(e.job.Accepted)
 		c.options.Metrics.recordJob(e.job.Phase, took)
--- a/tasks/job.go
+++ b/tasks/job.go
@@ -90,6 +90,10 @@
 	return s.Room
 }
 
+// Serves reports whether the tasks of the step serve requests until the job is cancelled,
+// and not only while others leave CPU time idle.
+func (s *Step) Serves() bool { return s.Lasting && !s.Fills }
+
 // Isolates reports whether a task of the step must be started alone, so that a further crash
 // can be put down to it. A gang isn't isolated: its members start together, and its job fails
 // whichever of them is to blame.
