sched: a host that leaves the pool's list with runs is logged

Now: the owner of the service writes "host with runs left the pool", with the numbers of runs and of serving runs, the missed heartbeats, and whether the machine controller had retired the host. A machine that is moved has no runs and gets no such line.

Tested: an idle host and one with a serving run leave the list together; only the second one is logged.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -411,7 +411,11 @@
 	}
 	for id, h := range c.hosts {
 		info := view.Hosts[id]
-		h.inPool = info != nil && info.Service == c.options.Service
+		listed := info != nil && info.Service == c.options.Service
+		if h.inPool && !listed {
+			c.logUnlisted(h)
+		}
+		h.inPool = listed
 	}
 	wake(c.scheduleWake)
 }
--- a/sched/gap_test.go
+++ b/sched/gap_test.go
@@ -259,3 +259,25 @@
 	}
 	return count
 }
+
+// TestHostWithRunsLeavesPool guards against lost hosts that can't be told from machines that
+// are moved: each of these leaves the list as well, but without runs.
+func TestHostWithRunsLeavesPool(t *testing.T) {
+	runCluster(t, 3, func(tc *testCluster) {
+		log := tc.useServingTasks()
+		n := tc.startServing(2)
+		lost, idle := n.hostOf("job", 0), ""
+		for id := range tc.runners {
+			if id != lost && id != n.hostOf("job", 1) {
+				idle = id
+			}
+		}
+		n.hosts.SetUnlisted(idle, true)
+		n.hosts.SetUnlisted(lost, true)
+		time.Sleep(time.Second)
+		lines := log.lines("host with runs left the pool")
+		if len(lines) != 1 || lines[0]["host"] != lost || lines[0]["runs"] != "1" || lines[0]["serving"] != "1" {
+			t.Errorf("got the lines %v, want one on host %s with a serving run", lines, lost)
+		}
+	})
+}
--- a/sched/host.go
+++ b/sched/host.go
@@ -165,6 +165,26 @@
 	c.spawn(loop.run)
 }
 
+// logUnlisted logs that the pool no longer lists a host, if the host has runs. That of a machine
+// that is moved has none.
+func (c *Cell) logUnlisted(h *host) {
+	if len(h.runs) == 0 {
+		return
+	}
+	c.logger.Info("host with runs left the pool", "host", h.id, "runs", len(h.runs), "serving", h.servingRuns(), "missed", h.missedHeartbeats, "retired", h.isRetired())
+}
+
+// servingRuns returns the number of runs of serving tasks on the host.
+func (h *host) servingRuns() int {
+	count := 0
+	for _, r := range h.runs {
+		if r.entry != nil && r.entry.job.Step(r.id).Serves() {
+			count++
+		}
+	}
+	return count
+}
+
 // used returns the resources that the runs of a host occupy.
 func (h *host) used() tasks.Resources {
 	var used tasks.Resources
