sched: the tests of gaps add no hosts while nodes run

Their hosts were added to the map that the nodes' clients read, a race that the race detector reported for TestGapIsInherited. The other host is there from the start now, and cordoned for as long.

--- a/sched/gap_test.go
+++ b/sched/gap_test.go
@@ -126,13 +126,13 @@
 		silent := n.hostOf("job", 0)
 		tc.runners[silent].SetUnresponsive(true)
 		time.Sleep(8 * time.Second)
-		parts := wantGap(t, log, map[string]string{"run": "2", "lastHost": silent, "how": "lost", "why": string(lossLease), "since": "host", "attempts": "1"})
-		wantBetween(t, parts, "found", 4*time.Second, 6500*time.Millisecond)
+		parts := wantGap(tc.t, log, map[string]string{"run": "2", "lastHost": silent, "how": "lost", "why": string(lossLease), "since": "host", "attempts": "1"})
+		wantBetween(tc.t, parts, "found", 4*time.Second, 6500*time.Millisecond)
 		var out bytes.Buffer
 		set.WritePrometheus(&out)
 		for part := range parts {
 			if want := `rattanpath_cell_serving_gap_seconds_count{part="` + part + `",since="host"} 1`; !strings.Contains(out.String(), want) {
-				t.Errorf("got no metric %s, want it", want)
+				tc.t.Errorf("got no metric %s, want it", want)
 			}
 		}
 	})
@@ -150,9 +150,9 @@
 		tc.runners[silent].SetUnresponsive(true)
 		tc.claim("b")
 		time.Sleep(12 * time.Second)
-		parts := wantGap(t, log, map[string]string{"lastHost": silent, "how": "lost", "why": string(lossInheritedLease), "since": "claim", "node": "b", "attempts": "1"})
+		parts := wantGap(tc.t, log, map[string]string{"lastHost": silent, "how": "lost", "why": string(lossInheritedLease), "since": "claim", "node": "b", "attempts": "1"})
 		wait := MaxTakeoverWait(testLease)
-		wantBetween(t, parts, "found", wait, wait+300*time.Millisecond)
+		wantBetween(tc.t, parts, "found", wait, wait+300*time.Millisecond)
 	})
 }
 
@@ -160,61 +160,80 @@
 func TestGapWithoutHost(t *testing.T) {
 	runCluster(t, 2, func(tc *testCluster) {
 		log := tc.useServingTasks()
-		n := tc.startServing(2)
-		host := n.hostOf("job", 0)
-		tc.runners[host].Crash()
-		time.Sleep(100 * time.Millisecond)
-		if err := n.cell.Retire([]RetiredHost{{ID: host}}); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(3 * time.Second)
-		tc.addHost("h9", 1)
-		time.Sleep(2 * time.Second)
-		parts := wantGap(t, log, map[string]string{"lastHost": host, "host": "h9", "why": string(lossRetired), "attempts": "1"})
-		wantBetween(t, parts, "waited", 3*time.Second, 3600*time.Millisecond)
+		n := tc.startServing(1)
+		other := tc.idleHost(n, 1)
+		n.cordon(tc, other, 3*time.Second)
+		lost := tc.lose(n, 0)
+		time.Sleep(5 * time.Second)
+		parts := wantGap(tc.t, log, map[string]string{"lastHost": lost, "host": other, "why": string(lossRetired), "attempts": "1"})
+		wantBetween(tc.t, parts, "waited", 2700*time.Millisecond, 3200*time.Millisecond)
 	})
 }
 
+// cordon keeps new runs off a host.
+func (n *node) cordon(tc *testCluster, host string, period time.Duration) {
+	tc.t.Helper()
+	if _, err := n.cell.Cordon([]string{host}, period, false); err != nil {
+		tc.t.Fatal(err)
+	}
+}
+
+// lose crashes the host of a task and retires it, so that the task is to run elsewhere at once.
+func (tc *testCluster) lose(n *node, index int) string {
+	tc.t.Helper()
+	host := n.hostOf("job", index)
+	tc.runners[host].Crash()
+	if err := n.cell.Retire([]RetiredHost{{ID: host}}); err != nil {
+		tc.t.Fatal(err)
+	}
+	return host
+}
+
+// idleHost returns a host without any of the first tasks of the job.
+func (tc *testCluster) idleHost(n *node, count int) string {
+	tc.t.Helper()
+	busy := make(map[string]bool)
+	for index := range count {
+		busy[n.hostOf("job", index)] = true
+	}
+	for id := range tc.runners {
+		if !busy[id] {
+			return id
+		}
+	}
+	tc.t.Fatal("got no host without a task, want one")
+	return ""
+}
+
 // TestGapOfLostStart guards against a gap that doesn't show that a start was lost.
 func TestGapOfLostStart(t *testing.T) {
 	runCluster(t, 2, func(tc *testCluster) {
 		log := tc.useServingTasks()
 		n := tc.startServing(1)
-		host := n.hostOf("job", 0)
-		for id, runner := range tc.runners {
-			if id != host {
-				// The first start and the first stop get no answer.
-				runner.DelayCommands(2, time.Minute)
-			}
-		}
-		tc.runners[host].Crash()
-		if err := n.cell.Retire([]RetiredHost{{ID: host}}); err != nil {
-			t.Fatal(err)
-		}
+		// The first start and the first stop get no answer.
+		tc.runners[tc.idleHost(n, 1)].DelayCommands(2, time.Minute)
+		lost := tc.lose(n, 0)
 		time.Sleep(5 * time.Second)
-		parts := wantGap(t, log, map[string]string{"lastHost": host, "run": "3", "attempts": "2"})
-		wantBetween(t, parts, "retried", 500*time.Millisecond, time.Second)
+		parts := wantGap(tc.t, log, map[string]string{"lastHost": lost, "run": "3", "attempts": "2"})
+		wantBetween(tc.t, parts, "retried", 500*time.Millisecond, time.Second)
 	})
 }
 
 // TestGapIsInherited guards against gaps that end unseen since the owner changed meanwhile.
 func TestGapIsInherited(t *testing.T) {
-	runCluster(t, 1, func(tc *testCluster) {
+	runCluster(t, 2, func(tc *testCluster) {
 		log := tc.useServingTasks()
-		n := tc.startServing(1)
-		tc.runners["h0"].Crash()
-		if err := n.cell.Retire([]RetiredHost{{ID: "h0"}}); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(time.Second)
-		n.stop()
-		<-n.done
-		tc.claim("b")
-		time.Sleep(2 * time.Second)
-		tc.addHost("h9", 1)
+		a := tc.startServing(1)
+		other := tc.idleHost(a, 1)
+		a.cordon(tc, other, time.Minute)
+		tc.lose(a, 0)
 		time.Sleep(time.Second)
-		parts := wantGap(t, log, map[string]string{"node": "b", "lastHost": "", "how": "unknown", "why": gapInherited, "since": "claim", "attempts": "1"})
-		wantBetween(t, parts, "waited", 2*time.Second, 2600*time.Millisecond)
+		a.stop()
+		<-a.done
+		tc.claim("b").cordon(tc, other, 2*time.Second)
+		time.Sleep(4 * time.Second)
+		parts := wantGap(tc.t, log, map[string]string{"node": "b", "host": other, "lastHost": "", "how": "unknown", "why": gapInherited, "since": "claim", "attempts": "1"})
+		wantBetween(tc.t, parts, "waited", 2*time.Second, 2300*time.Millisecond)
 	})
 }
 
@@ -224,27 +243,23 @@
 	runCluster(t, 1, func(tc *testCluster) {
 		log := tc.useServingTasks()
 		n := tc.startServing(2)
-		tc.profileOf = halfSecondRun
 		if err := tc.submit(n, "batch", simplePlan(1, 1000)); err != nil {
-			t.Fatal(err)
+			tc.t.Fatal(err)
 		}
 		time.Sleep(100 * time.Millisecond)
-		tc.runners["h0"].Crash()
-		if err := n.cell.Retire([]RetiredHost{{ID: "h0"}}); err != nil {
-			t.Fatal(err)
-		}
+		tc.lose(n, 0)
 		time.Sleep(200 * time.Millisecond)
 		if got := n.gaps(); got != 1 {
-			t.Errorf("got %d gaps, want that of the serving task that had a run", got)
+			tc.t.Errorf("got %d gaps, want that of the serving task that had a run", got)
 		}
 		if err := n.cell.Cancel(context.Background(), Caller{}, tasks.Key{Queue: testQueue, ID: "job"}); err != nil {
-			t.Fatal(err)
+			tc.t.Fatal(err)
 		}
 		if got := n.gaps(); got != 0 {
-			t.Errorf("got %d gaps after the job was cancelled, want 0", got)
+			tc.t.Errorf("got %d gaps after the job was cancelled, want 0", got)
 		}
 		if got := log.lines(gapMessage); len(got) != 0 {
-			t.Errorf("got the lines %v, want none", got)
+			tc.t.Errorf("got the lines %v, want none", got)
 		}
 	})
 }
@@ -266,18 +281,13 @@
 	runCluster(t, 3, func(tc *testCluster) {
 		log := tc.useServingTasks()
 		n := tc.startServing(2)
-		lost, idle := n.hostOf("job", 0), ""
-		for id := range tc.runners {
-			if id != lost && id != n.hostOf("job", 1) {
-				idle = id
-			}
-		}
+		lost, idle := n.hostOf("job", 0), tc.idleHost(n, 2)
 		n.hosts.SetUnlisted(idle, true)
 		n.hosts.SetUnlisted(lost, true)
 		time.Sleep(time.Second)
 		lines := log.lines("host with runs left the pool")
 		if len(lines) != 1 || lines[0]["host"] != lost || lines[0]["runs"] != "1" || lines[0]["serving"] != "1" {
-			t.Errorf("got the lines %v, want one on host %s with a serving run", lines, lost)
+			tc.t.Errorf("got the lines %v, want one on host %s with a serving run", lines, lost)
 		}
 	})
 }
