sched: what a serving task without a host waits for is logged

Missing: a serving task that lost its run and got no other host showed nowhere why. `jobs explain` tells it only while it lasts.

Now: after a second without a host, once in each gap, "serving task waits for a host" gives the obstacle (the words of `jobs explain`) and the hosts of the cell by state: usable (of these feasible, full, or with siblings of the task), cordoned, draining, silent, unsynced, retired, unlisted, refused, stale. rattanpath_cell_serving_waits_total counts by obstacle, without labels of hosts and sizes of gangs. The reason comes from a preview pass, which changes nothing. The obstacles of hosts have names now. A task's first run is not covered.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -381,6 +381,7 @@
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
 		c.retryHeld(time.Now())
+		c.logWaits(time.Now())
 		c.assessSpeeds(time.Now())
 		c.logActivity()
 		c.mu.Unlock()
--- a/sched/gap.go
+++ b/sched/gap.go
@@ -43,6 +43,8 @@
 	changedAt time.Duration
 	// attempts counts the runs that were assigned.
 	attempts int
+	// waitLogged is set once it has been logged that the task waits for a host.
+	waitLogged bool
 }
 
 // runOver records that a run which may have executed is over. c.mu must be held.
--- a/sched/host.go
+++ b/sched/host.go
@@ -125,19 +125,32 @@
 // usable reports whether runs can be assigned to the host.
 func (h *host) usable() bool { return h.obstacle() == "" }
 
+// The reasons why no runs can be assigned to a host, as they are shown to operators.
+const (
+	obstacleUnlisted = "its entry is gone"
+	obstacleDraining = "draining"
+	obstacleSilent   = "does not answer"
+	obstacleUnsynced = "has not answered this owner yet"
+	obstacleRetired  = "its machine has left the pool"
+	obstacleCordoned = "cordoned"
+	obstacleRefused  = "refused an order a moment ago"
+	// staleRecord means that the host may have shrunk since its record was written.
+	staleRecord = "its entry is out of date"
+)
+
 // obstacle returns the first reason why no runs can be assigned to the host, or "".
 func (h *host) obstacle() string {
 	switch {
 	case !h.inPool:
-		return "its entry is gone"
+		return obstacleUnlisted
 	case h.info.Draining:
-		return "draining"
+		return obstacleDraining
 	case h.missedHeartbeats > 0:
-		return "does not answer"
+		return obstacleSilent
 	case !h.synced || !h.clock.Synced():
-		return "has not answered this owner yet"
+		return obstacleUnsynced
 	case h.isRetired():
-		return "its machine has left the pool"
+		return obstacleRetired
 	default:
 		return ""
 	}
@@ -166,7 +179,7 @@
 }
 
 // logUnlisted logs that the pool no longer lists a host, if the host has runs. That of a machine
-// that is moved has none.
+// that is moved has none as a rule.
 func (c *Cell) logUnlisted(h *host) {
 	if len(h.runs) == 0 {
 		return
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -94,6 +94,11 @@
 	}
 }
 
+// recordWait counts a serving task that waits for a host for long, by what it waits for.
+func (m *Metrics) recordWait(why string) {
+	m.set.GetOrCreateCounter(`rattanpath_cell_serving_waits_total{why="` + obstacleLabel(why) + `"}`).Inc()
+}
+
 // recordVerdict counts a change of what is known of a pair of images.
 func (m *Metrics) recordVerdict(verdict coloc.Verdict) {
 	m.set.GetOrCreateCounter(`rattanpath_cell_interference_total{verdict="` + verdict.String() + `"}`).Inc()
--- a/sched/preview.go
+++ b/sched/preview.go
@@ -16,6 +16,8 @@
 const (
 	// startNow is the start of a step that would be placed in the next pass.
 	startNow = "now"
+	// waitsForGang begins the reason why a gang isn't started that no hosts can run as a whole.
+	waitsForGang = "the hosts have no room for all"
 	// maxPreviewPicks limits the pairs of members and hosts that are compared for a gang, which
 	// holds up the cell for some milliseconds. Larger gangs are only counted.
 	maxPreviewPicks = 20_000
@@ -246,7 +248,7 @@
 	case reqs.AllowedHosts != nil && len(reqs.AllowedHosts) == 0:
 		return waitsForAdvisor
 	case feasible:
-		return fmt.Sprintf("the hosts have no room for all %d members of the gang", unit)
+		return fmt.Sprintf(waitsForGang+" %d members of the gang", unit)
 	default:
 		return infeasibleReason(reqs, p.hosts)
 	}
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -203,9 +203,6 @@
 	return hosts, stale
 }
 
-// staleRecord is the obstacle of a host that may have shrunk since its record was written.
-const staleRecord = "its entry is out of date"
-
 // hostObstacle returns the first reason why no run can be assigned to a host at present,
 // whatever it requires, or "". now and clock are the same moment.
 func (c *Cell) hostObstacle(h *host, now time.Time, clock time.Duration) string {
@@ -214,9 +211,9 @@
 	case obstacle != "":
 		return obstacle
 	case now.Before(h.cordonedUntil):
-		return "cordoned"
+		return obstacleCordoned
 	case now.Before(h.backoffUntil):
-		return "refused an order a moment ago"
+		return obstacleRefused
 	case !c.hasRecentRecord(h, clock):
 		return staleRecord
 	default:
--- a/sched/view.go
+++ b/sched/view.go
@@ -120,6 +120,7 @@
 	waitsAfterRefusal  = "a host refused a task a moment ago"
 	waitsForUsableHost = "no host of the pool is usable"
 	waitsForAdvisor    = "the advisor has allowed no host yet"
+	waitsForLabel      = "no usable host has the label "
 	waitsForCap        = "the cap of its organisation allows no more at present"
 )
 
@@ -181,7 +182,7 @@
 			}
 		}
 	}
-	return "it is next in turn"
+	return waitsInTurn
 }
 
 // hasAbandonedTask reports whether a task of a job was given up.
@@ -201,7 +202,7 @@
 // infeasibleReason returns why no host can run a task.
 func infeasibleReason(reqs place.Requirements, hosts []*place.Host) string {
 	if reqs.Step.Label != "" && !slices.ContainsFunc(hosts, func(h *place.Host) bool { return slices.Contains(h.Labels, reqs.Step.Label) }) {
-		return "no usable host has the label " + reqs.Step.Label
+		return waitsForLabel + reqs.Step.Label
 	}
 	if !slices.ContainsFunc(hosts, func(h *place.Host) bool { return h.Capacity.CanFit(reqs.Step.RequiredResources()) }) {
 		return "a task is larger than any host at present"
