--- a/sched/cell.go
+++ b/sched/cell.go
@@ -149,6 +149,8 @@
 	// a task were stopped as stalled.
 	paces  map[int]stepPace
 	stalls map[tasks.ID]int
+	// gaps holds the gaps of the serving tasks that have had a run and have none.
+	gaps map[tasks.ID]*gap
 	// unstarted is the number of tasks that were never started.
 	unstarted int
 	// advice holds the advisor's decisions by step.
@@ -379,6 +381,7 @@
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
 		c.retryHeld(time.Now())
+		c.logWaits(time.Now())
 		c.assessSpeeds(time.Now())
 		c.logActivity()
 		c.mu.Unlock()
@@ -409,7 +412,11 @@
 	}
 	for id, h := range c.hosts {
 		info := view.Hosts[id]
-		h.inPool = info != nil && info.Service == c.options.Service
+		listed := info != nil && info.Service == c.options.Service
+		if h.inPool && !listed {
+			c.logUnlisted(h)
+		}
+		h.inPool = listed
 	}
 	wake(c.scheduleWake)
 }
--- a/sched/host.go
+++ b/sched/host.go
@@ -127,19 +127,32 @@
 // usable reports whether runs can be assigned to the host.
 func (h *host) usable() bool { return h.obstacle() == "" }
 
+// The reasons why no runs can be assigned to a host, as they are shown to operators.
+const (
+	obstacleUnlisted = "its entry is gone"
+	obstacleDraining = "draining"
+	obstacleSilent   = "does not answer"
+	obstacleUnsynced = "has not answered this owner yet"
+	obstacleRetired  = "its machine has left the pool"
+	obstacleCordoned = "cordoned"
+	obstacleRefused  = "refused an order a moment ago"
+	// staleRecord means that the host may have shrunk since its record was written.
+	staleRecord = "its entry is out of date"
+)
+
 // obstacle returns the first reason why no runs can be assigned to the host, or "".
 func (h *host) obstacle() string {
 	switch {
 	case !h.inPool:
-		return "its entry is gone"
+		return obstacleUnlisted
 	case h.info.Draining:
-		return "draining"
+		return obstacleDraining
 	case h.missedHeartbeats > 0:
-		return "does not answer"
+		return obstacleSilent
 	case !h.synced || !h.clock.Synced():
-		return "has not answered this owner yet"
+		return obstacleUnsynced
 	case h.isRetired():
-		return "its machine has left the pool"
+		return obstacleRetired
 	default:
 		return ""
 	}
@@ -167,6 +180,26 @@
 	c.spawn(loop.run)
 }
 
+// logUnlisted logs that the pool no longer lists a host, if the host has runs. That of a machine
+// that is moved has none as a rule.
+func (c *Cell) logUnlisted(h *host) {
+	if len(h.runs) == 0 {
+		return
+	}
+	c.logger.Info("host with runs left the pool", "host", h.id, "runs", len(h.runs), "serving", h.servingRuns(), "missed", h.missedHeartbeats, "retired", h.isRetired())
+}
+
+// servingRuns returns the number of runs of serving tasks on the host.
+func (h *host) servingRuns() int {
+	count := 0
+	for _, r := range h.runs {
+		if r.entry != nil && r.entry.job.Step(r.id).Serves() {
+			count++
+		}
+	}
+	return count
+}
+
 // used returns the resources that the runs of a host occupy.
 func (h *host) used() tasks.Resources {
 	var used tasks.Resources
