--- a/infra/controller.go
+++ b/infra/controller.go
@@ -144,6 +144,8 @@
 	unknown    int
 	pools      map[string]*poolState
 	operations map[string]*operation
+	// listed holds, by machine, the hosts that the cloud lists.
+	listed map[string]listedHost
 	// departed holds, by service, the hosts that have left the pool a short time ago.
 	departed map[string][]*departedHost
 	lender   lender
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -50,6 +50,7 @@
 		}
 		inputs[service.Name] = input
 	}
+	t.recordListed()
 	for _, m := range t.machines {
 		machines[m.Name] = m
 		t.addMachine(m, inputs)
@@ -99,8 +100,9 @@
 		host.Idle = true
 	case p == nil:
 	case m.Host == "" || !hasHost(p, m.Host):
-		// The host of the machine has not started yet.
-		input.Incoming++
+		if t.mayBeStarting(m.Name) {
+			input.Incoming++
+		}
 		return
 	default:
 		h := p.hosts[m.Host]
