alloc: a pool with waiting tasks keeps an idle host

Callers saw tasks start later than they could.

Cause: RequiredHosts asks for one host beyond the busy ones if tasks wait, but only while no host is idle. With one idle host it asks for none, so that this one was surplus. Now the pool requires one more than its busy hosts in both cases. It gets no machine that it wouldn't have got before.

Evidence: TestPoolWithWaitingTasksKeepsIdleHost, without the change:

1 idle hosts: got moves [{waiting0 waiting spare}], want [] 2 idle hosts: got moves [{waiting0 waiting spare} {waiting1 waiting spare}], want [{waiting0 waiting spare}]

--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -78,10 +78,10 @@
 	if capacity.GPU > 0 {
 		required = max(required, hostsForDemand(pool.Used.GPU+expectedBacklog(pool.Waiting.GPU), capacity.GPU))
 	}
-	if (pool.IsShort || pool.Waiting.CPU > 0) && pool.idleCount() == 0 {
+	if pool.IsShort || pool.Waiting.CPU > 0 {
 		// A waiting task may fit on no single host although the total capacity
-		// suffices.
-		required = max(required, len(pool.Hosts)+1)
+		// suffices, but on an idle one.
+		required = max(required, len(pool.Hosts)-pool.idleCount()+1)
 	}
 	return required
 }
--- a/alloc/plan_test.go
+++ b/alloc/plan_test.go
@@ -113,6 +113,23 @@
 	}
 }
 
+// TestPoolWithWaitingTasksKeepsIdleHost guards against a pool that gives its last idle host away while
+// tasks wait, and gets a machine in its place: the tasks wait for two moves.
+func TestPoolWithWaitingTasksKeepsIdleHost(t *testing.T) {
+	for idle, want := range map[int]string{
+		0: "[{spare0 spare waiting}]",
+		1: "[]",
+		2: "[{waiting0 waiting spare}]",
+	} {
+		waiting, spare := testPool("waiting", 4, idle), testPool("spare", 2, 2)
+		waiting.Waiting = tasks.Resources{CPU: testCPU / 10}
+		spare.Standby = true
+		if got := fmt.Sprint(Plan([]Pool{waiting, spare}, 10)); got != want {
+			t.Errorf("%d idle hosts: got moves %v, want %v", idle, got, want)
+		}
+	}
+}
+
 // TestPlanInvariants checks for generated pools that no pool releases a busy
 // host, falls below its required hosts or grows beyond them, and that planning
 // all moves at once yields as many moves as planning them one by one.
