alloc: a step to be spread has as many hosts that take runs

Cause: a pool at its least size has the hosts that a step must be spread over (Apart) and three spare ones. Hosts that are being vacated, that are draining or that don't answer counted among them. With more than three, a step had fewer hosts than it must be spread over.

Now the planner is told which hosts take no runs. Those that do, and the machines that are incoming, have to be at least Apart. A host that only isn't usable counts as such once it hasn't been for hostStartTimeout, so that neither a missed heartbeat nor a new owner, which has reached no host yet, orders machines. For the same reason an idle host counts as incoming until a new owner has reached it: so far, each takeover could order a machine for each of them.

Cost: a pool at its least size with k such hosts gets max(0, k-3) machines, for as long as that lasts; calm maintenance with up to three vacated hosts in a pool costs no move. Leaving such hosts out of MinHosts would have cost k. Pools that are larger by k-3 because of their demand get none.

Evidence, without the change to plan.go, rebalance.go and listed.go:

TestStepHasEnoughUsableHosts 4 hosts unusable, 0 incoming: got 0 machines moved, want 1 8 hosts unusable, 0 incoming: got 0 machines moved, want 5 8 hosts unusable, 2 incoming: got 0 machines moved, want 3 TestPoolIsEnlargedForUnusableHosts more vacated: got 0 machines moved to the pool, want 2 more don't answer: got 0 machines moved to the pool, want 2 no idle one has answered a new owner yet: got 8 machines moved to the pool, want 0

--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -14,6 +14,9 @@
 	Machine string
 	// Idle means that nothing runs on the host.
 	Idle bool
+	// Unusable means that no run is assigned to the host at present, for example because it is
+	// being vacated.
+	Unusable bool
 	// MaintenanceDue means that the machine is due for maintenance.
 	MaintenanceDue bool
 	Capacity       tasks.Resources
@@ -33,6 +36,8 @@
 	// the number below which the pool moves no hosts to standby.
 	MinHosts  int
 	KeepHosts int
+	// Apart is the largest number of hosts over which a step must be spread.
+	Apart int
 	// Used is the capacity in use, Serving the part of it used by serving
 	// tasks, and Waiting the capacity that ready tasks wait for.
 	Used    tasks.Resources
@@ -78,6 +83,7 @@
 	if capacity.GPU > 0 {
 		required = max(required, hostsForDemand(pool.Used.GPU+expectedBacklog(pool.Waiting.GPU), capacity.GPU))
 	}
+	required = max(required, pool.Apart+pool.unusableCount())
 	if pool.IsShort || pool.Waiting.CPU > 0 {
 		// A waiting task may fit on no single host although the total capacity
 		// suffices, but on an idle one.
@@ -103,6 +109,17 @@
 	return count
 }
 
+// unusableCount returns the number of unusable hosts of the pool.
+func (p *Pool) unusableCount() int {
+	count := 0
+	for _, host := range p.Hosts {
+		if host.Unusable {
+			count++
+		}
+	}
+	return count
+}
+
 // poolState is the state of a pool during planning.
 type poolState struct {
 	Pool
--- a/alloc/plan_test.go
+++ b/alloc/plan_test.go
@@ -99,6 +99,31 @@
 	}
 }
 
+// TestStepHasEnoughUsableHosts guards against a step whose tasks must run on different hosts and that
+// has fewer hosts that take runs: those being vacated counted. It also guards against a machine moved
+// for each host that is vacated, although the pool has spare ones.
+func TestStepHasEnoughUsableHosts(t *testing.T) {
+	const apart, spare = 5, 3
+	tests := []struct{ unusable, incoming, want int }{
+		{unusable: 0, want: 0},
+		{unusable: spare, want: 0},
+		{unusable: spare + 1, want: 1},
+		{unusable: apart + spare, want: apart},
+		{unusable: apart + spare, incoming: 2, want: apart - 2},
+	}
+	for _, test := range tests {
+		vacated, standby := testPool("vacated", apart+spare, 0), testPool("standby", 8, 8)
+		vacated.Apart, vacated.MinHosts, vacated.Incoming = apart, apart+spare, test.incoming
+		standby.Standby = true
+		for i := range test.unusable {
+			vacated.Hosts[i].Unusable = true
+		}
+		if got := len(Plan([]Pool{vacated, standby}, 10)); got != test.want {
+			t.Errorf("%d hosts unusable, %d incoming: got %d machines moved, want %d", test.unusable, test.incoming, got, test.want)
+		}
+	}
+}
+
 // TestShrunkenPoolGrows checks that a pool whose hosts have shrunk to a quarter, and are
 // full, gets a machine for its waiting tasks: by the capacity of its machines it would
 // have enough.
@@ -131,8 +156,9 @@
 }
 
 // TestPlanInvariants checks for generated pools that no pool releases a busy
-// host, falls below its required hosts or grows beyond them, and that planning
-// all moves at once yields as many moves as planning them one by one.
+// host, falls below its required hosts or the usable ones that a step must be spread
+// over, or grows beyond the required ones, and that planning all moves at once yields
+// as many moves as planning them one by one.
 func TestPlanInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var pools []Pool
@@ -146,6 +172,10 @@
 			pool.ArrivalCPU = rapid.Int64Range(0, 8*testCPU).Draw(t, "arrivalCPU")
 			pool.ForecastCPU = rapid.Int64Range(0, 8*testCPU).Draw(t, "forecastCPU")
 			pool.Incoming = rapid.IntRange(0, 2).Draw(t, "incoming")
+			pool.Apart = rapid.IntRange(0, 6).Draw(t, "apart")
+			for i := range pool.Hosts {
+				pool.Hosts[i].Unusable = !pool.Hosts[i].Idle && rapid.Bool().Draw(t, "unusable")
+			}
 			pools = append(pools, pool)
 		}
 		moves := Plan(pools, 16)
@@ -160,11 +190,14 @@
 			movedToStandby[move.From] = movedToStandby[move.From] || standby[move.To]
 		}
 		for _, pool := range pools {
-			idle := 0
+			idle, usable := 0, 0
 			for _, host := range pool.Hosts {
 				if host.Idle {
 					idle++
 				}
+				if !host.Unusable {
+					usable++
+				}
 			}
 			have, want := len(pool.Hosts)+pool.Incoming, RequiredHosts(pool, MeanCapacity(pools))
 			if taken[pool.Name] > idle {
@@ -173,6 +206,9 @@
 			if !pool.Standby && taken[pool.Name] > 0 && have-taken[pool.Name] < want {
 				t.Fatalf("got %s reduced to %d hosts, want at least %d", pool.Name, have-taken[pool.Name], want)
 			}
+			if left := usable + pool.Incoming - taken[pool.Name]; !pool.Standby && taken[pool.Name] > 0 && left < pool.Apart {
+				t.Fatalf("got %s reduced to %d hosts that take runs or are incoming, want at least %d", pool.Name, left, pool.Apart)
+			}
 			if movedToStandby[pool.Name] && have-taken[pool.Name] < pool.KeepHosts {
 				t.Fatalf("got %s reduced to %d hosts by moves to standby, want at least %d", pool.Name, have-taken[pool.Name], pool.KeepHosts)
 			}
--- a/infra/listed.go
+++ b/infra/listed.go
@@ -3,7 +3,7 @@
 import "time"
 
 // hostStartTimeout is how long the host of a machine may take from when the machine is listed
-// with it until the owner of the pool reports it: one heartbeat of 1.5 s, one read of the host
+// with it until the owner of the pool reaches it: one heartbeat of 1.5 s, one read of the host
 // records, every 0.3 s, and two seconds' grace.
 const hostStartTimeout = 3800 * time.Millisecond
 
@@ -16,30 +16,53 @@
 	epoch int64
 	// since is when this leader first saw the machine with this host, in this pool and epoch.
 	since time.Duration
+	// usableAt is when the host was last reported as usable, 0 if never.
+	usableAt time.Duration
+}
+
+// isSame reports whether two are the same host, in the same pool and epoch.
+func (l listedHost) isSame(other listedHost) bool {
+	return l.pool == other.pool && l.host == other.host && l.epoch == other.epoch
 }
 
 // recordListed updates t.listed.
 func (t *term) recordListed() {
 	listed := make(map[string]listedHost, len(t.machines))
 	for _, m := range t.machines {
-		if m.State != Up {
-			continue
-		}
-		previous, known := t.listed[m.Name]
-		current := listedHost{pool: m.Pool, host: m.Host, epoch: previous.epoch, since: previous.since}
-		if p := t.pools[m.Pool]; p != nil {
-			current.epoch = p.report.Epoch
+		if m.State == Up {
+			listed[m.Name] = t.nextListed(m)
 		}
-		if !known || current != previous {
-			current.since = t.options.Clock()
-		}
-		listed[m.Name] = current
 	}
 	t.listed = listed
 }
 
-// mayBeStarting reports whether the host of a machine that is up, which the pool's owner does not
-// report, may still be starting. Later it counts as gone, for example because it is cut off.
+// nextListed returns the entry of a machine that is up.
+func (t *term) nextListed(m Machine) listedHost {
+	now := t.options.Clock()
+	previous, known := t.listed[m.Name]
+	current := listedHost{pool: m.Pool, host: m.Host, epoch: previous.epoch, since: now}
+	usable := false
+	if p := t.pools[m.Pool]; p != nil {
+		current.epoch = p.report.Epoch
+		usable = p.hosts[m.Host].Usable
+	}
+	if known && current.isSame(previous) {
+		current.since, current.usableAt = previous.since, previous.usableAt
+	}
+	if usable {
+		current.usableAt = now
+	}
+	return current
+}
+
+// mayBeStarting reports whether the host of a machine that is up, and that the pool's owner has not
+// reached, may still be starting. Later it counts as gone, for example because it is cut off.
 func (t *term) mayBeStarting(machine string) bool {
 	return t.options.Clock()-t.listed[machine].since < hostStartTimeout
 }
+
+// mayRecover reports whether a host that is not usable may soon be: it is starting, or was
+// usable a moment ago and may only have missed a heartbeat.
+func (t *term) mayRecover(machine string) bool {
+	return t.mayBeStarting(machine) || t.options.Clock()-t.listed[machine].usableAt < hostStartTimeout
+}
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -42,6 +42,7 @@
 			input.IsShort = p.report.IsShort()
 			input.ArrivalCPU = int64(p.arrivalRate)
 			input.ForecastCPU = int64(p.forecastDemand())
+			input.Apart = p.report.Apart
 			input.MinHosts = p.report.Apart + spareHosts
 			input.Used = p.used()
 		} else if !service.Standby {
@@ -108,9 +109,13 @@
 		h := p.hosts[m.Host]
 		if !h.Usable && h.Runs == 0 {
 			// The host does not respond, or is leaving.
+			if t.mayBeStarting(m.Name) {
+				input.Incoming++
+			}
 			return
 		}
 		host.Idle = h.Idle() && !h.Cordoned
+		host.Unusable = h.Cordoned || !h.Usable && !t.mayRecover(m.Name)
 	}
 	input.Hosts = append(input.Hosts, host)
 }
--- a/infra/rebalance_test.go
+++ b/infra/rebalance_test.go
@@ -87,3 +87,39 @@
 		}
 	}
 }
+
+// TestPoolIsEnlargedForUnusableHosts guards against a step whose tasks must run on different hosts
+// and that has too few: hosts that take no runs counted. It also guards against machines moved for
+// hosts that a new owner hasn't reached yet, and for those that the pool's spare hosts make up for.
+func TestPoolIsEnlargedForUnusableHosts(t *testing.T) {
+	vacated := func(h *sched.HostReport) { h.Cordoned = true }
+	unresponsive := func(h *sched.HostReport) { h.Usable = false }
+	idle := func(h *sched.HostReport) { h.Usable, h.Runs = false, 0 }
+	tests := []struct {
+		name   string
+		change func(h *sched.HostReport)
+		hosts  int
+		epoch  int64
+		wait   time.Duration
+		want   int
+	}{
+		{"as many vacated as are spare", vacated, spareHosts, 1, 10 * time.Second, 0},
+		{"more vacated", vacated, spareHosts + 2, 1, 0, 2},
+		{"more don't answer", unresponsive, spareHosts + 2, 1, 5 * time.Second, 2},
+		{"more don't answer, a moment ago", unresponsive, spareHosts + 2, 1, time.Second, 0},
+		{"none has answered a new owner yet", unresponsive, 8, 2, time.Second, 0},
+		{"no idle one has answered a new owner yet", idle, 8, 2, time.Second, 0},
+		{"idle ones don't answer", idle, 2, 1, 5 * time.Second, 2},
+	}
+	for _, test := range tests {
+		p := newPlanTerm(8, 5, 8)
+		p.movesAfter(10 * time.Second)
+		p.report.Epoch = test.epoch
+		for i := range test.hosts {
+			test.change(&p.report.Hosts[i])
+		}
+		if got := p.movesAfter(test.wait); got != test.want {
+			t.Errorf("%s: got %d machines moved to the pool, want %d", test.name, got, test.want)
+		}
+	}
+}
