sched, alloc: a pool grows for a serving task that no idle host can take

Callers could see a serving task without a run for as long as an idle host that couldn't take it stayed idle: one with a sibling has runs and isn't idle, but one that has shrunk, lacks the label or whose record is out of date is.

Cause: the planner orders a machine for waiting tasks only while no host is idle, and didn't know which of the idle hosts could take them.

Owners now report how many ready serving tasks no host can take (Unplaced). A pool with such tasks gets one machine beyond its idle and incoming ones, up to four, since the planner doesn't know kinds of machines and the next may be no better. That bounds the cost of a task that no machine can take, such as one with a label that none has: four idle hosts, if the pool doesn't have as many in any case.

Batch tasks are left as they are.

--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -46,6 +46,8 @@
 	// IsShort means that ready tasks other than best-effort ones have no host. They may
 	// request nothing of what Waiting counts.
 	IsShort bool
+	// HasUnplaced means that serving tasks wait that no host can take, not even an idle one.
+	HasUnplaced bool
 	// ArrivalCPU is the processor time that new jobs request per second.
 	// ForecastCPU is what tasks other than serving ones will need once a
 	// machine has moved.
@@ -66,6 +68,9 @@
 	// backlogFraction is the part of the waiting work that counts as demand.
 	// The rest is done by the time a machine has moved.
 	backlogFraction = 0.5
+	// maxUnsuited is the number of idle hosts up to which a pool gets another one for a task that
+	// none of them can take.
+	maxUnsuited = 3
 )
 
 // RequiredHosts returns how many hosts of the given capacity a pool should
@@ -87,11 +92,21 @@
 	if pool.IsShort || pool.Waiting.CPU > 0 {
 		// A waiting task may fit on no single host although the total capacity
 		// suffices, but on an idle one.
-		required = max(required, len(pool.Hosts)-pool.idleCount()+1)
+		required = max(required, len(pool.Hosts)-pool.idleCount()+pool.requiredIdle())
 	}
 	return required
 }
 
+// requiredIdle returns how many idle and incoming hosts a pool with waiting tasks should have. If
+// no idle host can take them, it should have another one, unless that has failed often: the next
+// may not be able to either.
+func (p *Pool) requiredIdle() int {
+	if !p.HasUnplaced {
+		return 1
+	}
+	return min(p.idleCount()+max(1, p.Incoming), maxUnsuited+1)
+}
+
 func expectedBacklog(backlog int64) int64 { return int64(backlogFraction * float64(backlog)) }
 
 func hostsForDemand(demand, capacity int64) int {
--- a/alloc/plan_test.go
+++ b/alloc/plan_test.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// TestPoolGrowsIfIdleHostsCannotTakeTask guards against a serving task that waits for ever while hosts of
+// its pool are idle, none of which can take it. It also guards against a pool that gets all machines
+// for a task that none of them can take.
+func TestPoolGrowsIfIdleHostsCannotTakeTask(t *testing.T) {
+	for idle, want := range map[int]int{0: 1, 1: 1, 3: 1, 4: 0, 5: 0} {
+		pool, spare := testPool("pool", 6, idle), testPool("spare", 8, 8)
+		pool.IsShort, pool.HasUnplaced, pool.KeepHosts = true, true, 6
+		spare.Standby = true
+		if got := len(Plan([]Pool{pool, spare}, 10)); got != want {
+			t.Errorf("%d hosts idle: got %d machines moved, want %d", idle, got, want)
+		}
+	}
+}
+
 // TestPlanInvariants checks for generated pools that no pool releases a busy
 // host, falls below its required hosts or the usable ones that a step must be spread
 // over, or grows beyond the required ones, and that planning all moves at once yields
@@ -171,6 +185,7 @@
 			pool.KeepHosts = rapid.IntRange(0, 6).Draw(t, "keepHosts")
 			pool.ArrivalCPU = rapid.Int64Range(0, 8*testCPU).Draw(t, "arrivalCPU")
 			pool.ForecastCPU = rapid.Int64Range(0, 8*testCPU).Draw(t, "forecastCPU")
+			pool.HasUnplaced = rapid.Bool().Draw(t, "hasUnplaced")
 			pool.Incoming = rapid.IntRange(0, 2).Draw(t, "incoming")
 			pool.Apart = rapid.IntRange(0, 6).Draw(t, "apart")
 			for i := range pool.Hosts {
--- a/infra/rebalance_test.go
+++ b/infra/rebalance_test.go
@@ -123,3 +123,28 @@
 		}
 	}
 }
+
+// TestPoolIsEnlargedForWaitingTask guards against a task that waits for ever while its pool gets no
+// machine: hosts that can't take it, and machines whose hosts are gone, count as room for it.
+func TestPoolIsEnlargedForWaitingTask(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(p *planTerm)
+		want   int
+	}{
+		{"host is idle", func(*planTerm) {}, 0},
+		{"idle host is cordoned", func(p *planTerm) { p.report.Hosts[0].Cordoned = true }, 1},
+		{"idle host doesn't answer", func(p *planTerm) { p.report.Hosts[0].Usable = false }, 1},
+		{"idle host is gone", func(p *planTerm) { p.report.Hosts = p.report.Hosts[1:] }, 1},
+		{"idle host can't take it", func(p *planTerm) { p.report.Unplaced = 1 }, 1},
+	}
+	for _, test := range tests {
+		p := newPlanTerm(8, 0, 8)
+		p.report.Hosts[0].Runs = 0
+		p.report.WaitingTasks = 1
+		test.change(p)
+		if got := p.movesAfter(10 * time.Second); got != test.want {
+			t.Errorf("%s: got %d machines moved to the pool, want %d", test.name, got, test.want)
+		}
+	}
+}
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -54,6 +54,8 @@
 	// number of those that aren't best-effort. Owners of older versions report only the sum.
 	Waiting      tasks.Resources
 	WaitingTasks int
+	// Unplaced is the number of ready serving tasks that no host, idle ones included, can take.
+	Unplaced int
 	// Arrived is the CPU time requested by jobs submitted since the cell was
 	// claimed, in millicore-milliseconds.
 	Arrived int64
@@ -87,6 +89,7 @@
 	for e := range c.open {
 		addWaiting(e.job, &report)
 	}
+	report.Unplaced = c.unplacedServing(now)
 	report.Quota = c.quotaReport()
 	return report, nil
 }
