infra: a wave passes over a machine whose host no owner reports

Callers saw a maintenance wave stand still, and miss its time, while one of its machines was up with a host that the pool's owner didn't report, for example because it was cut off.

Cause: such a machine counted as idle, so that it was selected before those with runs. No order was sent for it, since the owner can't confirm that the host has no runs, and the machine was selected again in the next round. With as many such machines as may be down at once, no other got its turn.

Now it isn't available for maintenance until its host is reported or the cloud lists the machine without one.

Evidence: TestWaveGoesOnBesideUnreportedHost, without the change:

got 0 orders for machine m1, want 1 got 0 orders for machine m2, want 1

--- a/infra/controller_test.go
+++ b/infra/controller_test.go
@@ -62,6 +62,8 @@
 	maintenanceOrders map[string]int
 	// odd holds the names of the machines that are listed in an unknown state.
 	odd map[string]bool
+	// unreported holds the hosts that the owners of pools don't know.
+	unreported map[string]bool
 	// retired holds the hosts that were reported to the owners of pools as gone.
 	retired []sched.RetiredHost
 	// endsPending is what the owners say of all hosts, and epoch what they report.
@@ -192,7 +194,7 @@
 	defer f.mu.Unlock()
 	report := sched.Report{Service: service, Epoch: f.epoch, Waiting: tasks.Resources{CPU: f.waiting[service]}}
 	for name, m := range f.machines {
-		if m.Pool == service && !time.Now().Before(f.readyAt[name]) {
+		if m.Pool == service && !f.unreported[m.Host] && !time.Now().Before(f.readyAt[name]) {
 			report.Hosts = append(report.Hosts, sched.HostReport{ID: m.Host, Room: m.Capacity, Usable: true, EndsPending: f.endsPending})
 		}
 	}
@@ -204,6 +206,9 @@
 	defer f.mu.Unlock()
 	var reports []sched.HostReport
 	for _, id := range hosts {
+		if f.unreported[id] {
+			continue
+		}
 		reports = append(reports, sched.HostReport{ID: id, Incarnation: testIncarnation, Usable: true, Cordoned: true, EndsPending: f.endsPending})
 	}
 	return reports, nil
--- a/infra/maintenance.go
+++ b/infra/maintenance.go
@@ -159,7 +159,12 @@
 		return c
 	}
 	h, known := p.hosts[m.Host]
-	c.Idle = !known || h.Idle()
+	if !known {
+		// The host may have runs, and can't be cordoned.
+		c.Up = false
+		return c
+	}
+	c.Idle = h.Idle()
 	c.Evicting = h.Cordoned
 	c.PoolSaturated = p.report.IsShort()
 	return c
