sched: a serving task is stopped for maintenance once a host can take it

Cause: a task on a cordoned host was stopped as soon as its step allowed it to be missed, whether or not another host could take it. If each has a sibling or is full, the task waits until a machine has come.

Now the owner looks for a host first, and sets room aside there for the tasks that wait, are being stopped, or are to be stopped before it. Without one the task keeps running for up to 4 s after the cordon. A machine takes less to come, and it is what waves leave until their deadline; an owner isn't told how much time a wave has left. Draining hosts are vacated at once, as before.

Cost: a host whose serving tasks no other can take is vacated up to 4 s later, and holds one of the wave's places until then. Hosts whose tasks can be taken are vacated as soon as before.

--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -10,6 +10,10 @@
 	// evictionDelay is how long tasks on a cordoned host may finish before they
 	// are stopped. Tasks that checkpoint are stopped at once.
 	evictionDelay = 2500 * time.Millisecond
+	// servingEvictionDelay is how long a serving task on a cordoned host keeps running while no other
+	// host can take it. A pool gets a machine in less time, and maintenance waves leave as much until
+	// their deadline.
+	servingEvictionDelay = 4 * time.Second
 	// takeoverSettleTime is how long after a takeover no serving task is stopped:
 	// those that the previous owner has stopped may still be reported as running.
 	takeoverSettleTime = 2 * time.Second
@@ -177,13 +181,14 @@
 
 // evictHosts evicts runs from draining and cordoned hosts. c.mu must be held.
 func (c *Cell) evictHosts(now time.Time) {
+	next := c.newNextHosts(now)
 	for _, h := range c.hosts {
 		switch {
 		case h.info == nil || len(h.runs) == 0:
 		case h.info.Draining:
 			c.evictDraining(h)
 		case h.evict && now.Before(h.cordonedUntil):
-			c.evictCordoned(h, now)
+			c.evictCordoned(h, now, next)
 		}
 	}
 }
@@ -228,18 +233,21 @@
 }
 
 // evictCordoned stops the runs of a cordoned host: serving tasks as their step
-// allows, tasks that checkpoint at once, and others after evictionDelay.
-func (c *Cell) evictCordoned(h *host, now time.Time) {
+// allows, once another host can take them or servingEvictionDelay has passed, tasks
+// that checkpoint at once, and others after evictionDelay.
+func (c *Cell) evictCordoned(h *host, now time.Time, next *nextHosts) {
+	cordonedFor := now.Sub(h.cordonedSince)
 	for _, r := range h.runs {
 		if r.entry == nil || r.stopping {
 			continue
 		}
 		step := r.entry.job.Step(r.id)
 		switch {
-		case step.Lasting && c.canStopServing(r):
-			c.stopRun(h, r)
 		case step.Lasting:
-		case step.Checkpoints || now.Sub(h.cordonedSince) > evictionDelay:
+			if c.canStopServing(r) && (cordonedFor > servingEvictionDelay || next.reserve(r)) {
+				c.stopRun(h, r)
+			}
+		case step.Checkpoints || cordonedFor > evictionDelay:
 			c.stopRun(h, r)
 		}
 	}
--- /dev/null
+++ b/sched/nexthost.go
@@ -0,0 +1,102 @@
+package sched
+
+import (
+	"time"
+
+	"rattanpath/place"
+	"rattanpath/tasks"
+)
+
+// nextHosts finds out whether other hosts can take serving tasks that are to be stopped. It reserves
+// room for those it has found a host for, and for those that are without a run already.
+type nextHosts struct {
+	cell *Cell
+	now  time.Time
+	// hosts are the usable hosts, and steps the requirements of steps, once they are needed.
+	hosts []*place.Host
+	steps map[stepOfJob]place.Requirements
+}
+
+// stepOfJob identifies a step of a round of a job.
+type stepOfJob struct {
+	entry *jobEntry
+	stepKey
+}
+
+// newNextHosts returns a nextHosts that is valid while c.mu is held.
+func (c *Cell) newNextHosts(now time.Time) *nextHosts {
+	return &nextHosts{cell: c, now: now}
+}
+
+// reserve reports whether another host can take the task of a run now, and reserves room there.
+func (n *nextHosts) reserve(r *run) bool {
+	if n.steps == nil {
+		n.load()
+	}
+	return n.reserveTask(r.entry, r.id)
+}
+
+// load finds the usable hosts and reserves room for the serving tasks that are waiting or being
+// stopped.
+func (n *nextHosts) load() {
+	n.hosts, _ = n.cell.usableHosts(n.now)
+	n.steps = make(map[stepOfJob]place.Requirements)
+	for e := range n.cell.open {
+		for _, round := range e.job.Rounds {
+			for step := range round.Steps {
+				if isWaitingServing(e.job, round, step) {
+					n.reserveWaiting(e, round, step)
+				}
+			}
+		}
+	}
+	for _, h := range n.cell.hosts {
+		for _, r := range h.runs {
+			if r.stopping && r.entry != nil && n.cell.open[r.entry] && r.entry.job.Step(r.id).Lasting {
+				n.reserveTask(r.entry, r.id)
+			}
+		}
+	}
+}
+
+// reserveWaiting reserves room for the waiting tasks of a step.
+func (n *nextHosts) reserveWaiting(e *jobEntry, round *tasks.Round, step int) {
+	for index := range round.Steps[step] {
+		if round.Steps[step][index].State == tasks.Waiting {
+			n.reserveTask(e, tasks.ID{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index})
+		}
+	}
+}
+
+// reserveTask reserves room for a task on a host that can take it, and reports whether there is one.
+func (n *nextHosts) reserveTask(e *jobEntry, taskID tasks.ID) bool {
+	task := e.job.Task(taskID)
+	if task == nil {
+		return false
+	}
+	reqs := ofTask(n.requirements(e, taskID), e, task)
+	picked := place.Pick(reqs, n.hosts)
+	if picked == nil {
+		return false
+	}
+	picked.Place(reqs)
+	reqs.SiblingsByHost[picked.ID]++
+	return true
+}
+
+// requirements returns what the tasks of a task's step require, whatever advisors allow. Its count
+// of siblings includes those that room is reserved for.
+func (n *nextHosts) requirements(e *jobEntry, taskID tasks.ID) place.Requirements {
+	key := stepOfJob{e, stepKey{taskID.Round, taskID.Step}}
+	reqs, known := n.steps[key]
+	if !known {
+		for _, round := range e.job.Rounds {
+			if round.Number == taskID.Round {
+				reqs = n.cell.requirements(e, round, taskID.Step, n.now)
+			}
+		}
+		reqs.AllowedHosts = nil
+		n.steps[key] = reqs
+	}
+	return reqs
+}
