--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -14,6 +14,9 @@
 	Machine string
 	// Idle means that nothing runs on the host.
 	Idle bool
+	// Unusable means that no run is assigned to the host at present, for example because it is
+	// being vacated.
+	Unusable bool
 	// MaintenanceDue means that the machine is due for maintenance.
 	MaintenanceDue bool
 	Capacity       tasks.Resources
@@ -33,6 +36,8 @@
 	// the number below which the pool moves no hosts to standby.
 	MinHosts  int
 	KeepHosts int
+	// Apart is the largest number of hosts over which a step must be spread.
+	Apart int
 	// Used is the capacity in use, Serving the part of it used by serving
 	// tasks, and Waiting the capacity that ready tasks wait for.
 	Used    tasks.Resources
@@ -41,6 +46,8 @@
 	// IsShort means that ready tasks other than best-effort ones have no host. They may
 	// request nothing of what Waiting counts.
 	IsShort bool
+	// HasUnplaced means that serving tasks wait that no host can take, not even an idle one.
+	HasUnplaced bool
 	// ArrivalCPU is the processor time that new jobs request per second.
 	// ForecastCPU is what tasks other than serving ones will need once a
 	// machine has moved.
@@ -61,6 +68,9 @@
 	// backlogFraction is the part of the waiting work that counts as demand.
 	// The rest is done by the time a machine has moved.
 	backlogFraction = 0.5
+	// maxUnsuited is the number of idle hosts up to which a pool gets another one for a task that
+	// none of them can take.
+	maxUnsuited = 3
 )
 
 // RequiredHosts returns how many hosts of the given capacity a pool should
@@ -78,14 +88,25 @@
 	if capacity.GPU > 0 {
 		required = max(required, hostsForDemand(pool.Used.GPU+expectedBacklog(pool.Waiting.GPU), capacity.GPU))
 	}
-	if (pool.IsShort || pool.Waiting.CPU > 0) && pool.idleCount() == 0 {
+	required = max(required, pool.Apart+pool.unusableCount())
+	if pool.IsShort || pool.Waiting.CPU > 0 {
 		// A waiting task may fit on no single host although the total capacity
-		// suffices.
-		required = max(required, len(pool.Hosts)+1)
+		// suffices, but on an idle one.
+		required = max(required, len(pool.Hosts)-pool.idleCount()+pool.requiredIdle())
 	}
 	return required
 }
 
+// requiredIdle returns how many idle and incoming hosts a pool with waiting tasks should have. If
+// no idle host can take them, it should have another one, unless that has failed often: the next
+// may not be able to either.
+func (p *Pool) requiredIdle() int {
+	if !p.HasUnplaced {
+		return 1
+	}
+	return min(p.idleCount()+max(1, p.Incoming), maxUnsuited+1)
+}
+
 func expectedBacklog(backlog int64) int64 { return int64(backlogFraction * float64(backlog)) }
 
 func hostsForDemand(demand, capacity int64) int {
@@ -103,6 +124,17 @@
 	return count
 }
 
+// unusableCount returns the number of unusable hosts of the pool.
+func (p *Pool) unusableCount() int {
+	count := 0
+	for _, host := range p.Hosts {
+		if host.Unusable {
+			count++
+		}
+	}
+	return count
+}
+
 // poolState is the state of a pool during planning.
 type poolState struct {
 	Pool
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -40,8 +40,10 @@
 			input.Serving = p.report.Serving
 			input.Waiting = p.report.Waiting
 			input.IsShort = p.report.IsShort()
+			input.HasUnplaced = p.report.Unplaced > 0
 			input.ArrivalCPU = int64(p.arrivalRate)
 			input.ForecastCPU = int64(p.forecastDemand())
+			input.Apart = p.report.Apart
 			input.MinHosts = p.report.Apart + spareHosts
 			input.Used = p.used()
 		} else if !service.Standby {
@@ -50,6 +52,7 @@
 		}
 		inputs[service.Name] = input
 	}
+	t.recordListed()
 	for _, m := range t.machines {
 		machines[m.Name] = m
 		t.addMachine(m, inputs)
@@ -99,16 +102,21 @@
 		host.Idle = true
 	case p == nil:
 	case m.Host == "" || !hasHost(p, m.Host):
-		// The host of the machine has not started yet.
-		input.Incoming++
+		if t.mayBeStarting(m.Name) {
+			input.Incoming++
+		}
 		return
 	default:
 		h := p.hosts[m.Host]
 		if !h.Usable && h.Runs == 0 {
 			// The host does not respond, or is leaving.
+			if t.mayBeStarting(m.Name) {
+				input.Incoming++
+			}
 			return
 		}
 		host.Idle = h.Idle() && !h.Cordoned
+		host.Unusable = h.Cordoned || !h.Usable && !t.mayRecover(m.Name)
 	}
 	input.Hosts = append(input.Hosts, host)
 }
--- a/infra/retire_test.go
+++ b/infra/retire_test.go
@@ -178,6 +178,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				fleet, s := newFakeFleet(t), fake.NewStore()
 				fleet.running = []sched.HostReport{{ID: "h-m0", Incarnation: testIncarnation, Runs: 1, Usable: true}}
+				fleet.unreported = map[string]bool{"h-m0": true}
 				leader := fleet.start(ctx, s, "first")
 				leader.isLeader.Store(true)
 				time.Sleep(3 * time.Second)
