infra: a pool that lacks hosts without an order for it is logged

Missing: "machine order sent" shows the machines that were ordered, and nothing why none was. The planner counts hosts that are being vacated, and machines whose host no owner knows; a pool short by these looked complete.

The plan is unchanged: its input is kept and read after the orders are sent.

--- a/infra/controller.go
+++ b/infra/controller.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
+	"rattanpath/alloc"
 	"rattanpath/claim"
 	"rattanpath/core"
 	"rattanpath/queue"
@@ -147,6 +148,10 @@
 	// departed holds, by service, the hosts that have left the pool a short time ago.
 	departed map[string][]*departedHost
 	lender   lender
+	// planned is the input of the last plan of moves, and shortages holds the pools that
+	// lacked hosts after it.
+	planned   []alloc.Pool
+	shortages map[string]*shortage
 }
 
 // operation is an order that a machine is carrying out.
@@ -285,6 +290,7 @@
 		return
 	}
 	t.dispatch(ctx, append(t.advanceWaves(ctx), t.planMoves(config)...))
+	t.logShortages()
 }
 
 // canOrder reports whether no other leader can be sending orders.
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -17,6 +17,7 @@
 // unneeded machines to standby.
 func (t *term) planMoves(config *queue.Config) []plannedOrder {
 	pools, machines := t.poolInputs(config)
+	t.planned = pools
 	var orders []plannedOrder
 	for _, move := range alloc.Plan(pools, t.movesLimit()) {
 		orders = append(orders, plannedOrder{kind: moveOperation, machine: machines[move.Machine], toPool: move.To})
