sched: the line on a host that left the pool tells when it was retired

The key `retired` of "host with runs left the pool" was false for a moved machine: its record expires after the 6 s for which a retirement counts. `sinceRetired` has the time since the retirement instead, 0 if there was none.

Tested: of two hosts that leave the list with a serving run, the one that was retired 7 s before shows it, the other one 0.

--- a/sched/gap_test.go
+++ b/sched/gap_test.go
@@ -276,18 +276,31 @@
 }
 
 // TestHostWithRunsLeavesPool guards against lost hosts that can't be told from machines that
-// are moved: each of these leaves the list as well, but without runs.
+// are moved: each of these leaves the list as well, but without runs or after it was retired.
 func TestHostWithRunsLeavesPool(t *testing.T) {
 	runCluster(t, 3, func(tc *testCluster) {
 		log := tc.useServingTasks()
 		n := tc.startServing(2)
-		lost, idle := n.hostOf("job", 0), tc.idleHost(n, 2)
-		n.hosts.SetUnlisted(idle, true)
-		n.hosts.SetUnlisted(lost, true)
+		lost, retired, idle := n.hostOf("job", 0), n.hostOf("job", 1), tc.idleHost(n, 2)
+		if err := n.cell.Retire([]RetiredHost{{ID: retired}}); err != nil {
+			tc.t.Fatal(err)
+		}
+		// The record of a machine that is moved goes after the retirement has ended.
+		time.Sleep(retirementPeriod + time.Second)
+		for _, host := range []string{idle, lost, retired} {
+			n.hosts.SetUnlisted(host, true)
+		}
 		time.Sleep(time.Second)
-		lines := log.lines("host with runs left the pool")
-		if len(lines) != 1 || lines[0]["host"] != lost || lines[0]["runs"] != "1" || lines[0]["serving"] != "1" {
-			tc.t.Errorf("got the lines %v, want one on host %s with a serving run", lines, lost)
+		sinceRetired := make(map[string]time.Duration)
+		for _, line := range log.lines("host with runs left the pool") {
+			since, err := time.ParseDuration(line["sinceRetired"])
+			if err != nil || line["runs"] != "1" || line["serving"] != "1" {
+				tc.t.Errorf("got the line %v, want one on a serving run", line)
+			}
+			sinceRetired[line["host"]] = since
+		}
+		if len(sinceRetired) != 2 || sinceRetired[lost] != 0 || sinceRetired[retired] < retirementPeriod {
+			tc.t.Errorf("got the times since retirement %v, want 0 of %s and at least %v of %s", sinceRetired, lost, retirementPeriod, retired)
 		}
 	})
 }
--- a/sched/host.go
+++ b/sched/host.go
@@ -184,7 +184,16 @@
 	if len(h.runs) == 0 {
 		return
 	}
-	c.logger.Info("host with runs left the pool", "host", h.id, "runs", len(h.runs), "serving", h.servingRuns(), "missed", h.missedHeartbeats, "retired", h.isRetired())
+	c.logger.Info("host with runs left the pool", "host", h.id, "runs", len(h.runs), "serving", h.servingRuns(), "missed", h.missedHeartbeats, "sinceRetired", h.sinceRetired().Round(time.Millisecond))
+}
+
+// sinceRetired returns how long ago the machine controller retired the current incarnation of the
+// host, 0 if it didn't.
+func (h *host) sinceRetired() time.Duration {
+	if h.retiredIncarnation == 0 || h.retiredIncarnation != h.currentIncarnation() {
+		return 0
+	}
+	return time.Since(h.retiredAt)
 }
 
 // servingRuns returns the number of runs of serving tasks on the host.
