sched, alloc: a pool grows for tasks that can't be stopped for maintenance

Callers saw maintenance wait, or a serving task without a run after it was stopped: the planner learned that no host could take the task only once it waited, and a machine came 1.5 s or more after that.

Now Unplaced also counts the serving tasks on hosts that are being vacated and that no other host can take, and the planner orders a machine although nothing waits yet. It thus comes while the task still runs, within the 4 s for which the task isn't stopped. Tasks are counted one after the other on hosts with room set aside, as when they are stopped: two that wait don't count the same room.

Evidence, without the change:

TestUnplacedServingTasksAreReported one host is vacated, others have siblings: got 0 tasks that no host can take, want 1 TestPoolGrowsIfIdleHostsCannotTakeTask 0 hosts idle, task waits false: got 0 machines moved, want 1 1 hosts idle, task waits false: got 0 machines moved, want 1 3 hosts idle, task waits false: got 0 machines moved, want 1

--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -46,7 +46,8 @@
 	// IsShort means that ready tasks other than best-effort ones have no host. They may
 	// request nothing of what Waiting counts.
 	IsShort bool
-	// HasUnplaced means that serving tasks wait that no host can take, not even an idle one.
+	// HasUnplaced means that serving tasks wait, or are to be stopped for maintenance, that no
+	// other host can take, not even an idle one.
 	HasUnplaced bool
 	// ArrivalCPU is the processor time that new jobs request per second.
 	// ForecastCPU is what tasks other than serving ones will need once a
@@ -89,7 +90,7 @@
 		required = max(required, hostsForDemand(pool.Used.GPU+expectedBacklog(pool.Waiting.GPU), capacity.GPU))
 	}
 	required = max(required, pool.Apart+pool.unusableCount())
-	if pool.IsShort || pool.Waiting.CPU > 0 {
+	if pool.IsShort || pool.HasUnplaced || pool.Waiting.CPU > 0 {
 		// A waiting task may fit on no single host although the total capacity
 		// suffices, but on an idle one.
 		required = max(required, len(pool.Hosts)-pool.idleCount()+pool.requiredIdle())
@@ -97,9 +98,9 @@
 	return required
 }
 
-// requiredIdle returns how many idle and incoming hosts a pool with waiting tasks should have. If
-// no idle host can take them, it should have another one, unless that has failed often: the next
-// may not be able to either.
+// requiredIdle returns how many idle and incoming hosts a pool with tasks that need a host should
+// have. If no idle host can take them, it should have another one, but not beyond maxUnsuited: the
+// next may not be able to either.
 func (p *Pool) requiredIdle() int {
 	if !p.HasUnplaced {
 		return 1
--- a/alloc/plan_test.go
+++ b/alloc/plan_test.go
@@ -155,16 +155,18 @@
 	}
 }
 
-// TestPoolGrowsIfIdleHostsCannotTakeTask guards against a serving task that waits for ever while hosts of
-// its pool are idle, none of which can take it. It also guards against a pool that gets all machines
-// for a task that none of them can take.
+// TestPoolGrowsIfIdleHostsCannotTakeTask guards against a serving task that waits for ever, or that can't
+// be stopped for maintenance, while hosts of its pool are idle, none of which can take it. It also guards
+// against a pool that gets all machines for a task that none of them can take.
 func TestPoolGrowsIfIdleHostsCannotTakeTask(t *testing.T) {
-	for idle, want := range map[int]int{0: 1, 1: 1, 3: 1, 4: 0, 5: 0} {
-		pool, spare := testPool("pool", 6, idle), testPool("spare", 8, 8)
-		pool.IsShort, pool.HasUnplaced, pool.KeepHosts = true, true, 6
-		spare.Standby = true
-		if got := len(Plan([]Pool{pool, spare}, 10)); got != want {
-			t.Errorf("%d hosts idle: got %d machines moved, want %d", idle, got, want)
+	for _, waits := range []bool{true, false} {
+		for idle, want := range map[int]int{0: 1, 1: 1, 3: 1, 4: 0, 5: 0} {
+			pool, spare := testPool("pool", 6, idle), testPool("spare", 8, 8)
+			pool.IsShort, pool.HasUnplaced, pool.KeepHosts = waits, true, 6
+			spare.Standby = true
+			if got := len(Plan([]Pool{pool, spare}, 10)); got != want {
+				t.Errorf("%d hosts idle, task waits %t: got %d machines moved, want %d", idle, waits, got, want)
+			}
 		}
 	}
 }
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -58,7 +58,8 @@
 	// number of those that aren't best-effort. Owners of older versions report only the sum.
 	Waiting      tasks.Resources
 	WaitingTasks int
-	// Unplaced is the number of ready serving tasks that no host, idle ones included, can take.
+	// Unplaced is the number of serving tasks that wait, or are to be stopped for maintenance, and
+	// that no other host, idle ones included, can take.
 	Unplaced int
 	// Arrived is the CPU time requested by jobs submitted since the cell was
 	// claimed, in millicore-milliseconds.
@@ -187,12 +188,15 @@
 		case h.info == nil || len(h.runs) == 0:
 		case h.info.Draining:
 			c.evictDraining(h)
-		case h.evict && now.Before(h.cordonedUntil):
+		case h.isVacated(now):
 			c.evictCordoned(h, now, next)
 		}
 	}
 }
 
+// isVacated reports whether the runs of the host are evicted for maintenance.
+func (h *host) isVacated(now time.Time) bool { return h.evict && now.Before(h.cordonedUntil) }
+
 // evictDraining stops the serving tasks of a host that is draining on its own. A
 // task keeps running while a sibling is being stopped on a host that stays: if it
 // ended first, both would be unavailable at once.
--- a/sched/nexthost.go
+++ b/sched/nexthost.go
@@ -7,14 +7,19 @@
 	"rattanpath/tasks"
 )
 
-// nextHosts finds out whether other hosts can take serving tasks that are to be stopped. It reserves
-// room for those it has found a host for, and for those that are without a run already.
+// nextHosts finds hosts for serving tasks that are to be stopped. It reserves room for those that it
+// has found a host for, after those that are without a run already.
 type nextHosts struct {
-	cell *Cell
-	now  time.Time
-	// hosts are the usable hosts, and steps the requirements of steps, once they are needed.
-	hosts []*place.Host
+	cell   *Cell
+	now    time.Time
+	loaded bool
+	// hosts are the usable hosts, once they are needed.
+	hosts      []*place.Host
+	hostsKnown bool
+	// steps holds the requirements of steps.
 	steps map[stepOfJob]place.Requirements
+	// unplaced is the number of tasks for which no host was found.
+	unplaced int
 }
 
 // stepOfJob identifies a step of a round of a job.
@@ -25,22 +30,28 @@
 
 // newNextHosts returns a nextHosts that is valid while c.mu is held.
 func (c *Cell) newNextHosts(now time.Time) *nextHosts {
-	return &nextHosts{cell: c, now: now}
+	return &nextHosts{cell: c, now: now, steps: make(map[stepOfJob]place.Requirements)}
 }
 
 // reserve reports whether another host can take the task of a run now, and reserves room there.
 func (n *nextHosts) reserve(r *run) bool {
-	if n.steps == nil {
-		n.load()
-	}
+	n.load()
 	return n.reserveTask(r.entry, r.id)
 }
 
-// load finds the usable hosts and reserves room for the serving tasks that are waiting or being
-// stopped.
+// unplacedCount returns the number of tasks, of those that are without a run or that reserve was
+// called for, that no host can take.
+func (n *nextHosts) unplacedCount() int {
+	n.load()
+	return n.unplaced
+}
+
+// load reserves room for the serving tasks that are waiting or being stopped.
 func (n *nextHosts) load() {
-	n.hosts, _ = n.cell.usableHosts(n.now)
-	n.steps = make(map[stepOfJob]place.Requirements)
+	if n.loaded {
+		return
+	}
+	n.loaded = true
 	for e := range n.cell.open {
 		for _, round := range e.job.Rounds {
 			for step := range round.Steps {
@@ -52,7 +63,7 @@
 	}
 	for _, h := range n.cell.hosts {
 		for _, r := range h.runs {
-			if r.stopping && r.entry != nil && n.cell.open[r.entry] && r.entry.job.Step(r.id).Lasting {
+			if r.stopping && n.cell.isNeeded(r) {
 				n.reserveTask(r.entry, r.id)
 			}
 		}
@@ -75,8 +86,9 @@
 		return false
 	}
 	reqs := ofTask(n.requirements(e, taskID), e, task)
-	picked := place.Pick(reqs, n.hosts)
+	picked := place.Pick(reqs, n.usableHosts())
 	if picked == nil {
+		n.unplaced++
 		return false
 	}
 	picked.Place(reqs)
@@ -84,6 +96,15 @@
 	return true
 }
 
+// usableHosts returns the usable hosts, less the room that is reserved.
+func (n *nextHosts) usableHosts() []*place.Host {
+	if !n.hostsKnown {
+		n.hosts, _ = n.cell.usableHosts(n.now)
+		n.hostsKnown = true
+	}
+	return n.hosts
+}
+
 // requirements returns what the tasks of a task's step require, whatever advisors allow. Its count
 // of siblings includes those that room is reserved for.
 func (n *nextHosts) requirements(e *jobEntry, taskID tasks.ID) place.Requirements {
