infra: a machine that can't be moved holds up no other

Callers saw tasks wait in a pool that wasn't enlarged while machines were idle in standby.

Cause: the planner takes the first idle machines of standby by name. If the cloud refused one, as busy or as not allowed in the pool, it was ordered again in each round, and as many such machines as the pool lacked kept all others from being moved. A machine of a pool isn't planned again while its host is cordoned, 4 s, but one in standby has no host.

Now a machine in standby that was refused isn't planned for 5 s, so that the next ones are tried.

Evidence: TestRefusedMachineHoldsUpNoMove, with a delay of 0:

busy, invalid: got 0 machines in the pool, want 3 busy, invalid: got 87 refused orders, want at most two for each machine

It was found by reading; no record shows such refusals.

--- a/infra/controller.go
+++ b/infra/controller.go
@@ -42,6 +42,9 @@
 	cordonDuration = 4 * time.Second
 	// cellCallTimeout bounds a call to the owner of a cell.
 	cellCallTimeout = 400 * time.Millisecond
+	// refusalDelay is how long a machine in standby that the cloud has refused to move isn't
+	// planned to move, so that others are.
+	refusalDelay = 5 * time.Second
 	// listInterval is the time between two listings of the machines.
 	listInterval = 500 * time.Millisecond
 )
@@ -146,6 +149,8 @@
 	operations map[string]*operation
 	// listed holds, by machine, the hosts that the cloud lists.
 	listed map[string]listedHost
+	// refusedAt is when the cloud last refused to move a machine, by machine.
+	refusedAt map[string]time.Duration
 	// departed holds, by service, the hosts that have left the pool a short time ago.
 	departed map[string][]*departedHost
 	lender   lender
@@ -223,6 +228,7 @@
 		pools:        make(map[string]*poolState),
 		operations:   make(map[string]*operation),
 		departed:     make(map[string][]*departedHost),
+		refusedAt:    make(map[string]time.Duration),
 	}
 	c.beginTerm(acquired.Epoch)
 	t.loadRecords(acquired.Records)
--- a/infra/controller_test.go
+++ b/infra/controller_test.go
@@ -64,6 +64,12 @@
 	odd map[string]bool
 	// unreported holds the hosts that the owners of pools don't know.
 	unreported map[string]bool
+	// refused holds the results of moves of machines that are refused, and standby makes the pool
+	// east a standby pool, in which no machine has a host.
+	refused map[string]OrderResult
+	standby bool
+	// refusedOrders counts the orders that were refused because of refused.
+	refusedOrders int
 	// retired holds the hosts that were reported to the owners of pools as gone.
 	retired []sched.RetiredHost
 	// endsPending is what the owners say of all hosts, and epoch what they report.
@@ -88,7 +94,7 @@
 }
 
 func (f *fakeFleet) Config() *queue.Config {
-	return queue.NewConfig(1, nil, []queue.Service{{Name: "east"}, {Name: "west"}}, queue.Limits{})
+	return queue.NewConfig(1, nil, []queue.Service{{Name: "east", Standby: f.standby}, {Name: "west"}}, queue.Limits{})
 }
 
 func (f *fakeFleet) Waves() map[int64]*queue.Wave {
@@ -109,6 +115,9 @@
 		} else {
 			listed.State = Up
 		}
+		if f.standby && m.Pool == "east" {
+			listed.Host = ""
+		}
 		if f.odd[name] {
 			listed = Machine{Name: name, State: Unknown}
 		}
@@ -150,6 +159,10 @@
 	f.delayOrder(order)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if result, refused := f.refused[order.Machine]; refused {
+		f.refusedOrders++
+		return result, nil
+	}
 	result := f.recordOrder(order, testMoveDuration)
 	if result == Accepted {
 		f.machines[order.Machine].Pool = pool
@@ -437,3 +450,29 @@
 		}
 	}
 }
+
+// TestRefusedMachineHoldsUpNoMove guards against a pool that is never enlarged: the same machine is
+// ordered for it again and again, although the cloud refuses that, and others are idle.
+func TestRefusedMachineHoldsUpNoMove(t *testing.T) {
+	for _, result := range []OrderResult{Busy, Invalid} {
+		t.Run(result.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				fleet, s := newFakeFleet(t), fake.NewStore()
+				fleet.standby = true
+				fleet.refused = map[string]OrderResult{"m0": result, "m1": result, "m10": result, "m11": result}
+				leader := fleet.start(ctx, s, "first")
+				leader.isLeader.Store(true)
+				time.Sleep(8 * time.Second)
+				if got := fleet.poolSize("west"); got != spareHosts {
+					t.Errorf("got %d machines in the pool, want %d", got, spareHosts)
+				}
+				cancel()
+				time.Sleep(3 * time.Second)
+				if got := fleet.refusedOrders; got > 2*len(fleet.refused) {
+					t.Errorf("got %d refused orders, want at most two for each machine", got)
+				}
+			})
+		})
+	}
+}
--- a/infra/dispatch.go
+++ b/infra/dispatch.go
@@ -124,6 +124,8 @@
 			t.markBegun(o, changedWaves)
 		case result == Fenced:
 			t.loseLeadership("a newer leader sends orders")
+		case o.kind == moveOperation && (result == Busy || result == Invalid):
+			t.refusedAt[o.machine.Name] = t.options.Clock()
 		case result == NotDue || result == Invalid:
 			// The cloud does not count the machine as part of the wave.
 			t.markBegun(o, changedWaves)
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -99,7 +99,7 @@
 	p := t.pools[m.Pool]
 	switch {
 	case input.Standby:
-		host.Idle = true
+		host.Idle = !t.wasRefused(m.Name)
 	case p == nil:
 	case m.Host == "" || !hasHost(p, m.Host):
 		if t.mayBeStarting(m.Name) {
@@ -121,6 +121,12 @@
 	input.Hosts = append(input.Hosts, host)
 }
 
+// wasRefused reports whether the cloud has refused to move a machine a short time ago.
+func (t *term) wasRefused(machine string) bool {
+	at, refused := t.refusedAt[machine]
+	return refused && t.options.Clock()-at < refusalDelay
+}
+
 func hasHost(p *poolState, host string) bool {
 	_, ok := p.hosts[host]
 	return ok
