sched: gaps whose wait was logged are skipped first

The check of each tick looked up the task of a gap before whether its line was written already. No change of what is logged.

Tested: go test ./sched -run 'Wait|Gap', with the race detector as well.

--- a/sched/gapwait.go
+++ b/sched/gapwait.go
@@ -54,8 +54,10 @@
 			if len(due) >= maxWaitLines {
 				return due
 			}
-			task := e.job.Task(id)
-			if !g.waitLogged && task != nil && task.State == tasks.Waiting && g.waitedBy(clock) > waitLogDelay {
+			if g.waitLogged || g.waitedBy(clock) <= waitLogDelay {
+				continue
+			}
+			if task := e.job.Task(id); task != nil && task.State == tasks.Waiting {
 				due = append(due, gapWait{entry: e, id: id, gap: g})
 			}
 		}
