sched: one search for a host per step that is full

A step with many serving tasks that no host can take cost a search over all hosts for each of them, every 250 ms with a report and every 100 ms while a host is vacated. Now the first task without a host is the last that is tried, as in a scheduling pass. The tests of Unplaced and of evicted tasks pass unchanged. The cost was not measured.

--- a/sched/nexthost.go
+++ b/sched/nexthost.go
@@ -16,8 +16,7 @@
 	// hosts are the usable hosts, once they are needed.
 	hosts      []*place.Host
 	hostsKnown bool
-	// steps holds the requirements of steps.
-	steps map[stepOfJob]place.Requirements
+	steps      map[stepOfJob]*stepToPlace
 	// unplaced is the number of tasks for which no host was found.
 	unplaced int
 }
@@ -28,9 +27,16 @@
 	stepKey
 }
 
+// stepToPlace is what the tasks of a step require.
+type stepToPlace struct {
+	requirements place.Requirements
+	// full means that no host can take another task, unless it needs isolation.
+	full bool
+}
+
 // newNextHosts returns a nextHosts that is valid while c.mu is held.
 func (c *Cell) newNextHosts(now time.Time) *nextHosts {
-	return &nextHosts{cell: c, now: now, steps: make(map[stepOfJob]place.Requirements)}
+	return &nextHosts{cell: c, now: now, steps: make(map[stepOfJob]*stepToPlace)}
 }
 
 // reserve reports whether another host can take the task of a run now, and reserves room there.
@@ -85,9 +91,14 @@
 	if task == nil {
 		return false
 	}
-	reqs := ofTask(n.requirements(e, taskID), e, task)
-	picked := place.Pick(reqs, n.usableHosts())
+	step := n.step(e, taskID)
+	reqs := ofTask(step.requirements, e, task)
+	var picked *place.Host
+	if !step.full || reqs.Isolated {
+		picked = place.Pick(reqs, n.usableHosts())
+	}
 	if picked == nil {
+		step.full = step.full || !reqs.Isolated
 		n.unplaced++
 		return false
 	}
@@ -105,19 +116,21 @@
 	return n.hosts
 }
 
-// requirements returns what the tasks of a task's step require, whatever advisors allow. Its count
-// of siblings includes those that room is reserved for.
-func (n *nextHosts) requirements(e *jobEntry, taskID tasks.ID) place.Requirements {
+// step returns what the tasks of a task's step require, whatever advisors allow. Its count of
+// siblings includes those that room is reserved for.
+func (n *nextHosts) step(e *jobEntry, taskID tasks.ID) *stepToPlace {
 	key := stepOfJob{e, stepKey{taskID.Round, taskID.Step}}
-	reqs, known := n.steps[key]
-	if !known {
-		for _, round := range e.job.Rounds {
-			if round.Number == taskID.Round {
-				reqs = n.cell.requirements(e, round, taskID.Step, n.now)
-			}
+	step := n.steps[key]
+	if step != nil {
+		return step
+	}
+	step = &stepToPlace{}
+	for _, round := range e.job.Rounds {
+		if round.Number == taskID.Round {
+			step.requirements = n.cell.requirements(e, round, taskID.Step, n.now)
 		}
-		reqs.AllowedHosts = nil
-		n.steps[key] = reqs
 	}
-	return reqs
+	step.requirements.AllowedHosts = nil
+	n.steps[key] = step
+	return step
 }
