sched: an owner that is killed passes on the wait for hosts that it hasn't reached

What callers saw: a serving task without a run for longer than 9 s after its host and its owner were lost, if the next owner was lost as well. Cause: only a release passed on how long leases on unreached hosts may last. After a crash the next owner waited the full 9.1 s from its own claim, although no owner in between had reached the host. Evidence: TestCrashedOwnersContinueTheWait (a killed with the host, b claims 2.5 s later and is killed after 4 s, c claims 2.5 s after that), before, with the host's record and without: "got 0 runs after 12.585714284s, want 1". Fix: once its first reply is overdue, an owner records at least once a second how long leases may last on hosts whose calls fail, or that can't be called, and with which it never had contact. The next owner relies on the record if its epoch is the one right before its claim. The record is an upper bound: time has passed since. From its encoding on such a host gets no lease, until a write without it is confirmed; it then takes some milliseconds longer to be used. A takeover in which all hosts answer writes nothing more. Older versions read the record after a release only, where it is as before, and their own records are read as before. Safety: TestReachedHostIsWaitedForInFull sees two runs of a task if leases are granted at once, and if the record isn't replaced. What it costs: a host that answers for the first time while the store is away gets no lease before the store is back.

--- a/sched/claim.go
+++ b/sched/claim.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"rattanpath/store"
 	"rattanpath/tasks"
 )
@@ -129,24 +127,25 @@
 }
 
 // leaseRecord is the stored form of the leases that may be unexpired when an
-// owner stops.
+// owner stops, or while it can't reach their hosts.
 type leaseRecord struct {
-	// Epoch is the epoch of the owner that stopped.
+	// Epoch is the epoch of the owner that wrote the record.
 	Epoch int64
 	// Remaining is how long leases may still be valid, by host.
 	Remaining map[string]time.Duration
 }
 
 // loadLeases restores the unexpired leases if the owner directly before this
-// one released the cell and wrote the record: then no lease has been renewed
-// since.
+// one wrote the record: then no lease has been renewed since on the hosts that it lists.
+// Owners of older versions write it only when they release the cell, and read it only after
+// a release.
 func (c *Cell) loadLeases(value []byte) {
 	var record leaseRecord
 	if err := json.Unmarshal(value, &record); err != nil {
 		c.logger.Error(err, "cannot decode the unexpired leases, assuming that all were just renewed")
 		return
 	}
-	if c.claim.PreviousReleased && record.Epoch == c.epoch-1 {
+	if record.Epoch == c.epoch-1 {
 		c.unexpiredLeases = record.Remaining
 	}
 }
@@ -157,14 +156,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock()
-	record := leaseRecord{Epoch: c.epoch, Remaining: make(map[string]time.Duration)}
+	remaining := make(map[string]time.Duration)
 	for id, h := range c.hosts {
-		if remaining, known := c.remainingLease(h, now); known {
-			record.Remaining[id] = remaining
+		if left, known := c.remainingLease(h, now); known {
+			remaining[id] = left
 		}
 	}
-	value, err := json.Marshal(record)
-	return store.Record{Key: leasesKey, Value: value}, errors.Wrap(err, "encoding the unexpired leases")
+	return c.encodeRemaining(remaining)
 }
 
 // addJob adds a job to the indexes.
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -64,7 +64,14 @@
 		return false
 	}
 	h.clock.Observe(hostTime, sent.at, now)
-	return hostTime > 0
+	if hostTime <= 0 {
+		return false
+	}
+	h.reached = true
+	if c.withholdsLease(h) {
+		wake(c.writeWake)
+	}
+	return true
 }
 
 // observeIncarnation records the incarnation in a report, 0 if unknown, and
--- a/sched/host.go
+++ b/sched/host.go
@@ -17,6 +17,9 @@
 	runs  map[runKey]*run
 	// inPool reports whether the pool lists the host.
 	inPool bool
+	// reached is set once the host has replied to this owner, which can't have granted it a
+	// lease before.
+	reached bool
 	// synced is set once the host has reported its runs to this epoch.
 	synced bool
 	// reportedAt is the reading of the host's clock in the newest report that was
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -217,6 +217,8 @@
 		return "cordoned"
 	case now.Before(h.backoffUntil):
 		return "refused an order a moment ago"
+	case c.withholdsLease(h):
+		return "the store has not confirmed yet that it answers"
 	case !c.hasRecentRecord(h, clock):
 		return staleRecord
 	default:
