--- a/infra/absent.go
+++ b/infra/absent.go
@@ -10,6 +10,14 @@
 // counts as gone: two lists in a row.
 const absencePeriod = listInterval
 
+// absentHosts tracks the hosts with runs that the lists of the machines lack.
+type absentHosts struct {
+	// machineOf is the machine on which each host was last listed.
+	machineOf map[string]string
+	// since is when the first list that lacked a host was requested.
+	since map[sched.RetiredHost]time.Duration
+}
+
 // machineList is what the last list of the machines says of hosts.
 type machineList struct {
 	// machineOf is the machine of each host on a machine that is up, and states the state of
@@ -57,22 +65,22 @@
 			continue
 		}
 		for _, host := range p.hostsWithRuns() {
-			if !list.lacks(host.ID, t.machineOf[host.ID]) {
-				delete(t.absentSince, host)
+			if !list.lacks(host.ID, t.absent.machineOf[host.ID]) {
+				delete(t.absent.since, host)
 				continue
 			}
-			if _, known := t.absentSince[host]; !known {
-				t.absentSince[host] = t.listedAt
+			if _, known := t.absent.since[host]; !known {
+				t.absent.since[host] = t.listedAt
 			}
-			if t.listedAt-t.absentSince[host] >= absencePeriod {
+			if t.listedAt-t.absent.since[host] >= absencePeriod {
 				t.addAbsent(service, host, now)
 			}
 		}
 	}
 	t.rememberMachines(list)
-	for host, since := range t.absentSince {
+	for host, since := range t.absent.since {
 		if now-since > sched.MaxTakeoverWait(t.options.MaxLease) {
-			delete(t.absentSince, host)
+			delete(t.absent.since, host)
 		}
 	}
 }
@@ -84,20 +92,20 @@
 			return
 		}
 	}
-	t.logger.Info("host is on no machine any more", "host", host.ID, "service", service, "machine", t.machineOf[host.ID], "absent", t.listedAt-t.absentSince[host])
+	t.logger.Info("host is on no machine any more", "host", host.ID, "service", service, "machine", t.absent.machineOf[host.ID], "absent", t.listedAt-t.absent.since[host])
 	host.Unordered = true
 	t.departed[service] = append(t.departed[service], &departedHost{RetiredHost: host, at: now})
 }
 
-// rememberMachines updates t.machineOf by a list. The machine of an unlisted host is kept while
-// the host has runs.
+// rememberMachines updates t.absent.machineOf by a list. The machine of an unlisted host is kept
+// while the host has runs.
 func (t *term) rememberMachines(list machineList) {
-	previous := t.machineOf
-	t.machineOf = list.machineOf
+	previous := t.absent.machineOf
+	t.absent.machineOf = list.machineOf
 	for _, p := range t.pools {
 		for _, host := range p.hostsWithRuns() {
-			if machine := previous[host.ID]; machine != "" && t.machineOf[host.ID] == "" {
-				t.machineOf[host.ID] = machine
+			if machine := previous[host.ID]; machine != "" && t.absent.machineOf[host.ID] == "" {
+				t.absent.machineOf[host.ID] = machine
 			}
 		}
 	}
--- a/infra/controller.go
+++ b/infra/controller.go
@@ -154,11 +154,8 @@
 	refusedAt map[string]time.Duration
 	// departed holds, by service, the hosts that have left the pool a short time ago.
 	departed map[string][]*departedHost
-	// machineOf is the machine on which each host was last listed, and absentSince when the
-	// first list was requested that lacked a host with runs.
-	machineOf   map[string]string
-	absentSince map[sched.RetiredHost]time.Duration
-	lender      lender
+	absent   absentHosts
+	lender   lender
 	// planned is the input of the last plan of moves, and shortages holds the pools that
 	// lacked hosts after it.
 	planned   []alloc.Pool
@@ -237,8 +234,7 @@
 		pools:        make(map[string]*poolState),
 		operations:   make(map[string]*operation),
 		departed:     make(map[string][]*departedHost),
-		machineOf:    make(map[string]string),
-		absentSince:  make(map[sched.RetiredHost]time.Duration),
+		absent:       absentHosts{since: make(map[sched.RetiredHost]time.Duration)},
 		refusedAt:    make(map[string]time.Duration),
 	}
 	c.beginTerm(acquired.Epoch)
