Revert "sched: an owner that is killed passes on the wait for hosts that it hasn't reached"

A review showed that its safety costs more than it gains. A host that answers a new owner late gets no lease until a write without it is confirmed: with a full store (507) that write never is, and the run lapses; after a takeover with a slow store all runs of a cell could lapse.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -237,7 +237,6 @@
 	// unexpiredLeases is, for each host that the previous owner couldn't reach,
 	// how long after claimedAt its leases may still be valid.
 	unexpiredLeases map[string]time.Duration
-	unreached       unreachedHosts
 	releasing       chan struct{}
 	lost            chan struct{}
 	lostOnce        sync.Once
@@ -264,7 +263,6 @@
 		kindTimes:    make(map[runKind]time.Duration),
 		speeds:       speed.New(),
 		moved:        newMovedQueues(),
-		unreached:    unreachedHosts{recorded: make(map[string]bool)},
 		writeWake:    make(chan struct{}, 1),
 		scheduleWake: make(chan struct{}, 1),
 		releasing:    make(chan struct{}),
@@ -378,7 +376,6 @@
 		c.mu.Lock()
 		c.activity.recordTimerLag(c.options.Clock()-sleptAt, tickInterval)
 		c.expireLeases()
-		c.requestUnreachedWrite()
 		c.expireForgotten()
 		c.updateEvidence(c.options.Clock())
 		c.evictHosts(time.Now())
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rattanpath/store"
 	"rattanpath/tasks"
 )
@@ -128,25 +130,24 @@
 }
 
 // leaseRecord is the stored form of the leases that may be unexpired when an
-// owner stops, or while it can't reach their hosts.
+// owner stops.
 type leaseRecord struct {
-	// Epoch is the epoch of the owner that wrote the record.
+	// Epoch is the epoch of the owner that stopped.
 	Epoch int64
 	// Remaining is how long leases may still be valid, by host.
 	Remaining map[string]time.Duration
 }
 
 // loadLeases restores the unexpired leases if the owner directly before this
-// one wrote the record: then no lease has been renewed since on the hosts that it lists.
-// Owners of older versions write it only when they release the cell, and read it only after
-// a release.
+// one released the cell and wrote the record: then no lease has been renewed
+// since.
 func (c *Cell) loadLeases(value []byte) {
 	var record leaseRecord
 	if err := json.Unmarshal(value, &record); err != nil {
 		c.logger.Error(err, "cannot decode the unexpired leases, assuming that all were just renewed")
 		return
 	}
-	if record.Epoch == c.epoch-1 {
+	if c.claim.PreviousReleased && record.Epoch == c.epoch-1 {
 		c.unexpiredLeases = record.Remaining
 	}
 }
@@ -157,13 +158,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock()
-	remaining := make(map[string]time.Duration)
+	record := leaseRecord{Epoch: c.epoch, Remaining: make(map[string]time.Duration)}
 	for id, h := range c.hosts {
-		if left, known := c.remainingLease(h, now); known {
-			remaining[id] = left
+		if remaining, known := c.remainingLease(h, now); known {
+			record.Remaining[id] = remaining
 		}
 	}
-	return c.encodeRemaining(remaining)
+	value, err := json.Marshal(record)
+	return store.Record{Key: leasesKey, Value: value}, errors.Wrap(err, "encoding the unexpired leases")
 }
 
 // addJob adds a job to the indexes.
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -64,14 +64,7 @@
 		return false
 	}
 	h.clock.Observe(hostTime, sent.at, now)
-	if hostTime <= 0 {
-		return false
-	}
-	h.reached = true
-	if c.withholdsLease(h) {
-		wake(c.writeWake)
-	}
-	return true
+	return hostTime > 0
 }
 
 // observeIncarnation records the incarnation in a report, 0 if unknown, and
--- a/sched/host.go
+++ b/sched/host.go
@@ -17,9 +17,6 @@
 	runs  map[runKey]*run
 	// inPool reports whether the pool lists the host.
 	inPool bool
-	// reached is set once the host has replied to this owner, which can't have granted it a
-	// lease before.
-	reached bool
 	// synced is set once the host has reported its runs to this epoch.
 	synced bool
 	// reportedAt is the reading of the host's clock in the newest report that was
@@ -139,7 +136,6 @@
 	obstacleRetired  = "its machine has left the pool"
 	obstacleCordoned = "cordoned"
 	obstacleRefused  = "refused an order a moment ago"
-	obstacleLease    = "the store has not confirmed yet that it answers"
 	// staleRecord means that the host may have shrunk since its record was written.
 	staleRecord = "its entry is out of date"
 )
--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -65,7 +65,6 @@
 			continue
 		}
 		persisted := l.cell.handleHeartbeat(l.host, result.reply, result.sent)
-		l.waitLease(ctx)
 		if !l.hasAcknowledgement(heartbeat.Acknowledged) {
 			l.waitPersisted(ctx, persisted)
 			l.waitStartReply(ctx)
@@ -139,27 +138,6 @@
 	}
 }
 
-// waitLease waits until the host may get a lease, so that the next heartbeat renews it.
-func (l *hostLoop) waitLease(ctx context.Context) {
-	timeout := time.NewTimer(ackWait)
-	defer timeout.Stop()
-	for l.withholdsLease() {
-		select {
-		case <-l.host.wake:
-		case <-timeout.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (l *hostLoop) withholdsLease() bool {
-	l.cell.mu.Lock()
-	defer l.cell.mu.Unlock()
-	return l.cell.withholdsLease(l.host)
-}
-
 // waitStartReply waits for the reply to a start command if that may make a further report
 // needless: ends in a report that has become too old can be acknowledged once the host shows
 // that it has not restarted since.
@@ -222,12 +200,12 @@
 			heartbeat.Wait = min(heartbeat.Wait, lossyHeartbeatWait)
 		}
 	}
-	if heartbeat.Acknowledged < h.reportedSequence || c.withholdsLease(h) {
+	if heartbeat.Acknowledged < h.reportedSequence {
 		heartbeat.Wait = 0
 	}
 	// The lease of a host that doesn't respond is not renewed: otherwise it would
 	// never be certain to have expired.
-	if len(h.runs) > 0 && h.missedHeartbeats == 0 && c.ownershipValidAt(now) && !c.withholdsLease(h) {
+	if len(h.runs) > 0 && h.missedHeartbeats == 0 && c.ownershipValidAt(now) {
 		heartbeat.LeaseExpiry = h.clock.Grant(now, c.leaseLength())
 	}
 	return heartbeat, h.info, true
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -97,7 +97,7 @@
 	switch {
 	case len(h.runs) == 0:
 		return 0, false
-	case !h.reached:
+	case h.onlyInheritedRuns():
 		return max(0, c.inheritedLeaseEnd(h)-now), true
 	case h.missedHeartbeats > 0:
 		return h.clock.Remaining(now)
@@ -105,3 +105,14 @@
 		return 0, false
 	}
 }
+
+// onlyInheritedRuns reports whether the host has never answered this owner since it
+// took over runs there: this owner has then granted no lease.
+func (h *host) onlyInheritedRuns() bool {
+	for _, r := range h.runs {
+		if r.state != runInherited {
+			return false
+		}
+	}
+	return true
+}
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -214,8 +214,6 @@
 		return obstacleCordoned
 	case now.Before(h.backoffUntil):
 		return obstacleRefused
-	case c.withholdsLease(h):
-		return obstacleLease
 	case !c.hasRecentRecord(h, clock):
 		return staleRecord
 	default:
--- a/sched/startqueue.go
+++ b/sched/startqueue.go
@@ -184,7 +184,7 @@
 	switch {
 	case r.entry.job.Phase != tasks.Open || now-persistedAt > r.maxStartDelay():
 		return false
-	case !c.ownershipValidAt(now) || !h.clock.Synced() || c.withholdsLease(h):
+	case !c.ownershipValidAt(now) || !h.clock.Synced():
 		return false
 	default:
 		return c.hasRoom(h, r, now)
--- a/sched/takeovers_test.go
+++ b/sched/takeovers_test.go
@@ -38,6 +38,8 @@
 	takeoverCount = 8
 	// takeoverTasks is the number of serving tasks.
 	takeoverTasks = 3
+	// startTime is enough to notice that leases have expired and to start a run elsewhere.
+	startTime = 300 * time.Millisecond
 )
 
 func (c *takeovers) run() {
--- a/sched/write.go
+++ b/sched/write.go
@@ -85,7 +85,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	confirmRequested := c.confirmRequestedAt > c.confirmedAt
-	return len(c.dirtyJobs) > 0 || len(c.onAllPersisted) > 0 || len(c.moved.unwritten) > 0 || c.unreachedChanged() || confirmRequested || c.options.Clock()-c.confirmedAt >= maxWriteInterval/2
+	return len(c.dirtyJobs) > 0 || len(c.onAllPersisted) > 0 || len(c.moved.unwritten) > 0 || confirmRequested || c.options.Clock()-c.confirmedAt >= maxWriteInterval/2
 }
 
 // isReleasing reports whether the cell is stopping and writes only once more.
@@ -134,9 +134,6 @@
 		b.jobs = append(b.jobs, jobWrite{entry: e, writes: writes, phase: e.job.Phase, onPersisted: e.onPersisted})
 		e.onPersisted = nil
 	}
-	if unreached, due := c.takeUnreached(); due {
-		b.jobs = append(b.jobs, unreached)
-	}
 	if len(c.dirtyJobs) == 0 {
 		b.onPersisted = append(b.onPersisted, c.onAllPersisted...)
 		c.onAllPersisted = nil
