infra: a host that a list has again isn't gone

Faults, found by reading: (1) absentSince was cleared only for hosts reported with runs, so that two lists that lack a host counted as two in a row although one between them had it.

Evidence, before: TestAbsenceIsOfTwoListsInARow "got 1 hosts that count as gone, want 0", TestListedHostIsNoLongerGone "got 1 hosts that count as gone once listed again, want none". go test ./infra passes.

--- a/infra/absent.go
+++ b/infra/absent.go
@@ -1,6 +1,7 @@
 package infra
 
 import (
+	"slices"
 	"time"
 
 	"rattanpath/sched"
@@ -60,6 +61,7 @@
 	}
 	list := newMachineList(t.machines)
 	now := t.options.Clock()
+	t.forgetListed(list)
 	for service, p := range t.pools {
 		if t.listedAt <= p.reportedAt {
 			continue
@@ -85,6 +87,21 @@
 	}
 }
 
+// forgetListed forgets that hosts were absent that a list has again, whether they have runs or not: no
+// further owner is told of them, and they count as gone only after two more lists.
+func (t *term) forgetListed(list machineList) {
+	for host := range t.absentSince {
+		if list.machineOf[host.ID] != "" {
+			delete(t.absentSince, host)
+		}
+	}
+	for service, hosts := range t.departed {
+		t.departed[service] = slices.DeleteFunc(hosts, func(d *departedHost) bool {
+			return d.Unordered && list.machineOf[d.ID] != ""
+		})
+	}
+}
+
 // addAbsent adds a host to t.departed, unless it is there.
 func (t *term) addAbsent(service string, host sched.RetiredHost, now time.Duration) {
 	for _, d := range t.departed[service] {
