--- a/infra/absent.go
+++ b/infra/absent.go
@@ -87,12 +87,12 @@
 	}
 }
 
-// forgetListed forgets that hosts were absent that a list has again, whether they have runs or not: no
-// further owner is told of them, and they count as gone only after two more lists.
+// forgetListed forgets that hosts were absent that a list has again, whether they have runs or
+// not: no further owner is told of them, and they count as gone only after two more lists.
 func (t *term) forgetListed(list machineList) {
-	for host := range t.absentSince {
+	for host := range t.absent.since {
 		if list.machineOf[host.ID] != "" {
-			delete(t.absentSince, host)
+			delete(t.absent.since, host)
 		}
 	}
 	for service, hosts := range t.departed {
--- a/infra/absent_test.go
+++ b/infra/absent_test.go
@@ -21,7 +21,7 @@
 	s.term = &term{
 		Controller: &Controller{options: Options{Clock: func() time.Duration { return s.now }, MaxLease: testHostLease}, logger: logr.Discard()},
 		pools:      make(map[string]*poolState), departed: make(map[string][]*departedHost),
-		machineOf: make(map[string]string), absentSince: make(map[sched.RetiredHost]time.Duration),
+		absent: absentHosts{since: make(map[sched.RetiredHost]time.Duration)},
 	}
 	return s
 }
