--- a/infra/lost_test.go
+++ b/infra/lost_test.go
@@ -97,8 +97,8 @@
 func (f *lossyFleet) pollHosts(ctx context.Context, cell *sched.Cell, hosts *fake.HostClient) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		for id := range f.unlisted {
-			hosts.SetUnlisted(id, true)
+		for id := range f.runners {
+			hosts.SetUnlisted(id, f.unlisted[id])
 		}
 		f.mu.Unlock()
 		cell.SetHosts(hosts.View())
