sched: a new owner knows within what time a stalled run made its progress

What callers saw: a task stands still for ten minutes if its owner is lost after the run has stalled.

Cause: the next owner measures a run's pace from its own first report. Of a run that makes no progress it learns nothing, and applied the limit for runs of which nothing but the caller's estimate is known.

Now it counts with the time since the job was accepted: the run has made the progress that the host reports within that time at the longest.

--- a/sched/stall.go
+++ b/sched/stall.go
@@ -42,6 +42,8 @@
 	lasting bool
 	// stalls is how many runs of the task were stopped as stalled.
 	stalls int
+	// longest is a time within which the run had certainly made its progress, 0 if unknown.
+	longest time.Duration
 }
 
 // isStalled reports whether a run has made no progress for so long that it
@@ -61,6 +63,9 @@
 // stopped as stalled.
 func (p progress) stallTime() time.Duration {
 	perPercent := p.perPercent()
+	if perPercent == 0 && p.percent > 0 {
+		perPercent = p.longest / time.Duration(p.percent)
+	}
 	if perPercent == 0 {
 		perPercent = max(p.estimate, p.observed) / fullPercent
 		if p.observed == 0 && !p.lasting {
@@ -102,7 +107,13 @@
 // progress returns how the run has advanced at a reading of the host's clock.
 func (r *run) progress(hostTime time.Duration) progress {
 	step := r.entry.job.Step(r.id)
+	var longest time.Duration
+	if r.inherited {
+		// The previous owner knew how long each percent took.
+		longest = max(0, time.Since(r.entry.job.Accepted)-(hostTime-r.progressedAt))
+	}
 	return progress{
+		longest: longest,
 		percent: r.percent, base: r.basePercent,
 		active: r.progressedAt - r.activeSince, idle: hostTime - r.progressedAt,
 		estimate: step.Estimate, lasting: step.Lasting, stalls: r.entry.stalls[r.id],
--- a/sched/stalltakeover_test.go
+++ b/sched/stalltakeover_test.go
@@ -8,8 +8,8 @@
 	"rattanpath/tasks"
 )
 
-// TestStalledRunIsRestartedAfterTakeover guards against a task that stands still for minutes because its owner
-// was lost: the next one doesn't know how long each percent took.
+// TestStalledRunIsRestartedAfterTakeover guards against a task that stands still for minutes because
+// its owner was lost: the next one doesn't know how long each percent took.
 func TestStalledRunIsRestartedAfterTakeover(t *testing.T) {
 	for _, takeover := range []bool{false, true} {
 		runCluster(t, 2, func(tc *testCluster) {
@@ -29,7 +29,7 @@
 			time.Sleep(1500 * time.Millisecond)
 			if takeover {
 				tc.kill(n)
-				time.Sleep(killedOwnerTime)
+				time.Sleep(2500 * time.Millisecond)
 				n = tc.claim("b")
 			}
 			for tc.checker.Starts() < 2 && time.Since(submitted) < 20*time.Minute {
