sched: the search for hosts of waiting serving tasks is bounded

An owner that has lost most of its hosts searched all of them for each waiting serving task, four times a second for reports and ten times while hosts are vacated, with its lock held. The plan only asks whether any task has no host.

--- a/sched/nexthost.go
+++ b/sched/nexthost.go
@@ -7,6 +7,10 @@
 	"rattanpath/tasks"
 )
 
+// maxHostSearches limits the searches of one nextHosts over all hosts, so that an owner whose
+// serving tasks have all lost their hosts keeps its processor time for starting them.
+const maxHostSearches = 100
+
 // nextHosts finds hosts for serving tasks that are to be stopped. It reserves room for those that it
 // has found a host for, after those that are without a run already.
 type nextHosts struct {
@@ -17,6 +21,7 @@
 	hosts      []*place.Host
 	hostsKnown bool
 	steps      map[stepOfJob]*stepToPlace
+	searches   int
 	// unplaced is the number of tasks for which no host was found.
 	unplaced int
 }
@@ -85,16 +90,21 @@
 	}
 }
 
-// reserveTask reserves room for a task on a host that can take it, and reports whether there is one.
+// reserveTask reserves room for a task on a host that can take it, and reports whether there is one
+// as far as maxHostSearches allows.
 func (n *nextHosts) reserveTask(e *jobEntry, taskID tasks.ID) bool {
 	task := e.job.Task(taskID)
 	if task == nil {
 		return false
 	}
+	if n.searches >= maxHostSearches {
+		return false
+	}
 	step := n.step(e, taskID)
 	reqs := ofTask(step.requirements, e, task)
 	var picked *place.Host
 	if !step.full || reqs.Isolated {
+		n.searches++
 		picked = place.Pick(reqs, n.usableHosts())
 	}
 	if picked == nil {
