soak: series of faults drawn from a seed

TestSoak plays two series of 2 to 6 faults that overlap, each drawn from the seed: the owner of the cell or any node is killed (for good or for a while), paused, terminated and started again, all nodes are killed at once; hosts crash alone or together, for good or for a while, refusing connections or silent, or are cut off for 5 to 6 s and then back or crashed; the store refuses or doesn't answer calls of one node or of all. After each series it waits until the checks hold and all serving tasks run, then starts what is still down. Every accepted short job must complete within 14 s of the end of the traffic, and no process may end by itself. -soak.first and -soak.seeds choose the seeds, -soak.keep keeps logs.

The cluster has 12 hosts and 12 larger serving tasks now, so that they spread over more hosts and still fit when 3 hosts are away.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -70,9 +70,8 @@
 	current *node
 	random  *rand.Rand
 	http    *http.Client
-	// done counts the jobs that were completed, and open is the one that wasn't.
+	// done counts the jobs that were completed.
 	done int
-	open string
 }
 
 func newClient(name string, seed uint64, book *book, nodes []*node) *client {
@@ -133,11 +132,9 @@
 		}
 		id := jobID(fmt.Sprint(c.name, i))
 		spec := jobSpec{Count: 1 + c.random.IntN(3), CPU: 200, MemMB: 50, EstRuntimeMS: int64(200 + c.random.IntN(1000))}
-		c.open = id
 		if !c.submit(ctx, id, spec) || !c.await(ctx, id) {
 			return
 		}
-		c.open = ""
 		c.done++
 	}
 }
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -20,17 +20,17 @@
 
 const (
 	nodeCount   = 5
-	hostCount   = 10
+	hostCount   = 12
 	clientCount = 3
 	// servingJobs is the number of jobs whose servingTasks tasks each last.
 	servingJobs  = 3
-	servingTasks = 5
+	servingTasks = 4
 	// startupTime is the time from the start of a serving run until it serves.
 	startupTime = 200 * time.Millisecond
-	// readyTimeout bounds the wait for the first runs of all serving tasks, and finishTimeout the
-	// wait for the last jobs.
+	// readyTimeout bounds the wait for the first runs of all serving tasks, and finishTimeout how
+	// long the last jobs may take.
 	readyTimeout  = 60 * time.Second
-	finishTimeout = 30 * time.Second
+	finishTimeout = 14 * time.Second
 	// groupName is the name of the nodes' group, and cellPartition the partition whose owner
 	// has the service's cell.
 	groupName     = "cells"
@@ -46,15 +46,6 @@
 	os.Exit(m.Run())
 }
 
-// node is a management node. Its process has no business to end unless the test has ended it.
-type node struct {
-	*stub.Process
-	cluster *cluster
-	mu      sync.Mutex
-	// down means that the test has ended the process.
-	down bool
-}
-
 // cluster is a number of nodes and hosts, with clients that submit jobs.
 type cluster struct {
 	t        testing.TB
@@ -69,8 +60,10 @@
 	// watched are the serving tasks.
 	watched []*servingTask
 	clients []*client
-	stop    chan struct{}
-	running sync.WaitGroup
+	// storeFault is held while the store fails.
+	storeFault sync.Mutex
+	stop       chan struct{}
+	running    sync.WaitGroup
 }
 
 // newCluster starts a cluster and waits until all serving tasks run.
@@ -129,7 +122,7 @@
 	for i := range nodeCount {
 		name := fmt.Sprintf("node-%d", i)
 		server := c.platform.NewServer(name)
-		c.t.Cleanup(server.CloseClientConnections)
+		c.t.Cleanup(server.Close)
 		process, err := stub.NewProcess(name, dir, server.Listener.Addr().String())
 		if err != nil {
 			c.t.Fatal(err)
@@ -156,7 +149,7 @@
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(c.ctx, readyTimeout)
 	defer cancel()
-	spec := jobSpec{Count: servingTasks, CPU: 1000, MemMB: 500, EstRuntimeMS: 1000, LongRunning: true, AntiAffinity: 1, MayMiss: 1}
+	spec := jobSpec{Count: servingTasks, CPU: 3000, MemMB: 500, EstRuntimeMS: 1000, LongRunning: true, AntiAffinity: 1, MayMiss: 1}
 	first := newClient("serving", c.seed, c.book, c.nodes)
 	for i := range servingJobs {
 		id := jobID(fmt.Sprint("serving", i))
@@ -226,18 +219,18 @@
 	}
 }
 
-// owner returns the node that owns the service's cell, or any if none is known.
+// owner returns the node that owns the service's cell, or the first node if none is known.
 func (c *cluster) owner() *node {
 	owners, err := c.platform.Store.Client("test").PartitionOwners(c.ctx, groupName)
 	if err != nil {
-		owners = nil
+		return c.nodes[0]
 	}
 	for _, o := range owners {
 		if n := c.nodeOf(o); n != nil {
 			return n
 		}
 	}
-	return c.nodes[c.random.IntN(len(c.nodes))]
+	return c.nodes[0]
 }
 
 // nodeOf returns the node that owns the service's cell if a partition is that of the cell.
@@ -262,35 +255,3 @@
 	}
 	return busiest
 }
-
-func (n *node) isDown() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.down
-}
-
-func (n *node) setDown(down bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.down = down
-}
-
-// kill ends the process at once.
-func (n *node) kill() {
-	n.setDown(true)
-	n.Kill()
-	n.cluster.faults.record("%s killed", n.Name)
-}
-
-// restart starts the process again if the test has ended it.
-func (n *node) restart() {
-	if !n.isDown() {
-		return
-	}
-	if err := n.Start(); err != nil {
-		n.cluster.t.Errorf("starting %s again: got %v, want no error", n.Name, err)
-		return
-	}
-	n.setDown(false)
-	n.cluster.faults.record("%s started", n.Name)
-}
--- a/soak/scenes_test.go
+++ b/soak/scenes_test.go
@@ -17,7 +17,7 @@
 // host crashes for good just before all nodes are killed and restarted.
 func TestHostAndAllNodesCrash(t *testing.T) {
 	playScene(t, func(c *cluster) {
-		c.crashBusiest()
+		c.crashHost(c.busiestHost(), true)
 		time.Sleep(200 * time.Millisecond)
 		for _, n := range c.nodes {
 			n.kill()
@@ -34,7 +34,7 @@
 func TestHostAndOwnerCrash(t *testing.T) {
 	playScene(t, func(c *cluster) {
 		owner := c.owner()
-		c.crashBusiest()
+		c.crashHost(c.busiestHost(), true)
 		owner.kill()
 	})
 }
@@ -44,7 +44,7 @@
 func TestHostAndTwoOwnersCrash(t *testing.T) {
 	playScene(t, func(c *cluster) {
 		owner := c.owner()
-		c.crashBusiest()
+		c.crashHost(c.busiestHost(), true)
 		owner.kill()
 		time.Sleep(3 * time.Second)
 		c.owner().kill()
@@ -59,10 +59,3 @@
 	c.awaitServing(sceneTimeout)
 	c.finish(t.Name())
 }
-
-// crashBusiest crashes the host with the largest number of serving tasks for good.
-func (c *cluster) crashBusiest() {
-	host := c.busiestHost()
-	host.Crash(true)
-	c.faults.record("%s crashed for good", host.Runner.Info().ID)
-}
--- a/soak/watch_test.go
+++ b/soak/watch_test.go
@@ -35,7 +35,9 @@
 	endedAt time.Time
 	// roomSince is since when there has been room for the task.
 	roomSince time.Time
-	reported  bool
+	// reported means that the present gap was reported as LOST, and noted that it is long for
+	// want of room.
+	reported, noted bool
 }
 
 // watcher checks what the hosts run, and measures the time from the end of a run of a serving
@@ -82,7 +84,7 @@
 	case running && !task.running && task.started:
 		w.endGap(task, now)
 	case !running && task.running:
-		task.endedAt, task.roomSince, task.reported = now, now, false
+		task.endedAt, task.roomSince, task.reported, task.noted = now, now, false, false
 		w.faults.printf("%s has lost its run", format(task.id))
 	}
 	task.running, task.started = running, task.started || running
@@ -102,23 +104,29 @@
 
 // checkGap requires that the task isn't without a run for longer than the rule allows.
 func (w *watcher) checkGap(task *servingTask, now time.Time) {
-	if !w.hasRoom(task) {
-		task.roomSince = time.Time{}
-		return
-	}
-	if task.roomSince.IsZero() {
+	hosts := w.hostsWithRoom(task)
+	if hosts < minHosts {
 		task.roomSince = now
 	}
-	overdue := now.Sub(task.endedAt) >= maxGap && w.faults.calmFor() >= requiredCalm && now.Sub(task.roomSince) >= requiredRoomTime
-	if overdue && !task.reported {
-		task.reported = true
-		w.faults.printf("LOST: %s", format(task.id))
-		w.t.Errorf("LOST: serving task %s: got no run for %.2f s, want one after %s at most", format(task.id), now.Sub(task.endedAt).Seconds(), maxGap)
+	gap := now.Sub(task.endedAt)
+	if task.reported || gap < maxGap || w.faults.calmFor() < requiredCalm {
+		return
+	}
+	if now.Sub(task.roomSince) < requiredRoomTime {
+		if !task.noted {
+			w.faults.printf("%s has no run for %.2f s, with room on %d hosts", format(task.id), gap.Seconds(), hosts)
+		}
+		task.noted = true
+		return
 	}
+	task.reported = true
+	w.faults.printf("LOST: %s", format(task.id))
+	w.t.Errorf("LOST: serving task %s: got no run for %.2f s, want one after %s at most", format(task.id), gap.Seconds(), maxGap)
 }
 
-// hasRoom reports whether the task could run on minHosts hosts, none of which has a sibling.
-func (w *watcher) hasRoom(task *servingTask) bool {
+// hostsWithRoom returns the number of hosts on which the task could run: none of its siblings
+// does.
+func (w *watcher) hostsWithRoom(task *servingTask) int {
 	count := 0
 	for _, h := range w.platform.Hosts() {
 		siblings := h.Runner.UsedBy(func(other tasks.ID) bool { return other.Job == task.id.Job })
@@ -127,7 +135,7 @@
 			count++
 		}
 	}
-	return count >= minHosts
+	return count
 }
 
 // finish stops the watch, requires that all tasks run and reports what was seen.
--- a/stub/host.go
+++ b/stub/host.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -129,10 +130,15 @@
 	return map[string]int64{"cpu": info.Capacity.CPU, "memMb": info.Capacity.MemMB, "gpu": info.Capacity.GPU}
 }
 
-func (h *Host) setState(state hostState) {
+// change sets the state if it is one of some, and reports whether it was.
+func (h *Host) change(to hostState, from ...hostState) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.state = state
+	if !slices.Contains(from, h.state) {
+		return false
+	}
+	h.state = to
+	return true
 }
 
 func (h *Host) isReachable() bool {
@@ -163,24 +169,30 @@
 	return "up"
 }
 
-// CutOff keeps calls and records of the host from getting through until Reconnect or Crash.
-func (h *Host) CutOff() { h.setState(hostCut) }
+// CutOff keeps calls and records of a host that is up from getting through, until Reconnect
+// or Crash. It reports whether the host was up.
+func (h *Host) CutOff() bool { return h.change(hostCut, hostUp) }
 
 // Reconnect ends CutOff.
-func (h *Host) Reconnect() { h.setState(hostUp) }
+func (h *Host) Reconnect() bool { return h.change(hostUp, hostCut) }
 
-// Crash loses all runs of the host. Its machine then refuses connections, or gives no answer
-// if silent is set, until Restart.
-func (h *Host) Crash(silent bool) {
+// Crash loses all runs of the host, and reports whether it hadn't crashed already. Its machine
+// then refuses connections, or gives no answer if silent is set, until Restart.
+func (h *Host) Crash(silent bool) bool {
 	h.commands.Lock()
 	defer h.commands.Unlock()
+	to := hostRefusing
 	if silent {
-		h.setState(hostSilent)
-	} else {
-		h.setState(hostRefusing)
+		to = hostSilent
+	}
+	if !h.change(to, hostUp, hostCut) {
+		return false
+	}
+	if !silent {
 		h.close()
 	}
 	h.Runner.Crash()
+	return true
 }
 
 func (h *Host) close() {
@@ -189,16 +201,19 @@
 	_ = h.server.Close()
 }
 
-// Restart starts a new incarnation of a crashed host.
-func (h *Host) Restart() error {
+// Restart starts a new incarnation of a host that has crashed, and reports whether it had.
+func (h *Host) Restart() (bool, error) {
+	if !h.HasCrashed() {
+		return false, nil
+	}
 	h.close()
 	h.Runner.Restart()
-	h.setState(hostUp)
+	h.change(hostUp, hostSilent, hostRefusing)
 	if err := h.listen(); err != nil {
-		return err
+		return false, err
 	}
 	if !h.platform.isStoreDown() {
 		h.writeRecord()
 	}
-	return nil
+	return true, nil
 }
