--- a/infra/absent.go
+++ b/infra/absent.go
@@ -34,8 +34,12 @@
 	for _, m := range machines {
 		l.states[m.Name] = m.State
 		l.hasUnknown = l.hasUnknown || m.State == Unknown
-		if m.State == Up && m.Host != "" {
+		switch {
+		case m.State == Up && m.Host != "":
 			l.machineOf[m.Host] = m.Name
+		case m.State == Up:
+			// Its next host is starting, or the entry lacks the host.
+			l.states[m.Name] = Unknown
 		}
 	}
 	return l
@@ -47,8 +51,10 @@
 	if l.machineOf[host] != "" {
 		return false
 	}
-	state, listed := l.states[machine]
-	return !l.hasUnknown || listed && state != Unknown
+	if state, listed := l.states[machine]; listed {
+		return state != Unknown
+	}
+	return !l.hasUnknown
 }
 
 // findAbsent adds the hosts to t.departed that have runs but are on no machine: a host is one life
@@ -136,7 +142,7 @@
 			hosts = append(hosts, sched.RetiredHost{ID: h.ID, Incarnation: h.Incarnation})
 		}
 	}
-	for _, h := range p.report.Unlisted {
+	for _, h := range p.report.Unrecorded {
 		hosts = append(hosts, sched.RetiredHost{ID: h.ID, Incarnation: h.Incarnation})
 	}
 	return hosts
--- a/infra/retire_test.go
+++ b/infra/retire_test.go
@@ -168,6 +168,7 @@
 		{"machine is down", func(m *Machine) { m.State, m.Host = Down, "" }, "", true},
 		{"machine is down, its host is still named", func(m *Machine) { m.State = Down }, "", true},
 		{"machine has another host", func(m *Machine) { m.Host = "h-next" }, "", true},
+		{"machine is up without a host", func(m *Machine) { m.Host = "" }, "", false},
 		{"machine stays", func(*Machine) {}, "", false},
 		{"machine is in an unknown state", func(m *Machine) { m.State = Unknown }, "m0", false},
 		{"machine is down, another in an unknown state", func(m *Machine) { m.State, m.Host = Down, "" }, "m1", true},
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -53,9 +53,9 @@
 type Report struct {
 	Service string
 	Hosts   []HostReport
-	// Unlisted are the hosts that have no record and have not answered this owner, but may have
+	// Unrecorded are the hosts that have no record and have not answered this owner, but may have
 	// runs of a previous one.
-	Unlisted []UnlistedHost
+	Unrecorded []UnrecordedHost
 	// Serving is the sum of the resources of serving tasks.
 	Serving tasks.Resources
 	// Waiting is the sum of the resources of ready tasks without a host, and WaitingTasks the
@@ -75,8 +75,8 @@
 	Quota *QuotaReport
 }
 
-// UnlistedHost is the incarnation of a host on which a run was started.
-type UnlistedHost struct {
+// UnrecordedHost is the incarnation of a host on which a run was started.
+type UnrecordedHost struct {
 	ID          string
 	Incarnation int64
 }
@@ -95,7 +95,7 @@
 	now := time.Now()
 	report := Report{Service: c.options.Service, Epoch: c.epoch, Arrived: c.submittedCPU}
 	for _, h := range c.hosts {
-		report.Unlisted = append(report.Unlisted, h.unlisted()...)
+		report.Unrecorded = append(report.Unrecorded, h.unrecorded()...)
 		if h.info != nil && !h.isRetired() {
 			report.Hosts = append(report.Hosts, c.hostReport(h, now))
 			_, resources := h.serving()
@@ -110,20 +110,20 @@
 	return report, nil
 }
 
-// unlisted returns the incarnations of a host without a record on which a previous owner started
+// unrecorded returns the incarnations of a host without a record on which a previous owner started
 // the runs there. Runs whose incarnation isn't known are left out.
-func (h *host) unlisted() []UnlistedHost {
+func (h *host) unrecorded() []UnrecordedHost {
 	if h.info != nil {
 		return nil
 	}
-	var unlisted []UnlistedHost
+	var unrecorded []UnrecordedHost
 	for _, r := range h.runs {
 		incarnation := r.assignedIncarnation()
-		if life := (UnlistedHost{h.id, incarnation}); incarnation != 0 && !slices.Contains(unlisted, life) {
-			unlisted = append(unlisted, life)
+		if life := (UnrecordedHost{h.id, incarnation}); incarnation != 0 && !slices.Contains(unrecorded, life) {
+			unrecorded = append(unrecorded, life)
 		}
 	}
-	return unlisted
+	return unrecorded
 }
 
 func (c *Cell) hostReport(h *host, now time.Time) HostReport {
--- a/sched/gone_test.go
+++ b/sched/gone_test.go
@@ -73,7 +73,7 @@
 
 // Guards against a new owner that doesn't tell the machine controller on which hosts it can't reach
 // the runs of a previous one, so that nobody looks whether these hosts still exist.
-func TestUnlistedHostsAreReported(t *testing.T) {
+func TestUnrecordedHostsAreReported(t *testing.T) {
 	runCluster(t, 3, func(tc *testCluster) {
 		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Serving: true} }
 		n := tc.claim("a")
@@ -81,15 +81,15 @@
 		tc.mustSubmit(n, "job", servingPlan(2, 1000))
 		time.Sleep(time.Second)
 		host := n.hostOf("job", 0)
-		want := []UnlistedHost{{host, tc.runners[host].Info().Incarnation}}
+		want := []UnrecordedHost{{host, tc.runners[host].Info().Incarnation}}
 		tc.store.SetFailure("a", fake.Unresponsive)
 		n.stop()
 		tc.runners[host].Crash()
 		next := tc.claimWithout("b", host)
 		time.Sleep(500 * time.Millisecond)
 		report, err := next.cell.Report()
-		if err != nil || !slices.Equal(report.Unlisted, want) {
-			t.Errorf("got unlisted hosts %v and error %v, want %v", report.Unlisted, err, want)
+		if err != nil || !slices.Equal(report.Unrecorded, want) {
+			t.Errorf("got unrecorded hosts %v and error %v, want %v", report.Unrecorded, err, want)
 		}
 		if err := next.cell.Retire([]RetiredHost{{ID: host, Incarnation: want[0].Incarnation, Unordered: true}}); err != nil {
 			t.Fatal(err)
--- a/sched/stalltakeover_test.go
+++ b/sched/stalltakeover_test.go
@@ -30,7 +30,7 @@
 			if takeover {
 				tc.kill(n)
 				time.Sleep(2500 * time.Millisecond)
-				n = tc.claim("b")
+				tc.claim("b")
 			}
 			for tc.checker.Starts() < 2 && time.Since(submitted) < 20*time.Minute {
 				time.Sleep(100 * time.Millisecond)
--- a/sched/unplaced.go
+++ b/sched/unplaced.go
@@ -28,12 +28,11 @@
 	if r.entry == nil || !c.open[r.entry] {
 		return false
 	}
-	step := r.entry.job.Step(r.id)
-	return step.Lasting && !step.Fills
+	return r.entry.job.Step(r.id).Serves()
 }
 
 // isWaitingServing reports whether a step has serving tasks that are ready and wait.
 func isWaitingServing(job *tasks.Job, round *tasks.Round, step int) bool {
 	spec := &job.Plan.Steps[step]
-	return spec.Lasting && !spec.Fills && round.Waiting(step) > 0 && job.DependenciesDone(round, step)
+	return spec.Serves() && round.Waiting(step) > 0 && job.DependenciesDone(round, step)
 }
