--- a/sched/retire.go
+++ b/sched/retire.go
@@ -12,6 +12,10 @@
 // reply within a few milliseconds.
 const retireProbeTimeout = 100 * time.Millisecond
 
+// goneProbes is how many calls in a row a host that is gone without an order must leave
+// unanswered: a connection may have gone silent while the host lives.
+const goneProbes = 3
+
 // RetiredHost is a host whose machine has left the pool or is down for maintenance.
 type RetiredHost struct {
 	ID string
@@ -79,6 +83,8 @@
 	// token and restarts are those of the host when it was retired.
 	token    int64
 	restarts int64
+	// calls is how many more calls the host may leave unanswered.
+	calls int
 }
 
 // probeRetired calls a retired host that has runs. Its machine may have stayed: the cloud
@@ -89,7 +95,10 @@
 	if len(h.runs) == 0 || h.info == nil {
 		return
 	}
-	probe := &retireProbe{cell: c, host: h, info: h.info, token: c.token(h), restarts: h.restarts}
+	probe := &retireProbe{cell: c, host: h, info: h.info, token: c.token(h), restarts: h.restarts, calls: 1}
+	if h.retiredFor == lossHostGone {
+		probe.calls = goneProbes
+	}
 	c.spawn(probe.run)
 }
 
@@ -105,6 +114,9 @@
 		case err != nil && late:
 			// This node is overloaded, and the reply may have arrived.
 			continue
+		case err != nil && p.calls > 1:
+			p.calls--
+			continue
 		case err != nil || reply.Reason == lease.RefusedIncarnation:
 			p.loseRuns()
 		case reply.Reason == lease.Accepted:
