--- a/abuse/abuse_test.go
+++ b/abuse/abuse_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"rattanpath/stub"
+	"rattanpath/fake/stub"
 )
 
 const (
--- a/abuse/crowd_test.go
+++ b/abuse/crowd_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"rattanpath/stub"
+	"rattanpath/fake/stub"
 )
 
 const (
--- a/abuse/node_test.go
+++ b/abuse/node_test.go
@@ -18,9 +18,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rattanpath/fake"
+	"rattanpath/fake/stub"
 	"rattanpath/link"
 	"rattanpath/owner"
-	"rattanpath/stub"
 	"rattanpath/tasks"
 )
 
@@ -66,7 +66,7 @@
 	server := outside.NewServer("node")
 	t.Cleanup(server.Close)
 	var err error
-	if n.Process, err = stub.NewProcess("node", t.TempDir(), server.Listener.Addr().String()); err != nil {
+	if n.Process, err = stub.NewProcess("node", t.TempDir(), server.Listener.Addr().String(), launch); err != nil {
 		t.Fatal(err)
 	}
 	if err := n.Start(); err != nil {
--- a/stub/process.go
+++ b/fake/stub/process.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -33,27 +32,35 @@
 	}
 }
 
+// Launch starts the test binary as a process with arguments and an environment, and with a file
+// for its output.
+type Launch func(args, env []string, output *os.File) (*os.Process, error)
+
 // Process is a management node that runs as a process of its own, the test binary executed
 // again. It may be started again after its end.
 type Process struct {
 	Name string
+	// Launch is how the test starts the process.
+	Launch Launch
 	// LogPath is the file with the output of all its lives.
 	LogPath  string
 	basePort int
 	settings string
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{}
+	mu      sync.Mutex
+	process *os.Process
+	exited  chan struct{}
+	// state is how the process has ended.
+	state *os.ProcessState
 }
 
 // NewProcess returns a node that uses a platform's server and keeps its files in a folder.
-func NewProcess(name, dir, server string) (*Process, error) {
+func NewProcess(name, dir, server string, launch Launch) (*Process, error) {
 	port, err := fake.FreePorts(portsPerNode)
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Name: name, LogPath: filepath.Join(dir, name+".log"), basePort: port, settings: filepath.Join(dir, name+".yaml")}
+	p := &Process{Name: name, Launch: launch, LogPath: filepath.Join(dir, name+".log"), basePort: port, settings: filepath.Join(dir, name+".yaml")}
 	return p, errors.Wrap(os.WriteFile(p.settings, []byte(p.settingsText(server)), 0o600), "writing the settings")
 }
 
@@ -93,30 +100,32 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(os.Args[0], "manage")
-	cmd.Env = append(os.Environ(), nodeVariable+"=1", platform.SettingsVariable+"="+p.settings)
-	cmd.Stdout, cmd.Stderr = log, log
-	// A test that is ended from outside leaves no processes behind.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	env := append(os.Environ(), nodeVariable+"=1", platform.SettingsVariable+"="+p.settings)
+	process, err := p.Launch([]string{"manage"}, env, log)
+	if err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	go func() {
-		_ = cmd.Wait()
-		close(exited)
-	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd, p.exited = cmd, exited
+	p.process, p.exited, p.state = process, make(chan struct{}), nil
+	go p.runWait(process, p.exited)
 	return nil
 }
 
+// runWait waits for the end of a process.
+func (p *Process) runWait(process *os.Process, exited chan<- struct{}) {
+	state, _ := process.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = state
+	close(exited)
+}
+
 // PID returns the ID of the process that was started last.
 func (p *Process) PID() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cmd.Process.Pid
+	return p.process.Pid
 }
 
 // Exited returns a channel that is closed at the end of the process that was started last.
@@ -143,14 +152,14 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cmd.ProcessState
+	return p.state
 }
 
 // Signal sends a signal, unless the process has ended.
 func (p *Process) Signal(signal syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(signal)
+	_ = p.process.Signal(signal)
 }
 
 // Kill ends the process and waits for its end.
--- a/soak/actions_test.go
+++ b/soak/actions_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"rattanpath/fake"
-	"rattanpath/stub"
+	"rattanpath/fake/stub"
 )
 
 // stopGrace is the time between SIGTERM and SIGKILL.
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -16,7 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rattanpath/core"
-	"rattanpath/stub"
+	"rattanpath/fake/stub"
 	"rattanpath/tasks"
 )
 
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"rattanpath/fake"
+	"rattanpath/fake/stub"
 	"rattanpath/store"
-	"rattanpath/stub"
 	"rattanpath/tasks"
 )
 
@@ -123,7 +123,7 @@
 		name := fmt.Sprintf("node-%d", i)
 		server := c.platform.NewServer(name)
 		c.t.Cleanup(server.Close)
-		process, err := stub.NewProcess(name, dir, server.Listener.Addr().String())
+		process, err := stub.NewProcess(name, dir, server.Listener.Addr().String(), launch)
 		if err != nil {
 			c.t.Fatal(err)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"rattanpath/fake"
-	"rattanpath/stub"
+	"rattanpath/fake/stub"
 )
 
 var (
--- a/soak/watch_test.go
+++ b/soak/watch_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"rattanpath/fake"
-	"rattanpath/stub"
+	"rattanpath/fake/stub"
 	"rattanpath/tasks"
 )
 
