--- a/soak/actions_test.go
+++ b/soak/actions_test.go
@@ -77,8 +77,11 @@
 	n.cluster.faults.record("%s started", n.Name)
 }
 
-// pause stops the process for a time.
+// pause stops the process for a time, unless the test has ended it.
 func (n *node) pause(duration time.Duration) {
+	if n.isDown() {
+		return
+	}
 	end := n.cluster.faults.begin("%s paused for %s", n.Name, duration)
 	defer end()
 	n.Signal(syscall.SIGSTOP)
--- a/stub/command.go
+++ b/stub/command.go
@@ -29,7 +29,7 @@
 func (h *Host) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", h.command(func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error) {
-		return h.Runner.Start(ctx, lease.StartCommand{Task: task, Run: body.Run, Spec: body.Spec, LeaseExpiry: body.until(), Token: body.FencingToken}, h.platform.Resources(task))
+		return h.Runner.Start(ctx, lease.StartCommand{Task: task, Run: body.Run, Spec: body.Spec, LeaseExpiry: body.until(), Token: body.FencingToken}, h.platform.resources(task))
 	}))
 	mux.HandleFunc("POST /run-stop", h.command(func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error) {
 		return h.Runner.Stop(ctx, lease.StopCommand{Task: task, Run: body.Run, Token: body.FencingToken})
@@ -70,7 +70,11 @@
 	if !h.isReachable() {
 		hang(r)
 	}
-	return body, err == nil && json.Unmarshal(data, &body) == nil
+	if err != nil {
+		return body, false
+	}
+	err = json.Unmarshal(data, &body)
+	return body, err == nil
 }
 
 func (h *Host) command(deliver func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error)) http.HandlerFunc {
--- a/stub/host.go
+++ b/stub/host.go
@@ -63,7 +63,7 @@
 	}
 	h := &Host{platform: p, address: fake.LoopbackAddress(port)}
 	info := pool.Host{ID: id, Service: Service, Address: h.address, DataCentre: "a", Capacity: capacity}
-	h.Runner = fake.NewRunner(info, clockRate, p.Checker, p.Profile)
+	h.Runner = fake.NewRunner(info, clockRate, p.Checker, p.profile)
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
--- a/stub/platform.go
+++ b/stub/platform.go
@@ -25,9 +25,9 @@
 	Store *fake.Store
 	// Checker observes the runs of all hosts.
 	Checker *fake.InvariantChecker
-	// Profile describes each run, and Resources returns what a task requires.
-	Profile   func(task tasks.ID, run int) fake.RunProfile
-	Resources func(task tasks.ID) tasks.Resources
+	// profile describes each run, and resources returns what a task requires.
+	profile   func(task tasks.ID, run int) fake.RunProfile
+	resources func(task tasks.ID) tasks.Resources
 
 	mu    sync.Mutex
 	hosts []*Host
@@ -38,7 +38,7 @@
 // NewPlatform returns a platform without hosts whose configuration has one queue. The
 // functions describe runs and tasks.
 func NewPlatform(profile func(task tasks.ID, run int) fake.RunProfile, resources func(task tasks.ID) tasks.Resources) *Platform {
-	p := &Platform{Store: fake.NewStore(), Checker: fake.NewInvariantChecker(), Profile: profile, Resources: resources}
+	p := &Platform{Store: fake.NewStore(), Checker: fake.NewInvariantChecker(), profile: profile, resources: resources}
 	p.publishConfig()
 	return p
 }
