sched, infra: what serving tasks wait for is looked up less often

Hosts for tasks that are to be stopped were searched ten times a second, those without a host counted in each of four reports, and waits described for up to a hundred tasks a second.

Now they are searched each 300 ms, counted each 500 ms with 20 searches at most, and 10 waits are described a second. The machine controller looks at each list of the machines once.

--- a/infra/absent.go
+++ b/infra/absent.go
@@ -15,6 +15,8 @@
 type absentHosts struct {
 	// machineOf is the machine on which each host was last listed.
 	machineOf map[string]string
+	// listedAt is that of the last list.
+	listedAt time.Duration
 	// since is when the first list that lacked a host was requested.
 	since map[sched.RetiredHost]time.Duration
 }
@@ -61,10 +63,11 @@
 // of its machine, so that it and its runs are over, whoever may reach it. An owner alone would
 // have to wait until their leases have expired.
 func (t *term) findAbsent() {
-	if len(t.machines) == 0 {
-		// The cloud doesn't know its machines.
+	if len(t.machines) == 0 || t.listedAt == t.absent.listedAt {
+		// The cloud doesn't know its machines, or the list is the last one.
 		return
 	}
+	t.absent.listedAt = t.listedAt
 	list := newMachineList(t.machines)
 	now := t.options.Clock()
 	t.forgetListed(list)
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -229,6 +229,13 @@
 	replyTime    replyTime
 	quotas       quotas
 	moved        movedQueues
+	// evictedAt is when hosts were last looked for serving tasks to be stopped, unplacedAt when the
+	// tasks that no host can take were last counted, as unplaced, and waitsLoggedAt when waits for
+	// hosts were last logged; all are local times.
+	evictedAt     time.Duration
+	unplacedAt    time.Duration
+	unplaced      int
+	waitsLoggedAt time.Duration
 	// startRepliedAt is when a host last replied to a start command.
 	startRepliedAt time.Duration
 
--- a/sched/cordon.go
+++ b/sched/cordon.go
@@ -15,6 +15,9 @@
 	// host can take it. A pool gets a machine in less time, and maintenance waves leave as much until
 	// their deadline.
 	servingEvictionDelay = 4 * time.Second
+	// nextHostsInterval is the time between two searches for hosts that can take the serving tasks of
+	// cordoned hosts.
+	nextHostsInterval = 300 * time.Millisecond
 	// takeoverSettleTime is how long after a takeover no serving task is stopped:
 	// those that the previous owner has stopped may still be reported as running.
 	takeoverSettleTime = 2 * time.Second
@@ -105,7 +108,7 @@
 	for e := range c.open {
 		addWaiting(e.job, &report)
 	}
-	report.Unplaced = c.unplacedServing(now)
+	report.Unplaced = c.recentUnplaced(now)
 	report.Quota = c.quotaReport()
 	return report, nil
 }
@@ -209,7 +212,10 @@
 
 // evictHosts evicts runs from draining and cordoned hosts. c.mu must be held.
 func (c *Cell) evictHosts(now time.Time) {
-	next := c.newNextHosts(now)
+	var next *nextHosts
+	if clock := c.options.Clock(); clock-c.evictedAt >= nextHostsInterval {
+		next, c.evictedAt = c.newNextHosts(now), clock
+	}
 	for _, h := range c.hosts {
 		switch {
 		case h.info == nil || len(h.runs) == 0:
@@ -265,7 +271,7 @@
 
 // evictCordoned stops the runs of a cordoned host: serving tasks as their step
 // allows, once another host can take them or servingEvictionDelay has passed, tasks
-// that checkpoint at once, and others after evictionDelay.
+// that checkpoint at once, and others after evictionDelay. A nil next finds no host.
 func (c *Cell) evictCordoned(h *host, now time.Time, next *nextHosts) {
 	cordonedFor := now.Sub(h.cordonedSince)
 	for _, r := range h.runs {
@@ -275,7 +281,7 @@
 		step := r.entry.job.Step(r.id)
 		switch {
 		case step.Lasting:
-			if c.canStopServing(r) && (cordonedFor > servingEvictionDelay || next.reserve(r)) {
+			if c.canStopServing(r) && (cordonedFor > servingEvictionDelay || next != nil && next.reserve(r)) {
 				c.stopRun(h, r)
 			}
 		case step.Checkpoints || cordonedFor > evictionDelay:
--- a/sched/gapwait.go
+++ b/sched/gapwait.go
@@ -13,8 +13,10 @@
 	// waitLogDelay is how long a serving task without a run waits for a host until that is
 	// logged.
 	waitLogDelay = time.Second
-	// maxWaitLines limits the lines on waiting tasks that are written in one tickInterval.
-	maxWaitLines = 10
+	// waitLogInterval is the time between two looks for waits to be logged, and maxWaitLines
+	// limits the lines that one of them writes.
+	waitLogInterval = time.Second
+	maxWaitLines    = 10
 )
 
 // What a task may wait for besides the reasons in view.go.
@@ -33,10 +35,15 @@
 // logWaits logs which serving tasks have waited for waitLogDelay, each once in a gap. It
 // decides nothing. c.mu must be held.
 func (c *Cell) logWaits(now time.Time) {
+	clock := c.options.Clock()
+	if clock-c.waitsLoggedAt < waitLogInterval {
+		return
+	}
 	waits := c.dueWaits()
 	if len(waits) == 0 {
 		return
 	}
+	c.waitsLoggedAt = clock
 	states := c.countHosts(now)
 	p, _ := c.previewPass(waits[0].entry, now)
 	for _, w := range waits {
--- a/sched/nexthost.go
+++ b/sched/nexthost.go
@@ -9,7 +9,7 @@
 
 // maxHostSearches limits the searches of one nextHosts over all hosts, so that an owner whose
 // serving tasks have all lost their hosts keeps its processor time for starting them.
-const maxHostSearches = 100
+const maxHostSearches = 20
 
 // nextHosts finds hosts for serving tasks that are to be stopped. It reserves room for those that it
 // has found a host for, after those that are without a run already.
--- a/sched/unplaced.go
+++ b/sched/unplaced.go
@@ -6,6 +6,17 @@
 	"rattanpath/tasks"
 )
 
+// unplacedInterval is the time between two counts of the tasks that no host can take.
+const unplacedInterval = 500 * time.Millisecond
+
+// recentUnplaced returns what unplacedServing returned within unplacedInterval.
+func (c *Cell) recentUnplaced(now time.Time) int {
+	if clock := c.options.Clock(); c.unplacedAt == 0 || clock-c.unplacedAt >= unplacedInterval {
+		c.unplaced, c.unplacedAt = c.unplacedServing(now), clock
+	}
+	return c.unplaced
+}
+
 // unplacedServing returns the number of serving tasks that wait, or are to be stopped for
 // maintenance, and that no host can take at present, whatever advisors and caps allow.
 func (c *Cell) unplacedServing(now time.Time) int {
