--- a/sched/cell.go
+++ b/sched/cell.go
@@ -284,8 +284,8 @@
 func (c *Cell) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c.ctx = ctx
 	c.mu.Lock()
+	c.ctx = ctx
 	for _, h := range c.hosts {
 		c.startHostLoop(h)
 	}
