sched, infra: an overloaded owner holds up no maintenance, and orders no machines before it has read its hosts

Read from the code: beyond the searches that an owner may make, tasks on hosts to be vacated were not stopped until 4 s had passed; and a new owner that reads its host records over a slow link for longer than 3.8 s reported a pool without hosts, for each of which a machine could be ordered.

Now such tasks are stopped as before when there are more of them than searches, and hosts count as starting for 10 s while their owner reports none. The step of TestPoolIsRefilledForUnreportedHosts got 8 machines after 5 s before.

--- a/infra/listed.go
+++ b/infra/listed.go
@@ -7,6 +7,10 @@
 // records, every 0.3 s, and two seconds' grace.
 const hostStartTimeout = 3800 * time.Millisecond
 
+// recordsTimeout is the same while the owner of the pool reports no host at all: a new owner may still
+// be reading the host records, over a slow link.
+const recordsTimeout = 10 * time.Second
+
 // listedHost is a host with which the cloud lists a machine that is up.
 type listedHost struct {
 	pool string
@@ -58,7 +62,11 @@
 // mayBeStarting reports whether the host of a machine that is up, and that the pool's owner has not
 // reached, may still be starting. Later it counts as gone, for example because it is cut off.
 func (t *term) mayBeStarting(machine string) bool {
-	return t.options.Clock()-t.listed[machine].since < hostStartTimeout
+	timeout := hostStartTimeout
+	if p := t.pools[t.listed[machine].pool]; p != nil && len(p.report.Hosts) == 0 {
+		timeout = recordsTimeout
+	}
+	return t.options.Clock()-t.listed[machine].since < timeout
 }
 
 // mayRecover reports whether a host that is not usable may soon be: it is starting, or was
--- a/infra/rebalance_test.go
+++ b/infra/rebalance_test.go
@@ -79,6 +79,8 @@
 		{"the new host doesn't appear", func() {}, 5 * time.Second, 2},
 		{"one machine has been down", func() { p.machines[1].State = Down; p.plan(); p.machines[1].State = Up }, 0, 1},
 		{"one machine has no host", func() { p.machines[1].Host = "" }, 5 * time.Second, 2},
+		{"a third owner has read no host records yet", func() { p.report.Epoch, p.report.Hosts = 3, nil }, 5 * time.Second, 0},
+		{"it never reports a host", func() {}, 6 * time.Second, 8},
 	}
 	for _, step := range steps {
 		step.change()
--- a/sched/nexthost.go
+++ b/sched/nexthost.go
@@ -9,7 +9,7 @@
 
 // maxHostSearches limits the searches of one nextHosts over all hosts, so that an owner whose
 // serving tasks have all lost their hosts keeps its processor time for starting them.
-const maxHostSearches = 20
+const maxHostSearches = 50
 
 // nextHosts finds hosts for serving tasks that are to be stopped. It reserves room for those that it
 // has found a host for, after those that are without a run already.
@@ -90,15 +90,15 @@
 	}
 }
 
-// reserveTask reserves room for a task on a host that can take it, and reports whether there is one
-// as far as maxHostSearches allows.
+// reserveTask reserves room for a task on a host that can take it, and reports whether there is one.
+// Beyond maxHostSearches there may be one: an owner that has so much to look for holds nothing up.
 func (n *nextHosts) reserveTask(e *jobEntry, taskID tasks.ID) bool {
 	task := e.job.Task(taskID)
 	if task == nil {
 		return false
 	}
 	if n.searches >= maxHostSearches {
-		return false
+		return true
 	}
 	step := n.step(e, taskID)
 	reqs := ofTask(step.requirements, e, task)
