sched, place: one place says which tasks serve

Two comments say what they mean: which times the cell keeps for work that isn't done at each tick, and why a new owner bounds a stalled run by the job's age.

--- a/place/interference.go
+++ b/place/interference.go
@@ -30,7 +30,7 @@
 
 // groupOf returns a group of one task of a step.
 func groupOf(step *tasks.Step) taskGroup {
-	serving := step.Lasting && !step.Fills
+	serving := step.Serves()
 	return taskGroup{kind: KindOf(step), serving: serving, hasTarget: serving && step.Target > 0, count: 1}
 }
 
--- a/place/pick.go
+++ b/place/pick.go
@@ -147,7 +147,7 @@
 
 // maxWithoutCPU returns how many tasks that request no CPU a host may have before it gets one more.
 func (req *Requirements) maxWithoutCPU() int {
-	if req.FirstOfJob || req.Step.Lasting && !req.Step.Fills {
+	if req.FirstOfJob || req.Step.Serves() {
 		return MaxUrgentWithoutCPU
 	}
 	return MaxTasksWithoutCPU
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -229,9 +229,9 @@
 	replyTime    replyTime
 	quotas       quotas
 	moved        movedQueues
-	// evictedAt is when hosts were last looked for serving tasks to be stopped, unplacedAt when the
-	// tasks that no host can take were last counted, as unplaced, and waitsLoggedAt when waits for
-	// hosts were last logged; all are local times.
+	// Local times of what isn't done at each tick: evictedAt is when hosts were last searched for
+	// the serving tasks of cordoned hosts, unplacedAt when unplaced was last counted, and
+	// waitsLoggedAt when serving tasks that wait for a host were last logged.
 	evictedAt     time.Duration
 	unplacedAt    time.Duration
 	unplaced      int
--- a/sched/interference.go
+++ b/sched/interference.go
@@ -44,14 +44,14 @@
 		return false
 	}
 	step := r.entry.job.Step(r.id)
-	return step.Lasting && !step.Fills && step.Target > 0 && r.percent >= fullPercent
+	return step.Serves() && step.Target > 0 && r.percent >= fullPercent
 }
 
 // activity returns how active a run is, 1 at full speed: by the CPU that it uses, if its host
 // reports that, or else by its share. It returns false if that isn't known.
 func (r *run) activity(step *tasks.Step) (float64, bool) {
 	switch {
-	case step.Lasting && !step.Fills:
+	case step.Serves():
 		return 1, true
 	case r.load != 0 && step.Room.CPU > 0:
 		relative := r.load / float64(step.Room.CPU)
--- a/sched/stall.go
+++ b/sched/stall.go
@@ -109,7 +109,7 @@
 	step := r.entry.job.Step(r.id)
 	var longest time.Duration
 	if r.inherited {
-		// The previous owner knew how long each percent took.
+		// This owner hasn't seen how long each percent took.
 		longest = max(0, time.Since(r.entry.job.Accepted)-(hostTime-r.progressedAt))
 	}
 	return progress{
