relay: an owner calls a host that it can't reach through a node that does

Callers saw: a serving task's run lapsed on a host that lives, and the task had no run for as long as the path between its owner and the hosts of the service was cut, although other nodes reached them. The owner kept the service and never asked anyone; a new owner on the wrong side waited for all leases of previous owners as well.

Cause: that a host doesn't answer its owner counted as that it can't be used, for everybody.

Now a node whose direct heartbeat fails asks the others, in the background: all at once if the host has written its record since it last answered, which a host that is gone doesn't, and one a second otherwise. It calls the host through the first that gets an answer until the direct path works again. The leases, fencing tokens and the order of reports are those of direct calls. A node that was suspended refuses requests that may have waited at it meanwhile, and a node whose own timers are late asks nobody.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -20,6 +20,7 @@
 	"rattanpath/owner"
 	"rattanpath/pool"
 	"rattanpath/queue"
+	"rattanpath/relay"
 	"rattanpath/sched"
 )
 
@@ -68,6 +69,7 @@
 			newGates,
 			newConfigWatcher,
 			newMember,
+			newRelay,
 			newSupervisor,
 			newPoolWatcher,
 			newClient,
@@ -108,12 +110,17 @@
 	return pool.NewWatcher(platform.Pools, platform.HostTopic, platform.DecodeHost, ref.hasCells, platform.Clock, logger), ref
 }
 
-func newSupervisor(settings Settings, platform Platform, member *owner.Member, config *queue.Watcher, pools *pool.Watcher, ref *supervisorRef, set *metrics.Set, logger logr.Logger) *owner.Supervisor {
+// newRelay returns a client that calls the hosts, and a service that calls them for other nodes.
+func newRelay(platform Platform, set *metrics.Set, logger logr.Logger) (*relay.Client, *relay.Service) {
+	return relay.NewClient(platform.Hosts, platform.Clock, set, logger), relay.NewService(platform.Hosts, platform.Clock)
+}
+
+func newSupervisor(settings Settings, platform Platform, hosts *relay.Client, member *owner.Member, config *queue.Watcher, pools *pool.Watcher, ref *supervisorRef, set *metrics.Set, logger logr.Logger) *owner.Supervisor {
 	supervisor := owner.NewSupervisor(member, config, pools, settings.Partitions, sched.Options{
 		Node:         settings.Name,
 		Journal:      platform.Journal,
 		Trimmer:      platform.Trimmer,
-		HostClient:   platform.Hosts,
+		HostClient:   hosts,
 		Advisor:      platform.Advisor,
 		Clock:        platform.Clock,
 		MaxLease:     settings.MaxLease,
@@ -130,9 +137,11 @@
 	return supervisor
 }
 
-func newClient(settings Settings, platform Platform, config *queue.Watcher, supervisor *owner.Supervisor, logger logr.Logger) *owner.Client {
+func newClient(settings Settings, platform Platform, config *queue.Watcher, supervisor *owner.Supervisor, hosts *relay.Client, logger logr.Logger) *owner.Client {
 	var dialer net.Dialer
-	return owner.NewClient(platform.Group, config, owner.NewService(supervisor), settings.PeerListen, settings.Partitions, dialer.DialContext, logger)
+	client := owner.NewClient(platform.Group, config, owner.NewService(supervisor), settings.PeerListen, settings.Partitions, dialer.DialContext, logger)
+	hosts.SetNodes(relay.NewPeers(client.Others, dialer.DialContext))
+	return client
 }
 
 func newHandler(config *queue.Watcher, client *owner.Client, platform Platform, set *metrics.Set, logger logr.Logger) *intake.Handler {
@@ -173,7 +182,7 @@
 // register adds the node's loops and servers to the lifecycle. On shutdown the node
 // leaves the group first, so that other nodes take over its cells while it still
 // serves callers.
-func register(lifecycle fx.Lifecycle, settings Settings, loops *core.LoopGroup, tuner *gcTuner, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, controller *infra.Controller, admin *adminServer, handler *intake.Handler, server *intake.Server, gates *guard.Gates, logger logr.Logger) error {
+func register(lifecycle fx.Lifecycle, settings Settings, loops *core.LoopGroup, tuner *gcTuner, config *queue.Watcher, pools *pool.Watcher, member *owner.Member, supervisor *owner.Supervisor, client *owner.Client, controller *infra.Controller, relays *relay.Service, admin *adminServer, handler *intake.Handler, server *intake.Server, gates *guard.Gates, logger logr.Logger) error {
 	peers := link.NewServer(settings.PeerListen, func(conn net.Conn) net.Conn { return conn }, logger.WithName("peers"))
 	peers.Limit(gates.Peers)
 	if err := peers.Register(owner.RPCName, owner.NewService(supervisor)); err != nil {
@@ -182,6 +191,9 @@
 	if err := peers.Register(infra.RPCName, infra.NewService(controller)); err != nil {
 		return err
 	}
+	if err := peers.Register(relay.RPCName, relays); err != nil {
+		return err
+	}
 	member.OnRelease = client.NotifyPeers
 	loops.Go(tuner.loop)
 	loops.Go(gates.Run)
@@ -191,6 +203,7 @@
 	loops.Go(supervisor.Run)
 	loops.Go(supervisor.RunHostUpdates)
 	loops.Go(client.Run)
+	loops.Go(relays.Run)
 	loops.Go(handler.Run)
 	loops.Go(controller.Run)
 	lifecycle.Append(fx.Hook{OnStart: peers.Start, OnStop: peers.Stop})
--- a/engine/events_test.go
+++ b/engine/events_test.go
@@ -16,7 +16,7 @@
 )
 
 // managementPackages are the packages of a management node.
-var managementPackages = []string{"claim", "core", "engine", "guard", "infra", "intake", "link", "owner", "pool", "queue", "sched", "sink"}
+var managementPackages = []string{"claim", "core", "engine", "guard", "infra", "intake", "link", "owner", "pool", "queue", "relay", "sched", "sink"}
 
 // logLine is a log statement.
 type logLine struct {
--- a/lease/command.go
+++ b/lease/command.go
@@ -128,6 +128,9 @@
 	MoreFinished bool
 }
 
+// ReplyTimeout limits a command to a host, not counting the wait of a heartbeat.
+const ReplyTimeout = time.Second
+
 // ErrNotSent means that no connection to the host could be made, so the command was
 // not sent.
 var ErrNotSent = errors.New("no connection to the host")
--- a/owner/client.go
+++ b/owner/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -370,18 +372,23 @@
 	return outcomeError(response, nil)
 }
 
-// NotifyPeers notifies all other owners that this node has released partitions, so
-// that they renew their membership. It does not wait for them.
-func (c *Client) NotifyPeers() {
+// Others returns the addresses of the other nodes that own partitions, in ascending order.
+func (c *Client) Others() []string {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	others := make(map[string]bool)
 	for _, address := range c.owners {
-		if address != c.self {
+		if address != c.self && address != "" {
 			others[address] = true
 		}
 	}
-	c.mu.Unlock()
-	for address := range others {
+	return slices.Sorted(maps.Keys(others))
+}
+
+// NotifyPeers notifies all other owners that this node has released partitions, so
+// that they renew their membership. It does not wait for them.
+func (c *Client) NotifyPeers() {
+	for _, address := range c.Others() {
 		go (&releaseNotice{client: c, address: address}).run()
 	}
 }
--- /dev/null
+++ b/relay/client.go
@@ -0,0 +1,221 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"rattanpath/core"
+	"rattanpath/lease"
+	"rattanpath/pool"
+)
+
+const (
+	// hopTimeout is added to the timeout of a command for the way to another node and back.
+	hopTimeout = 500 * time.Millisecond
+	// maxLag is by how much a call may exceed its timeout before this node counts as
+	// overloaded: calls through others would only add to its work.
+	maxLag = 100 * time.Millisecond
+	// directInterval is the time between two direct calls to a host that is called through
+	// another node.
+	directInterval = 2 * time.Second
+	// pathRetention is how long a host that isn't called is remembered.
+	pathRetention = time.Minute
+)
+
+// Nodes are the other nodes.
+type Nodes interface {
+	// Others returns the addresses of the other nodes.
+	Others() []string
+	// Send makes the node at an address execute a request.
+	Send(ctx context.Context, address string, request *Request, response *Response) error
+}
+
+// Client calls hosts directly and, while that fails, through other nodes. It implements
+// lease.HostClient.
+type Client struct {
+	direct lease.HostClient
+	clock  core.Clock
+	logger logr.Logger
+	// answered and failed count the calls through other nodes.
+	answered *metrics.Counter
+	failed   *metrics.Counter
+
+	mu sync.Mutex
+	// nodes is nil until SetNodes.
+	nodes    Nodes
+	paths    map[string]*path
+	prunedAt time.Duration
+}
+
+// NewClient returns a client that calls hosts directly until SetNodes is called.
+func NewClient(direct lease.HostClient, clock core.Clock, set *metrics.Set, logger logr.Logger) *Client {
+	return &Client{
+		direct: direct, clock: clock, logger: logger.WithName("relay"),
+		answered: set.NewCounter(`rattanpath_relay_calls_total{result="answered"}`),
+		failed:   set.NewCounter(`rattanpath_relay_calls_total{result="failed"}`),
+		paths:    make(map[string]*path),
+	}
+}
+
+// SetNodes sets the nodes that hosts can be called through.
+func (c *Client) SetNodes(nodes Nodes) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes = nodes
+}
+
+// Start implements lease.HostClient.
+func (c *Client) Start(ctx context.Context, host *pool.Host, command lease.StartCommand) (lease.Reply, error) {
+	if node := c.nodeFor(host.ID); node != "" {
+		reply, err := c.callThrough(ctx, node, &Request{Host: *host, Start: &command})
+		return reply.Reply, err
+	}
+	return c.direct.Start(ctx, host, command)
+}
+
+// Stop implements lease.HostClient.
+func (c *Client) Stop(ctx context.Context, host *pool.Host, command lease.StopCommand) (lease.Reply, error) {
+	if node := c.nodeFor(host.ID); node != "" {
+		reply, err := c.callThrough(ctx, node, &Request{Host: *host, Stop: &command})
+		return reply.Reply, err
+	}
+	return c.direct.Stop(ctx, host, command)
+}
+
+// Pace implements lease.HostClient.
+func (c *Client) Pace(ctx context.Context, host *pool.Host, command lease.PaceCommand) (lease.Reply, error) {
+	if node := c.nodeFor(host.ID); node != "" {
+		reply, err := c.callThrough(ctx, node, &Request{Host: *host, Pace: &command})
+		return reply.Reply, err
+	}
+	return c.direct.Pace(ctx, host, command)
+}
+
+// Heartbeat implements lease.HostClient. If a host doesn't answer directly, other nodes are asked
+// meanwhile, and it is called through the first that reaches it.
+func (c *Client) Heartbeat(ctx context.Context, host *pool.Host, heartbeat lease.Heartbeat) (lease.HeartbeatReply, error) {
+	if node := c.nodeFor(host.ID); node != "" {
+		c.retryDirect(ctx, host, heartbeat.Token)
+		return c.heartbeatThrough(ctx, node, host, heartbeat)
+	}
+	reply, overloaded, err := c.heartbeatDirectly(ctx, host, heartbeat)
+	if err == nil || ctx.Err() != nil {
+		return reply, err
+	}
+	if node := c.nodeFor(host.ID); node != "" {
+		// What is acknowledged may be too old by now.
+		heartbeat.Wait, heartbeat.Acknowledged = 0, 0
+		return c.heartbeatThrough(ctx, node, host, heartbeat)
+	}
+	if !overloaded {
+		c.startSearch(ctx, host, heartbeat.Token)
+	}
+	return reply, err
+}
+
+// heartbeatDirectly sends a heartbeat directly, until another node is found that reaches the host.
+// It also reports whether this node is overloaded, so that a reply may have arrived.
+func (c *Client) heartbeatDirectly(ctx context.Context, host *pool.Host, heartbeat lease.Heartbeat) (reply lease.HeartbeatReply, overloaded bool, err error) {
+	sent := c.clock()
+	ctx, call := c.beginDirect(ctx, host.ID)
+	reply, err = c.direct.Heartbeat(ctx, host, heartbeat)
+	c.endDirect(host.ID, call, err == nil)
+	return reply, c.clock()-sent > heartbeat.Wait+lease.ReplyTimeout+maxLag, err
+}
+
+// heartbeatThrough sends a heartbeat through a node, which is left if that fails.
+func (c *Client) heartbeatThrough(ctx context.Context, node string, host *pool.Host, heartbeat lease.Heartbeat) (lease.HeartbeatReply, error) {
+	reply, err := c.callThrough(ctx, node, &Request{Host: *host, Heartbeat: &heartbeat})
+	switch {
+	case err == nil:
+		c.recordAnswer(host.ID)
+	case ctx.Err() == nil:
+		c.leaveNode(host.ID, node, err)
+		c.startSearch(ctx, host, heartbeat.Token)
+	}
+	return reply, err
+}
+
+// callThrough makes another node execute a request.
+func (c *Client) callThrough(ctx context.Context, node string, request *Request) (lease.HeartbeatReply, error) {
+	c.mu.Lock()
+	nodes := c.nodes
+	c.mu.Unlock()
+	x := &exchange{client: c, nodes: nodes, address: node, request: request, done: make(chan outcome, 1)}
+	go x.run(ctx)
+	select {
+	case o := <-x.done:
+		return o.reply, o.err
+	case <-ctx.Done():
+		return lease.HeartbeatReply{}, ctx.Err()
+	}
+}
+
+// exchange is a request to another node.
+type exchange struct {
+	client  *Client
+	nodes   Nodes
+	address string
+	request *Request
+	done    chan outcome
+}
+
+// outcome is the result of an exchange.
+type outcome struct {
+	address string
+	reply   lease.HeartbeatReply
+	err     error
+}
+
+// run makes the call. It doesn't end with ctx, because a call that ends early closes the
+// connection to the node, which calls to other hosts use as well.
+func (x *exchange) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.request.wait()+lease.ReplyTimeout+hopTimeout)
+	defer cancel()
+	o := outcome{address: x.address}
+	var response Response
+	if err := x.nodes.Send(ctx, x.address, x.request, &response); err != nil {
+		// A late reply may still be decoded into the response.
+		o.err = sendError(err)
+	} else {
+		o.reply, o.err = response.result()
+	}
+	if o.err == nil {
+		x.client.answered.Inc()
+	} else {
+		x.client.failed.Inc()
+	}
+	x.done <- o
+}
+
+// retryDirect sends a heartbeat directly, if that is due, to a host that is called through
+// another node.
+func (c *Client) retryDirect(ctx context.Context, host *pool.Host, token int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.path(host.ID)
+	if now := c.clock(); now-p.directAt >= directInterval {
+		p.directAt = now
+		go (&directRetry{client: c, host: host, token: token}).run(context.WithoutCancel(ctx))
+	}
+}
+
+// directRetry is a direct call to a host that is called through another node.
+type directRetry struct {
+	client *Client
+	host   *pool.Host
+	token  int64
+}
+
+// run makes the call, which asks for nothing but an answer.
+func (r *directRetry) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lease.ReplyTimeout)
+	defer cancel()
+	if _, err := r.client.direct.Heartbeat(ctx, r.host, lease.Heartbeat{Token: r.token}); err == nil {
+		r.client.returnToDirect(r.host.ID)
+	}
+}
--- /dev/null
+++ b/relay/service.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+	"unsafe"
+
+	"github.com/pkg/errors"
+
+	"rattanpath/core"
+	"rattanpath/lease"
+	"rattanpath/link"
+	"rattanpath/pool"
+)
+
+// RPCName is the net/rpc service name of relays.
+const RPCName = "Relay"
+
+// Request is one command to a host: exactly one of the pointers is set.
+type Request struct {
+	Host      pool.Host
+	Start     *lease.StartCommand
+	Stop      *lease.StopCommand
+	Pace      *lease.PaceCommand
+	Heartbeat *lease.Heartbeat
+}
+
+// wait returns how long the host may delay its reply.
+func (r *Request) wait() time.Duration {
+	if r.Heartbeat == nil {
+		return 0
+	}
+	return r.Heartbeat.Wait
+}
+
+// HeldBytes returns approximately how much memory the request takes.
+func (r *Request) HeldBytes() int64 {
+	held := int64(unsafe.Sizeof(*r) + unsafe.Sizeof(lease.StartCommand{}))
+	for _, label := range r.Host.Labels {
+		held += int64(unsafe.Sizeof(label)) + int64(len(label))
+	}
+	if r.Start != nil {
+		held += int64(len(r.Start.Spec) + len(r.Start.Checkpoint) + len(r.Start.Ticket))
+	}
+	return held
+}
+
+// Response is the host's reply to a request, or why there is none.
+type Response struct {
+	Reply lease.HeartbeatReply
+	// Err is empty if the host has replied. NotSent means that the command was not sent.
+	Err     string
+	NotSent bool
+}
+
+// result returns the reply, or the error that a direct call would have returned.
+func (r *Response) result() (lease.HeartbeatReply, error) {
+	switch {
+	case r.Err == "":
+		return r.Reply, nil
+	case r.NotSent:
+		return lease.HeartbeatReply{}, errors.WithMessage(lease.ErrNotSent, r.Err)
+	default:
+		return lease.HeartbeatReply{}, errors.New(r.Err)
+	}
+}
+
+// sendError returns the error of a request that got no response, which is lease.ErrNotSent if the
+// node can't have received it.
+func sendError(err error) error {
+	var connect *link.ConnectError
+	if errors.As(err, &connect) {
+		return errors.WithMessage(lease.ErrNotSent, err.Error())
+	}
+	return err
+}
+
+const (
+	// tickInterval is the time between two checks whether this node has been suspended.
+	tickInterval = 100 * time.Millisecond
+	// suspendedAfter is by how much a check may be late, and refusalTime how long requests are
+	// refused after that: they may have waited at this node for as long as it was suspended.
+	suspendedAfter = 400 * time.Millisecond
+	refusalTime    = time.Second
+)
+
+// Service executes the requests of other nodes.
+type Service struct {
+	direct lease.HostClient
+	clock  core.Clock
+
+	mu           sync.Mutex
+	checkedAt    time.Duration
+	refusedUntil time.Duration
+}
+
+// NewService returns a service that calls hosts directly. It refuses requests unless Run runs.
+func NewService(direct lease.HostClient, clock core.Clock) *Service {
+	return &Service{direct: direct, clock: clock}
+}
+
+// Run checks whether this node has been suspended, until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.mu.Lock()
+	s.checkedAt = s.clock()
+	s.mu.Unlock()
+	for core.Sleep(ctx, tickInterval) == nil {
+		s.check(true)
+	}
+}
+
+// check reports whether requests are executed. If it is made by Run, the next one must follow
+// in time.
+func (s *Service) check(byRun bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	if now-s.checkedAt > tickInterval+suspendedAfter {
+		s.refusedUntil = now + refusalTime
+	}
+	if byRun {
+		s.checkedAt = now
+	}
+	return now >= s.refusedUntil
+}
+
+// Send executes a request. Its signature is the one that net/rpc requires.
+func (s *Service) Send(request *Request, response *Response) error {
+	if !s.check(false) {
+		response.Err, response.NotSent = "the node was suspended or is overloaded", true
+		return nil
+	}
+	reply, err := s.execute(context.Background(), request)
+	response.Reply = reply
+	if err != nil {
+		response.Err, response.NotSent = err.Error(), errors.Is(err, lease.ErrNotSent)
+	}
+	return nil
+}
+
+// execute sends the command of a request to its host.
+func (s *Service) execute(ctx context.Context, request *Request) (lease.HeartbeatReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.wait()+lease.ReplyTimeout)
+	defer cancel()
+	var reply lease.HeartbeatReply
+	var err error
+	host := &request.Host
+	switch {
+	case request.Start != nil:
+		reply.Reply, err = s.direct.Start(ctx, host, *request.Start)
+	case request.Stop != nil:
+		reply.Reply, err = s.direct.Stop(ctx, host, *request.Stop)
+	case request.Pace != nil:
+		reply.Reply, err = s.direct.Pace(ctx, host, *request.Pace)
+	case request.Heartbeat != nil:
+		reply, err = s.direct.Heartbeat(ctx, host, *request.Heartbeat)
+	default:
+		err = errors.WithMessage(lease.ErrNotSent, "the request has no command")
+	}
+	return reply, err
+}
--- /dev/null
+++ b/sched/onesided_test.go
@@ -0,0 +1,104 @@
+package sched
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"rattanpath/fake"
+	"rattanpath/lease"
+	"rattanpath/relay"
+	"rattanpath/tasks"
+)
+
+// maxServingGap is how long a serving task may be without a run.
+const maxServingGap = 9 * time.Second
+
+// relayNodes are nodes that call the hosts for others, by address. They implement relay.Nodes.
+type relayNodes map[string]*relay.Service
+
+// Others implements relay.Nodes.
+func (n relayNodes) Others() []string { return []string{"other"} }
+
+// Send implements relay.Nodes.
+func (n relayNodes) Send(_ context.Context, address string, request *relay.Request, response *relay.Response) error {
+	return n[address].Send(request, response)
+}
+
+// useRelay lets all nodes call hosts through another node, whose client of the hosts it returns.
+func (tc *testCluster) useRelay() *fake.HostClient {
+	clock := func() time.Duration { return time.Since(tc.start) }
+	others := fake.NewHostClient(tc.runners, tc.resourcesOf)
+	service := relay.NewService(others, clock)
+	go service.Run(tc.ctx)
+	tc.wrapHosts = func(direct lease.HostClient) lease.HostClient {
+		client := relay.NewClient(direct, clock, metrics.NewSet(), logr.Discard())
+		client.SetNodes(relayNodes{"other": service})
+		return client
+	}
+	return others
+}
+
+// cutOff makes all hosts unreachable for a node.
+func (tc *testCluster) cutOff(n *node) {
+	for id := range tc.runners {
+		n.hosts.SetPartitioned(id, true)
+	}
+}
+
+// longestGap returns for how long the first task of a job had no run, at most, until a time has passed.
+func (tc *testCluster) longestGap(id string, during time.Duration) time.Duration {
+	const step = 20 * time.Millisecond
+	var gap, longest time.Duration
+	for range during / step {
+		time.Sleep(step)
+		gap += step
+		if tc.checker.ActiveRuns(tasks.ID{Job: id}) > 0 {
+			gap = 0
+		}
+		longest = max(longest, gap)
+	}
+	return longest
+}
+
+// Guards against a serving task whose run lapses on a live host and that stays without a run, because
+// its owner can't reach the hosts of the service while other nodes do.
+func TestOwnerReachesHostsThroughAnotherNode(t *testing.T) {
+	runCluster(t, 3, func(tc *testCluster) {
+		tc.useRelay()
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Serving: true} }
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		tc.mustSubmit(n, "job", servingPlan(1, 1000))
+		time.Sleep(5 * time.Second)
+		tc.cutOff(n)
+		if gap := tc.longestGap("job", 30*time.Second); gap > maxServingGap {
+			t.Errorf("got a serving task without a run for %v, want at most %v", gap, maxServingGap)
+		}
+		if lapsed := tc.checker.Ends(tasks.EndLeaseExpired); lapsed > 0 {
+			t.Errorf("got %d runs whose lease expired, want none", lapsed)
+		}
+	})
+}
+
+// Guards against a serving task that a new owner doesn't take over because it can't reach its host,
+// while other nodes do.
+func TestNewOwnerReachesHostsThroughAnotherNode(t *testing.T) {
+	runCluster(t, 3, func(tc *testCluster) {
+		tc.useRelay()
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Serving: true} }
+		first := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		tc.mustSubmit(first, "job", servingPlan(1, 1000))
+		time.Sleep(5 * time.Second)
+		tc.kill(first)
+		second := tc.claim("b")
+		tc.cutOff(second)
+		if gap := tc.longestGap("job", 30*time.Second); gap > maxServingGap {
+			t.Errorf("got a serving task without a run for %v, want at most %v", gap, maxServingGap)
+		}
+	})
+}
