--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -263,3 +263,14 @@
 		}
 	})
 }
+
+// Guards against a request of another node that occupies this one for longer than hosts may delay
+// their replies.
+func TestWaitOfRequestIsLimited(t *testing.T) {
+	for _, test := range []struct{ wait, want time.Duration }{{time.Second, time.Second}, {time.Hour, maxWait}, {-time.Hour, 0}} {
+		request := &Request{Heartbeat: &lease.Heartbeat{Wait: test.wait}}
+		if got := request.wait(); got != test.want {
+			t.Errorf("got %v for a wait of %v, want %v", got, test.wait, test.want)
+		}
+	}
+}
--- a/relay/service.go
+++ b/relay/service.go
@@ -26,12 +26,15 @@
 	Heartbeat *lease.Heartbeat
 }
 
+// maxWait limits the time for which a host may delay its reply to a heartbeat of another node.
+const maxWait = 2 * time.Second
+
 // wait returns how long the host may delay its reply.
 func (r *Request) wait() time.Duration {
 	if r.Heartbeat == nil {
 		return 0
 	}
-	return r.Heartbeat.Wait
+	return min(max(0, r.Heartbeat.Wait), maxWait)
 }
 
 // HeldBytes returns approximately how much memory the request takes.
