sink, sched: lines on runs of serving tasks have limits of their own

Now these lines say serving=true or false, and those with true are limited apart; `log lines dropped` says so as well. The other keys are as before.

--- a/sched/end.go
+++ b/sched/end.go
@@ -37,7 +37,7 @@
 // endRun records the end of a run that its host has reported.
 func (c *Cell) endRun(h *host, r *run, reason tasks.EndReason, checkpoint string) {
 	if c.removeRun(h, r, reason, checkpoint) {
-		c.logger.Info("run ended", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "took", c.sinceStart(r))
+		c.logger.Info("run ended", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "took", c.sinceStart(r), "serving", r.serves())
 		c.runOver(h, r, reason, gapReported)
 	}
 }
@@ -45,7 +45,7 @@
 // dropRun records that a run never started, for a reason that is logged.
 func (c *Cell) dropRun(h *host, r *run, why string) {
 	if c.removeRun(h, r, tasks.EndLost, "") {
-		c.logger.Info("run not started", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "why", why)
+		c.logger.Info("run not started", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "why", why, "serving", r.serves())
 		c.runNotStarted(r)
 	}
 }
@@ -59,7 +59,7 @@
 	}
 	if c.removeRun(h, r, reason, "") {
 		c.options.Metrics.recordLoss(why)
-		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "why", string(why), "took", c.sinceStart(r), "answered", r.answeredFor(h))
+		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "why", string(why), "took", c.sinceStart(r), "answered", r.answeredFor(h), "serving", r.serves())
 		c.logGivenUp(r, reason)
 		c.runOver(h, r, reason, string(why))
 	}
--- a/sched/host.go
+++ b/sched/host.go
@@ -202,7 +202,7 @@
 func (h *host) servingRuns() int {
 	count := 0
 	for _, r := range h.runs {
-		if r.entry != nil && r.entry.job.Step(r.id).Serves() {
+		if r.serves() {
 			count++
 		}
 	}
--- a/sink/writer.go
+++ b/sink/writer.go
@@ -31,20 +31,24 @@
 	done   chan struct{}
 	once   sync.Once
 	// dropped counts the lines lost since the last report because the queue had no
-	// space for them or their write failed. limiter counts those over the rate limit.
-	dropped     atomic.Int64
-	limiter     rateLimiter
-	textHandler slog.Handler
+	// space for them or their write failed. limiter counts those over the rate limit,
+	// and servingLimiter does so for lines about serving tasks: other tasks are more and
+	// can't hide them.
+	dropped        atomic.Int64
+	limiter        rateLimiter
+	servingLimiter rateLimiter
+	textHandler    slog.Handler
 }
 
 // New returns a Writer that writes to out until Close is called.
 func New(out io.Writer) *Writer {
 	w := &Writer{
-		out:     out,
-		lines:   make(chan []byte, maxQueuedLines),
-		closed:  make(chan struct{}),
-		done:    make(chan struct{}),
-		limiter: newRateLimiter(),
+		out:            out,
+		lines:          make(chan []byte, maxQueuedLines),
+		closed:         make(chan struct{}),
+		done:           make(chan struct{}),
+		limiter:        newRateLimiter(),
+		servingLimiter: newRateLimiter(),
 	}
 	w.textHandler = slog.NewTextHandler(w, nil)
 	go w.run()
@@ -117,6 +121,9 @@
 	for _, d := range w.limiter.takeDropped() {
 		logger.Warn("log lines dropped", "kind", d.message, "count", d.count, "reason", d.reason, "why", "rate limit exceeded")
 	}
+	for _, d := range w.servingLimiter.takeDropped() {
+		logger.Warn("log lines dropped", "kind", d.message, "count", d.count, "reason", d.reason, "why", "rate limit exceeded", "serving", true)
+	}
 	if dropped := w.dropped.Swap(0); dropped > 0 {
 		logger.Warn("log lines dropped", "count", dropped, "why", "output too slow")
 	}
