sched: a line on a serving run that counts as active without proof

Before, an owner said nothing from the last word of a host on a run of a serving task until the leases had expired, and nothing at all if it went on counting the run as active or went first. Now one line names the run once its host has not confirmed it for 2 s, with the last proof, the state of the run, the missed heartbeats, whether the host is listed, the age of its record and how long its leases may last; one more ends it when the run is confirmed again. A run that the cell no longer has on any host, and one whose start waits for the store, get the line as well. rattanpath_cell_overdue_serving_runs counts them. No decision changes.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -151,6 +151,8 @@
 	stalls map[tasks.ID]int
 	// gaps holds the gaps of the serving tasks that have had a run and have none.
 	gaps map[tasks.ID]*gap
+	// overdue holds the runs of serving tasks that were logged as not confirmed.
+	overdue map[tasks.ID]overdueRun
 	// unstarted is the number of tasks that were never started.
 	unstarted int
 	// advice holds the advisor's decisions by step.
@@ -230,12 +232,14 @@
 	quotas       quotas
 	moved        movedQueues
 	// Local times of what isn't done at each tick: evictedAt is when hosts were last searched for
-	// the serving tasks of cordoned hosts, unplacedAt when unplaced was last counted, and
-	// waitsLoggedAt when serving tasks that wait for a host were last logged.
+	// the serving tasks of cordoned hosts, unplacedAt when unplaced was last counted,
+	// waitsLoggedAt when serving tasks that wait for a host were last logged, and overdueAt
+	// when runs of serving tasks were last searched for ones that aren't confirmed.
 	evictedAt     time.Duration
 	unplacedAt    time.Duration
 	unplaced      int
 	waitsLoggedAt time.Duration
+	overdueAt     time.Duration
 	// startRepliedAt is when a host last replied to a start command.
 	startRepliedAt time.Duration
 
@@ -311,6 +315,7 @@
 	c.mu.Unlock()
 	c.wg.Wait()
 	c.options.Metrics.setSlowHosts(c.options.Service, 0)
+	c.options.Metrics.setOverdueRuns(c.options.Service, 0)
 	c.release(writesDone, stopWrites)
 }
 
@@ -389,6 +394,7 @@
 		c.removeEnded(time.Now())
 		c.retryHeld(time.Now())
 		c.logWaits(time.Now())
+		c.logOverdue()
 		c.assessSpeeds(time.Now())
 		c.logActivity()
 		c.mu.Unlock()
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -72,6 +72,12 @@
 	m.set.GetOrCreateGauge(`rattanpath_cell_slow_hosts{service="`+service+`"}`, nil).Set(float64(count))
 }
 
+// setOverdueRuns records how many runs of a service's serving tasks count as active although
+// their hosts have not confirmed them for overdueDelay.
+func (m *Metrics) setOverdueRuns(service string, count int) {
+	m.set.GetOrCreateGauge(`rattanpath_cell_overdue_serving_runs{service="`+service+`"}`, nil).Set(float64(count))
+}
+
 // recordEnd counts a run that has ended.
 func (m *Metrics) recordEnd(reason tasks.EndReason) {
 	m.set.GetOrCreateCounter(`rattanpath_cell_ends_total{how="` + reason.String() + `"}`).Inc()
