sched: a line on an owner that reaches fewer than half of its hosts

Before, an owner logged the first missed heartbeat of each host, and nothing told whether the path of its node was cut or the hosts were gone. Now, once a second while fewer than half of the hosts that it calls answer, and when that ends, a line has the listed, called and silent hosts, the runs of serving tasks on the silent ones, and how many of these wrote a record after their next answer was due. Since the last answer alone would not do: a heartbeat may wait for a second at a host, which may write a record in that time and crash; the test of crashed hosts showed that. Idle hosts are not called, so that whether they answer is not known; they count as listed only. No decision changes.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -233,13 +233,18 @@
 	moved        movedQueues
 	// Local times of what isn't done at each tick: evictedAt is when hosts were last searched for
 	// the serving tasks of cordoned hosts, unplacedAt when unplaced was last counted,
-	// waitsLoggedAt when serving tasks that wait for a host were last logged, and overdueAt
-	// when runs of serving tasks were last searched for ones that aren't confirmed.
+	// waitsLoggedAt when serving tasks that wait for a host were last logged, overdueAt
+	// when runs of serving tasks were last searched for ones that aren't confirmed, and reachAt
+	// when the hosts that answer were last counted.
 	evictedAt     time.Duration
 	unplacedAt    time.Duration
 	unplaced      int
 	waitsLoggedAt time.Duration
 	overdueAt     time.Duration
+	reachAt       time.Duration
+	// lowReachSince is the local time since which fewer than half of the hosts answer, 0 if
+	// more do.
+	lowReachSince time.Duration
 	// startRepliedAt is when a host last replied to a start command.
 	startRepliedAt time.Duration
 
@@ -395,6 +400,7 @@
 		c.retryHeld(time.Now())
 		c.logWaits(time.Now())
 		c.logOverdue()
+		c.logReach()
 		c.assessSpeeds(time.Now())
 		c.logActivity()
 		c.mu.Unlock()
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -22,6 +22,7 @@
 	h.missedHeartbeats = 0
 	wake(c.scheduleWake)
 	now := c.options.Clock()
+	h.repliedAt = now
 	if !c.observeClock(h, reply.HostTime, sent, now) || !c.observeIncarnation(h, reply.Incarnation) {
 		// The report of a new incarnation counts only once the host has seen the
 		// higher token, and one of an old incarnation no longer does.
--- a/sched/host.go
+++ b/sched/host.go
@@ -25,6 +25,8 @@
 	// answeredAt is the latest reading of the host's clock in a report or a confirmation
 	// of a start, 0 if there is none from the current incarnation.
 	answeredAt time.Duration
+	// repliedAt is the local time of the last reply to a heartbeat, 0 if there is none.
+	repliedAt time.Duration
 	// missedHeartbeats counts the failed heartbeats since the last successful
 	// one.
 	missedHeartbeats int
--- a/sched/run.go
+++ b/sched/run.go
@@ -95,7 +95,9 @@
 func (r *run) key() runKey { return runKey{r.id, r.number} }
 
 // serves reports whether the run is of a serving task.
-func (r *run) serves() bool { return r.entry != nil && r.entry.job.Step(r.id).Serves() }
+func (r *run) serves() bool {
+	return r.entry != nil && r.id.Step < len(r.entry.job.Plan.Steps) && r.entry.job.Step(r.id).Serves()
+}
 
 // isStable reports whether the host has answered for long enough after the start of the run, by
 // a reading of its clock, not to have been crashed by it.
