owner: lines on the cells of a node and on services without one

Before, `cell stopped` and the lines of a cell told parts of it, and nothing which cells a node ran at a time, nor that a node held the partition of a service and ran no cell. Now a line has the running cells at each change, and another one says why an assigned service has had none for a second: claiming, membership expired, stopping, assignment awaits the next renewal, not started, or no configuration. No decision changes.

--- a/owner/member.go
+++ b/owner/member.go
@@ -92,6 +92,14 @@
 	return m.partitions
 }
 
+// Assigned returns the partitions that the store has assigned to this node, whether it acts on
+// them or not.
+func (m *Member) Assigned() []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.assigned
+}
+
 // Renewed returns when the last successful renewal was sent, or zero if there was
 // none.
 func (m *Member) Renewed() time.Time {
--- a/owner/supervisor.go
+++ b/owner/supervisor.go
@@ -49,6 +49,7 @@
 	runners map[string]*cellRunner
 	wg      sync.WaitGroup
 	stopped bool
+	cellLog cellLog
 	// claimed is notified when a claim has succeeded.
 	claimed core.Signal
 }
@@ -74,6 +75,7 @@
 		options:    options,
 		logger:     logger.WithName("owner"),
 		runners:    make(map[string]*cellRunner),
+		cellLog:    cellLog{unserved: make(map[string]unservedService)},
 	}
 }
 
@@ -192,18 +194,11 @@
 
 // assignedServices returns the services whose partitions are assigned to this node.
 func (s *Supervisor) assignedServices() map[string]bool {
-	assigned := make(map[string]bool)
 	config := s.config.Config()
 	if config == nil {
-		return assigned
+		return nil
 	}
-	partitions := s.member.Partitions()
-	for i, service := range config.Services {
-		if slices.Contains(partitions, partitionAt(i, s.partitions)) {
-			assigned[service.Name] = true
-		}
-	}
-	return assigned
+	return s.servicesOf(config, s.member.Partitions())
 }
 
 // reconcile starts the cells assigned to this node, stops all others, and updates the
@@ -229,6 +224,8 @@
 		}
 	}
 	s.updateOrganisations()
+	s.logRunning()
+	s.logUnserved(time.Now())
 }
 
 // updateOrganisations passes the organisations of the configuration to the cells that run. s.mu
@@ -269,6 +266,7 @@
 		c.SetHosts(r.supervisor.hosts.View())
 		r.supervisor.mu.Lock()
 		r.cell = c
+		r.supervisor.logRunning()
 		r.supervisor.mu.Unlock()
 		r.supervisor.claimed.Notify()
 		c.Run(ctx)
@@ -292,6 +290,7 @@
 	defer r.supervisor.mu.Unlock()
 	if r.supervisor.runners[r.service] == r {
 		delete(r.supervisor.runners, r.service)
+		r.supervisor.logRunning()
 	}
 }
 
@@ -303,6 +302,9 @@
 		r.cancel()
 		delete(s.runners, service)
 	}
+	s.logRunning()
+	s.logUnserved(time.Now())
 	s.mu.Unlock()
+	defer s.logUnservedLater()()
 	s.wg.Wait()
 }
