--- a/sched/overdue.go
+++ b/sched/overdue.go
@@ -155,7 +155,7 @@
 	}
 	c.logger.Info("serving run not confirmed by its host", "job", a.id.Job, "round", a.id.Round, "step", a.id.Step, "index", a.id.Index, "run", a.task.Run, "host", a.task.Host,
 		"state", a.state(), "since", string(a.since), "unconfirmed", (now - a.provenAt).Round(time.Millisecond), "missed", missed, "listed", listed,
-		"recordAge", orUnknown(a.h.recordAge(now)), "leaseLeft", orUnknown(c.leaseLeft(a, now)))
+		"replied", orUnknown(a.h.sinceReply(now)), "recordAge", orUnknown(a.h.recordAge(now)), "leaseLeft", orUnknown(c.leaseLeft(a, now)))
 }
 
 // logConfirmed logs that a run is confirmed again that was logged as overdue.
@@ -178,6 +178,14 @@
 	return now - h.info.WrittenAfter, true
 }
 
+// sinceReply returns how long ago the host last replied to a heartbeat, and whether it ever did.
+func (h *host) sinceReply(now time.Duration) (time.Duration, bool) {
+	if h == nil || h.repliedAt == 0 {
+		return 0, false
+	}
+	return now - h.repliedAt, true
+}
+
 // leaseLeft returns how long until all leases of a run have certainly expired, and whether that
 // is known.
 func (c *Cell) leaseLeft(a activeRun, now time.Duration) (time.Duration, bool) {
--- a/sched/overdue_test.go
+++ b/sched/overdue_test.go
@@ -86,6 +86,7 @@
 				wantValues(tc.t, line, map[string]string{"job": "job", "round": "0", "step": "0", "index": "0", "run": "1", "host": "h0", "state": "started", "since": "host", "listed": "true"})
 				wantDuration(tc.t, line, "unconfirmed", overdueDelay, overdueDelay+overdueInterval+2*tickInterval)
 				wantDuration(tc.t, line, "recordAge", 0, 4*time.Second)
+				wantDuration(tc.t, line, "replied", overdueDelay-heartbeatWait, overdueDelay+overdueInterval+2*tickInterval)
 				wantDuration(tc.t, line, "leaseLeft", 100*time.Millisecond, 3*time.Second)
 				if line["missed"] == "0" {
 					tc.t.Errorf("got no missed heartbeat in %v, want one", line)
@@ -101,6 +102,11 @@
 					tc.t.Errorf("got %d lines %v, want 1", len(got), got)
 				}
 				wantOverdueRuns(tc.t, set, 0)
+				if len(lost) == 1 {
+					// The host lives, and its record shows that.
+					wantDuration(tc.t, lost[0], "recordAge", 0, 2*time.Second)
+					wantDuration(tc.t, lost[0], "replied", 3*time.Second, 6*time.Second)
+				}
 				if test.recovers && len(again) == 1 {
 					wantValues(tc.t, again[0], map[string]string{"run": "1", "host": "h0", "state": "started", "since": "host"})
 					wantDuration(tc.t, again[0], "after", overdueDelay, 5*time.Second)
@@ -150,6 +156,7 @@
 		n.cell.mu.Unlock()
 		line := awaitLines(tc.t, log, overdueMessage, 1, 4*time.Second)[0]
 		wantValues(tc.t, line, map[string]string{"run": "1", "host": "h0", "state": stateUnknown, "since": "assigned", "leaseLeft": "unknown"})
+		wantDuration(tc.t, line, "replied", 0, heartbeatWait+tickInterval)
 	})
 }
 
