relay: few hosts are searched for at once

A node whose link is full gets no answer from any host while all of them write their records; it would have asked eight nodes for each of its hosts at the same time, on that link. TestSearchesAreLimited: 800 calls at once for 100 hosts before, 128 at most now.

--- a/relay/client.go
+++ b/relay/client.go
@@ -49,6 +49,8 @@
 	nodes    Nodes
 	paths    map[string]*path
 	prunedAt time.Duration
+	// searches is the number of hosts that other nodes are being asked for.
+	searches int
 }
 
 // NewClient returns a client that calls hosts directly until SetNodes is called.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -27,7 +27,7 @@
 	service []*Service
 	// down holds the addresses of nodes that can't be reached.
 	down  map[string]bool
-	calls int
+	calls atomic.Int64
 }
 
 func (n *testNodes) clock() time.Duration { return time.Since(n.start) + time.Hour }
@@ -43,7 +43,7 @@
 
 // Send implements Nodes.
 func (n *testNodes) Send(_ context.Context, address string, request *Request, response *Response) error {
-	n.calls++
+	n.calls.Add(1)
 	if n.down[address] {
 		return errors.WithStack(&link.ConnectError{Address: address, Err: errors.New("refused")})
 	}
@@ -186,9 +186,9 @@
 			rt.heartbeat()
 			time.Sleep(300 * time.Millisecond)
 		}
-		calls := rt.nodes.calls
-		if !rt.heartbeat() || rt.nodes.calls != calls {
-			t.Errorf("got %d calls through other nodes 2.4 s after the host can be reached, want none", rt.nodes.calls-calls)
+		calls := rt.nodes.calls.Load()
+		if !rt.heartbeat() || rt.nodes.calls.Load() != calls {
+			t.Errorf("got %d calls through other nodes 2.4 s after the host can be reached, want none", rt.nodes.calls.Load()-calls)
 		}
 	})
 }
@@ -206,8 +206,8 @@
 			_, _ = rt.client.Heartbeat(rt.ctx, host, lease.Heartbeat{Token: 1})
 			time.Sleep(300 * time.Millisecond)
 		}
-		if rt.nodes.calls > 13 {
-			t.Errorf("got %d calls through other nodes in 13 s, want at most one a second", rt.nodes.calls)
+		if got := rt.nodes.calls.Load(); got > 13 {
+			t.Errorf("got %d calls through other nodes in 13 s, want at most one a second", got)
 		}
 	})
 }
@@ -274,3 +274,24 @@
 		}
 	}
 }
+
+// Guards against a node that asks for so many hosts at once, since its link is full, that its
+// leases aren't renewed.
+func TestSearchesAreLimited(t *testing.T) {
+	runRelayTest(t, 9, func(rt *relayTest) {
+		for i, hosts := range rt.nodes.hosts {
+			for h := range 100 {
+				hosts.SetPartitioned(fmt.Sprint("x", h), i >= 0)
+			}
+		}
+		now := rt.nodes.clock()
+		for h := range 100 {
+			host := &pool.Host{ID: fmt.Sprint("x", h), Address: "x", WrittenAfter: now}
+			go func() { _, _ = rt.client.Heartbeat(rt.ctx, host, lease.Heartbeat{Token: 1}) }()
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if got, most := rt.nodes.calls.Load(), int64(16*8); got == 0 || got > most {
+			t.Errorf("got %d calls through other nodes for 100 silent hosts, want 1 to %d", got, most)
+		}
+	})
+}
--- a/relay/search.go
+++ b/relay/search.go
@@ -12,6 +12,9 @@
 const (
 	// nodesAtOnce is how many nodes are asked at once for a host that is known to live.
 	nodesAtOnce = 8
+	// maxSearches limits the hosts that other nodes are asked for at once: a node whose link is
+	// full reaches nobody.
+	maxSearches = 16
 	// unknownInterval is the time between two nodes that are asked for a host that may be gone.
 	unknownInterval = time.Second
 	// roundInterval is how long after all nodes were asked the first is asked again.
@@ -34,10 +37,11 @@
 	defer c.mu.Unlock()
 	p := c.path(host.ID)
 	p.host = host
-	if c.nodes == nil || p.searching || p.node != "" {
+	if c.nodes == nil || p.searching || p.node != "" || c.searches >= maxSearches {
 		return
 	}
 	p.searching = true
+	c.searches++
 	go (&search{client: c, nodes: c.nodes, host: host.ID, token: token}).run(context.WithoutCancel(ctx))
 }
 
@@ -117,4 +121,5 @@
 	s.client.mu.Lock()
 	defer s.client.mu.Unlock()
 	s.client.path(s.host).searching = false
+	s.client.searches--
 }
