sched: bound the pause after a scheduling pass

Seen: a serving task had no run for 10.7 s after its run had ended on a host that lived. Its owner was well, had free hosts, and renewed its leases all the while.

Cause: after each pass an owner pauses for nine times as long as the pass took, without a limit. The time is that of the wall: a process that is suspended, or that has no processor time, for 1.2 s in the middle of a pass assigns nothing for 10.8 s afterwards.

Evidence: TestLongPassDelaysNoLaterStarts failed before (10.7 s, 9 s allowed) and passes now. It runs in real time, since a goroutine that sleeps while others wait for its lock stops the fake clock.

Passes of up to 111 ms pause as before. Not measured: the cost of longer ones on a node at its limit.

--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -81,17 +81,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		tc := &testCluster{
-			t: t, ctx: ctx, store: fake.NewStore(), checker: fake.NewInvariantChecker(),
-			runners: make(map[string]*fake.Runner), start: time.Now(), logOutput: io.Discard,
-			policy: tasks.Policy{Service: testService, MaxAttempts: 3},
-		}
-		tc.checker.MaxUnavailable = tc.maxUnavailable
-		tc.checker.MaxAttempts = tc.policy.MaxAttempts
-		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 500 * time.Millisecond} }
-		for i := range hosts {
-			tc.addHost(fmt.Sprintf("h%d", i), 1-0.02*float64(i%2))
-		}
+		tc := newTestCluster(ctx, t, hosts)
 		test(tc)
 		for _, violation := range tc.checker.Violations() {
 			t.Error(violation)
@@ -101,6 +91,23 @@
 	})
 }
 
+// newTestCluster returns a cluster whose hosts run until ctx ends.
+func newTestCluster(ctx context.Context, t *testing.T, hosts int) *testCluster {
+	t.Helper()
+	tc := &testCluster{
+		t: t, ctx: ctx, store: fake.NewStore(), checker: fake.NewInvariantChecker(),
+		runners: make(map[string]*fake.Runner), start: time.Now(), logOutput: io.Discard,
+		policy: tasks.Policy{Service: testService, MaxAttempts: 3},
+	}
+	tc.checker.MaxUnavailable = tc.maxUnavailable
+	tc.checker.MaxAttempts = tc.policy.MaxAttempts
+	tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: 500 * time.Millisecond} }
+	for i := range hosts {
+		tc.addHost(fmt.Sprintf("h%d", i), 1-0.02*float64(i%2))
+	}
+	return tc
+}
+
 func (tc *testCluster) addHost(id string, drift float64) {
 	info := pool.Host{ID: id, Service: testService, Address: id, Labels: []string{"a", "r1-" + id}, Capacity: tasks.Resources{CPU: hostCPU, MemMB: 1 << 16}}
 	runner := fake.NewRunner(info, drift, tc.checker, func(taskID tasks.ID, run int) fake.RunProfile {
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -16,6 +16,10 @@
 // more tasks wait than the hosts have capacity for.
 const schedulePauseFactor = 9
 
+// maxSchedulePause is the longest pause. A pass may have taken long because the process was suspended
+// or had no processor time, which says nothing of the next one.
+const maxSchedulePause = time.Second
+
 // loopSchedule runs a scheduling pass whenever something has changed.
 func (c *Cell) loopSchedule(ctx context.Context) {
 	for {
@@ -31,7 +35,7 @@
 		c.activity.passes++
 		c.activity.passTime += took
 		c.mu.Unlock()
-		if core.Sleep(ctx, schedulePauseFactor*took) != nil {
+		if core.Sleep(ctx, min(maxSchedulePause, schedulePauseFactor*took)) != nil {
 			return
 		}
 	}
--- /dev/null
+++ b/sched/withoutrun_test.go
@@ -0,0 +1,79 @@
+package sched
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rattanpath/core"
+	"rattanpath/fake"
+	"rattanpath/tasks"
+)
+
+// longestGapAllowed is how long after the end of its last run a serving task may be without one,
+// while nothing is disturbed and hosts have room.
+const longestGapAllowed = 9 * time.Second
+
+// gapMeter measures how long a task is without a run, as its hosts know.
+type gapMeter struct {
+	longest atomic.Int64
+}
+
+// measureGaps watches a serving task from now on, which has a run.
+func (tc *testCluster) measureGaps(task tasks.ID) *gapMeter {
+	m := &gapMeter{}
+	go func() {
+		seen := time.Now()
+		for core.Sleep(tc.ctx, 10*time.Millisecond) == nil {
+			if tc.checker.ActiveRuns(task) > 0 {
+				seen = time.Now()
+			}
+			m.longest.Store(max(m.longest.Load(), int64(time.Since(seen))))
+		}
+	}()
+	return m
+}
+
+// wantShort checks that no gap was longer than allowed.
+func (m *gapMeter) wantShort(t *testing.T) {
+	t.Helper()
+	if got := time.Duration(m.longest.Load()); got > longestGapAllowed {
+		t.Errorf("got %v without a run of the serving task, want at most %v", got, longestGapAllowed)
+	}
+}
+
+// pausingLog suspends the process once, in the middle of a scheduling pass.
+type pausingLog struct {
+	pause atomic.Int64
+}
+
+// Write implements io.Writer.
+func (l *pausingLog) Write(line []byte) (int, error) {
+	if strings.Contains(string(line), `msg="run assigned"`) {
+		time.Sleep(time.Duration(l.pause.Swap(0)))
+	}
+	return len(line), nil
+}
+
+// Guards against an owner that assigns nothing for many times as long as it was suspended, or short of
+// processor time, during one scheduling pass: serving tasks whose runs end then have none for as long.
+func TestLongPassDelaysNoLaterStarts(t *testing.T) {
+	log := &pausingLog{}
+	tc := newTestCluster(t.Context(), t, 3)
+	tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Serving: true} }
+	tc.logOutput = log
+	n := tc.startServing(1)
+	gaps := tc.measureGaps(tasks.ID{Job: "job"})
+	log.pause.Store(int64(1200 * time.Millisecond))
+	go func() { _ = tc.submit(n, "other", servingPlan(1, 1000)) }()
+	time.Sleep(1300 * time.Millisecond)
+	tc.runners[n.hostOf("job", 0)].BreakGangs()
+	for range 120 {
+		time.Sleep(100 * time.Millisecond)
+		if tc.checker.ActiveRuns(tasks.ID{Job: "job"}) > 0 {
+			break
+		}
+	}
+	gaps.wantShort(t)
+}
