sched: prefer other hosts to one that loses start commands

Seen: a serving task had no run for as long as its owner picked a host that answers heartbeats and stops, and no start: 26.8 s until the end of the test, 99 start commands, with two hosts free.

Cause: a start without an answer is asked about, stopped, and planned again as if nothing had been learnt of its host. The order of hosts hadn't changed, so that the next start went there too. Refusals and failed connections have had a pause of their host since long; a start that got lost had none.

Fix: a start of which a report shows that it had no effect counts against its host as a failed run does, for 10 s. A start whose answer alone was lost doesn't count.

Evidence: TestLostStartsGoElsewhere failed before and passes now.

--- a/sched/health.go
+++ b/sched/health.go
@@ -23,13 +23,15 @@
 	lastFailedJob string
 	// stalls are the times at which stalled runs were detected.
 	stalls []time.Time
+	// lostStarts are the times at which start commands turned out to be lost.
+	lostStarts []time.Time
 }
 
-// recentFailures returns the number of failures and stalls within
+// recentFailures returns the number of failures, stalls and lost starts within
 // failureWindow.
 func (r *runHistory) recentFailures(now time.Time) int {
 	count := 0
-	for _, at := range slices.Concat(r.failures, r.stalls) {
+	for _, at := range slices.Concat(r.failures, r.stalls, r.lostStarts) {
 		if now.Sub(at) < failureWindow {
 			count++
 		}
@@ -37,6 +39,15 @@
 	return count
 }
 
+// recordLostStart records that a host answers, but a start command had no effect. Others are
+// preferred to it for failureWindow.
+func (h *host) recordLostStart(now time.Time) {
+	h.history.lostStarts = append(h.history.lostStarts, now)
+	if extra := len(h.history.lostStarts) - maxFailures; extra > 0 {
+		h.history.lostStarts = h.history.lostStarts[extra:]
+	}
+}
+
 // recordEnd updates the history of a host when a run has ended.
 func (c *Cell) recordEnd(h *host, r *run, reason tasks.EndReason) {
 	if r.entry == nil {
@@ -45,7 +56,8 @@
 	now := time.Now()
 	switch {
 	case reason == tasks.EndDone:
-		h.history = runHistory{}
+		// That earlier runs end doesn't show that the host takes new ones.
+		h.history = runHistory{lostStarts: h.history.lostStarts}
 		c.recordRunTime(r)
 	case reason == tasks.EndFailed && h.history.lastFailedJob != r.id.Job:
 		h.history.lastFailedJob = r.id.Job
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -195,6 +195,9 @@
 	case report.MoreFinished:
 		// Its end may be among those that the host has not listed yet.
 	case r.state == runSettled && r.settledAt < report.HostTime:
+		if r.sentAt != 0 && r.startedBy == 0 {
+			h.recordLostStart(time.Now())
+		}
 		c.loseRun(h, r, lossUnlisted)
 	case r.state == runUnverified:
 		c.loseRun(h, r, lossRestarted)
--- a/sched/withoutrun_test.go
+++ b/sched/withoutrun_test.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"context"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -8,6 +10,8 @@
 
 	"rattanpath/core"
 	"rattanpath/fake"
+	"rattanpath/lease"
+	"rattanpath/pool"
 	"rattanpath/tasks"
 )
 
@@ -77,3 +81,55 @@
 	}
 	gaps.wantShort(t)
 }
+
+// lossyClient loses the start commands to some hosts, whose other calls are answered.
+type lossyClient struct {
+	lease.HostClient
+	lossy []string
+	// lost counts the lost start commands.
+	lost atomic.Int64
+}
+
+// Start implements lease.HostClient.
+func (c *lossyClient) Start(ctx context.Context, host *pool.Host, command lease.StartCommand) (lease.Reply, error) {
+	if !slices.Contains(c.lossy, host.ID) {
+		return c.HostClient.Start(ctx, host, command)
+	}
+	c.lost.Add(1)
+	if err := core.Sleep(ctx, time.Second); err != nil {
+		return lease.Reply{}, err
+	}
+	return lease.Reply{}, context.DeadlineExceeded
+}
+
+// startServingLossy starts a serving task and returns the client of its owner.
+func (tc *testCluster) startServingLossy() (*node, *lossyClient) {
+	client := &lossyClient{}
+	tc.wrapHosts = func(hosts lease.HostClient) lease.HostClient {
+		client.HostClient = hosts
+		return client
+	}
+	tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Serving: true} }
+	return tc.startServing(1), client
+}
+
+// Guards against a task that is started again and again on the same host, which answers all other
+// calls, while hosts that start it are free.
+func TestLostStartsGoElsewhere(t *testing.T) {
+	runCluster(t, 5, func(tc *testCluster) {
+		n, client := tc.startServingLossy()
+		host := n.hostOf("job", 0)
+		for id := range tc.runners {
+			if id != host && len(client.lossy) < 3 {
+				client.lossy = append(client.lossy, id)
+			}
+		}
+		gaps := tc.measureGaps(tasks.ID{Job: "job"})
+		tc.runners[host].SetUnresponsive(true)
+		time.Sleep(30 * time.Second)
+		gaps.wantShort(t)
+		if got := client.lost.Load(); got > 6 {
+			t.Errorf("got %d lost start commands, want at most 2 to each of 3 hosts", got)
+		}
+	})
+}
