sched: repeat a stop that a host refuses

Seen: a serving task without a run for good (30 s, until the end of the test), on a host that answers. Its owner counted the run as starting.

Cause: a stop that the host refuses as invalid, or for another reason that isn't expected, ended the attempts to stop the run, which stayed marked as being stopped. Of a run whose start wasn't confirmed only a confirmed stop shows whether it began, and its leases don't expire while the host answers.

Evidence: TestRefusedStopIsRepeated failed before and passes now. No host is known to answer a stop in this way.

--- a/sched/command.go
+++ b/sched/command.go
@@ -209,18 +209,22 @@
 	if h.runs[r.key()] != r {
 		return true
 	}
-	if err != nil || reply.Reason == lease.RefusedBusy {
+	if err != nil {
 		return false
 	}
-	wake(h.wake)
 	switch reply.Reason {
 	case lease.RefusedFenced:
+		wake(h.wake)
 		return c.handleFenced(h, sent.token)
 	case lease.RefusedIncarnation:
 		c.loseRun(h, r, lossReplaced)
 	case lease.Accepted, lease.RefusedStaleRun:
 		c.handleStopped(h, r, reply.HostTime, current)
+	default:
+		// The run may still begin.
+		return false
 	}
+	wake(h.wake)
 	return true
 }
 
--- a/sched/withoutrun_test.go
+++ b/sched/withoutrun_test.go
@@ -86,13 +86,16 @@
 type lossyClient struct {
 	lease.HostClient
 	lossy []string
-	// lost counts the lost start commands.
-	lost atomic.Int64
+	// lost counts the lost start commands, and startsToLose is how many more are lost to any host.
+	lost         atomic.Int64
+	startsToLose atomic.Int64
+	// stopsToRefuse is how many more stop commands are refused as invalid.
+	stopsToRefuse atomic.Int64
 }
 
 // Start implements lease.HostClient.
 func (c *lossyClient) Start(ctx context.Context, host *pool.Host, command lease.StartCommand) (lease.Reply, error) {
-	if !slices.Contains(c.lossy, host.ID) {
+	if !slices.Contains(c.lossy, host.ID) && c.startsToLose.Add(-1) < 0 {
 		return c.HostClient.Start(ctx, host, command)
 	}
 	c.lost.Add(1)
@@ -102,6 +105,14 @@
 	return lease.Reply{}, context.DeadlineExceeded
 }
 
+// Stop implements lease.HostClient.
+func (c *lossyClient) Stop(ctx context.Context, host *pool.Host, command lease.StopCommand) (lease.Reply, error) {
+	if c.stopsToRefuse.Add(-1) >= 0 {
+		return lease.Reply{Reason: lease.RefusedInvalid}, nil
+	}
+	return c.HostClient.Stop(ctx, host, command)
+}
+
 // startServingLossy starts a serving task and returns the client of its owner.
 func (tc *testCluster) startServingLossy() (*node, *lossyClient) {
 	client := &lossyClient{}
@@ -133,3 +144,17 @@
 		}
 	})
 }
+
+// Guards against a run that counts as starting for ever because a stop command was refused, after
+// whose start the host hadn't answered.
+func TestRefusedStopIsRepeated(t *testing.T) {
+	runCluster(t, 3, func(tc *testCluster) {
+		n, client := tc.startServingLossy()
+		client.startsToLose.Store(1)
+		client.stopsToRefuse.Store(1)
+		gaps := tc.measureGaps(tasks.ID{Job: "job"})
+		tc.runners[n.hostOf("job", 0)].BreakGangs()
+		time.Sleep(30 * time.Second)
+		gaps.wantShort(t)
+	})
+}
