soak, fake/stub: nodes that can't reach hosts which others reach

The hosts of ./soak could be cut off from all nodes or from none, so that no run showed what becomes of a task whose owner lives and can't reach its host.

Each node is now told an address of its own for each host.

--- a/fake/stub/platform.go
+++ b/fake/stub/platform.go
@@ -29,8 +29,12 @@
 	profile   func(task tasks.ID, run int) fake.RunProfile
 	resources func(task tasks.ID) tasks.Resources
 
-	mu    sync.Mutex
-	hosts []*Host
+	// adding keeps hosts and nodes from being added at the same time.
+	adding sync.Mutex
+	mu     sync.Mutex
+	hosts  []*Host
+	// nodes are the names of the nodes that have a server.
+	nodes []string
 	// storeDown means that hosts can't write their records.
 	storeDown bool
 }
@@ -63,9 +67,39 @@
 	return append([]*Host(nil), p.hosts...)
 }
 
-// NewServer starts a server of the store and the cloud for one node.
-func (p *Platform) NewServer(node string) *httptest.Server {
-	return httptest.NewServer((&storeServer{platform: p, client: p.Store.Client(node)}).handler())
+// NewServer starts a server of the store and the cloud for one node, and a path from that node
+// to each host.
+func (p *Platform) NewServer(node string) (*httptest.Server, error) {
+	p.adding.Lock()
+	defer p.adding.Unlock()
+	for _, h := range p.Hosts() {
+		if err := h.addPath(node); err != nil {
+			return nil, err
+		}
+	}
+	p.nodes = append(p.nodes, node)
+	return httptest.NewServer((&storeServer{platform: p, node: node, client: p.Store.Client(node)}).handler()), nil
+}
+
+// localRecord returns the value of a host's record as a node reads it: with the address at which
+// that node calls the host.
+func (p *Platform) localRecord(node, id string, value []byte) []byte {
+	for _, h := range p.Hosts() {
+		if h.Runner.Info().ID == id && len(value) > 0 {
+			return withAddress(value, h.path(node).address)
+		}
+	}
+	return value
+}
+
+func withAddress(value []byte, address string) []byte {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(value, &fields) != nil {
+		return value
+	}
+	fields["address"], _ = json.Marshal(address)
+	value, _ = json.Marshal(fields)
+	return value
 }
 
 // SetStoreFailure sets the failure mode of the store's calls for all nodes. Hosts can't
--- a/soak/actions_test.go
+++ b/soak/actions_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -135,6 +136,54 @@
 	}
 }
 
+// cutPaths keeps nodes from reaching hosts for a time. As others reach them, it is no fault that
+// lets a task wait: only its beginning counts.
+func (c *cluster) cutPaths(nodes []*node, hosts []*stub.Host, duration time.Duration) {
+	c.faults.record("%s can't reach %s for %s", nodeNames(nodes), hostNames(hosts), duration)
+	var reconnects []func()
+	for _, n := range nodes {
+		for _, h := range hosts {
+			if c.setPath(n, h, true) {
+				reconnects = append(reconnects, func() { c.setPath(n, h, false) })
+			}
+		}
+	}
+	time.Sleep(duration)
+	for _, reconnect := range reconnects {
+		reconnect()
+	}
+	c.faults.printf("%s can reach %s again", nodeNames(nodes), hostNames(hosts))
+}
+
+// setPath cuts the path from a node to a host or ends that, and reports whether that has changed it.
+func (c *cluster) setPath(n *node, h *stub.Host, cut bool) bool {
+	set := h.ReconnectTo
+	if cut {
+		set = h.CutOffFrom
+	}
+	changed, err := set(n.Name)
+	if err != nil {
+		c.t.Errorf("changing the path from %s to %s, cut: %v: got %v, want no error", n.Name, h.Runner.Info().ID, cut, err)
+	}
+	return changed
+}
+
+func nodeNames(nodes []*node) string {
+	var names []string
+	for _, n := range nodes {
+		names = append(names, n.Name)
+	}
+	return strings.Join(names, " ")
+}
+
+func hostNames(hosts []*stub.Host) string {
+	var names []string
+	for _, h := range hosts {
+		names = append(names, h.Runner.Info().ID)
+	}
+	return strings.Join(names, " ")
+}
+
 // failStore makes the store fail calls for a time: those of one node, or of all if it is nil.
 func (c *cluster) failStore(n *node, mode fake.FailureMode, duration time.Duration) {
 	if !c.storeFault.TryLock() {
--- a/soak/scenes_test.go
+++ b/soak/scenes_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"sync"
 	"testing"
 	"time"
 )
@@ -11,6 +12,8 @@
 	steadyTime = 3 * time.Second
 	// sceneTimeout bounds the wait for the next runs of all serving tasks after the faults.
 	sceneTimeout = 30 * time.Second
+	// pathsCutTime is how long the owner of the cell can't reach the hosts.
+	pathsCutTime = 14 * time.Second
 )
 
 // TestHostAndAllNodesCrash guards against serving tasks that stay without a run when their
@@ -51,6 +54,25 @@
 	})
 }
 
+// TestOwnerReachesNoHost guards against serving tasks that stay without a run while the owner of
+// the cell lives and can't reach the hosts, though all other nodes can.
+func TestOwnerReachesNoHost(t *testing.T) {
+	playScene(t, func(c *cluster) { c.cutPaths([]*node{c.owner()}, c.platform.Hosts(), pathsCutTime) })
+}
+
+// TestOwnerReachesNoHostAndCrashes guards against serving tasks that stay without a run when the
+// owner of the cell can't reach the hosts and then crashes, while the next owner reaches them.
+func TestOwnerReachesNoHostAndCrashes(t *testing.T) {
+	playScene(t, func(c *cluster) {
+		owner := c.owner()
+		var cut sync.WaitGroup
+		cut.Go(func() { c.cutPaths([]*node{owner}, c.platform.Hosts(), pathsCutTime) })
+		time.Sleep(time.Second)
+		owner.kill()
+		cut.Wait()
+	})
+}
+
 // playScene injects the faults of a scene and checks that all serving tasks run again in time.
 func playScene(t *testing.T, inject func(c *cluster)) {
 	c := newCluster(t, 1)
