sched: send the starts of serving tasks before others

Cause: the start commands of a host wait in turn for two senders, and one that has waited for a second is dropped and planned again. While replies take 0.3 s, a host takes seven starts a second, and each pass plans as many as it has room for. The start of a serving task comes in at the end, is dropped, and comes in at the end again. Passes place serving tasks first, but what is queued by earlier passes was before them.

Fix: within the queue of a host, starts of serving tasks go first. They are few, and each one is sent as soon as a sender is free.

Replies that wait in the queues of an owner without processor time look the same to it; that was not measured.

--- a/sched/startqueue.go
+++ b/sched/startqueue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rattanpath/core"
@@ -29,13 +30,30 @@
 // queueStart queues the start command of a run whose record is persisted. c.mu must be
 // held.
 func (c *Cell) queueStart(h *host, r *run) {
-	h.startQueue = append(h.startQueue, queuedStart{run: r, persistedAt: c.options.Clock()})
+	h.startQueue = slices.Insert(h.startQueue, h.queuePosition(r), queuedStart{run: r, persistedAt: c.options.Clock()})
 	if r.isGangMember() {
 		h.queuedMembers++
 	}
 	c.addStartSender(h)
 }
 
+// queuePosition returns where the start command of a run is queued. Those of serving tasks, which are few,
+// go before others: while hosts answer slowly, many of a long queue become too old to be sent.
+func (h *host) queuePosition(r *run) int {
+	if !r.serves() {
+		return len(h.startQueue)
+	}
+	for i, queued := range h.startQueue {
+		if !queued.run.serves() {
+			return i
+		}
+	}
+	return len(h.startQueue)
+}
+
+// serves reports whether the run is that of a serving task.
+func (r *run) serves() bool { return r.entry != nil && r.entry.job.Step(r.id).Serves() }
+
 // addStartSender starts a further sender for a host if start commands wait for one. c.mu
 // must be held.
 func (c *Cell) addStartSender(h *host) {
--- a/sched/withoutrun_test.go
+++ b/sched/withoutrun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -158,3 +159,46 @@
 		gaps.wantShort(t)
 	})
 }
+
+// slowStarts is a latency of hosts that are slow to answer starts.
+func slowStarts(_ string, command any) fake.Latency {
+	if _, ok := command.(lease.StartCommand); ok {
+		return fake.Latency{Request: 150 * time.Millisecond, Reply: 150 * time.Millisecond}
+	}
+	return fake.Latency{}
+}
+
+// Guards against serving tasks whose starts wait in turn behind those of others, which hosts are slow
+// to answer, until they are too old to be sent, again and again.
+func TestServingTasksStartBeforeOthers(t *testing.T) {
+	runCluster(t, 6, func(tc *testCluster) {
+		tc.wrapHosts = func(hosts lease.HostClient) lease.HostClient {
+			hosts.(*fake.HostClient).SetLatency(slowStarts)
+			return hosts
+		}
+		tc.profileOf = func(task tasks.ID, _ int) fake.RunProfile {
+			return fake.RunProfile{Serving: task.Job == "job", Duration: 700 * time.Millisecond}
+		}
+		n := tc.startServing(5)
+		var gaps []*gapMeter
+		for index := range 5 {
+			gaps = append(gaps, tc.measureGaps(tasks.ID{Job: "job", Index: index}))
+		}
+		for caller := range 16 {
+			go func() {
+				for i := range 60 {
+					_ = tc.submit(n, fmt.Sprint("other", caller, "-", i), simplePlan(20, 100))
+					time.Sleep(300 * time.Millisecond)
+				}
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		for _, runner := range tc.runners {
+			runner.BreakGangs()
+		}
+		time.Sleep(12 * time.Second)
+		for _, g := range gaps {
+			g.wantShort(t)
+		}
+	})
+}
