relay: a relayed command without a reply is a timeout

A start command through another node that got no reply counted as broken by its host, so that the loss of the run could count as a crash that its task caused; after enough of them a task is given up. A direct start that times out doesn't count.

Cause: Response carried the text of the error only, and the cell takes any error that is no timeout for a connection that the host broke (run.startBroke). A connection to the other node that breaks, as one that timed out does for all calls on it, counted as well.

Evidence: TestUnansweredStartIsTimeout and TestBrokenHopIsTimeout failed before: "got error context deadline exceeded from a host that doesn't answer, want a timeout", "got connection is shut down". Now Response says that the host took too long, and an error of the way to the other node is a timeout. A node of an older version sends no such field: its errors count as before.

--- a/relay/service.go
+++ b/relay/service.go
@@ -52,11 +52,23 @@
 // Response is the host's reply to a request, or why there is none.
 type Response struct {
 	Reply lease.HeartbeatReply
-	// Err is empty if the host has replied. NotSent means that the command was not sent.
-	Err     string
-	NotSent bool
+	// Err is empty if the host has replied. NotSent means that the command was not sent, and
+	// TimedOut that the host took too long.
+	Err      string
+	NotSent  bool
+	TimedOut bool
 }
 
+// noReplyError means that nothing shows whether the host got the command, as a timeout of a direct
+// call does.
+type noReplyError struct{ text string }
+
+// Error returns the cause.
+func (e noReplyError) Error() string { return e.text }
+
+// Timeout distinguishes the error from that of a connection that the host has broken.
+func (e noReplyError) Timeout() bool { return true }
+
 // result returns the reply, or the error that a direct call would have returned.
 func (r *Response) result() (lease.HeartbeatReply, error) {
 	switch {
@@ -64,19 +76,27 @@
 		return r.Reply, nil
 	case r.NotSent:
 		return lease.HeartbeatReply{}, errors.WithMessage(lease.ErrNotSent, r.Err)
+	case r.TimedOut:
+		return lease.HeartbeatReply{}, noReplyError{r.Err}
 	default:
 		return lease.HeartbeatReply{}, errors.New(r.Err)
 	}
 }
 
 // sendError returns the error of a request that got no response, which is lease.ErrNotSent if the
-// node can't have received it.
+// node can't have received it, and otherwise a timeout.
 func sendError(err error) error {
 	var connect *link.ConnectError
 	if errors.As(err, &connect) {
 		return errors.WithMessage(lease.ErrNotSent, err.Error())
 	}
-	return err
+	return noReplyError{err.Error()}
+}
+
+// isTimeout reports whether a call failed because its reply took too long.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 const (
@@ -137,7 +157,7 @@
 	reply, err := s.execute(context.Background(), request)
 	response.Reply = reply
 	if err != nil {
-		response.Err, response.NotSent = err.Error(), errors.Is(err, lease.ErrNotSent)
+		response.Err, response.NotSent, response.TimedOut = err.Error(), errors.Is(err, lease.ErrNotSent), isTimeout(err)
 	}
 	return nil
 }
