sched: the wait for the lock is no part of a scheduling pass

Callers saw (in a test): a task whose run ended had none for a second, after a pass that had done nothing but wait for the cell's lock for 150 ms.

Cause: the pause after a pass is nine times its length, which was measured from before the lock was taken. A report, a claim or a list that holds the lock for long delayed all later starts.

Evidence: TestWaitForLockDelaysNoPass failed before with 0.98 s without a run, at most 0.5 s wanted, and passes now. The time that a pass decides by is read under the lock as well, so that it agrees with the clock readings in it.

--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -28,8 +28,8 @@
 		case <-ctx.Done():
 			return
 		}
-		start := time.Now()
 		c.mu.Lock()
+		start := time.Now()
 		c.schedule(start)
 		took := time.Since(start)
 		c.activity.passes++
