relay: an owner that is always late asks other nodes too

Callers saw (in a test): a host that its owner can't reach stays unreached for as long as the owner is short of processor time, although other nodes reach it.

Cause: an owner whose direct call ends 0.1 s or more after its timeout takes itself for overloaded and asks nobody, each time anew. On a node of 0.4 cores timers can be as late as that for long. The verdict comes from the process's own wall time and had no end.

Now only the first such failure asks nobody, as after a suspension: calls that were sent after it show that the host doesn't answer.

Evidence: TestLateOwnerAsksOtherNodes failed before with no answer within 10 s, and passes with one within 4.5 s, the length of a lease. TestSuspendedOwnerAsksNobody holds before and after.

--- a/relay/client.go
+++ b/relay/client.go
@@ -104,6 +104,7 @@
 		c.retryDirect(ctx, host, heartbeat.Token)
 		return c.heartbeatThrough(ctx, node, host, heartbeat)
 	}
+	sent := c.clock()
 	reply, overloaded, err := c.heartbeatDirectly(ctx, host, heartbeat)
 	if err == nil || ctx.Err() != nil {
 		return reply, err
@@ -113,7 +114,7 @@
 		heartbeat.Wait, heartbeat.Acknowledged = 0, 0
 		return c.heartbeatThrough(ctx, node, host, heartbeat)
 	}
-	if !overloaded {
+	if !overloaded || c.wasLate(host.ID, sent) {
 		c.startSearch(ctx, host, heartbeat.Token)
 	}
 	return reply, err
--- a/relay/path.go
+++ b/relay/path.go
@@ -16,6 +16,9 @@
 	node string
 	// answeredAt is when the host last answered, 0 if never.
 	answeredAt time.Duration
+	// lateAt is when a call first ended too late to tell that the host didn't answer, 0 if none did
+	// since it last answered.
+	lateAt time.Duration
 	// directAt is when a host that is called through a node was last called directly.
 	directAt time.Duration
 	// searching is set while other nodes are asked. next counts those that were asked in this
@@ -86,7 +89,7 @@
 	p := c.path(host)
 	delete(p.direct, call)
 	if answered {
-		p.answeredAt = c.clock()
+		p.recordAnswer(c.clock())
 	}
 }
 
@@ -94,7 +97,24 @@
 func (c *Client) recordAnswer(host string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.path(host).answeredAt = c.clock()
+	c.path(host).recordAnswer(c.clock())
+}
+
+// recordAnswer records that the host has answered.
+func (p *path) recordAnswer(now time.Duration) { p.answeredAt, p.lateAt = now, 0 }
+
+// wasLate records that a direct call that was sent at a local time ended too late, and reports whether
+// an earlier one had by then: a node that was suspended is late once, one that is short of processor
+// time is always late, and its hosts may be unreachable all the same.
+func (c *Client) wasLate(host string, sent time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.path(host)
+	if p.lateAt == 0 {
+		p.lateAt = c.clock()
+		return false
+	}
+	return sent >= p.lateAt
 }
 
 // leaveNode calls a host no longer through a node, which has failed.
@@ -117,7 +137,8 @@
 	if p.answeredAt > 0 {
 		silent = now - p.answeredAt
 	}
-	p.node, p.answeredAt, p.directAt = node, now, now
+	p.node, p.directAt = node, now
+	p.recordAnswer(now)
 	for call := range p.direct {
 		call.cancel()
 	}
@@ -129,7 +150,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.path(host)
-	p.answeredAt = c.clock()
+	p.recordAnswer(c.clock())
 	if p.node != "" {
 		c.logger.Info("host reached directly again", "host", host, "through", p.node)
 		p.node = ""
