alloc, infra: pools whose serving tasks lack a usable host get idle machines first

"pool lacks hosts and no machine is ordered" came with usable=0 and ordered=0 for seconds, and "no idle machine was released".

Cause: machines went to the pool that lacks the most hosts. A pool of six hosts lacks three to six, one in a peak dozens, so that the small one got none before the peak was over. And a pool whose steps needn't be spread required no usable host at all: three hosts that don't answer made up its least number.

Now pools whose serving tasks lack a usable host come first, the one with the fewest usable hosts before the others. They get as many as these tasks are spread over, or one more where no host can take a task; the rest goes by what pools lack, as before. Only idle machines move, and no pool goes below what it requires. The time that silent hosts have to recover is unchanged.

TestPoolWithoutUsableHostGoesFirst, TestPoolsWithoutUsableHostShareMachines, TestPoolWithSilentHostsGetsMachine and the new check in TestPlanInvariants fail on the old plan (0 machines of 1 to 3). TestSilentHostsMoveFewMachines bounds the moves if hosts fall silent and answer again; it passes on both.

--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -49,6 +49,9 @@
 	// HasUnplaced means that serving tasks wait, or are to be stopped for maintenance, that no
 	// other host can take, not even an idle one.
 	HasUnplaced bool
+	// ServingHosts is the number of hosts with serving tasks and of serving tasks that no host can
+	// take: they need no more hosts than that.
+	ServingHosts int
 	// ArrivalCPU is the processor time that new jobs request per second.
 	// ForecastCPU is what tasks other than serving ones will need once a
 	// machine has moved.
@@ -89,7 +92,7 @@
 	if capacity.GPU > 0 {
 		required = max(required, hostsForDemand(pool.Used.GPU+expectedBacklog(pool.Waiting.GPU), capacity.GPU))
 	}
-	required = max(required, pool.Apart+pool.unusableCount())
+	required = max(required, pool.Apart+pool.unusableCount(), pool.servingRequired())
 	if pool.IsShort || pool.HasUnplaced || pool.Waiting.CPU > 0 {
 		// A waiting task may fit on no single host although the total capacity
 		// suffices, but on an idle one.
@@ -98,6 +101,19 @@
 	return required
 }
 
+// servingRequired returns how many hosts a pool should have for its serving tasks, or 0 if it has
+// none: as many usable ones as these are spread over, and another one for tasks that no host can take.
+func (p *Pool) servingRequired() int {
+	required := 0
+	if p.ServingHosts > 0 {
+		required = min(max(p.Apart, 1), p.ServingHosts) + p.unusableCount()
+	}
+	if p.HasUnplaced {
+		required = max(required, len(p.Hosts)-p.idleCount()+p.requiredIdle())
+	}
+	return required
+}
+
 // requiredIdle returns how many idle and incoming hosts a pool with tasks that need a host should
 // have. If no idle host can take them, it should have another one, but not beyond maxUnsuited: the
 // next may not be able to either.
@@ -139,13 +155,21 @@
 // poolState is the state of a pool during planning.
 type poolState struct {
 	Pool
-	required  int
-	idleQueue []Host
+	required int
+	// servingRequired is the part of required for serving tasks.
+	servingRequired int
+	idleQueue       []Host
 }
 
 func (s *poolState) hostCount() int { return len(s.Hosts) + s.Incoming }
 func (s *poolState) deficit() int   { return s.required - s.hostCount() }
 
+// lacksServingHosts reports whether serving tasks of the pool lack a host.
+func (s *poolState) lacksServingHosts() bool { return s.hostCount() < s.servingRequired }
+
+// usableCount returns the number of hosts of the pool that take runs or will.
+func (s *poolState) usableCount() int { return s.hostCount() - s.unusableCount() }
+
 // surplus returns how many idle hosts the pool can release.
 func (s *poolState) surplus() int {
 	if s.Standby {
@@ -156,13 +180,14 @@
 
 // Plan returns the moves of machines to pools that lack hosts, followed by the
 // moves of unneeded machines to standby. It returns at most limit moves.
+// Pools whose serving tasks lack a host come first, whatever others lack.
 // Machines are taken from the pool with the largest surplus first, and from standby
 // only if no other pool can release one.
 func Plan(pools []Pool, limit int) []Move {
 	states := newPoolStates(pools)
 	var moves []Move
 	for len(moves) < limit {
-		recipient, donor := largestDeficit(states), bestDonor(states)
+		recipient, donor := nextRecipient(states), bestDonor(states)
 		if recipient == nil || donor == nil {
 			break
 		}
@@ -199,7 +224,7 @@
 	capacity := MeanCapacity(pools)
 	var states []*poolState
 	for _, pool := range pools {
-		s := &poolState{Pool: pool, required: RequiredHosts(pool, capacity)}
+		s := &poolState{Pool: pool, required: RequiredHosts(pool, capacity), servingRequired: pool.servingRequired()}
 		for _, host := range pool.Hosts {
 			if host.Idle {
 				s.idleQueue = append(s.idleQueue, host)
@@ -230,18 +255,32 @@
 	return tasks.Resources{CPU: sum.CPU / count, MemMB: sum.MemMB / count, GPU: sum.GPU / count}
 }
 
-// largestDeficit returns the pool that lacks the most hosts, or nil.
-func largestDeficit(states []*poolState) *poolState {
-	var largest *poolState
+// nextRecipient returns the pool that gets the next machine, or nil if none lacks hosts.
+func nextRecipient(states []*poolState) *poolState {
+	var next *poolState
 	for _, s := range states {
 		if s.Standby || s.deficit() <= 0 {
 			continue
 		}
-		if largest == nil || s.deficit() > largest.deficit() {
-			largest = s
+		if next == nil || goesBefore(s, next) {
+			next = s
 		}
 	}
-	return largest
+	return next
+}
+
+// goesBefore reports whether a pool that lacks hosts gets the next machine rather than another one:
+// first those whose serving tasks lack a host, the one with the fewest usable hosts before the
+// others, then the one that lacks the most hosts.
+func goesBefore(s, other *poolState) bool {
+	switch serving := s.lacksServingHosts(); {
+	case serving != other.lacksServingHosts():
+		return serving
+	case serving && s.usableCount() != other.usableCount():
+		return s.usableCount() < other.usableCount()
+	default:
+		return s.deficit() > other.deficit()
+	}
 }
 
 // bestDonor returns the pool with the highest donorPriority, or nil if no pool
--- a/alloc/plan_test.go
+++ b/alloc/plan_test.go
@@ -171,9 +171,70 @@
 	}
 }
 
+// TestPoolWithoutUsableHostGoesFirst guards against serving tasks without a run while all idle machines go
+// to a pool that lacks more hosts, and against a pool that gets none since its hosts, which take no runs,
+// make up its least number.
+func TestPoolWithoutUsableHostGoesFirst(t *testing.T) {
+	tests := []struct {
+		name string
+		// unusable and usable are the numbers of hosts of the pool, and apart is how many its
+		// steps must be spread over.
+		unusable, usable, apart, incoming int
+		serving                           int
+		unplaced                          bool
+		// idle is the number of idle machines elsewhere, of which the pool gets want.
+		idle, want int
+	}{
+		{name: "one idle machine", unusable: 6, apart: 3, serving: 6, idle: 1, want: 1},
+		{name: "more idle machines than it needs", unusable: 6, apart: 3, serving: 6, idle: 5, want: 3},
+		{name: "machine incoming", unusable: 6, apart: 3, incoming: 1, serving: 6, idle: 5, want: 2},
+		{name: "not spread", unusable: 3, serving: 3, idle: 5, want: 1},
+		{name: "no serving tasks", unusable: 6, apart: 3, idle: 5, want: 0},
+		{name: "few serving tasks", unusable: 5, usable: 1, apart: 3, serving: 1, idle: 5, want: 0},
+		{name: "enough usable hosts", unusable: 3, usable: 3, apart: 3, serving: 6, idle: 5, want: 0},
+		{name: "full hosts", usable: 6, apart: 3, serving: 6, unplaced: true, idle: 5, want: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			cut, busy, quiet := testPool("cut", test.unusable+test.usable, 0), testPool("busy", 3, 0), testPool("quiet", test.idle+1, test.idle)
+			for i := range test.unusable {
+				cut.Hosts[i].Unusable = true
+			}
+			cut.MinHosts, cut.Apart, cut.Incoming = test.apart+3, test.apart, test.incoming
+			cut.ServingHosts, cut.HasUnplaced = test.serving, test.unplaced
+			busy.IsShort, busy.Waiting = true, tasks.Resources{CPU: 100 * testCPU}
+			got := make(map[string]int)
+			for _, move := range Plan([]Pool{cut, busy, quiet}, 24) {
+				got[move.To]++
+			}
+			if got["cut"] != test.want || got["busy"] != test.idle-test.want {
+				t.Errorf("got %d machines moved to the pool and %d to the one that lacks more, want %d and %d", got["cut"], got["busy"], test.want, test.idle-test.want)
+			}
+		})
+	}
+}
+
+// TestPoolsWithoutUsableHostShareMachines guards against one pool that gets all idle machines while the
+// serving tasks of another one have no host at all.
+func TestPoolsWithoutUsableHostShareMachines(t *testing.T) {
+	wide, narrow, spare := testPool("a", 6, 0), testPool("b", 3, 0), testPool("spare", 3, 3)
+	wide.Apart, wide.ServingHosts, narrow.ServingHosts = 6, 6, 3
+	spare.Standby = true
+	for _, pool := range []Pool{wide, narrow} {
+		for i := range pool.Hosts {
+			pool.Hosts[i].Unusable = true
+		}
+	}
+	want := []Move{{"spare0", "spare", "a"}, {"spare1", "spare", "b"}, {"spare2", "spare", "a"}}
+	if got := Plan([]Pool{wide, narrow, spare}, 24); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // TestPlanInvariants checks for generated pools that no pool releases a busy
 // host, falls below its required hosts or the usable ones that a step must be spread
-// over, or grows beyond the required ones, and that planning all moves at once yields
+// over, or grows beyond the required ones, that none gets a host for anything else while
+// serving tasks of another lack one, and that planning all moves at once yields
 // as many moves as planning them one by one.
 func TestPlanInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -188,6 +249,7 @@
 			pool.ArrivalCPU = rapid.Int64Range(0, 8*testCPU).Draw(t, "arrivalCPU")
 			pool.ForecastCPU = rapid.Int64Range(0, 8*testCPU).Draw(t, "forecastCPU")
 			pool.HasUnplaced = rapid.Bool().Draw(t, "hasUnplaced")
+			pool.ServingHosts = rapid.IntRange(0, 6).Draw(t, "servingHosts")
 			pool.Incoming = rapid.IntRange(0, 2).Draw(t, "incoming")
 			pool.Apart = rapid.IntRange(0, 6).Draw(t, "apart")
 			for i := range pool.Hosts {
@@ -233,6 +295,18 @@
 				t.Fatalf("got %s grown to %d hosts, want at most %d", pool.Name, have+received[pool.Name], want)
 			}
 		}
+		lacking := ""
+		for _, pool := range pools {
+			if !pool.Standby && len(pool.Hosts)+pool.Incoming+received[pool.Name]-taken[pool.Name] < pool.servingRequired() {
+				lacking = pool.Name
+			}
+		}
+		for _, pool := range pools {
+			most := max(0, pool.servingRequired()-len(pool.Hosts)-pool.Incoming)
+			if lacking != "" && !pool.Standby && received[pool.Name] > most {
+				t.Fatalf("got %d hosts moved to %s while serving tasks of %s lack one, want at most %d", received[pool.Name], pool.Name, lacking, most)
+			}
+		}
 		if oneByOne := planOneByOne(pools, 16); len(oneByOne) != len(moves) {
 			t.Fatalf("got %v, want as many moves as when planned one by one: %v", moves, oneByOne)
 		}
--- a/infra/demand.go
+++ b/infra/demand.go
@@ -117,6 +117,17 @@
 	return used
 }
 
+// servingHosts returns the number of hosts of the pool with serving tasks.
+func (p *poolState) servingHosts() int {
+	count := 0
+	for _, h := range p.hosts {
+		if h.Lasting > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // forecastDemand returns the processor time that tasks other than serving ones
 // will use or wait for once a machine that is ordered now has moved, in
 // thousandths of a core.
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -42,6 +42,7 @@
 			input.Waiting = p.report.Waiting
 			input.IsShort = p.report.IsShort()
 			input.HasUnplaced = p.report.Unplaced > 0
+			input.ServingHosts = p.servingHosts() + p.report.Unplaced
 			input.ArrivalCPU = int64(p.arrivalRate)
 			input.ForecastCPU = int64(p.forecastDemand())
 			input.Apart = p.report.Apart
