alloc, infra: waiting serving tasks count on silent hosts for 1.8 s only

Callers saw: long-running tasks waited for a host up to 13 s, beside idle machines that went to other pools, after a change of the service's owner or of the controller's leader.

Cause: a machine that is up and whose host the owner doesn't reach counts as a host to come for 3.8 s, and a silent host with runs as one that may recover, from when this leader first saw it under this owner. Each new owner and leader began anew, though the owner reported that no host can take the tasks that wait.

Now serving tasks that no host can take count on such hosts for one heartbeat and one read of the host records, 1.8 s. All else counts on them as before, and so do these tasks while the owner knows no host at all: it may still be reading the records, and couldn't reach a further machine either.

TestWaitingServingTasksGetMachineInTime fails on the code before in its five cases (0, 0, 0, 0 and 2 machines of 3). TestServingTasksDoNotCountOnOverdueHosts tests the plan. TestNewOwnerReachesHostsInTime bounds it: no machine moves for a new owner that reaches its hosts within 1.5 s, or reads the records for 5 s; it passes on both.

--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -17,6 +17,9 @@
 	// Unusable means that no run is assigned to the host at present, for example because it is
 	// being vacated.
 	Unusable bool
+	// Overdue means that waiting serving tasks don't count on the host, although it may soon take
+	// runs: the pool's owner should have reached it by now.
+	Overdue bool
 	// MaintenanceDue means that the machine is due for maintenance.
 	MaintenanceDue bool
 	Capacity       tasks.Resources
@@ -32,6 +35,8 @@
 	// Incoming counts the machines that will become hosts of the pool: they are
 	// moving to it, down for maintenance or starting.
 	Incoming int
+	// Overdue counts those of Incoming that waiting serving tasks don't count on.
+	Overdue int
 	// MinHosts is the number of hosts that the pool always keeps. KeepHosts is
 	// the number below which the pool moves no hosts to standby.
 	MinHosts  int
@@ -106,10 +111,10 @@
 func (p *Pool) servingRequired() int {
 	required := 0
 	if p.ServingHosts > 0 {
-		required = min(max(p.Apart, 1), p.ServingHosts) + p.unusableCount()
+		required = min(max(p.Apart, 1), p.ServingHosts) + p.unavailableCount()
 	}
 	if p.HasUnplaced {
-		required = max(required, len(p.Hosts)-p.idleCount()+p.requiredIdle())
+		required = max(required, len(p.Hosts)-p.idleCount()+p.requiredIdle()+p.Overdue)
 	}
 	return required
 }
@@ -121,7 +126,7 @@
 	if !p.HasUnplaced {
 		return 1
 	}
-	return min(p.idleCount()+max(1, p.Incoming), maxUnsuited+1)
+	return min(p.idleCount()+max(1, p.Incoming-p.Overdue), maxUnsuited+1)
 }
 
 func expectedBacklog(backlog int64) int64 { return int64(backlogFraction * float64(backlog)) }
@@ -152,6 +157,18 @@
 	return count
 }
 
+// unavailableCount returns the number of hosts and incoming machines of the pool that serving tasks
+// don't count on.
+func (p *Pool) unavailableCount() int {
+	count := p.Overdue
+	for _, host := range p.Hosts {
+		if host.Unusable || host.Overdue {
+			count++
+		}
+	}
+	return count
+}
+
 // poolState is the state of a pool during planning.
 type poolState struct {
 	Pool
@@ -167,8 +184,8 @@
 // lacksServingHosts reports whether serving tasks of the pool lack a host.
 func (s *poolState) lacksServingHosts() bool { return s.hostCount() < s.servingRequired }
 
-// usableCount returns the number of hosts of the pool that take runs or will.
-func (s *poolState) usableCount() int { return s.hostCount() - s.unusableCount() }
+// usableCount returns the number of hosts and incoming machines that serving tasks count on.
+func (s *poolState) usableCount() int { return s.hostCount() - s.unavailableCount() }
 
 // surplus returns how many idle hosts the pool can release.
 func (s *poolState) surplus() int {
--- a/alloc/plan_test.go
+++ b/alloc/plan_test.go
@@ -231,6 +231,34 @@
 	}
 }
 
+// TestServingTasksDoNotCountOnOverdueHosts guards against serving tasks that wait while hosts that their
+// owner should have reached by now make up for those that the pool requires, and against more machines
+// than these tasks are spread over.
+func TestServingTasksDoNotCountOnOverdueHosts(t *testing.T) {
+	const apart, unplaced = 3, 6
+	// Of the hosts of the pool, busy ones are overdue, and of its incoming machines, overdue ones.
+	tests := []struct{ busy, incoming, overdue, want int }{
+		{busy: 0, incoming: 6, overdue: 0, want: 0},
+		{busy: 0, incoming: 6, overdue: 6, want: apart},
+		{busy: 0, incoming: 6, overdue: 4, want: apart - 2},
+		{busy: 3, incoming: 3, overdue: 3, want: apart},
+		{busy: 6, incoming: 0, overdue: 0, want: apart},
+		{busy: 6, incoming: apart, overdue: 0, want: 0},
+	}
+	for _, test := range tests {
+		cut, spare := testPool("cut", test.busy, 0), testPool("spare", 9, 9)
+		for i := range cut.Hosts {
+			cut.Hosts[i].Overdue = true
+		}
+		cut.Apart, cut.Incoming, cut.Overdue = apart, test.incoming, test.overdue
+		cut.HasUnplaced, cut.ServingHosts = true, unplaced
+		spare.Standby = true
+		if got := len(Plan([]Pool{cut, spare}, 24)); got != test.want {
+			t.Errorf("%+v: got %d machines moved, want %d", test, got, test.want)
+		}
+	}
+}
+
 // TestPlanInvariants checks for generated pools that no pool releases a busy
 // host, falls below its required hosts or the usable ones that a step must be spread
 // over, or grows beyond the required ones, that none gets a host for anything else while
@@ -251,9 +279,11 @@
 			pool.HasUnplaced = rapid.Bool().Draw(t, "hasUnplaced")
 			pool.ServingHosts = rapid.IntRange(0, 6).Draw(t, "servingHosts")
 			pool.Incoming = rapid.IntRange(0, 2).Draw(t, "incoming")
+			pool.Overdue = rapid.IntRange(0, pool.Incoming).Draw(t, "overdue")
 			pool.Apart = rapid.IntRange(0, 6).Draw(t, "apart")
 			for i := range pool.Hosts {
 				pool.Hosts[i].Unusable = !pool.Hosts[i].Idle && rapid.Bool().Draw(t, "unusable")
+				pool.Hosts[i].Overdue = !pool.Hosts[i].Idle && rapid.Bool().Draw(t, "hostOverdue")
 			}
 			pools = append(pools, pool)
 		}
--- a/infra/listed.go
+++ b/infra/listed.go
@@ -7,6 +7,10 @@
 // records, every 0.3 s, and two seconds' grace.
 const hostStartTimeout = 3800 * time.Millisecond
 
+// servingStartTimeout is how long serving tasks that no host can take wait for a host that the owner
+// of the pool doesn't reach: one heartbeat and one read of the host records, without grace.
+const servingStartTimeout = 1800 * time.Millisecond
+
 // recordsTimeout is the same while the owner of the pool reports no host at all: a new owner may still
 // be reading the host records, over a slow link.
 const recordsTimeout = 10 * time.Second
@@ -69,6 +73,18 @@
 	return t.options.Clock()-t.listed[machine].since < timeout
 }
 
+// isOverdue reports whether serving tasks wait in vain for the host of a machine that is up, and that
+// the pool's owner doesn't reach, even if it may be starting or recover. An owner that knows no host
+// may still be reading the records.
+func (t *term) isOverdue(machine string) bool {
+	listed := t.listed[machine]
+	p := t.pools[listed.pool]
+	if p == nil || p.report.Unplaced == 0 || len(p.report.Hosts) == 0 {
+		return false
+	}
+	return t.options.Clock()-max(listed.since, listed.usableAt) >= servingStartTimeout
+}
+
 // mayRecover reports whether a host that is not usable may soon be: it is starting, or was
 // usable a moment ago and may only have missed a heartbeat.
 func (t *term) mayRecover(machine string) bool {
--- a/infra/rebalance.go
+++ b/infra/rebalance.go
@@ -104,25 +104,34 @@
 		host.Idle = !t.wasRefused(m.Name)
 	case p == nil:
 	case m.Host == "" || !hasHost(p, m.Host):
-		if t.mayBeStarting(m.Name) {
-			input.Incoming++
-		}
+		t.addStarting(m.Name, input)
 		return
 	default:
 		h := p.hosts[m.Host]
 		if !h.Usable && h.Runs == 0 {
 			// The host does not respond, or is leaving.
-			if t.mayBeStarting(m.Name) {
-				input.Incoming++
-			}
+			t.addStarting(m.Name, input)
 			return
 		}
 		host.Idle = h.Idle() && !h.Cordoned
 		host.Unusable = h.Cordoned || !h.Usable && !t.mayRecover(m.Name)
+		host.Overdue = !h.Usable && t.isOverdue(m.Name)
 	}
 	input.Hosts = append(input.Hosts, host)
 }
 
+// addStarting adds a machine that is up, and that the pool's owner has not reached, to the planning
+// input of its pool if its host may be starting.
+func (t *term) addStarting(machine string, input *alloc.Pool) {
+	if !t.mayBeStarting(machine) {
+		return
+	}
+	input.Incoming++
+	if t.isOverdue(machine) {
+		input.Overdue++
+	}
+}
+
 // wasRefused reports whether the cloud has refused to move a machine a short time ago.
 func (t *term) wasRefused(machine string) bool {
 	at, refused := t.refusedAt[machine]
--- a/infra/serving_test.go
+++ b/infra/serving_test.go
@@ -79,6 +79,11 @@
 	cut.Unplaced, cut.WaitingTasks = hosts, hosts
 }
 
+// changeLeader makes the leader know what a new one knows.
+func (s *servingScene) changeLeader() {
+	s.term.pools, s.term.listed = make(map[string]*poolState), nil
+}
+
 // reconcile plays rounds of the controller for a period. In each, a host of quiet becomes idle.
 func (s *servingScene) reconcile(period time.Duration) {
 	for end := s.now + period; s.now < end; s.now += reconcileInterval {
@@ -180,3 +185,60 @@
 		}
 	}
 }
+
+// TestWaitingServingTasksGetMachineInTime guards against serving tasks that wait on after each new owner and
+// leader, which count anew how long the pool's hosts have been silent, while idle machines go elsewhere.
+func TestWaitingServingTasksGetMachineInTime(t *testing.T) {
+	const hosts, apart = 6, 3
+	tests := []struct {
+		name   string
+		change func(s *servingScene)
+	}{
+		{"new leader", func(s *servingScene) { s.giveUp(hosts); s.changeLeader() }},
+		{"new owner", func(s *servingScene) { s.giveUp(hosts); s.reports["cut"].Epoch++ }},
+		{"new leader, some hosts have runs", func(s *servingScene) { s.giveUp(hosts / 2); s.changeLeader() }},
+		{"new owner, some hosts have runs", func(s *servingScene) { s.giveUp(hosts / 2); s.reports["cut"].Epoch++ }},
+		{"some hosts have runs", func(s *servingScene) { s.giveUp(hosts / 2) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newServingScene(t, hosts, apart)
+			s.reconcile(5 * time.Second)
+			s.setUsable(false)
+			test.change(s)
+			// One machine becomes idle in each round.
+			s.reconcile(servingStartTimeout + (apart+1)*reconcileInterval)
+			if got := s.ordered["cut"]; got < apart {
+				t.Errorf("got %d machines ordered, want %d", got, apart)
+			}
+		})
+	}
+}
+
+// TestNewOwnerReachesHostsInTime guards against machines moved to a pool whose new owner reports waiting
+// serving tasks before it has reached the hosts, or read which there are.
+func TestNewOwnerReachesHostsInTime(t *testing.T) {
+	const hosts, apart = 6, 3
+	for _, reported := range []bool{true, false} {
+		s := newServingScene(t, hosts, apart)
+		s.reconcile(5 * time.Second)
+		cut := s.reports["cut"]
+		cut.Epoch++
+		s.setUsable(false)
+		s.giveUp(hosts)
+		silence, listed := servingStartTimeout-reconcileInterval, cut.Hosts
+		if !reported {
+			cut.Hosts, silence = nil, 5*time.Second
+		}
+		s.reconcile(silence)
+		cut.Hosts = listed
+		for i := range cut.Hosts {
+			cut.Hosts[i].Usable = true
+		}
+		cut.Unplaced, cut.WaitingTasks = 0, 0
+		s.reconcile(5 * time.Second)
+		if got := s.ordered["cut"]; got != 0 {
+			t.Errorf("hosts reported %t: got %d machines ordered, want none", reported, got)
+		}
+	}
+}
