--- a/sched/startqueue.go
+++ b/sched/startqueue.go
@@ -51,9 +51,6 @@
 	return len(h.startQueue)
 }
 
-// serves reports whether the run is that of a serving task.
-func (r *run) serves() bool { return r.entry != nil && r.entry.job.Step(r.id).Serves() }
-
 // addStartSender starts a further sender for a host if start commands wait for one. c.mu
 // must be held.
 func (c *Cell) addStartSender(h *host) {
