sched, tasks: a run whose end its host reports hasn't crashed it

Seen: a serving task that was given up for good (30.9 s without a run, until the end of the test) though no host had crashed. Its owner had lost the path to four hosts, one after the other, each within 0.3 s after the start; all were back in 7 s, and each reported that the run had lapsed.

Cause: a host that falls silent within 500 ms of a start, until its leases have expired, counts as crashed under the run. Whether it was only out of reach shows once it answers: a host that has crashed knows nothing of its runs. Nothing took the count back.

Fix: when a host reports the end of a run that counts as crashed for its silence, the count is taken back, and a task that was given up for it waits again. Runs of hosts that were restarted count as before. The next owner doesn't know which runs were presumed to have crashed, and keeps the count. A job that isn't of serving tasks stays failed: its callers may have seen that.

Evidence: TestHostsOutOfReachAreNoCrashes failed before and passes now.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -149,6 +149,8 @@
 	// a task were stopped as stalled.
 	paces  map[int]stepPace
 	stalls map[tasks.ID]int
+	// presumedCrashes are the runs that count as crashed because their host fell silent.
+	presumedCrashes map[runKey]bool
 	// gaps holds the gaps of the serving tasks that have had a run and have none.
 	gaps map[tasks.ID]*gap
 	// unstarted is the number of tasks that were never started.
--- a/sched/end.go
+++ b/sched/end.go
@@ -58,6 +58,9 @@
 		reason = tasks.EndCrashed
 	}
 	if c.removeRun(h, r, reason, "") {
+		if reason == tasks.EndCrashed && why == lossLease {
+			r.entry.presumeCrash(r.key())
+		}
 		c.options.Metrics.recordLoss(why)
 		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "why", string(why), "took", c.sinceStart(r), "answered", r.answeredFor(h))
 		c.logGivenUp(r, reason)
@@ -95,6 +98,30 @@
 	wake(c.scheduleWake)
 }
 
+// presumeCrash records that a run counts as crashed although its host may only be out of reach.
+func (e *jobEntry) presumeCrash(key runKey) {
+	if e.presumedCrashes == nil {
+		e.presumedCrashes = make(map[runKey]bool)
+	}
+	e.presumedCrashes[key] = true
+}
+
+// retractCrash takes back that a run counts as crashed whose end its host reports: the host was out
+// of reach, and the run hasn't crashed it.
+func (c *Cell) retractCrash(h *host, f lease.FinishedRun) {
+	e, key := c.byID[f.Task.Job], runKey{f.Task, f.Run}
+	if e == nil || !e.presumedCrashes[key] {
+		return
+	}
+	delete(e.presumedCrashes, key)
+	if !e.job.RetractCrash(f.Task) {
+		return
+	}
+	c.logger.Info("run had not crashed its host", "job", f.Task.Job, "round", f.Task.Round, "step", f.Task.Step, "index", f.Task.Index, "run", f.Run, "host", h.id)
+	c.markDirty(e, nil)
+	wake(c.scheduleWake)
+}
+
 // loseAllRuns records that all runs of a host are over.
 func (c *Cell) loseAllRuns(h *host, why lossReason) {
 	for _, r := range h.runs {
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -112,6 +112,7 @@
 		ended[c.byID[f.Task.Job]] = true
 		r := h.runs[runKey{f.Task, f.Run}]
 		if r == nil {
+			c.retractCrash(h, f)
 			c.recoverDone(h, f)
 			continue
 		}
--- a/sched/withoutrun_test.go
+++ b/sched/withoutrun_test.go
@@ -202,3 +202,36 @@
 		}
 	})
 }
+
+// Guards against a serving task that is given up as if it had crashed four hosts, while its owner has only
+// lost the path to each of them shortly after the start.
+func TestHostsOutOfReachAreNoCrashes(t *testing.T) {
+	const outOfReach = 7 * time.Second
+	runCluster(t, 8, func(tc *testCluster) {
+		log := tc.useServingTasks()
+		n := tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		tc.mustSubmit(n, "job", servingPlan(1, 1000))
+		var gaps *gapMeter
+		for starts := range 6 {
+			for range 1500 {
+				if tc.checker.Starts() > starts {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if gaps == nil {
+				gaps = tc.measureGaps(tasks.ID{Job: "job"})
+			}
+			time.Sleep(50 * time.Millisecond)
+			host := n.hostOf("job", 0)
+			n.hosts.SetPartitioned(host, true)
+			time.AfterFunc(outOfReach, func() { n.hosts.SetPartitioned(host, false) })
+		}
+		time.Sleep(20 * time.Second)
+		gaps.wantShort(t)
+		if got := log.lines("task given up"); len(got) != 0 {
+			t.Errorf("got a task that was given up, %v, want none", got)
+		}
+	})
+}
--- a/tasks/runs.go
+++ b/tasks/runs.go
@@ -137,6 +137,20 @@
 	}
 }
 
+// RetractCrash records that a run which counted as crashed had ended without harm to its host, and
+// reports whether the state changed.
+func (j *Job) RetractCrash(id ID) bool {
+	task := j.Task(id)
+	if j.Phase != Open || task == nil || task.Crashes == 0 {
+		return false
+	}
+	task.Crashes--
+	if task.State == Abandoned {
+		task.State = Waiting
+	}
+	return true
+}
+
 // MarkStable records that a run has gone on for a while without harm to its host, and
 // reports whether the state changed: it ignores a run that isn't the task's active one.
 func (j *Job) MarkStable(id ID, run int) bool {
