fake/stub: a crashed host's ports stay its own

The test shows the same error if another process takes the port. Hosts now listen at an IP address of 127/8 that depends on the process. Found on the way: a listener that was closed just after its start stayed open for a moment.

--- a/fake/stub/path.go
+++ b/fake/stub/path.go
@@ -1,8 +1,10 @@
 package stub
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -32,10 +34,17 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &path{host: host, address: fake.LoopbackAddress(port)}
+	p := &path{host: host, address: ownAddress(port)}
 	return p, p.set(func() {})
 }
 
+// ownAddress returns an address of a port whose IP address depends on this process. Others, which
+// look for free ports at 127.0.0.1, don't take the port while it is closed.
+func ownAddress(port int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff, port)
+}
+
 // set changes the path's state, and then listens as that requires: a path that is cut stays
 // silent even if the host refuses connections.
 func (p *path) set(change func()) error {
@@ -58,6 +67,8 @@
 func (p *path) close() {
 	if p.server != nil {
 		_ = p.server.Close()
+		// A server that hasn't begun to serve doesn't know its listener yet.
+		_ = p.listener.Close()
 		p.server, p.listener = nil, nil
 	}
 }
--- a/fake/stub/path_test.go
+++ b/fake/stub/path_test.go
@@ -132,3 +132,24 @@
 		t.Errorf("heartbeat of a after the cut: got %v, want an answer", err)
 	}
 }
+
+// TestPortsOfCrashedHostStayItsOwn guards against hosts that can't be started again because
+// another process, which looks for free ports as well, has taken theirs meanwhile.
+func TestPortsOfCrashedHostStayItsOwn(t *testing.T) {
+	h := newHost(t)
+	if !h.Crash(false) {
+		t.Fatal("Crash: got false, want true")
+	}
+	_, port, err := net.SplitHostPort(h.path("a").address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", port))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = other.Close() })
+	if restarted, err := h.Restart(); !restarted || err != nil {
+		t.Errorf("Restart: got %v, %v, want a restart", restarted, err)
+	}
+}
