alloc: serving tasks that one host can't hold get as many as they fill

Cause: a pool whose steps needn't be spread goes before others for one host, whatever its serving tasks request. Eleven of them with 25 GB each are more than a host holds.

Now it is for as many hosts as the serving tasks fill, by processor time, memory and GPUs, without headroom, and for no more than they run on.

TestServingTasksGetHostsByTheirSize fails on the code before in four of six cases (1 machine of 2 or 3); TestPlanInvariants draws such pools.

--- a/alloc/plan.go
+++ b/alloc/plan.go
@@ -97,7 +97,7 @@
 	if capacity.GPU > 0 {
 		required = max(required, hostsForDemand(pool.Used.GPU+expectedBacklog(pool.Waiting.GPU), capacity.GPU))
 	}
-	required = max(required, pool.Apart+pool.unusableCount(), pool.servingRequired())
+	required = max(required, pool.Apart+pool.unusableCount(), pool.servingRequired(capacity))
 	if pool.IsShort || pool.HasUnplaced || pool.Waiting.CPU > 0 {
 		// A waiting task may fit on no single host although the total capacity
 		// suffices, but on an idle one.
@@ -106,12 +106,13 @@
 	return required
 }
 
-// servingRequired returns how many hosts a pool should have for its serving tasks, or 0 if it has
-// none: as many usable ones as these are spread over, and another one for tasks that no host can take.
-func (p *Pool) servingRequired() int {
+// servingRequired returns how many hosts of the given capacity a pool should have for its serving
+// tasks, or 0 if it has none: as many usable ones as these are spread over, and another one for tasks
+// that no host can take.
+func (p *Pool) servingRequired(capacity tasks.Resources) int {
 	required := 0
 	if p.ServingHosts > 0 {
-		required = min(max(p.Apart, 1), p.ServingHosts) + p.unavailableCount()
+		required = min(max(p.Apart, hostsFor(p.Serving, capacity), 1), p.ServingHosts) + p.unavailableCount()
 	}
 	if p.HasUnplaced {
 		required = max(required, len(p.Hosts)-p.idleCount()+p.requiredIdle()+p.Overdue)
@@ -119,6 +120,17 @@
 	return required
 }
 
+// hostsFor returns how many hosts of a capacity hold the given resources.
+func hostsFor(resources, capacity tasks.Resources) int {
+	hosts := int64(0)
+	for _, r := range [][2]int64{{resources.CPU, capacity.CPU}, {resources.MemMB, capacity.MemMB}, {resources.GPU, capacity.GPU}} {
+		if needed, available := r[0], r[1]; available > 0 {
+			hosts = max(hosts, (needed+available-1)/available)
+		}
+	}
+	return int(hosts)
+}
+
 // requiredIdle returns how many idle and incoming hosts a pool with tasks that need a host should
 // have. If no idle host can take them, it should have another one, but not beyond maxUnsuited: the
 // next may not be able to either.
@@ -241,7 +253,7 @@
 	capacity := MeanCapacity(pools)
 	var states []*poolState
 	for _, pool := range pools {
-		s := &poolState{Pool: pool, required: RequiredHosts(pool, capacity), servingRequired: pool.servingRequired()}
+		s := &poolState{Pool: pool, required: RequiredHosts(pool, capacity), servingRequired: pool.servingRequired(capacity)}
 		for _, host := range pool.Hosts {
 			if host.Idle {
 				s.idleQueue = append(s.idleQueue, host)
--- a/alloc/plan_test.go
+++ b/alloc/plan_test.go
@@ -231,6 +231,44 @@
 	}
 }
 
+// TestServingTasksGetHostsByTheirSize guards against serving tasks that get one host, which can't hold all
+// of them, in place of those that they can't use any more.
+func TestServingTasksGetHostsByTheirSize(t *testing.T) {
+	tests := []struct {
+		name           string
+		serving        tasks.Resources
+		hosts, usable  int
+		incoming, want int
+	}{
+		{name: "one host holds them", serving: tasks.Resources{CPU: testCPU, MemMB: testMem}, hosts: 6, want: 1},
+		{name: "more memory", serving: tasks.Resources{CPU: testCPU, MemMB: testMem + 1}, hosts: 6, want: 2},
+		{name: "more CPU", serving: tasks.Resources{CPU: 3 * testCPU, MemMB: testMem}, hosts: 6, want: 3},
+		{name: "machine incoming", serving: tasks.Resources{CPU: 3 * testCPU}, hosts: 6, incoming: 2, want: 1},
+		{name: "usable hosts", serving: tasks.Resources{CPU: 3 * testCPU}, hosts: 6, usable: 3, want: 0},
+		{name: "no more hosts than now", serving: tasks.Resources{CPU: 9 * testCPU}, hosts: 2, want: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			cut, busy, spare := testPool("cut", test.hosts+test.usable, 0), testPool("busy", 3, 0), testPool("spare", 6, 6)
+			for i := range test.hosts {
+				cut.Hosts[i].Unusable = true
+			}
+			cut.Serving, cut.ServingHosts, cut.Incoming = test.serving, test.hosts, test.incoming
+			busy.IsShort, busy.Waiting = true, tasks.Resources{CPU: 100 * testCPU}
+			spare.Standby = true
+			got := 0
+			for _, move := range Plan([]Pool{cut, busy, spare}, 24) {
+				if move.To == "cut" {
+					got++
+				}
+			}
+			if got != test.want {
+				t.Errorf("got %d machines moved, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // TestServingTasksDoNotCountOnOverdueHosts guards against serving tasks that wait while hosts that their
 // owner should have reached by now make up for those that the pool requires, and against more machines
 // than these tasks are spread over.
@@ -278,6 +316,7 @@
 			pool.ForecastCPU = rapid.Int64Range(0, 8*testCPU).Draw(t, "forecastCPU")
 			pool.HasUnplaced = rapid.Bool().Draw(t, "hasUnplaced")
 			pool.ServingHosts = rapid.IntRange(0, 6).Draw(t, "servingHosts")
+			pool.Serving = tasks.Resources{CPU: rapid.Int64Range(0, 6*testCPU).Draw(t, "serving"), MemMB: rapid.Int64Range(0, 6*testMem).Draw(t, "servingMem")}
 			pool.Incoming = rapid.IntRange(0, 2).Draw(t, "incoming")
 			pool.Overdue = rapid.IntRange(0, pool.Incoming).Draw(t, "overdue")
 			pool.Apart = rapid.IntRange(0, 6).Draw(t, "apart")
@@ -325,14 +364,14 @@
 				t.Fatalf("got %s grown to %d hosts, want at most %d", pool.Name, have+received[pool.Name], want)
 			}
 		}
-		lacking := ""
+		lacking, capacity := "", MeanCapacity(pools)
 		for _, pool := range pools {
-			if !pool.Standby && len(pool.Hosts)+pool.Incoming+received[pool.Name]-taken[pool.Name] < pool.servingRequired() {
+			if !pool.Standby && len(pool.Hosts)+pool.Incoming+received[pool.Name]-taken[pool.Name] < pool.servingRequired(capacity) {
 				lacking = pool.Name
 			}
 		}
 		for _, pool := range pools {
-			most := max(0, pool.servingRequired()-len(pool.Hosts)-pool.Incoming)
+			most := max(0, pool.servingRequired(capacity)-len(pool.Hosts)-pool.Incoming)
 			if lacking != "" && !pool.Standby && received[pool.Name] > most {
 				t.Fatalf("got %d hosts moved to %s while serving tasks of %s lack one, want at most %d", received[pool.Name], pool.Name, lacking, most)
 			}
