fake/stub: a node calls hosts for another one over its own paths

Each node is told an address of its own for each host, and a call for another node went to the address of that node, whose path is cut. On the users' platform all nodes have the same address of a host, so that this was the stand-in's fault.

Now the nodes of the stand-in call hosts at their own addresses, whichever node's record names them. RunOn runs the command on other clients of the platform for that.

The checks are unchanged.

--- a/cmd/rattanpath/cmds/cmds.go
+++ b/cmd/rattanpath/cmds/cmds.go
@@ -13,6 +13,8 @@
 
 	"rattanpath/change"
 	"rattanpath/config"
+	"rattanpath/engine"
+	"rattanpath/platform"
 )
 
 // Exit codes of all commands.
@@ -52,6 +54,8 @@
 	out    io.Writer
 	errOut io.Writer
 	json   bool
+	// platformOf returns the clients of the platform at the addresses in settings.
+	platformOf func(engine.Settings) engine.Platform
 }
 
 // print writes value as JSON or text as it is, depending on the output format.
@@ -71,6 +75,11 @@
 
 // Run parses args, runs the selected command and returns the exit code.
 func Run(args []string, out, errOut io.Writer) (code int) {
+	return RunOn(platform.New, args, out, errOut)
+}
+
+// RunOn does the same with other clients of the platform for a management node.
+func RunOn(platformOf func(engine.Settings) engine.Platform, args []string, out, errOut io.Writer) (code int) {
 	defer func() {
 		if request, ok := recover().(exitRequest); ok {
 			code = int(request)
@@ -94,7 +103,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	err = parsed.Run(&env{ctx: ctx, out: out, errOut: errOut, json: c.Format == "json"})
+	err = parsed.Run(&env{ctx: ctx, out: out, errOut: errOut, json: c.Format == "json", platformOf: platformOf})
 	return reportError(errOut, err)
 }
 
--- a/cmd/rattanpath/cmds/manage.go
+++ b/cmd/rattanpath/cmds/manage.go
@@ -39,7 +39,7 @@
 	defer logWriter.Close()
 	logger := logWriter.Logger(settings.Name)
 	slog.SetDefault(slog.New(logr.ToSlogHandler(logger)))
-	return runNode(e.ctx, engine.New(settings, platform.New(settings), logger), &reloader{read: c.readSettings, settings: settings, logger: logger})
+	return runNode(e.ctx, engine.New(settings, e.platformOf(settings), logger), &reloader{read: c.readSettings, settings: settings, logger: logger})
 }
 
 // application is a node that can be started once.
--- a/fake/stub/process.go
+++ b/fake/stub/process.go
@@ -28,7 +28,7 @@
 // RunIfNode runs the rattanpath command and exits if a Process started this test binary.
 func RunIfNode() {
 	if os.Getenv(nodeVariable) != "" {
-		os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr))
+		os.Exit(cmds.RunOn(newLocalPlatform, os.Args[1:], os.Stdout, os.Stderr))
 	}
 }
 
--- a/fake/stub/store.go
+++ b/fake/stub/store.go
@@ -42,6 +42,7 @@
 	mux.HandleFunc("POST /log-leave", s.leave)
 	mux.HandleFunc("GET /log-owners", s.owners)
 	mux.HandleFunc("GET /machines", s.platform.machines)
+	mux.HandleFunc("GET "+pathsPath, s.paths)
 	return mux
 }
 
