sched: bound the pause after an assessment of the hosts' speeds

Callers saw (in a test): runs stay on slow hosts for a minute, as hosts aren't assessed after an owner was suspended, or had no processor time, for 1.2 s during an assessment.

Cause: that of the pause after a scheduling pass: 50 times the wall time of the last assessment, without a limit.

Evidence: TestLongAssessmentDelaysNextOne failed before: no assessment 5 s after one of 1.2 s. The pause is now 3 s at most, three times that after the longest assessments that were measured, of 20 ms.

--- a/sched/speed.go
+++ b/sched/speed.go
@@ -27,10 +27,11 @@
 	// heartbeats were lost.
 	maxReportGap = 2 * time.Second
 	// assessInterval is the least time between two assessments of the hosts' speeds, and
-	// assessPauseFactor the least time as a multiple of the last one's duration: with 10,000
-	// pairs of a host and a kind of tasks, one takes 10 to 20 ms.
+	// assessPauseFactor the least time as a multiple of the last one's duration, up to
+	// maxAssessPause: with 10,000 pairs of a host and a kind of tasks, one takes 10 to 20 ms.
 	assessInterval    = 300 * time.Millisecond
 	assessPauseFactor = 50
+	maxAssessPause    = 3 * time.Second
 )
 
 const (
@@ -132,7 +133,7 @@
 // assessSpeeds judges the speeds of the hosts, and moves runs from slow ones. c.mu must be
 // held.
 func (c *Cell) assessSpeeds(now time.Time) {
-	if !c.options.JudgeHosts || now.Sub(c.assessedAt) < max(assessInterval, assessPauseFactor*c.assessTime) {
+	if !c.options.JudgeHosts || now.Sub(c.assessedAt) < min(maxAssessPause, max(assessInterval, assessPauseFactor*c.assessTime)) {
 		return
 	}
 	c.assessedAt = now
