fake/stub, soak: one address per host, and callers known by their process

Each node was told an address of its own for each host, and was cut off from the host by that address. Since nodes call hosts through other nodes, that is wrong: the other node calls the address that the owner was told, which is cut. TestOwnerReachesNoHost failed although the product was right.

A host has one address again. On a new connection it looks up the client's socket by its port in /proc/net/tcp, and the node whose process has that socket open. Calls of a node that is cut off hang, on open and on new connections; callers that aren't known count as reached. A connection can now be opened while the path is cut, where before nothing answered it: the node can't know that its command wasn't received. The full queues of listeners are gone.

While a host refuses connections and some node is cut off from it, it goes on listening, and closes the connections of the other nodes at once instead of refusing them. With no node cut off it refuses them as before.

The tests of path_test.go called two addresses from one process. That tells no caller apart any more, so each node is a process there, which makes the same calls with the same results required. They are stricter: a refused connection and one that is closed are told apart, the crash of a host comes on open connections and during a cut as well, a cut outlasts a restart of the node, and a caller that isn't known is answered.

--- a/abuse/node_test.go
+++ b/abuse/node_test.go
@@ -63,11 +63,9 @@
 	if _, err := outside.AddHost(t.Context(), "host-1", tasks.Resources{CPU: 64_000, MemMB: 64_000}, 1); err != nil {
 		t.Fatal(err)
 	}
-	server, err := outside.NewServer("node")
-	if err != nil {
-		t.Fatal(err)
-	}
+	server := outside.NewServer("node")
 	t.Cleanup(server.Close)
+	var err error
 	if n.Process, err = stub.NewProcess("node", t.TempDir(), server.Listener.Addr().String(), launch); err != nil {
 		t.Fatal(err)
 	}
--- a/fake/stub/command.go
+++ b/fake/stub/command.go
@@ -26,18 +26,18 @@
 
 func (b *commandBody) until() time.Duration { return time.Duration(b.UntilMS) * time.Millisecond }
 
-func (p *path) handler() http.Handler {
-	h, mux := p.host, http.NewServeMux()
-	mux.HandleFunc("POST /run-start", p.command(func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error) {
+func (h *Host) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run-start", h.command(func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error) {
 		return h.Runner.Start(ctx, lease.StartCommand{Task: task, Run: body.Run, Spec: body.Spec, LeaseExpiry: body.until(), Token: body.FencingToken}, h.platform.resources(task))
 	}))
-	mux.HandleFunc("POST /run-stop", p.command(func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error) {
+	mux.HandleFunc("POST /run-stop", h.command(func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error) {
 		return h.Runner.Stop(ctx, lease.StopCommand{Task: task, Run: body.Run, Token: body.FencingToken})
 	}))
-	mux.HandleFunc("POST /pace", p.command(func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error) {
+	mux.HandleFunc("POST /pace", h.command(func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error) {
 		return h.Runner.Pace(ctx, lease.PaceCommand{Task: task, Run: body.Run, Share: body.Percent, Token: body.FencingToken})
 	}))
-	mux.HandleFunc("POST /hold", p.heartbeat)
+	mux.HandleFunc("POST /hold", h.heartbeat)
 	return mux
 }
 
@@ -46,15 +46,15 @@
 	lease.RefusedFenced: "fence", lease.RefusedStaleRun: "old", lease.RefusedLeaseExpired: "late", lease.RefusedCapacity: "room",
 }
 
-// reply writes a host's reply with more fields, unless the host has gone or can't be reached.
-func (p *path) reply(w http.ResponseWriter, r *http.Request, result lease.Reply, err error, fields map[string]any) {
-	if !p.isOpen() {
+// reply writes a host's reply with more fields, unless the host has gone or the node can't reach it.
+func (h *Host) reply(w http.ResponseWriter, r *http.Request, result lease.Reply, err error, fields map[string]any) {
+	if !h.isOpenTo(callerOf(r)) {
 		hang(r)
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	fields["clockMs"], fields["born"] = result.HostTime.Milliseconds(), p.host.Runner.Info().Incarnation
+	fields["clockMs"], fields["born"] = result.HostTime.Milliseconds(), h.Runner.Info().Incarnation
 	if result.Reason != lease.Accepted {
 		fields["reason"] = refusals[result.Reason]
 		reply(w, http.StatusConflict, fields)
@@ -63,11 +63,11 @@
 	reply(w, http.StatusOK, fields)
 }
 
-// readCommand reads the body of a request, which doesn't arrive at a host that can't be
-// reached.
-func (p *path) readCommand(r *http.Request) (body commandBody, valid bool) {
+// readCommand reads the body of a request, which doesn't arrive at a host that the
+// node can't reach.
+func (h *Host) readCommand(r *http.Request) (body commandBody, valid bool) {
 	data, err := io.ReadAll(r.Body)
-	if !p.isOpen() {
+	if !h.isOpenTo(callerOf(r)) {
 		hang(r)
 	}
 	if err != nil {
@@ -77,18 +77,18 @@
 	return body, err == nil
 }
 
-func (p *path) command(deliver func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error)) http.HandlerFunc {
+func (h *Host) command(deliver func(ctx context.Context, task tasks.ID, body commandBody) (lease.Reply, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		body, valid := p.readCommand(r)
+		body, valid := h.readCommand(r)
 		task, err := platform.ParseTaskID(body.Task)
 		if !valid || err != nil {
 			reply(w, http.StatusBadRequest, map[string]any{})
 			return
 		}
-		p.host.commands.RLock()
+		h.commands.RLock()
 		result, err := deliver(r.Context(), task, body)
-		p.host.commands.RUnlock()
-		p.reply(w, r, result, err, map[string]any{})
+		h.commands.RUnlock()
+		h.reply(w, r, result, err, map[string]any{})
 	}
 }
 
@@ -97,13 +97,13 @@
 	tasks.EndDone: "done", tasks.EndFailed: "failed", tasks.EndStopped: "stopped", tasks.EndLeaseExpired: "lapsed",
 }
 
-func (p *path) heartbeat(w http.ResponseWriter, r *http.Request) {
-	body, valid := p.readCommand(r)
+func (h *Host) heartbeat(w http.ResponseWriter, r *http.Request) {
+	body, valid := h.readCommand(r)
 	if !valid {
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
-	result, err := p.host.Runner.Heartbeat(r.Context(), lease.Heartbeat{
+	result, err := h.Runner.Heartbeat(r.Context(), lease.Heartbeat{
 		LeaseExpiry: body.until(), Token: body.FencingToken, Acknowledged: body.LastSeen, Wait: time.Duration(body.WaitMS) * time.Millisecond,
 	})
 	running, finished := [][]any{}, [][]any{}
@@ -113,5 +113,5 @@
 	for _, run := range result.Finished {
 		finished = append(finished, []any{run.Sequence, platform.FormatTaskID(run.Task), run.Run, endNames[run.Reason], ""})
 	}
-	p.reply(w, r, result.Reply, err, map[string]any{"running": running, "finished": finished})
+	h.reply(w, r, result.Reply, err, map[string]any{"running": running, "finished": finished})
 }
--- a/fake/stub/host.go
+++ b/fake/stub/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -37,19 +36,17 @@
 	hostRefusing
 )
 
-// Host is a host that is called over HTTP, on a machine of its own, by each node at another
-// address.
+// Host is a host that is called over HTTP, on a machine of its own.
 type Host struct {
 	// Runner runs the host's tasks.
 	Runner   *fake.Runner
 	platform *Platform
+	endpoint *endpoint
 
 	// commands keeps a crash from happening while a command is carried out.
 	commands sync.RWMutex
 	mu       sync.Mutex
-	// paths holds the path of each node.
-	paths map[string]*path
-	state hostState
+	state    hostState
 	// writtenAt is when the host last wrote its record, zero if that has expired.
 	writtenAt time.Time
 }
@@ -57,16 +54,13 @@
 // AddHost starts a host, which writes its record until ctx ends. Its clock runs clockRate
 // times as fast as the real one.
 func (p *Platform) AddHost(ctx context.Context, id string, capacity tasks.Resources, clockRate float64) (*Host, error) {
-	h := &Host{platform: p, paths: make(map[string]*path)}
-	info := pool.Host{ID: id, Service: Service, DataCentre: "a", Capacity: capacity}
-	h.Runner = fake.NewRunner(info, clockRate, p.Checker, p.profile)
-	p.adding.Lock()
-	defer p.adding.Unlock()
-	for _, node := range p.nodes {
-		if err := h.addPath(node); err != nil {
-			return nil, err
-		}
+	h := &Host{platform: p}
+	var err error
+	if h.endpoint, err = newEndpoint(p, h.handler()); err != nil {
+		return nil, err
 	}
+	info := pool.Host{ID: id, Service: Service, Address: h.endpoint.address, DataCentre: "a", Capacity: capacity}
+	h.Runner = fake.NewRunner(info, clockRate, p.Checker, p.profile)
 	h.writeRecord()
 	go h.Runner.Run(ctx)
 	go h.loop(ctx)
@@ -76,37 +70,6 @@
 	return h, nil
 }
 
-// addPath listens for the calls of one more node.
-func (h *Host) addPath(node string) error {
-	added, err := newPath(h)
-	if err != nil {
-		return err
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.paths[node] = added
-	return nil
-}
-
-func (h *Host) path(node string) *path {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.paths[node]
-}
-
-// setPaths changes the state of all paths.
-func (h *Host) setPaths(change func(p *path)) error {
-	h.mu.Lock()
-	paths := slices.Collect(maps.Values(h.paths))
-	h.mu.Unlock()
-	for _, p := range paths {
-		if err := p.set(func() { change(p) }); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // loop writes the host's record and lets it expire, until ctx ends. Then it stops the host.
 func (h *Host) loop(ctx context.Context) {
 	for core.Sleep(ctx, recordCheckInterval) == nil {
@@ -122,16 +85,18 @@
 			h.expireRecord()
 		}
 	}
-	_ = h.setPaths(func(p *path) { p.cut, p.closed = false, true })
+	_ = h.endpoint.set(func() {
+		clear(h.endpoint.cutOff)
+		h.endpoint.refusing = true
+	})
 }
 
-// writeRecord writes the host's record without an address, which differs from node to node.
 func (h *Host) writeRecord() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	info := h.Runner.Info()
 	value, _ := json.Marshal(map[string]any{
-		"service": info.Service, "zone": info.DataCentre, "state": "ready",
+		"service": info.Service, "address": info.Address, "zone": info.DataCentre, "state": "ready",
 		"capacity": capacityOf(info), "born": info.Incarnation, "clockMs": h.Runner.HostTime().Milliseconds(),
 	})
 	h.platform.Store.Put(platform.HostTopic, info.ID, value)
@@ -197,19 +162,16 @@
 
 // CutOffFrom keeps the calls of a node from getting through without an answer, until ReconnectTo,
 // while other nodes reach the host and its records get through. It reports whether they did before.
-func (h *Host) CutOffFrom(node string) (bool, error) { return h.setCut(node, true) }
+func (h *Host) CutOffFrom(node string) (bool, error) { return h.endpoint.setCut(node, true) }
 
 // ReconnectTo ends CutOffFrom.
-func (h *Host) ReconnectTo(node string) (bool, error) { return h.setCut(node, false) }
-
-func (h *Host) setCut(node string, cut bool) (changed bool, err error) {
-	p := h.path(node)
-	err = p.set(func() { changed, p.cut = p.cut != cut, cut })
-	return changed, err
-}
+func (h *Host) ReconnectTo(node string) (bool, error) { return h.endpoint.setCut(node, false) }
 
 // IsReachedBy reports whether the host is usable and calls of a node get through.
-func (h *Host) IsReachedBy(node string) bool { return h.IsUsable() && !h.path(node).isCut() }
+func (h *Host) IsReachedBy(node string) bool { return h.IsUsable() && !h.endpoint.isCut(node) }
+
+// isOpenTo reports whether calls of a node reach the host and replies the node.
+func (h *Host) isOpenTo(node string) bool { return h.isReachable() && !h.endpoint.isCut(node) }
 
 // Crash loses all runs of the host, and reports whether it hadn't crashed already. Its machine
 // then refuses connections, or gives no answer if silent is set, until Restart.
@@ -224,24 +186,26 @@
 		return false
 	}
 	if !silent {
-		h.close()
+		_ = h.refuse(true)
 	}
 	h.Runner.Crash()
 	return true
 }
 
-// close refuses connections.
-func (h *Host) close() { _ = h.setPaths(func(p *path) { p.closed = true }) }
+// refuse changes whether the host refuses connections.
+func (h *Host) refuse(refusing bool) error {
+	return h.endpoint.set(func() { h.endpoint.refusing = refusing })
+}
 
 // Restart starts a new incarnation of a host that has crashed, and reports whether it had.
 func (h *Host) Restart() (bool, error) {
 	if !h.HasCrashed() {
 		return false, nil
 	}
-	h.close()
+	_ = h.refuse(true)
 	h.Runner.Restart()
 	h.change(hostUp, hostSilent, hostRefusing)
-	if err := h.setPaths(func(p *path) { p.closed = false }); err != nil {
+	if err := h.refuse(false); err != nil {
 		return false, err
 	}
 	if !h.platform.isStoreDown() {
--- a/fake/stub/path_test.go
+++ b/fake/stub/path_test.go
@@ -2,58 +2,74 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"rattanpath/fake"
 	"rattanpath/tasks"
 )
 
-// callTimeout bounds a call of a test.
-const callTimeout = 300 * time.Millisecond
+const (
+	// callTimeout bounds a call of a test.
+	callTimeout = 300 * time.Millisecond
+	// callerVariable makes the test binary run as a process that calls hosts.
+	callerVariable = "RATTANPATH_STUB_CALLER"
+	// The ways of calling: on connections that are kept, and on one for each call.
+	keptConnection = "kept"
+	newConnection  = "new"
+	// The results of calls. A refusal means that there was no connection, and an end that it
+	// was closed without an answer.
+	answer  = "answer"
+	silence = "silence"
+	refusal = "refusal"
+	ended   = "end"
+)
 
-// newHost returns a host that two nodes, a and b, reach.
-func newHost(t *testing.T) *Host {
-	t.Helper()
-	p := NewPlatform(func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{} }, func(tasks.ID) tasks.Resources { return tasks.Resources{} })
-	h, err := p.AddHost(t.Context(), "host-1", tasks.Resources{CPU: 1000, MemMB: 1000}, 1)
-	if err != nil {
-		t.Fatal(err)
+var connections = []string{keptConnection, newConnection}
+
+func TestMain(m *testing.M) {
+	if os.Getenv(callerVariable) != "" {
+		runCaller(os.Stdin, os.Stdout)
+		return
 	}
-	for _, node := range []string{"a", "b"} {
-		server, err := p.NewServer(node)
-		if err != nil {
-			t.Fatal(err)
+	os.Exit(m.Run())
+}
+
+// runCaller makes a call for each line that it reads, with the connection and the address, and
+// writes the result.
+func runCaller(in io.Reader, out io.Writer) {
+	clients := newClients()
+	for {
+		var connection, address string
+		if _, err := fmt.Fscanln(in, &connection, &address); err != nil {
+			return
 		}
-		t.Cleanup(server.Close)
+		_, _ = fmt.Fprintln(out, resultOf(heartbeat(clients[connection], address)))
 	}
-	return h
 }
 
 // newClients returns a client that keeps connections, and one that opens one for each call.
-func newClients(t *testing.T) map[string]*http.Client {
-	t.Helper()
-	clients := map[string]*http.Client{"kept connection": {Transport: &http.Transport{}}, "new connection": {Transport: &http.Transport{DisableKeepAlives: true}}}
-	for _, client := range clients {
-		t.Cleanup(client.CloseIdleConnections)
-	}
-	return clients
+func newClients() map[string]*http.Client {
+	return map[string]*http.Client{keptConnection: {Transport: &http.Transport{}}, newConnection: {Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 // heartbeat sends a heartbeat to a host as a node does.
-func heartbeat(t *testing.T, client *http.Client, h *Host, node string) error {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+func heartbeat(client *http.Client, address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.path(node).address+"/hold", strings.NewReader("{}"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/hold", strings.NewReader("{}"))
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
 	response, err := client.Do(request)
 	if err != nil {
@@ -64,71 +80,174 @@
 	return err
 }
 
-// isSilence reports whether a call got neither an answer nor a refusal.
-func isSilence(err error) bool {
+func resultOf(err error) string {
 	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
+	switch {
+	case err == nil:
+		return answer
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return silence
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return refusal
+	default:
+		return ended
+	}
+}
+
+// caller is a process that calls hosts.
+type caller struct {
+	t   *testing.T
+	cmd *exec.Cmd
+	in  io.WriteCloser
+	out io.Reader
+}
+
+func (c *caller) start() {
+	c.t.Helper()
+	c.cmd = exec.Command(os.Args[0])
+	c.cmd.Env, c.cmd.Stderr = append(os.Environ(), callerVariable+"=1"), os.Stderr
+	var inErr, outErr error
+	c.in, inErr = c.cmd.StdinPipe()
+	c.out, outErr = c.cmd.StdoutPipe()
+	if err := errors.Join(inErr, outErr, c.cmd.Start()); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// stop ends the process.
+func (c *caller) stop() {
+	_ = c.in.Close()
+	_ = c.cmd.Wait()
+}
+
+func (c *caller) pid() int { return c.cmd.Process.Pid }
+
+// check calls a host and requires one of some results.
+func (c *caller) check(h *Host, connection, when string, want ...string) {
+	c.t.Helper()
+	var got string
+	if _, err := fmt.Fprintln(c.in, connection, h.endpoint.address); err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := fmt.Fscanln(c.out, &got); err != nil {
+		c.t.Fatal(err)
+	}
+	if !slices.Contains(want, got) {
+		c.t.Errorf("heartbeat on a %s connection %s: got %s, want one of %s", connection, when, got, want)
+	}
+}
+
+// newHost returns a host, and two nodes that reach it, a and b.
+func newHost(t *testing.T) (h *Host, a, b *caller) {
+	t.Helper()
+	p := NewPlatform(func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{} }, func(tasks.ID) tasks.Resources { return tasks.Resources{} })
+	h, err := p.AddHost(t.Context(), "host-1", tasks.Resources{CPU: 1000, MemMB: 1000}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b = &caller{t: t}, &caller{t: t}
+	for name, c := range map[string]*caller{"a": a, "b": b} {
+		c.start()
+		t.Cleanup(c.stop)
+		p.AddCaller(name, c.pid)
+	}
+	return h, a, b
+}
+
+// setCut cuts a node off from a host or reconnects it, and requires that this is a change.
+func setCut(t *testing.T, set func(node string) (bool, error), node string) {
+	t.Helper()
+	if changed, err := set(node); err != nil || !changed {
+		t.Fatalf("got %v, %v, want a change", changed, err)
+	}
 }
 
 func TestNodeThatIsCutOffGetsSilence(t *testing.T) {
-	h, clients := newHost(t), newClients(t)
-	for name, client := range clients {
-		for _, node := range []string{"a", "b"} {
-			if err := heartbeat(t, client, h, node); err != nil {
-				t.Errorf("heartbeat of %s on a %s before the cut: got %v, want an answer", node, name, err)
-			}
-		}
+	h, a, b := newHost(t)
+	for _, connection := range connections {
+		a.check(h, connection, "before the cut", answer)
+		b.check(h, connection, "before the cut of the other node", answer)
 	}
 	for range 2 {
-		if changed, err := h.CutOffFrom("a"); err != nil {
-			t.Fatalf("CutOffFrom: got %v, %v, want no error", changed, err)
-		}
-		for name, client := range clients {
-			if err := heartbeat(t, client, h, "a"); !isSilence(err) {
-				t.Errorf("heartbeat of a on a %s while it is cut off: got %v, want a time-out", name, err)
-			}
-			if err := heartbeat(t, client, h, "b"); err != nil {
-				t.Errorf("heartbeat of b on a %s while a is cut off: got %v, want an answer", name, err)
-			}
+		setCut(t, h.CutOffFrom, "a")
+		for _, connection := range connections {
+			a.check(h, connection, "while it is cut off", silence)
+			b.check(h, connection, "while the other node is cut off", answer)
 		}
-		if changed, err := h.ReconnectTo("a"); err != nil || !changed {
-			t.Fatalf("ReconnectTo: got %v, %v, want a change", changed, err)
-		}
-		for name, client := range clients {
-			if err := heartbeat(t, client, h, "a"); err != nil {
-				t.Errorf("heartbeat of a on a %s after the cut: got %v, want an answer", name, err)
-			}
+		setCut(t, h.ReconnectTo, "a")
+		for _, connection := range connections {
+			a.check(h, connection, "after the cut", answer)
+			b.check(h, connection, "after the cut of the other node", answer)
 		}
 	}
 }
 
 func TestCutHidesThatHostRefusesConnections(t *testing.T) {
-	h, clients := newHost(t), newClients(t)
+	h, a, b := newHost(t)
+	for _, connection := range connections {
+		a.check(h, connection, "before the crash", answer)
+		b.check(h, connection, "before the crash", answer)
+	}
 	if !h.Crash(false) {
 		t.Fatal("Crash: got false, want true")
 	}
-	if err := heartbeat(t, clients["new connection"], h, "a"); err == nil || isSilence(err) {
-		t.Errorf("heartbeat of a before the cut: got %v, want a refusal", err)
-	}
-	if _, err := h.CutOffFrom("a"); err != nil {
-		t.Fatal(err)
-	}
-	if err := heartbeat(t, clients["new connection"], h, "a"); !isSilence(err) {
-		t.Errorf("heartbeat of a while it is cut off: got %v, want a time-out", err)
+	a.check(h, keptConnection, "before the cut", refusal, ended)
+	a.check(h, newConnection, "before the cut", refusal)
+	setCut(t, h.CutOffFrom, "a")
+	for _, connection := range connections {
+		a.check(h, connection, "while it is cut off", silence)
+		b.check(h, connection, "while the other node is cut off", ended)
 	}
 	if restarted, err := h.Restart(); !restarted || err != nil {
 		t.Fatalf("Restart: got %v, %v, want a restart", restarted, err)
 	}
-	if err := heartbeat(t, clients["new connection"], h, "a"); !isSilence(err) {
-		t.Errorf("heartbeat of a after the restart: got %v, want a time-out", err)
+	for _, connection := range connections {
+		a.check(h, connection, "after the restart", silence)
+		b.check(h, connection, "after the restart", answer)
 	}
-	if err := heartbeat(t, clients["new connection"], h, "b"); err != nil {
-		t.Errorf("heartbeat of b after the restart: got %v, want an answer", err)
+	setCut(t, h.ReconnectTo, "a")
+	for _, connection := range connections {
+		a.check(h, connection, "after the cut", answer)
 	}
-	if _, err := h.ReconnectTo("a"); err != nil {
-		t.Fatal(err)
+}
+
+func TestNodeThatIsCutOffDoesNotSeeCrash(t *testing.T) {
+	h, a, b := newHost(t)
+	for _, connection := range connections {
+		a.check(h, connection, "before the cut", answer)
+		b.check(h, connection, "before the cut of the other node", answer)
+	}
+	setCut(t, h.CutOffFrom, "a")
+	if !h.Crash(false) {
+		t.Fatal("Crash: got false, want true")
+	}
+	for _, connection := range connections {
+		a.check(h, connection, "while it is cut off", silence)
+		b.check(h, connection, "after the crash", ended)
 	}
-	if err := heartbeat(t, clients["new connection"], h, "a"); err != nil {
-		t.Errorf("heartbeat of a after the cut: got %v, want an answer", err)
+	setCut(t, h.ReconnectTo, "a")
+	for _, connection := range connections {
+		a.check(h, connection, "after the cut", refusal)
+	}
+}
+
+func TestNodeThatRestartsStaysCutOff(t *testing.T) {
+	h, a, _ := newHost(t)
+	setCut(t, h.CutOffFrom, "a")
+	a.stop()
+	a.start()
+	for _, connection := range connections {
+		a.check(h, connection, "of the next process", silence)
+	}
+}
+
+func TestUnknownCallerIsNotCutOff(t *testing.T) {
+	h, _, _ := newHost(t)
+	setCut(t, h.CutOffFrom, "a")
+	for connection, client := range newClients() {
+		if err := heartbeat(client, h.endpoint.address); err != nil {
+			t.Errorf("heartbeat on a %s connection: got %v, want an answer", connection, err)
+		}
+		client.CloseIdleConnections()
 	}
 }
--- a/fake/stub/platform.go
+++ b/fake/stub/platform.go
@@ -29,12 +29,10 @@
 	profile   func(task tasks.ID, run int) fake.RunProfile
 	resources func(task tasks.ID) tasks.Resources
 
-	// adding keeps hosts and nodes from being added at the same time.
-	adding sync.Mutex
-	mu     sync.Mutex
-	hosts  []*Host
-	// nodes are the names of the nodes that have a server.
-	nodes []string
+	mu    sync.Mutex
+	hosts []*Host
+	// callers returns the process ID of each node whose calls hosts know.
+	callers map[string]func() int
 	// storeDown means that hosts can't write their records.
 	storeDown bool
 }
@@ -42,7 +40,7 @@
 // NewPlatform returns a platform without hosts whose configuration has one queue. The
 // functions describe runs and tasks.
 func NewPlatform(profile func(task tasks.ID, run int) fake.RunProfile, resources func(task tasks.ID) tasks.Resources) *Platform {
-	p := &Platform{Store: fake.NewStore(), Checker: fake.NewInvariantChecker(), profile: profile, resources: resources}
+	p := &Platform{Store: fake.NewStore(), Checker: fake.NewInvariantChecker(), profile: profile, resources: resources, callers: make(map[string]func() int)}
 	p.publishConfig()
 	return p
 }
@@ -67,39 +65,9 @@
 	return append([]*Host(nil), p.hosts...)
 }
 
-// NewServer starts a server of the store and the cloud for one node, and a path from that node
-// to each host.
-func (p *Platform) NewServer(node string) (*httptest.Server, error) {
-	p.adding.Lock()
-	defer p.adding.Unlock()
-	for _, h := range p.Hosts() {
-		if err := h.addPath(node); err != nil {
-			return nil, err
-		}
-	}
-	p.nodes = append(p.nodes, node)
-	return httptest.NewServer((&storeServer{platform: p, node: node, client: p.Store.Client(node)}).handler()), nil
-}
-
-// localRecord returns the value of a host's record as a node reads it: with the address at which
-// that node calls the host.
-func (p *Platform) localRecord(node, id string, value []byte) []byte {
-	for _, h := range p.Hosts() {
-		if h.Runner.Info().ID == id && len(value) > 0 {
-			return withAddress(value, h.path(node).address)
-		}
-	}
-	return value
-}
-
-func withAddress(value []byte, address string) []byte {
-	var fields map[string]json.RawMessage
-	if json.Unmarshal(value, &fields) != nil {
-		return value
-	}
-	fields["address"], _ = json.Marshal(address)
-	value, _ = json.Marshal(fields)
-	return value
+// NewServer starts a server of the store and the cloud for one node.
+func (p *Platform) NewServer(node string) *httptest.Server {
+	return httptest.NewServer((&storeServer{platform: p, client: p.Store.Client(node)}).handler())
 }
 
 // SetStoreFailure sets the failure mode of the store's calls for all nodes. Hosts can't
--- a/fake/stub/process.go
+++ b/fake/stub/process.go
@@ -101,12 +101,13 @@
 	}
 	defer func() { _ = log.Close() }()
 	env := append(os.Environ(), nodeVariable+"=1", platform.SettingsVariable+"="+p.settings)
+	// PID waits, so that no call of the process comes before its ID.
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	process, err := p.Launch([]string{"manage"}, env, log)
 	if err != nil {
 		return err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.process, p.exited, p.state = process, make(chan struct{}), nil
 	go p.runWait(process, p.exited)
 	return nil
@@ -121,10 +122,13 @@
 	close(exited)
 }
 
-// PID returns the ID of the process that was started last.
+// PID returns the ID of the process that was started last, 0 if none was.
 func (p *Process) PID() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.process == nil {
+		return 0
+	}
 	return p.process.Pid
 }
 
--- a/fake/stub/store.go
+++ b/fake/stub/store.go
@@ -14,7 +14,6 @@
 	"github.com/pkg/errors"
 
 	"rattanpath/fake"
-	"rattanpath/platform"
 	"rattanpath/store"
 )
 
@@ -28,7 +27,6 @@
 // storeServer serves the store and the cloud to one node.
 type storeServer struct {
 	platform *Platform
-	node     string
 	client   *fake.StoreClient
 }
 
@@ -130,7 +128,7 @@
 	}
 	out := binary.BigEndian.AppendUint64(nil, uint64(batch.End))
 	out = binary.BigEndian.AppendUint64(out, 0)
-	for _, record := range s.localRecords(topicOf(r), batch.Records) {
+	for _, record := range batch.Records {
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(record.Key)+len(record.Value)))
 		out = append(append(out, byte(len(record.Key))), record.Key...)
 		out = append(out, record.Value...)
@@ -138,18 +136,6 @@
 	_, _ = w.Write(out)
 }
 
-// localRecords returns a topic's records as the node reads them.
-func (s *storeServer) localRecords(topic string, records []store.Record) []store.Record {
-	if topic != platform.HostTopic {
-		return records
-	}
-	local := slices.Clone(records)
-	for i, record := range local {
-		local[i].Value = s.platform.localRecord(s.node, record.Key, record.Value)
-	}
-	return local
-}
-
 // newest lists all records on one page.
 func (s *storeServer) newest(w http.ResponseWriter, r *http.Request) {
 	snapshot, err := s.client.Newest(r.Context(), topicOf(r))
@@ -158,7 +144,7 @@
 		return
 	}
 	items := []map[string]any{}
-	for _, record := range s.localRecords(topicOf(r), snapshot.Records) {
+	for _, record := range snapshot.Records {
 		items = append(items, map[string]any{"key": record.Key, "value": base64.StdEncoding.EncodeToString(record.Value), "offset": record.Offset})
 	}
 	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "endOffset": snapshot.Next})
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -124,15 +124,13 @@
 func (c *cluster) addNodes(dir string) {
 	for i := range nodeCount {
 		name := fmt.Sprintf("node-%d", i)
-		server, err := c.platform.NewServer(name)
-		if err != nil {
-			c.t.Fatal(err)
-		}
+		server := c.platform.NewServer(name)
 		c.t.Cleanup(server.Close)
 		process, err := stub.NewProcess(name, dir, server.Listener.Addr().String(), launch)
 		if err != nil {
 			c.t.Fatal(err)
 		}
+		c.platform.AddCaller(name, process.PID)
 		if err := process.Start(); err != nil {
 			c.t.Fatal(err)
 		}
