soak: play the size of a deployment, with nodes short of CPU time

TestSize has what the soak lacked: eight nodes with one core each and a quota of CPU time (a process that has used up its share of 100 ms is stopped until the next period), 48 machines in five services, the last on standby, 120 serving tasks, a load with peaks of five times the mean, moves of machines and waves of maintenance by the stand-in cloud, changes of the configuration, faults of owners, hosts that are cut off or lost, and a last fault that kills all nodes while the load is still there.

--- a/fake/stub/host.go
+++ b/fake/stub/host.go
@@ -57,12 +57,16 @@
 // AddHost starts a host, which writes its record until ctx ends. Its clock runs clockRate
 // times as fast as the real one.
 func (p *Platform) AddHost(ctx context.Context, id string, capacity tasks.Resources, clockRate float64) (*Host, error) {
+	return p.addHost(ctx, id, Service, capacity, clockRate)
+}
+
+func (p *Platform) addHost(ctx context.Context, id, service string, capacity tasks.Resources, clockRate float64) (*Host, error) {
 	port, err := fake.FreePorts(1)
 	if err != nil {
 		return nil, err
 	}
 	h := &Host{platform: p, address: fake.LoopbackAddress(port)}
-	info := pool.Host{ID: id, Service: Service, Address: h.address, DataCentre: "a", Capacity: capacity}
+	info := pool.Host{ID: id, Service: service, Address: h.address, DataCentre: "a", Capacity: capacity}
 	h.Runner = fake.NewRunner(info, clockRate, p.Checker, p.profile)
 	if err := h.listen(); err != nil {
 		return nil, err
--- a/fake/stub/platform.go
+++ b/fake/stub/platform.go
@@ -33,6 +33,8 @@
 	hosts []*Host
 	// storeDown means that hosts can't write their records.
 	storeDown bool
+	// fleet is nil if the machine of each host stays in its pool.
+	fleet *Fleet
 }
 
 // NewPlatform returns a platform without hosts whose configuration has one queue. The
@@ -85,6 +87,10 @@
 
 // machines lists the machine of each host on one page.
 func (p *Platform) machines(w http.ResponseWriter, _ *http.Request) {
+	if p.fleet != nil {
+		p.fleet.list(w)
+		return
+	}
 	machines := []map[string]any{}
 	for _, h := range p.Hosts() {
 		info := h.Runner.Info()
--- a/fake/stub/process.go
+++ b/fake/stub/process.go
@@ -46,6 +46,8 @@
 	LogPath  string
 	basePort int
 	settings string
+	// limits are those in the settings.
+	limits Limits
 
 	mu      sync.Mutex
 	process *os.Process
@@ -56,11 +58,23 @@
 
 // NewProcess returns a node that uses a platform's server and keeps its files in a folder.
 func NewProcess(name, dir, server string, launch Launch) (*Process, error) {
+	return NewLimitedProcess(name, dir, server, launch, Limits{MemoryMB: MemoryMB, MaxFDs: MaxFDs})
+}
+
+// Limits are the limits in the settings of a node, 0 for those that are left out.
+type Limits struct {
+	CPUShare float64
+	MemoryMB int
+	MaxFDs   int
+}
+
+// NewLimitedProcess returns a node as NewProcess does, with other limits in its settings.
+func NewLimitedProcess(name, dir, server string, launch Launch, limits Limits) (*Process, error) {
 	port, err := fake.FreePorts(portsPerNode)
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Name: name, Launch: launch, LogPath: filepath.Join(dir, name+".log"), basePort: port, settings: filepath.Join(dir, name+".yaml")}
+	p := &Process{Name: name, Launch: launch, LogPath: filepath.Join(dir, name+".log"), limits: limits, basePort: port, settings: filepath.Join(dir, name+".yaml")}
 	return p, errors.Wrap(os.WriteFile(p.settings, []byte(p.settingsText(server)), 0o600), "writing the settings")
 }
 
@@ -86,11 +100,11 @@
   ready: %q
 internalPorts: [%d, %d]
 heartbeatMs: %d
-limits: {memoryMb: %d, maxFds: %d}
+limits: {cpuShare: %g, cores: 1, memoryMb: %d, maxFds: %d}
 bounds: {contactMs: 3000, graceS: 1, holdMaxMs: 10000, status_s: 120, leaseMs: 3000, moveS: 1.5, maintenanceS: 2}
 platform: {address: %q, form: "log", parts: 32, recordBytes: 262144, callBytes: 2097152, ttlMinMs: 1000}
 cloud: {address: %q, dutyPerS: 64.0}
-`, p.Name, p.Callers(), p.Health(), p.basePort+2, p.basePort+3, hostHeartbeat.Milliseconds(), MemoryMB, MaxFDs, server, server)
+`, p.Name, p.Callers(), p.Health(), p.basePort+2, p.basePort+3, hostHeartbeat.Milliseconds(), p.limits.CPUShare, p.limits.MemoryMB, p.limits.MaxFDs, server, server)
 }
 
 // Start starts the process, which must not be running.
--- a/fake/stub/store.go
+++ b/fake/stub/store.go
@@ -40,6 +40,8 @@
 	mux.HandleFunc("POST /log-leave", s.leave)
 	mux.HandleFunc("GET /log-owners", s.owners)
 	mux.HandleFunc("GET /machines", s.platform.machines)
+	mux.HandleFunc("POST /machine-move", s.platform.orderMove)
+	mux.HandleFunc("POST /machine-upkeep", s.platform.orderMaintenance)
 	return mux
 }
 
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -79,7 +79,7 @@
 	t.Cleanup(cancel)
 	c.platform = stub.NewPlatform(c.profile, func(task tasks.ID) tasks.Resources { return c.book.spec(task.Job).resources() })
 	c.addHosts()
-	c.addNodes(dir)
+	c.addNodes(dir, nodeCount, stub.Limits{MemoryMB: stub.MemoryMB, MaxFDs: stub.MaxFDs}, launch)
 	c.startJobs()
 	c.watcher = newWatcher(t, c.platform, c.faults, c.watched)
 	go c.watcher.run()
@@ -118,12 +118,12 @@
 	}
 }
 
-func (c *cluster) addNodes(dir string) {
-	for i := range nodeCount {
+func (c *cluster) addNodes(dir string, count int, limits stub.Limits, launch stub.Launch) {
+	for i := range count {
 		name := fmt.Sprintf("node-%d", i)
 		server := c.platform.NewServer(name)
 		c.t.Cleanup(server.Close)
-		process, err := stub.NewProcess(name, dir, server.Listener.Addr().String(), launch)
+		process, err := stub.NewLimitedProcess(name, dir, server.Listener.Addr().String(), launch, limits)
 		if err != nil {
 			c.t.Fatal(err)
 		}
--- a/soak/watch_test.go
+++ b/soak/watch_test.go
@@ -29,7 +29,9 @@
 type servingTask struct {
 	id        tasks.ID
 	resources tasks.Resources
-	running   bool
+	// service is the task's service, empty if there is only one.
+	service string
+	running bool
 	// started means that the task has had a run, and endedAt when the last one ended.
 	started bool
 	endedAt time.Time
@@ -131,7 +133,8 @@
 	for _, h := range w.platform.Hosts() {
 		siblings := h.Runner.UsedBy(func(other tasks.ID) bool { return other.Job == task.id.Job })
 		used := h.Runner.Used().Add(task.resources)
-		if h.IsUsable() && siblings.CPU == 0 && h.Runner.Info().Capacity.CanFit(used) {
+		ofService := task.service == "" || task.service == h.Runner.Info().Service
+		if ofService && h.IsUsable() && siblings.CPU == 0 && h.Runner.Info().Capacity.CanFit(used) {
 			count++
 		}
 	}
