sched: a failing test of runs that count as just started after a takeover

A host that is lost, or can't be reached, within half a second of its first answer to a new owner counts as crashed under all runs that the owner inherited, however long they had run: updateRun marks them as started by the first report, and answeredFor counts from it. Each such task then waits for a host on which nothing has just started, one after the other, 0.5 s apart. With a cut, the runs lapse on a host that lives and their tasks have no run for over 9 s.

The soak gets a fault that cuts a host off right after a takeover.

--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -27,7 +27,7 @@
 	sizeTraffic  = flag.Duration("soak.traffic", 40*time.Second, "time in which jobs are submitted")
 	sizeDowntime = flag.Duration("soak.downtime", time.Second, "time for which the last fault stops all nodes")
 	sizeStagger  = flag.Duration("soak.stagger", 0, "time between the starts of two nodes after the last fault")
-	sizeFaults   = flag.String("soak.faults", "owners,waves,config,cuts,lost,final", "faults of the soak at full size: any of owners, waves, config, cuts, lost, lastcuts and final")
+	sizeFaults   = flag.String("soak.faults", "owners,waves,config,cuts,lost,final", "faults of the soak at full size: any of owners, waves, config, cuts, lost, takeover, lastcuts and final")
 )
 
 const (
@@ -65,6 +65,10 @@
 	// long before the last fault that begins.
 	lastCut     = 20 * time.Second
 	lastCutLead = time.Second
+	// takeoverLead is the time from a takeover to the cut of a host, and takeoverInterval that to
+	// the start of the owner before and from there to the next takeover.
+	takeoverLead     = 200 * time.Millisecond
+	takeoverInterval = 8 * time.Second
 	// lostFirst tells the draws for lost hosts from those for cuts.
 	lostFirst = 1000
 )
@@ -178,6 +182,9 @@
 	c.injectEach("cuts", cutInterval, func(i int) { c.failHosts(i, c.cutAtRandom) })
 	c.injectEach("lost", lostInterval, func(i int) { c.failHosts(lostFirst+i, func(h *stub.Host) { c.crashHost(h, true) }) })
 	time.Sleep(*sizeTraffic)
+	if c.injects("takeover") {
+		c.cutAfterTakeover()
+	}
 	if c.injects("lastcuts") {
 		c.cutBusiestHosts()
 	}
@@ -282,21 +289,46 @@
 // cutBusiestHosts cuts off the host of each service with the largest number of serving tasks.
 func (c *sizedCluster) cutBusiestHosts() {
 	for _, service := range c.services {
-		var busiest *stub.Host
-		var most int64
-		for _, h := range c.platform.Hosts() {
-			used := h.Runner.UsedBy(func(id tasks.ID) bool { return c.book.spec(id.Job).LongRunning })
-			if h.Runner.Info().Service == service && h.IsUsable() && used.CPU >= most {
-				busiest, most = h, used.CPU
-			}
-		}
-		if busiest != nil {
-			c.running.Go(func() { c.cutHost(busiest, lastCut, false) })
+		if h := c.busiestHostOf(service); h != nil {
+			c.running.Go(func() { c.cutHost(h, lastCut, false) })
 		}
 	}
 	time.Sleep(lastCutLead)
 }
 
+// busiestHostOf returns the usable host of a service with the largest number of serving tasks, or
+// nil if none is usable.
+func (c *sizedCluster) busiestHostOf(service string) *stub.Host {
+	var busiest *stub.Host
+	var most int64
+	for _, h := range c.platform.Hosts() {
+		used := h.Runner.UsedBy(func(id tasks.ID) bool { return c.book.spec(id.Job).LongRunning })
+		if h.Runner.Info().Service == service && h.IsUsable() && used.CPU >= most {
+			busiest, most = h, used.CPU
+		}
+	}
+	return busiest
+}
+
+// cutAfterTakeover kills the owner of each service in turn, and cuts a host of the service off
+// right after the next one has taken over.
+func (c *sizedCluster) cutAfterTakeover() {
+	for i, service := range c.services {
+		previous := c.ownerOf(i)
+		previous.kill()
+		for c.ownerOf(i) == previous {
+			time.Sleep(watchInterval)
+		}
+		time.Sleep(takeoverLead)
+		if h := c.busiestHostOf(service); h != nil {
+			c.running.Go(func() { c.cutHost(h, lastCut, false) })
+		}
+		time.Sleep(takeoverInterval)
+		previous.restart()
+		time.Sleep(takeoverInterval)
+	}
+}
+
 // changeConfig publishes a version that adds a queue or removes it.
 func (c *sizedCluster) changeConfig(i int) {
 	c.faults.printf("configuration %d", 3+i)
