--- a/fake/stub/host.go
+++ b/fake/stub/host.go
@@ -54,12 +54,16 @@
 // AddHost starts a host, which writes its record until ctx ends. Its clock runs clockRate
 // times as fast as the real one.
 func (p *Platform) AddHost(ctx context.Context, id string, capacity tasks.Resources, clockRate float64) (*Host, error) {
+	return p.addHost(ctx, id, Service, capacity, clockRate)
+}
+
+func (p *Platform) addHost(ctx context.Context, id, service string, capacity tasks.Resources, clockRate float64) (*Host, error) {
 	h := &Host{platform: p}
 	var err error
 	if h.endpoint, err = newEndpoint(p, h.handler()); err != nil {
 		return nil, err
 	}
-	info := pool.Host{ID: id, Service: Service, Address: h.endpoint.address, DataCentre: "a", Capacity: capacity}
+	info := pool.Host{ID: id, Service: service, Address: h.endpoint.address, DataCentre: "a", Capacity: capacity}
 	h.Runner = fake.NewRunner(info, clockRate, p.Checker, p.profile)
 	h.writeRecord()
 	go h.Runner.Run(ctx)
