sched: the loss of a previous owner's run is no crash for want of a lease

Callers saw (in a test): 30 of 48 serving tasks without a run 9 s after their runs had ended, on a host that lives, when it was cut off within 0.5 s of its first answer to a new owner; the same when it was lost.

Cause: a run of a previous owner counts as started at its host's first report to the new one, however long it had gone on. If the host falls silent or is gone right after that, all its runs counted as having crashed it, and each task then had to start alone, on a host on which nothing had just started.

Now silence, or a host that is on no machine any more, is no crash of a run of a previous owner, as it already was none before the first report. A host that has restarted counts as before.

--- a/sched/run.go
+++ b/sched/run.go
@@ -137,9 +137,9 @@
 		return r.state != runPlanned
 	case lossHostGone:
 		// How long a run of a previous owner had gone on isn't known, nor why its host is gone.
-		return r.state != runPlanned && r.state != runInherited
+		return r.state != runPlanned && !r.inherited
 	case lossLease:
-		return r.startedBy != 0 || r.startBroke
+		return !r.inherited && (r.startedBy != 0 || r.startBroke)
 	default:
 		return false
 	}
