relay: a request that was on its way for long isn't executed

Callers saw (in a test): two runs of a task at once, TWICE. The owner gave up a start command that wasn't answered, the host restarted, and the command, which had waited on its way to another node, began the run in the new incarnation before that had seen the owner's higher token.

Cause: a direct command is lost with the connection to the incarnation that it was sent to. One through another node waits on the way to that node, for as long as their link is cut or slow, and is then sent on a connection to whichever incarnation is there. A sender that gives up doesn't call it back.

A start command isn't executed for a sender that doesn't know the clock.

Evidence: TestLateStartIsNotSentOn failed before: a command was sent on after 3 s. TestOwnerReachesNoHost and TestOwnerReachesNoHostAndCrashes of ./soak pass, no lease expires.

--- a/relay/client.go
+++ b/relay/client.go
@@ -49,6 +49,8 @@
 	nodes    Nodes
 	paths    map[string]*path
 	prunedAt time.Duration
+	// clocks are the clocks of the nodes, by address.
+	clocks map[string]nodeClock
 	// searches is the number of hosts that other nodes are being asked for.
 	searches int
 }
@@ -60,6 +62,7 @@
 		answered: set.NewCounter(`rattanpath_relay_calls_total{result="answered"}`),
 		failed:   set.NewCounter(`rattanpath_relay_calls_total{result="failed"}`),
 		paths:    make(map[string]*path),
+		clocks:   make(map[string]nodeClock),
 	}
 }
 
@@ -181,10 +184,14 @@
 	defer cancel()
 	o := outcome{address: x.address}
 	var response Response
-	if err := x.nodes.Send(ctx, x.address, x.request, &response); err != nil {
+	request := *x.request
+	request.Deadline = x.client.deadline(x.address)
+	if err := x.nodes.Send(ctx, x.address, &request, &response); err != nil {
 		// A late reply may still be decoded into the response.
 		o.err = sendError(err)
+		x.client.forgetClock(x.address)
 	} else {
+		x.client.observeClock(x.address, response.Clock)
 		o.reply, o.err = response.result()
 	}
 	if o.err == nil {
--- a/relay/service.go
+++ b/relay/service.go
@@ -24,6 +24,9 @@
 	Stop      *lease.StopCommand
 	Pace      *lease.PaceCommand
 	Heartbeat *lease.Heartbeat
+	// Deadline is the reading of the executing node's clock after which the command isn't sent any
+	// more, 0 if the sender doesn't know that clock.
+	Deadline time.Duration
 }
 
 // maxWait limits the time for which a host may delay its reply to a heartbeat of another node.
@@ -57,6 +60,8 @@
 	Err      string
 	NotSent  bool
 	TimedOut bool
+	// Clock is the reading of the executing node's clock at the end.
+	Clock time.Duration
 }
 
 // noReplyError means that nothing shows whether the host got the command, as a timeout of a direct
@@ -154,14 +159,28 @@
 		response.Err, response.NotSent = "the node was suspended or is overloaded", true
 		return nil
 	}
+	if s.isLate(request) {
+		response.Err, response.NotSent, response.Clock = "the request came too late", true, s.clock()
+		return nil
+	}
 	reply, err := s.execute(context.Background(), request)
-	response.Reply = reply
+	response.Reply, response.Clock = reply, s.clock()
 	if err != nil {
 		response.Err, response.NotSent, response.TimedOut = err.Error(), errors.Is(err, lease.ErrNotSent), isTimeout(err)
 	}
 	return nil
 }
 
+// isLate reports whether a request has been on its way for too long. A host may have restarted
+// meanwhile: on a direct connection the command would have been lost with its last incarnation, and a
+// new one would start a run that counts as over.
+func (s *Service) isLate(request *Request) bool {
+	if request.Deadline == 0 {
+		return request.Start != nil
+	}
+	return s.clock() > request.Deadline
+}
+
 // execute sends the command of a request to its host.
 func (s *Service) execute(ctx context.Context, request *Request) (lease.HeartbeatReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, request.wait()+lease.ReplyTimeout)
