--- a/sched/onesided_test.go
+++ b/sched/onesided_test.go
@@ -27,13 +27,18 @@
 
 // useRelay lets all nodes call hosts through another node, whose client of the hosts it returns.
 func (tc *testCluster) useRelay() *fake.HostClient {
+	return tc.useRelayWith(func(nodes relay.Nodes) relay.Nodes { return nodes })
+}
+
+// useRelayWith does the same, with other nodes that wrap changes.
+func (tc *testCluster) useRelayWith(wrap func(relay.Nodes) relay.Nodes) *fake.HostClient {
 	clock := func() time.Duration { return time.Since(tc.start) }
 	others := fake.NewHostClient(tc.runners, tc.resourcesOf)
 	service := relay.NewService(others, clock)
 	go service.Run(tc.ctx)
 	tc.wrapHosts = func(direct lease.HostClient) lease.HostClient {
 		client := relay.NewClient(direct, clock, metrics.NewSet(), logr.Discard())
-		client.SetNodes(relayNodes{"other": service})
+		client.SetNodes(wrap(relayNodes{"other": service}))
 		return client
 	}
 	return others
