fake/stub: a call whose client has gone isn't heard while a node is cut off

The lookup now also reports whether the client's socket is still open, and looks again if no process has it. A connection that is closed is dropped while some node is cut off from the host; otherwise its calls are carried out as before.

Measured: go test ./fake/stub passes three times in a row, and without the drop the new test fails.

--- a/fake/stub/caller.go
+++ b/fake/stub/caller.go
@@ -1,6 +1,7 @@
 package stub
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"net"
@@ -36,34 +37,33 @@
 	p.callers[node] = pid
 }
 
-// findCaller returns the node whose process has the other end of a connection, or "".
-func (p *Platform) findCaller(conn net.Conn) string {
+// findCaller returns the node whose process has the other end of a connection, "" if it isn't known,
+// and reports whether that end is still open.
+func (p *Platform) findCaller(conn net.Conn) (node string, open bool) {
 	p.mu.Lock()
 	callers := maps.Clone(p.callers)
 	p.mu.Unlock()
 	if len(callers) == 0 {
-		return ""
+		return "", true
 	}
-	inode := clientInode(conn)
-	for node, pid := range callers {
-		if inode != "" && hasSocket(pid(), inode) {
-			return node
+	for range lookups {
+		inode := clientInode(conn)
+		for node, pid := range callers {
+			if inode != "" && hasSocket(pid(), inode) {
+				return node, true
+			}
+		}
+		if inode != "" && clientInode(conn) == inode {
+			return "", true
 		}
 	}
-	return ""
+	return "", false
 }
 
 // clientInode returns the inode of the client's socket of a connection on this machine, or "".
 func clientInode(conn net.Conn) string {
 	local, remote := portSuffix(conn.RemoteAddr()), portSuffix(conn.LocalAddr())
-	for range lookups {
-		for _, table := range []string{"/proc/net/tcp", "/proc/net/tcp6"} {
-			if inode := inodeIn(table, local, remote); inode != "" {
-				return inode
-			}
-		}
-	}
-	return ""
+	return cmp.Or(inodeIn("/proc/net/tcp", local, remote), inodeIn("/proc/net/tcp6", local, remote))
 }
 
 // portSuffix returns the end of an address in the system's table of sockets.
--- a/fake/stub/endpoint.go
+++ b/fake/stub/endpoint.go
@@ -76,11 +76,15 @@
 
 func (e *endpoint) runServer(listener net.Listener) { _ = e.server.Serve(listener) }
 
-// open finds out who has opened a connection.
+// open finds out who has opened a connection. One that its client has closed is dropped if it may be
+// that of a node that is cut off.
 func (e *endpoint) open(ctx context.Context, conn net.Conn) context.Context {
-	node := e.platform.findCaller(conn)
+	node, open := e.platform.findCaller(conn)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !open && len(e.cutOff) > 0 {
+		_ = conn.Close()
+	}
 	e.connections[conn] = node
 	e.closeIfRefused(conn, node)
 	return context.WithValue(ctx, callerKey{}, node)
--- a/fake/stub/path_test.go
+++ b/fake/stub/path_test.go
@@ -251,3 +251,38 @@
 		client.CloseIdleConnections()
 	}
 }
+
+func TestCallerThatHasGoneIsNotHeardDuringCut(t *testing.T) {
+	h, _, _ := newHost(t)
+	for _, cut := range []bool{false, true} {
+		conn := acceptClosed(t)
+		if cut {
+			setCut(t, h.CutOffFrom, "a")
+		}
+		h.endpoint.open(t.Context(), conn)
+		if got := errors.Is(conn.SetDeadline(time.Time{}), net.ErrClosed); got != cut {
+			t.Errorf("connection that its client has closed, with a node cut off: %v: got dropped %v, want %v", cut, got, cut)
+		}
+	}
+}
+
+// acceptClosed returns a connection that its client has closed.
+func acceptClosed(t *testing.T) net.Conn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = client.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
