pool: a node that reads the host records seldom still removes hosts

Callers saw (in a test): a host counts as listed for ever though its record has expired, at a node that is short of processor time.

Cause: a read more than a second after the last one counted as the first after an outage of the store, which restarts the grace period of missing records, each time. The node's own wall time was taken for the state of the store.

Now an outage is a read that has failed or taken that long, or the first after a time without cells.

--- a/pool/watch.go
+++ b/pool/watch.go
@@ -59,8 +59,10 @@
 	nextOffset int64
 	// completeAt is the reading of clock at which the last read that returned all
 	// records was sent, 0 if none did.
-	completeAt   time.Duration
-	loaded       bool
+	completeAt time.Duration
+	loaded     bool
+	// readFailed is set if a read has failed since the last successful one.
+	readFailed   bool
 	missingSince map[string]time.Time
 	active       func() bool
 	changed      core.Signal
@@ -109,6 +111,12 @@
 
 // Refresh reads the store once. It must not be called concurrently.
 func (w *Watcher) Refresh(ctx context.Context) error {
+	err := w.refresh(ctx)
+	w.readFailed = err != nil
+	return err
+}
+
+func (w *Watcher) refresh(ctx context.Context) error {
 	if !w.loaded {
 		return w.reload(ctx)
 	}
@@ -122,7 +130,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	changed := w.recordRead()
+	changed := w.recordRead(w.clock() - sent)
 	for _, record := range batch.Records {
 		changed = w.apply(record) || changed
 	}
@@ -144,7 +152,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.recordRead()
+	w.recordRead(w.clock() - sent)
 	listed := make(map[string]bool)
 	for _, record := range snapshot.Records {
 		listed[record.Key] = true
@@ -165,20 +173,21 @@
 	return nil
 }
 
-// recordRead records a successful read and reports whether it is the first after an
-// outage. During an outage of the store, the records of live hosts may have expired, so
-// the grace period of missing records restarts after it.
-func (w *Watcher) recordRead() (afterOutage bool) {
+// recordRead records a successful read that took the given time, and reports whether it is the
+// first for a while. During an outage of the store, the records of live hosts may have expired, so
+// the grace period of missing records restarts after it. That this node hasn't read for a while
+// without a failure is no outage.
+func (w *Watcher) recordRead(took time.Duration) (afterPause bool) {
 	now := time.Now()
-	afterOutage = !w.view.ReadAt.IsZero() && now.Sub(w.view.ReadAt) > outageThreshold
-	if afterOutage {
+	afterPause = !w.view.ReadAt.IsZero() && now.Sub(w.view.ReadAt) > outageThreshold
+	if afterPause && (w.readFailed || !w.loaded || took > outageThreshold) {
 		w.logger.Info("host records can be read again", "after", now.Sub(w.view.ReadAt).Round(time.Millisecond))
 		for id := range w.missingSince {
 			w.missingSince[id] = now
 		}
 	}
 	w.view.ReadAt = now
-	return afterOutage
+	return afterPause
 }
 
 func (w *Watcher) notify(changed bool) {
