relay: a heartbeat reads the clock three times instead of eight

Each reading is a system call, and an owner sends a heartbeat to each of hundreds of hosts every second. The path of a host that was never called needs no entry to be looked up. Behaviour and tests stay as they are.

--- a/relay/client.go
+++ b/relay/client.go
@@ -108,7 +108,7 @@
 		return c.heartbeatThrough(ctx, node, host, heartbeat)
 	}
 	sent := c.clock()
-	reply, overloaded, err := c.heartbeatDirectly(ctx, host, heartbeat)
+	reply, err := c.heartbeatDirectly(ctx, host, heartbeat)
 	if err == nil || ctx.Err() != nil {
 		return reply, err
 	}
@@ -117,6 +117,8 @@
 		heartbeat.Wait, heartbeat.Acknowledged = 0, 0
 		return c.heartbeatThrough(ctx, node, host, heartbeat)
 	}
+	// The reply may have arrived at an overloaded node.
+	overloaded := c.clock()-sent > heartbeat.Wait+lease.ReplyTimeout+maxLag
 	if !overloaded || c.wasLate(host.ID, sent) {
 		c.startSearch(ctx, host, heartbeat.Token)
 	}
@@ -124,13 +126,11 @@
 }
 
 // heartbeatDirectly sends a heartbeat directly, until another node is found that reaches the host.
-// It also reports whether this node is overloaded, so that a reply may have arrived.
-func (c *Client) heartbeatDirectly(ctx context.Context, host *pool.Host, heartbeat lease.Heartbeat) (reply lease.HeartbeatReply, overloaded bool, err error) {
-	sent := c.clock()
+func (c *Client) heartbeatDirectly(ctx context.Context, host *pool.Host, heartbeat lease.Heartbeat) (lease.HeartbeatReply, error) {
 	ctx, call := c.beginDirect(ctx, host.ID)
-	reply, err = c.direct.Heartbeat(ctx, host, heartbeat)
+	reply, err := c.direct.Heartbeat(ctx, host, heartbeat)
 	c.endDirect(host.ID, call, err == nil)
-	return reply, c.clock()-sent > heartbeat.Wait+lease.ReplyTimeout+maxLag, err
+	return reply, err
 }
 
 // heartbeatThrough sends a heartbeat through a node, which is left if that fails.
--- a/relay/path.go
+++ b/relay/path.go
@@ -67,7 +67,10 @@
 func (c *Client) nodeFor(host string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.path(host).node
+	if p := c.paths[host]; p != nil {
+		return p.node
+	}
+	return ""
 }
 
 // beginDirect returns the context of a direct heartbeat, which also ends once a node is found that
@@ -89,7 +92,7 @@
 	p := c.path(host)
 	delete(p.direct, call)
 	if answered {
-		p.recordAnswer(c.clock())
+		p.recordAnswer()
 	}
 }
 
@@ -97,11 +100,11 @@
 func (c *Client) recordAnswer(host string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.path(host).recordAnswer(c.clock())
+	c.path(host).recordAnswer()
 }
 
-// recordAnswer records that the host has answered.
-func (p *path) recordAnswer(now time.Duration) { p.answeredAt, p.lateAt = now, 0 }
+// recordAnswer records that the host, which has just been looked up, has answered.
+func (p *path) recordAnswer() { p.answeredAt, p.lateAt = p.usedAt, 0 }
 
 // wasLate records that a direct call that was sent at a local time ended too late, and reports whether
 // an earlier one had by then: a node that was suspended is late once, one that is short of processor
@@ -132,13 +135,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.path(host)
-	now := c.clock()
 	var silent time.Duration
 	if p.answeredAt > 0 {
-		silent = now - p.answeredAt
+		silent = p.usedAt - p.answeredAt
 	}
-	p.node, p.directAt = node, now
-	p.recordAnswer(now)
+	p.node, p.directAt = node, p.usedAt
+	p.recordAnswer()
 	for call := range p.direct {
 		call.cancel()
 	}
@@ -150,7 +152,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.path(host)
-	p.recordAnswer(c.clock())
+	p.recordAnswer()
 	if p.node != "" {
 		c.logger.Info("host reached directly again", "host", host, "through", p.node)
 		p.node = ""
