sched, engine: where a task waits, the processor time of the process, and profiles

`cell activity` now has the processor time of the process and the mean wait of a task for a host, its record, its start command, the confirmation, the report of its end and the record of that. The admin server serves the profiles of package net/http/pprof. No decision reads any of it.

--- a/engine/admin.go
+++ b/engine/admin.go
@@ -67,6 +67,7 @@
 	router.HandleFunc(views.PoolsPath, s.servePools).Methods(http.MethodGet)
 	router.HandleFunc(views.OrganisationsPath, s.serveOrganisations).Methods(http.MethodGet)
 	router.HandleFunc(views.ExplainPath, s.serveExplain).Methods(http.MethodPost)
+	addProfiles(router)
 	return router
 }
 
--- a/sched/activity.go
+++ b/sched/activity.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"rattanpath/core"
+)
 
 // activityInterval is the time between two log lines on the work of a cell.
 const activityInterval = time.Second
@@ -26,6 +30,9 @@
 	// timerLag is the longest time by which the loop of timers woke up late. It shows
 	// that the node lacks processor time.
 	timerLag time.Duration
+	stages   stageTimes
+	// processTime is that of the process when the counts began.
+	processTime time.Duration
 }
 
 // recordTimerLag records by how much a loop that slept since a local time has
@@ -42,7 +49,7 @@
 		return
 	}
 	a := c.activity
-	c.activity = activity{since: now}
+	c.activity = activity{since: now, processTime: core.ProcessTime()}
 	if a.starts == 0 && a.heartbeats == 0 {
 		return
 	}
@@ -50,5 +57,8 @@
 		"heartbeats", a.heartbeats, "unacked", a.unackedHeartbeats, "stale", a.staleRecords,
 		"passes", a.passes, "passTime", a.passTime.Round(time.Millisecond),
 		"writes", a.writes, "writeTime", a.writeTime.Round(time.Millisecond),
-		"replyTime", c.replyTime.average().Round(time.Millisecond), "lag", a.timerLag.Round(time.Millisecond))
+		"replyTime", c.replyTime.average().Round(time.Millisecond), "lag", a.timerLag.Round(time.Millisecond),
+		"cpu", (c.activity.processTime - a.processTime).Round(time.Millisecond),
+		"placeWait", a.stages[stagePlace].mean(), "persistWait", a.stages[stagePersist].mean(), "sendWait", a.stages[stageSend].mean(),
+		"confirmWait", a.stages[stageConfirm].mean(), "reportWait", a.stages[stageReport].mean(), "endWait", a.stages[stageEnd].mean())
 }
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -157,6 +157,8 @@
 	overdue map[tasks.ID]overdueRun
 	// unstarted is the number of tasks that were never started.
 	unstarted int
+	// lastEnd is when the last run ended or was given up, zero if none was.
+	lastEnd time.Time
 	// advice holds the advisor's decisions by step.
 	advice map[stepKey]*stepAdvice
 }
--- a/sched/command.go
+++ b/sched/command.go
@@ -107,6 +107,7 @@
 // the run.
 func (c *Cell) handleStarted(h *host, r *run, hostTime, now time.Duration, current bool) {
 	r.markStarted(now)
+	c.countStage(stageConfirm, now-r.sentAt)
 	if current {
 		h.answeredAt = max(h.answeredAt, hostTime)
 		// The host has not restarted since its last report, whose ends may still be
--- a/sched/end.go
+++ b/sched/end.go
@@ -144,6 +144,7 @@
 	if r.entry == nil || !r.entry.job.EndRun(r.id, r.number, reason, checkpoint, time.Now()) {
 		return false
 	}
+	r.entry.lastEnd = time.Now()
 	c.options.Metrics.recordEnd(reason)
 	c.stopEndedJob(r.entry)
 	c.markDirty(r.entry, nil)
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -32,6 +32,7 @@
 	h.ackValid = true
 	h.ackUntil = h.ackDeadline(reply.HostTime, sent, now)
 	h.answeredAt = max(h.answeredAt, reply.HostTime)
+	c.countReported(h, reply, now)
 	persisted := c.processFinished(h, reply.Finished)
 	if reply.HostTime > h.reportedAt {
 		c.processRuns(h, reply, sent, now)
@@ -106,7 +107,7 @@
 	if len(finished) == 0 {
 		return nil
 	}
-	highest := h.reportedSequence
+	highest, processedAt := h.reportedSequence, time.Now()
 	ended := make(map[*jobEntry]bool)
 	for _, f := range finished {
 		highest = max(highest, f.Sequence)
@@ -128,6 +129,7 @@
 	persisted := make(chan struct{})
 	restarts := h.restarts
 	c.afterPersisted(func() {
+		c.countStage(stageEnd, time.Since(processedAt))
 		if c.anyHeld(ended) {
 			// The host reports the ends again.
 			return
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -218,7 +218,8 @@
 	e.job.Assign(taskID, h.id, h.incarnation, now)
 	task := e.job.Task(taskID)
 	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare, resumed: task.Checkpoint != ""}
-	r.recordTime = h.recordTime()
+	r.recordTime, r.assignedAt = h.recordTime(), now
+	c.countPlaced(e, taskID.Round, now)
 	h.runs[r.key()] = r
 	c.plannedBytes += e.startSize()
 	c.options.Metrics.TaskWaitSeconds.Update(now.Sub(e.job.DueTime(taskID.Round)).Seconds())
--- a/sched/run.go
+++ b/sched/run.go
@@ -56,6 +56,8 @@
 	provenAt time.Duration
 	// survived is what answeredFor returned when the host restarted.
 	survived time.Duration
+	// assignedAt is when this cell assigned the run, zero if it didn't.
+	assignedAt time.Time
 	// sentAt is the local time at which the start command was sent, 0 if this cell sent none.
 	sentAt time.Duration
 	// unconfirmedSince is the local time at which the state became runUnconfirmed.
--- a/sched/startqueue.go
+++ b/sched/startqueue.go
@@ -30,6 +30,7 @@
 // queueStart queues the start command of a run whose record is persisted. c.mu must be
 // held.
 func (c *Cell) queueStart(h *host, r *run) {
+	c.countStage(stagePersist, time.Since(r.assignedAt))
 	h.startQueue = slices.Insert(h.startQueue, h.queuePosition(r), queuedStart{run: r, persistedAt: c.options.Clock()})
 	if r.isGangMember() {
 		h.queuedMembers++
@@ -180,6 +181,7 @@
 	}
 	r.state, r.sentAt = runStarting, now
 	c.activity.starts++
+	c.countStage(stageSend, now-persistedAt)
 	c.plannedBytes -= r.entry.startSize()
 	c.reduceBacklog(r.entry, 1)
 	return lease.StartCommand{
--- a/views/manager.go
+++ b/views/manager.go
@@ -10,6 +10,9 @@
 	PoolsPath = "/pools"
 )
 
+// ProfilePath is followed by the name of a profile of the process, as package net/http/pprof names it.
+const ProfilePath = "/debug/pprof/"
+
 // Node is the status of a management node.
 type Node struct {
 	Node string
