relay: other nodes make the calls to hosts that are too many for one

What callers saw: on the large deployment too little of box-list and item-query was served in time, again.

Cause: all calls to the hosts of a service were made by its owner, so that a service could use one node's processor however many stood idle. Each stage of a task, those that only wait for a reply as well, grew five- to twentyfold in the peak.

A node that makes more calls a second than its limit, 800 for each core, now hands them to other nodes: three or more, by host, in batches and in sessions that end with their first failure. Placement, records and tokens stay with the owner; a batch carries the deadline that a single relayed call had, so no late start reaches a new incarnation. A node that spreads its own calls takes none of others. What a delegate has not sent the owner sends itself.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -111,8 +111,23 @@
 }
 
 // newRelay returns a client that calls the hosts, and a service that calls them for other nodes.
-func newRelay(platform Platform, set *metrics.Set, logger logr.Logger) (*relay.Client, *relay.Service) {
-	return relay.NewClient(platform.Hosts, platform.Clock, set, logger), relay.NewService(platform.Hosts, platform.Clock)
+func newRelay(settings Settings, platform Platform, set *metrics.Set, logger logr.Logger) (*relay.Client, *relay.Service) {
+	client, service := relay.NewClient(platform.Hosts, platform.Clock, set, logger), relay.NewService(platform.Hosts, platform.Clock)
+	client.SetDirectRate(directRate(settings.Cores))
+	service.RefuseWhile(client.Spreads)
+	return client, service
+}
+
+// directRatePerCore is how many calls to hosts a second a node makes itself for each core that it
+// has. They take about a tenth of its processor time.
+const directRatePerCore = 800
+
+// directRate returns how many calls to hosts a second a node makes itself.
+func directRate(cores float64) float64 {
+	if cores == 0 {
+		cores = 1
+	}
+	return cores * directRatePerCore
 }
 
 func newSupervisor(settings Settings, platform Platform, hosts *relay.Client, member *owner.Member, config *queue.Watcher, pools *pool.Watcher, ref *supervisorRef, set *metrics.Set, logger logr.Logger) *owner.Supervisor {
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -35,6 +35,8 @@
 	RecordBytes int
 	// LinkRate is the bandwidth of the node's link in bytes per second, 0 if unknown.
 	LinkRate int64
+	// Cores is the processor time that the node has, in cores, 0 if unknown.
+	Cores float64
 	// MemoryLimit is the memory in bytes beyond which the node is killed, 0 if unknown.
 	MemoryLimit int64
 	// Clients are the limits on what clients can make the node hold. The zero value means
--- a/relay/client.go
+++ b/relay/client.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"rattanpath/core"
 	"rattanpath/lease"
@@ -32,17 +34,21 @@
 	Others() []string
 	// Send makes the node at an address execute a request.
 	Send(ctx context.Context, address string, request *Request, response *Response) error
+	// Exchange sends a batch of calls to the node at an address.
+	Exchange(ctx context.Context, address string, batch *Batch, results *Results) error
 }
 
-// Client calls hosts directly and, while that fails, through other nodes. It implements
-// lease.HostClient.
+// Client calls hosts directly. While that fails, or this node has too many calls to make, other nodes
+// make them. It implements lease.HostClient.
 type Client struct {
 	direct lease.HostClient
 	clock  core.Clock
 	logger logr.Logger
-	// answered and failed count the calls through other nodes.
-	answered *metrics.Counter
-	failed   *metrics.Counter
+	// answered and failed count the calls through other nodes to hosts that this one doesn't reach,
+	// and delegated those that delegates made.
+	answered  *metrics.Counter
+	failed    *metrics.Counter
+	delegated *metrics.Counter
 
 	mu sync.Mutex
 	// nodes is nil until SetNodes.
@@ -53,16 +59,19 @@
 	clocks map[string]nodeClock
 	// searches is the number of hosts that other nodes are being asked for.
 	searches int
+	spread   spread
 }
 
 // NewClient returns a client that calls hosts directly until SetNodes is called.
 func NewClient(direct lease.HostClient, clock core.Clock, set *metrics.Set, logger logr.Logger) *Client {
 	return &Client{
 		direct: direct, clock: clock, logger: logger.WithName("relay"),
-		answered: set.NewCounter(`rattanpath_relay_calls_total{result="answered"}`),
-		failed:   set.NewCounter(`rattanpath_relay_calls_total{result="failed"}`),
-		paths:    make(map[string]*path),
-		clocks:   make(map[string]nodeClock),
+		answered:  set.NewCounter(`rattanpath_relay_calls_total{result="answered"}`),
+		failed:    set.NewCounter(`rattanpath_relay_calls_total{result="failed"}`),
+		delegated: set.NewCounter("rattanpath_relay_delegated_calls_total"),
+		paths:     make(map[string]*path),
+		clocks:    make(map[string]nodeClock),
+		spread:    spread{seed: rand.Uint64()},
 	}
 }
 
@@ -75,37 +84,69 @@
 
 // Start implements lease.HostClient.
 func (c *Client) Start(ctx context.Context, host *pool.Host, command lease.StartCommand) (lease.Reply, error) {
-	if node := c.nodeFor(host.ID); node != "" {
-		reply, err := c.callThrough(ctx, node, &Request{Host: *host, Start: &command})
-		return reply.Reply, err
+	if r := c.route(host.ID); !r.isDirect() {
+		if reply, done, err := c.callOn(ctx, r, host, Request{Start: &command}); done {
+			return reply.Reply, err
+		}
 	}
 	return c.direct.Start(ctx, host, command)
 }
 
 // Stop implements lease.HostClient.
 func (c *Client) Stop(ctx context.Context, host *pool.Host, command lease.StopCommand) (lease.Reply, error) {
-	if node := c.nodeFor(host.ID); node != "" {
-		reply, err := c.callThrough(ctx, node, &Request{Host: *host, Stop: &command})
-		return reply.Reply, err
+	if r := c.route(host.ID); !r.isDirect() {
+		if reply, done, err := c.callOn(ctx, r, host, Request{Stop: &command}); done {
+			return reply.Reply, err
+		}
 	}
 	return c.direct.Stop(ctx, host, command)
 }
 
 // Pace implements lease.HostClient.
 func (c *Client) Pace(ctx context.Context, host *pool.Host, command lease.PaceCommand) (lease.Reply, error) {
-	if node := c.nodeFor(host.ID); node != "" {
-		reply, err := c.callThrough(ctx, node, &Request{Host: *host, Pace: &command})
-		return reply.Reply, err
+	if r := c.route(host.ID); !r.isDirect() {
+		if reply, done, err := c.callOn(ctx, r, host, Request{Pace: &command}); done {
+			return reply.Reply, err
+		}
 	}
 	return c.direct.Pace(ctx, host, command)
 }
 
+// callOn makes the node of a route execute a request. It returns false if a delegate has not sent the
+// command, so that this node may.
+func (c *Client) callOn(ctx context.Context, r route, host *pool.Host, request Request) (lease.HeartbeatReply, bool, error) {
+	if r.node != "" {
+		request.Host = *host
+		reply, err := c.callThrough(ctx, r.node, &request)
+		return reply, true, err
+	}
+	begun := c.clock()
+	request.Host = addressOf(host)
+	reply, err := r.delegate.call(ctx, &request)
+	if err == nil || ctx.Err() != nil {
+		return reply, true, err
+	}
+	c.callDirectly(host.ID)
+	late := c.clock()-begun > maxTransit
+	return reply, late || !errors.Is(err, lease.ErrNotSent), err
+}
+
 // Heartbeat implements lease.HostClient. If a host doesn't answer directly, other nodes are asked
 // meanwhile, and it is called through the first that reaches it.
 func (c *Client) Heartbeat(ctx context.Context, host *pool.Host, heartbeat lease.Heartbeat) (lease.HeartbeatReply, error) {
-	if node := c.nodeFor(host.ID); node != "" {
+	switch r := c.route(host.ID); {
+	case r.node != "":
 		c.retryDirect(ctx, host, heartbeat.Token)
-		return c.heartbeatThrough(ctx, node, host, heartbeat)
+		return c.heartbeatThrough(ctx, r.node, host, heartbeat)
+	case r.delegate != nil:
+		reply, done, err := c.callOn(ctx, r, host, Request{Heartbeat: &heartbeat})
+		if err == nil {
+			c.recordAnswer(host.ID)
+		}
+		if done {
+			return reply, err
+		}
+		heartbeat.Wait, heartbeat.Acknowledged = 0, 0
 	}
 	sent := c.clock()
 	reply, err := c.heartbeatDirectly(ctx, host, heartbeat)
--- /dev/null
+++ b/relay/delegate.go
@@ -0,0 +1,253 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanpath/core"
+	"rattanpath/lease"
+)
+
+const (
+	// exchangeInterval is the time between two batches to a delegate, and between two replies
+	// from it while calls are frequent: one message for many calls costs little more than for one.
+	exchangeInterval = 20 * time.Millisecond
+	// exchangeTimeout is how long a delegate may take for a batch, in addition to the wait in it.
+	exchangeTimeout = time.Second
+	// maxBatchBytes is the size from which on further calls go into the next batch.
+	maxBatchBytes = 128 << 10
+	// maxDelegateIdle is how long a session is kept without calls.
+	maxDelegateIdle = 3 * time.Second
+)
+
+// delegate is another node that calls hosts for this one. It gets calls and returns results in
+// batches, in a session that ends with its first failure.
+type delegate struct {
+	client  *Client
+	nodes   Nodes
+	address string
+	session uint64
+	wake    chan struct{}
+
+	mu sync.Mutex
+	// open is set once the node has answered.
+	open bool
+	// queue holds the calls that are not sent yet, pending the calls without a result by number,
+	// and last the highest number.
+	queue   []Call
+	pending map[uint64]chan outcome
+	last    uint64
+	// usedAt is when the last call was queued or got its result. ended is set once the session
+	// has ended.
+	usedAt time.Time
+	ended  bool
+}
+
+func newDelegate(client *Client, nodes Nodes, address string, session uint64) *delegate {
+	return &delegate{
+		client: client, nodes: nodes, address: address, session: session,
+		wake: make(chan struct{}, 1), pending: make(map[uint64]chan outcome), usedAt: time.Now(),
+	}
+}
+
+// isOpen reports whether the node takes calls.
+func (d *delegate) isOpen() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open && !d.ended
+}
+
+// hasEnded reports whether the session has ended.
+func (d *delegate) hasEnded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ended
+}
+
+// call makes the node execute a request.
+func (d *delegate) call(ctx context.Context, request *Request) (lease.HeartbeatReply, error) {
+	number, done := d.enqueue(request)
+	if done == nil {
+		return lease.HeartbeatReply{}, errors.WithMessage(lease.ErrNotSent, "the session has ended")
+	}
+	select {
+	case o := <-done:
+		return o.reply, o.err
+	case <-ctx.Done():
+		d.forget(number)
+		return lease.HeartbeatReply{}, ctx.Err()
+	}
+}
+
+// enqueue queues a request. It returns the number of the call and a channel for its outcome, which
+// is nil if the session has ended.
+func (d *delegate) enqueue(request *Request) (uint64, <-chan outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ended {
+		return 0, nil
+	}
+	d.last++
+	done := make(chan outcome, 1)
+	d.pending[d.last] = done
+	d.queue = append(d.queue, Call{Number: d.last, Request: *request})
+	d.usedAt = time.Now()
+	signal(d.wake)
+	return d.last, done
+}
+
+// forget forgets a call that nobody waits for any more. It isn't sent if it has not been yet.
+func (d *delegate) forget(number uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.pending, number)
+}
+
+// run opens the session and sends batches until the session ends.
+func (d *delegate) run() {
+	if !d.exchange(&Batch{Session: d.session, First: true}) {
+		return
+	}
+	d.setOpen()
+	go d.loopCollect()
+	for d.awaitCalls() {
+		if batch := d.nextBatch(); len(batch.Calls) > 0 && !d.exchange(batch) {
+			return
+		}
+		_ = core.Sleep(context.Background(), exchangeInterval)
+	}
+}
+
+// loopCollect collects results until the session ends.
+func (d *delegate) loopCollect() {
+	for d.isOpen() {
+		if !d.exchange(&Batch{Session: d.session, Wait: maxExchangeWait}) {
+			return
+		}
+		_ = core.Sleep(context.Background(), exchangeInterval)
+	}
+}
+
+func (d *delegate) setOpen() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open = true
+}
+
+// awaitCalls waits until calls are queued. It returns false if the session has ended.
+func (d *delegate) awaitCalls() bool {
+	for {
+		select {
+		case <-d.wake:
+			return d.isOpen()
+		case <-time.After(maxDelegateIdle):
+			if d.endIfIdle() {
+				return false
+			}
+		}
+	}
+}
+
+// endIfIdle ends the session if it has not been used for maxDelegateIdle, and reports whether it has
+// ended.
+func (d *delegate) endIfIdle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.pending) == 0 && time.Since(d.usedAt) >= maxDelegateIdle {
+		d.ended = true
+	}
+	return d.ended
+}
+
+// nextBatch removes the next calls from the queue.
+func (d *delegate) nextBatch() *Batch {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	batch := &Batch{Session: d.session}
+	var size int64
+	for len(d.queue) > 0 && size < maxBatchBytes {
+		call := d.queue[0]
+		d.queue = d.queue[1:]
+		if d.pending[call.Number] == nil {
+			continue
+		}
+		batch.Calls = append(batch.Calls, call)
+		size += call.Request.HeldBytes()
+	}
+	if len(d.queue) == 0 {
+		d.queue = nil
+	} else {
+		signal(d.wake)
+	}
+	return batch
+}
+
+// exchange sends a batch and handles the results. It returns false once the session has ended.
+func (d *delegate) exchange(batch *Batch) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), batch.Wait+exchangeTimeout)
+	defer cancel()
+	// A late reply may still be decoded into the results.
+	results := &Results{}
+	batch.Deadline = d.client.deadline(d.address)
+	err := d.nodes.Exchange(ctx, d.address, batch, results)
+	switch {
+	case err != nil:
+		d.fail(batch, sendError(err))
+		return false
+	case results.Unknown:
+		d.fail(batch, errors.WithMessage(lease.ErrNotSent, "the node doesn't know the session"))
+		return false
+	}
+	d.client.observeClock(d.address, results.Clock)
+	if results.Busy {
+		d.client.avoidNode(d.address)
+	}
+	d.deliver(results.Results)
+	return true
+}
+
+// deliver passes results to those who wait for them.
+func (d *delegate) deliver(results []Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range results {
+		result := &results[i]
+		reply, err := result.Response.result()
+		d.end(result.Number, outcome{reply: reply, err: err})
+	}
+}
+
+// end passes the outcome of a call to whoever waits for it. d.mu must be held.
+func (d *delegate) end(number uint64, o outcome) {
+	done := d.pending[number]
+	if done == nil {
+		return
+	}
+	delete(d.pending, number)
+	done <- o
+	if o.err == nil {
+		d.client.delegated.Inc()
+	}
+}
+
+// fail ends the session after a failed exchange of a batch. What was not sent yet fails with
+// lease.ErrNotSent, the batch with err, and what was sent before as a call without a reply.
+func (d *delegate) fail(batch *Batch, err error) {
+	d.client.dropDelegate(d, err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
+	signal(d.wake)
+	for _, call := range d.queue {
+		d.end(call.Number, outcome{err: errors.WithMessage(lease.ErrNotSent, err.Error())})
+	}
+	for _, call := range batch.Calls {
+		d.end(call.Number, outcome{err: err})
+	}
+	for number := range d.pending {
+		d.end(number, outcome{err: noReplyError{err.Error()}})
+	}
+}
--- a/relay/path.go
+++ b/relay/path.go
@@ -21,6 +21,8 @@
 	lateAt time.Duration
 	// directAt is when a host that is called through a node was last called directly.
 	directAt time.Duration
+	// directUntil is until when the host isn't called through a delegate.
+	directUntil time.Time
 	// searching is set while other nodes are asked. next counts those that were asked in this
 	// round, and askedAt is when the last were, 0 if none was.
 	searching bool
@@ -63,6 +65,29 @@
 	}
 }
 
+// route is who calls a host: this node if nothing is set.
+type route struct {
+	// node is the address of the node that the host is called through because this one doesn't
+	// reach it.
+	node     string
+	delegate *delegate
+}
+
+// isDirect reports whether this node calls the host.
+func (r route) isDirect() bool { return r.node == "" && r.delegate == nil }
+
+// route counts a call to a host and returns who makes it.
+func (c *Client) route(host string) route {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.countCall()
+	p := c.paths[host]
+	if p != nil && p.node != "" {
+		return route{node: p.node}
+	}
+	return route{delegate: c.delegateFor(host, p)}
+}
+
 // nodeFor returns the address of the node that a host is called through, or "".
 func (c *Client) nodeFor(host string) string {
 	c.mu.Lock()
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -30,6 +30,11 @@
 	return p.link(address).Call(ctx, RPCName+".Send", request, response)
 }
 
+// Exchange implements Nodes.
+func (p *Peers) Exchange(ctx context.Context, address string, batch *Batch, results *Results) error {
+	return p.link(address).Call(ctx, RPCName+".Exchange", batch, results)
+}
+
 func (p *Peers) link(address string) *link.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/service.go
+++ b/relay/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 	"unsafe"
 
@@ -118,16 +119,29 @@
 	direct lease.HostClient
 	clock  core.Clock
 
+	// busy reports whether this node has too many calls of its own, nil if it never has. calls is
+	// the number of calls of sessions in progress.
+	busy  func() bool
+	calls atomic.Int64
+
 	mu           sync.Mutex
 	checkedAt    time.Duration
 	refusedUntil time.Duration
+	sessions     map[uint64]*session
 }
 
 // NewService returns a service that calls hosts directly. It refuses requests unless Run runs.
 func NewService(direct lease.HostClient, clock core.Clock) *Service {
-	return &Service{direct: direct, clock: clock}
+	return &Service{direct: direct, clock: clock, sessions: make(map[uint64]*session)}
 }
 
+// RefuseWhile makes the service refuse the batches of other nodes while busy returns true. It must be
+// called before the first one.
+func (s *Service) RefuseWhile(busy func() bool) { s.busy = busy }
+
+// isBusy reports whether batches are refused.
+func (s *Service) isBusy() bool { return s.busy != nil && s.busy() }
+
 // Run checks whether this node has been suspended, until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	s.mu.Lock()
@@ -155,20 +169,28 @@
 
 // Send executes a request. Its signature is the one that net/rpc requires.
 func (s *Service) Send(request *Request, response *Response) error {
+	if s.respond(request, response) {
+		response.Clock = s.clock()
+	}
+	return nil
+}
+
+// respond executes a request, unless it is refused. It reports whether this node was not suspended.
+func (s *Service) respond(request *Request, response *Response) bool {
 	if !s.check(false) {
 		response.Err, response.NotSent = "the node was suspended or is overloaded", true
-		return nil
+		return false
 	}
 	if s.isLate(request) {
-		response.Err, response.NotSent, response.Clock = "the request came too late", true, s.clock()
-		return nil
+		response.Err, response.NotSent = "the request came too late", true
+		return true
 	}
 	reply, err := s.execute(context.Background(), request)
-	response.Reply, response.Clock = reply, s.clock()
+	response.Reply = reply
 	if err != nil {
 		response.Err, response.NotSent, response.TimedOut = err.Error(), errors.Is(err, lease.ErrNotSent), isTimeout(err)
 	}
-	return nil
+	return true
 }
 
 // isLate reports whether a request has been on its way for too long. A host may have restarted
--- a/sched/onesided_test.go
+++ b/sched/onesided_test.go
@@ -25,6 +25,11 @@
 	return n[address].Send(request, response)
 }
 
+// Exchange implements relay.Nodes.
+func (n relayNodes) Exchange(_ context.Context, address string, batch *relay.Batch, results *relay.Results) error {
+	return n[address].Exchange(batch, results)
+}
+
 // useRelay lets all nodes call hosts through another node, whose client of the hosts it returns.
 func (tc *testCluster) useRelay() *fake.HostClient {
 	return tc.useRelayWith(func(nodes relay.Nodes) relay.Nodes { return nodes })
