sched: the pause after a pass doesn't count the time in which tasks were assigned

What callers saw: with calls spread over other nodes, tasks of a peak still waited 0.5 to 1.5 s for a host that was free: passes came once a second.

Cause: the pause is nine times the length of the pass, so that passes which find nothing take a tenth of the processor at most. A pass that assigns 2,500 tasks takes 100 ms and more on a small node, and paused as if it had been useless, though a shorter pause would not have made that work more: it only comes in smaller parts. Now only the time without assignments counts ninefold.

Failing before: TestAssigningTasksDelaysNoPass.

--- a/sched/passpause_test.go
+++ b/sched/passpause_test.go
@@ -26,3 +26,30 @@
 		t.Errorf("got %v without a run after the lock was held for 150ms, want at most 500ms", got)
 	}
 }
+
+// Guards against an owner that places tasks once a second while many wait, because it pauses for the
+// time in which a pass has assigned tasks as if the pass had been useless.
+func TestAssigningTasksDelaysNoPass(t *testing.T) {
+	for _, test := range []struct{ took, assigning, want time.Duration }{
+		{10 * time.Millisecond, 0, 90 * time.Millisecond},
+		{100 * time.Millisecond, 95 * time.Millisecond, 140 * time.Millisecond},
+		{100 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond},
+		{5 * time.Second, 0, time.Second},
+		{5 * time.Second, 5 * time.Second, time.Second},
+	} {
+		if got := schedulePause(test.took, test.assigning); got != test.want {
+			t.Errorf("got a pause of %v after a pass of %v that assigned tasks for %v, want %v", got, test.took, test.assigning, test.want)
+		}
+	}
+	c := busyCell(200, 200)
+	if got := c.schedule(time.Now()); got != 0 {
+		t.Errorf("got %v of a pass in which tasks were assigned while all hosts were full, want 0", got)
+	}
+	for _, h := range c.hosts {
+		clear(h.runs)
+	}
+	begun := time.Now()
+	if got, took := c.schedule(time.Now()), time.Since(begun); got < took/4 || got > took {
+		t.Errorf("got %v of a pass of %v in which tasks were assigned to empty hosts, want a quarter or more", got, took)
+	}
+}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -20,10 +20,23 @@
 	quota *quotaPass
 	// fair is nil unless organisations compete for the hosts.
 	fair *fairPass
+	// assigned counts the tasks that were assigned, and assigning is the time that jobs took of which
+	// some were.
+	assigned  int
+	assigning time.Duration
 }
 
-// placeJob assigns the waiting tasks of a job to hosts.
+// placeJob assigns the waiting tasks of a job to hosts, and measures the time if there are any.
 func (p *schedulePass) placeJob(e *jobEntry) {
+	begun, before := time.Now(), p.assigned
+	p.placeSteps(e)
+	if p.assigned > before {
+		p.assigning += time.Since(begun)
+	}
+}
+
+// placeSteps assigns the waiting tasks of a job's steps to hosts.
+func (p *schedulePass) placeSteps(e *jobEntry) {
 	for _, round := range e.job.Rounds {
 		for step := range round.Steps {
 			if e.job.Policy.Advice != nil && e.job.DependenciesStarted(round, step) {
@@ -139,6 +152,7 @@
 func (p *schedulePass) assign(e *jobEntry, round *tasks.Round, step, index int, target *place.Host) {
 	taskID := tasks.ID{Job: e.job.Key.ID, Round: round.Number, Step: step, Index: index}
 	p.cell.assign(e, taskID, target, p.now)
+	p.assigned++
 	resources := e.job.Step(taskID).RequiredResources()
 	p.quota.count(e.job.Policy.Organisation, resources)
 	p.fair.count(e, resources, p.quota != nil)
--- a/sched/schedule.go
+++ b/sched/schedule.go
@@ -11,10 +11,15 @@
 	"rattanpath/tasks"
 )
 
-// schedulePauseFactor is the pause after a scheduling pass as a multiple of its
-// duration. Without it, passes could use all of a node's CPU time while
-// more tasks wait than the hosts have capacity for.
-const schedulePauseFactor = 9
+const (
+	// schedulePauseFactor is the pause after a scheduling pass as a multiple of the time in which
+	// it assigned nothing. Without it, passes could use all of a node's CPU time while more tasks
+	// wait than the hosts have capacity for.
+	schedulePauseFactor = 9
+	// assignPauseFactor is the same for the time in which it assigned tasks. A longer pause would
+	// save nothing of that, and other work only has to get its turn.
+	assignPauseFactor = 1
+)
 
 // maxSchedulePause is the longest pause. A pass may have taken long because the process was suspended
 // or had no processor time, which says nothing of the next one.
@@ -30,26 +35,32 @@
 		}
 		c.mu.Lock()
 		start := time.Now()
-		c.schedule(start)
+		assigning := c.schedule(start)
 		took := time.Since(start)
 		c.activity.passes++
 		c.activity.passTime += took
 		c.mu.Unlock()
-		if core.Sleep(ctx, min(maxSchedulePause, schedulePauseFactor*took)) != nil {
+		if core.Sleep(ctx, schedulePause(took, assigning)) != nil {
 			return
 		}
 	}
 }
 
-// schedule starts due rounds and assigns waiting tasks to hosts. c.mu must be
-// held.
-func (c *Cell) schedule(now time.Time) {
+// schedulePause returns how long to pause after a pass that took some time, a part of which it
+// assigned tasks.
+func schedulePause(took, assigning time.Duration) time.Duration {
+	return min(maxSchedulePause, schedulePauseFactor*(took-assigning)+assignPauseFactor*assigning)
+}
+
+// schedule starts due rounds and assigns waiting tasks to hosts. It returns the time that it took to
+// assign tasks. c.mu must be held.
+func (c *Cell) schedule(now time.Time) time.Duration {
 	if c.storeUnavailable() || c.isLost() {
-		return
+		return 0
 	}
 	toPlace := c.jobsToPlace(now)
 	if len(toPlace) == 0 {
-		return
+		return 0
 	}
 	p := &schedulePass{cell: c, hosts: c.candidates(now), now: now, quota: c.newQuotaPass()}
 	sortByUrgency(toPlace, p.hosts, now.Before(c.recoveringUntil))
@@ -58,6 +69,7 @@
 	p.placeJobs(toPlace)
 	p.quota.end(p.hosts)
 	p.recordHeld()
+	return p.assigning
 }
 
 // isolatedTasks returns the requirements of the ready tasks that need isolation.
