relay: a delegate that is silent gets no more calls

A delegate that is suspended or out of reach failed its session only after a second, and got the calls of its hosts until then: new starts, and the second heartbeats that ask for a report. It now gets none once a batch has been on its way for 0.3 s; those calls are made directly.

Failing before: TestSilentDelegateGetsNoMoreCalls (no answer within 1.3 s, want one at once).

--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -17,6 +17,9 @@
 	exchangeInterval = 20 * time.Millisecond
 	// exchangeTimeout is how long a delegate may take for a batch, in addition to the wait in it.
 	exchangeTimeout = time.Second
+	// maxBatchTime is how long a batch may be on its way before the delegate gets no more calls
+	// until it has answered: it may be suspended or out of reach.
+	maxBatchTime = 300 * time.Millisecond
 	// maxBatchBytes is the size from which on further calls go into the next batch.
 	maxBatchBytes = 128 << 10
 	// maxDelegateIdle is how long a session is kept without calls.
@@ -33,8 +36,9 @@
 	wake    chan struct{}
 
 	mu sync.Mutex
-	// open is set once the node has answered.
-	open bool
+	// open is set once the node has answered, and sentAt while a batch of calls is on its way.
+	open   bool
+	sentAt time.Time
 	// queue holds the calls that are not sent yet, pending the calls without a result by number,
 	// and last the highest number.
 	queue   []Call
@@ -53,13 +57,21 @@
 	}
 }
 
-// isOpen reports whether the node takes calls.
+// isOpen reports whether the session is open.
 func (d *delegate) isOpen() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.open && !d.ended
 }
 
+// takesCalls reports whether the session is open and the node answers in time.
+func (d *delegate) takesCalls() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	answers := d.sentAt.IsZero() || time.Since(d.sentAt) < maxBatchTime
+	return d.open && !d.ended && answers
+}
+
 // hasEnded reports whether the session has ended.
 func (d *delegate) hasEnded() bool {
 	d.mu.Lock()
@@ -114,13 +126,26 @@
 	d.setOpen()
 	go d.loopCollect()
 	for d.awaitCalls() {
-		if batch := d.nextBatch(); len(batch.Calls) > 0 && !d.exchange(batch) {
+		if batch := d.nextBatch(); len(batch.Calls) > 0 && !d.send(batch) {
 			return
 		}
 		_ = core.Sleep(context.Background(), exchangeInterval)
 	}
 }
 
+// send sends a batch of calls. It returns false once the session has ended.
+func (d *delegate) send(batch *Batch) bool {
+	d.setSentAt(time.Now())
+	defer d.setSentAt(time.Time{})
+	return d.exchange(batch)
+}
+
+func (d *delegate) setSentAt(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sentAt = at
+}
+
 // loopCollect collects results until the session ends.
 func (d *delegate) loopCollect() {
 	for d.isOpen() {
--- a/relay/spread.go
+++ b/relay/spread.go
@@ -137,7 +137,7 @@
 		return nil
 	}
 	d := s.delegates[xxhash.Sum64String(host)%uint64(len(s.delegates))]
-	if !d.isOpen() {
+	if !d.takesCalls() {
 		return nil
 	}
 	return d
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -211,3 +211,20 @@
 		}
 	})
 }
+
+// Guards against calls that go on waiting for a delegate which is suspended or out of reach.
+func TestSilentDelegateGetsNoMoreCalls(t *testing.T) {
+	runRelayTest(t, 2, func(rt *relayTest) {
+		rt.spreadCalls()
+		nodes := &slowNodes{Nodes: rt.nodes}
+		rt.client.SetNodes(nodes)
+		rt.callFor(2*time.Second, manyCalls)
+		nodes.delay.Store(int64(800 * time.Millisecond))
+		go rt.heartbeat()
+		time.Sleep(maxBatchTime + 50*time.Millisecond)
+		begun := time.Now()
+		if answered := rt.heartbeat(); !answered || time.Since(begun) > 10*time.Millisecond {
+			t.Errorf("got an answer %t after %v while the delegate is silent, want one at once", answered, time.Since(begun))
+		}
+	})
+}
