--- a/sched/cell.go
+++ b/sched/cell.go
@@ -246,6 +246,8 @@
 	waitsLoggedAt time.Duration
 	overdueAt     time.Duration
 	reachAt       time.Duration
+	// removedAt is when ended jobs were last searched for ones to be deleted.
+	removedAt time.Time
 	// lowReachSince is the local time since which fewer than half of the hosts answer, 0 if
 	// more do.
 	lowReachSince time.Duration
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -194,8 +194,16 @@
 	}
 }
 
-// removeEnded deletes jobs that ended longer ago than the retention time.
+// removeInterval is the time between two searches for jobs to be deleted. Each looks at all jobs, of
+// which most have ended.
+const removeInterval = time.Second
+
+// removeEnded deletes jobs that ended longer ago than the retention time, if a search is due.
 func (c *Cell) removeEnded(now time.Time) {
+	if now.Sub(c.removedAt) < removeInterval {
+		return
+	}
+	c.removedAt = now
 	retention := c.options.JobRetention + retentionMargin
 	for key, e := range c.jobs {
 		if e.persistedPhase == tasks.Open || e.dirty || now.Sub(e.job.Ended) < retention || c.hasActiveTasks(e) {
--- a/sched/pass_test.go
+++ b/sched/pass_test.go
@@ -89,3 +89,20 @@
 	}
 	return c
 }
+
+// Guards against a walk over all jobs of the last minutes at each tick.
+func TestEndedJobsAreSearchedOnceASecond(t *testing.T) {
+	c, now := busyCell(0, 1), time.Now()
+	c.removeEnded(now)
+	for _, e := range c.jobs {
+		e.persistedPhase, e.dirty, e.job.Ended = tasks.Completed, false, now.Add(-time.Hour)
+	}
+	c.removeEnded(now.Add(tickInterval))
+	if got := len(c.jobs); got != 1 {
+		t.Errorf("got %d jobs one tick after the last search, want 1", got)
+	}
+	c.removeEnded(now.Add(removeInterval))
+	if got := len(c.jobs); got != 0 {
+		t.Errorf("got %d jobs a second after the last search, want none", got)
+	}
+}
