relay: a burst of calls is spread at once

Calls are now spread as soon as there are as many as the node makes in an interval, and wait for a session that begins, 0.3 s at most; then they are made directly.

Failing before: TestBurstOfCallsIsSpread (all 1,000 calls made by the node itself).

--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -15,11 +15,14 @@
 	// exchangeInterval is the time between two batches to a delegate, and between two replies
 	// from it while calls are frequent: one message for many calls costs little more than for one.
 	exchangeInterval = 10 * time.Millisecond
-	// exchangeTimeout is how long a delegate may take for a batch, in addition to the wait in it.
+	// exchangeTimeout is how long a delegate may take for a batch at most.
 	exchangeTimeout = time.Second
 	// maxBatchTime is how long a batch may be on its way before the delegate gets no more calls
 	// until it has answered: it may be suspended or out of reach.
 	maxBatchTime = 300 * time.Millisecond
+	// openTimeout is how long a session may take to begin. Calls wait for it meanwhile, and are made
+	// directly if it fails.
+	openTimeout = 300 * time.Millisecond
 	// maxBatchBytes is the size from which on further calls go into the next batch.
 	maxBatchBytes = 128 << 10
 	// maxDelegateIdle is how long a session is kept without calls.
@@ -64,12 +67,12 @@
 	return d.open && !d.ended
 }
 
-// takesCalls reports whether the session is open and the node answers in time.
+// takesCalls reports whether the session is open or begins, and the node answers in time.
 func (d *delegate) takesCalls() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	answers := d.sentAt.IsZero() || time.Since(d.sentAt) < maxBatchTime
-	return d.open && !d.ended && answers
+	return !d.ended && answers
 }
 
 // hasEnded reports whether the session has ended.
@@ -120,7 +123,7 @@
 
 // run opens the session and sends batches until the session ends.
 func (d *delegate) run() {
-	if !d.exchange(&Batch{Session: d.session, First: true}) {
+	if !d.exchange(&Batch{Session: d.session, First: true}, openTimeout) {
 		return
 	}
 	d.setOpen()
@@ -137,7 +140,7 @@
 func (d *delegate) send(batch *Batch) bool {
 	d.setSentAt(time.Now())
 	defer d.setSentAt(time.Time{})
-	return d.exchange(batch)
+	return d.exchange(batch, exchangeTimeout)
 }
 
 func (d *delegate) setSentAt(at time.Time) {
@@ -149,7 +152,7 @@
 // loopCollect collects results until the session ends.
 func (d *delegate) loopCollect() {
 	for d.isOpen() {
-		if !d.exchange(&Batch{Session: d.session, Wait: maxExchangeWait}) {
+		if !d.exchange(&Batch{Session: d.session, Wait: maxExchangeWait}, exchangeTimeout) {
 			return
 		}
 		_ = core.Sleep(context.Background(), exchangeInterval)
@@ -210,9 +213,10 @@
 	return batch
 }
 
-// exchange sends a batch and handles the results. It returns false once the session has ended.
-func (d *delegate) exchange(batch *Batch) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), batch.Wait+exchangeTimeout)
+// exchange sends a batch and handles the results, for which the node has some time in addition to the
+// wait in the batch. It returns false once the session has ended.
+func (d *delegate) exchange(batch *Batch, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), batch.Wait+timeout)
 	defer cancel()
 	// A late reply may still be decoded into the results.
 	results := &Results{}
--- a/relay/spread.go
+++ b/relay/spread.go
@@ -65,15 +65,16 @@
 	c.updateSpread(time.Now())
 }
 
-// updateSpread decides at the end of each interval whether calls are spread, and over which nodes.
-// c.mu must be held.
+// updateSpread decides whether calls are spread, and over which nodes: at the end of each interval, and
+// once there are as many calls in one as this node makes in it. c.mu must be held.
 func (c *Client) updateSpread(now time.Time) {
 	s := &c.spread
 	elapsed := now.Sub(s.begun)
-	if elapsed < loadInterval {
+	tooMany := s.limit > 0 && float64(s.calls) > s.limit*loadInterval.Seconds()
+	if elapsed < loadInterval && (s.active || !tooMany) {
 		return
 	}
-	rate := float64(s.calls) / elapsed.Seconds()
+	rate := float64(s.calls) / max(elapsed, loadInterval).Seconds()
 	s.calls, s.begun = 0, now
 	if rate > s.limit && s.limit > 0 {
 		s.highAt = now
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -24,12 +24,12 @@
 // countedHosts counts the calls that a node makes itself.
 type countedHosts struct {
 	lease.HostClient
-	calls int
+	calls atomic.Int64
 }
 
 // Heartbeat implements lease.HostClient.
 func (h *countedHosts) Heartbeat(ctx context.Context, host *pool.Host, heartbeat lease.Heartbeat) (lease.HeartbeatReply, error) {
-	h.calls++
+	h.calls.Add(1)
 	return h.HostClient.Heartbeat(ctx, host, heartbeat)
 }
 
@@ -64,12 +64,12 @@
 			min, most float64
 		}{{spreadLimit / 2, 0.99, 1}, {manyCalls, 0, 0.1}, {spreadLimit / 2, 0.99, 1}} {
 			rt.callFor(minSpreadTime+time.Second, test.rate)
-			direct.calls = 0
+			direct.calls.Store(0)
 			begun := time.Now()
 			if failed := rt.callFor(5*time.Second, test.rate); failed > 0 {
 				t.Errorf("got %d calls without an answer at %d a second, want none", failed, test.rate)
 			}
-			made := float64(direct.calls) / (time.Since(begun).Seconds() * float64(test.rate))
+			made := float64(direct.calls.Load()) / (time.Since(begun).Seconds() * float64(test.rate))
 			if made < test.min-0.2 || made > test.most+0.2 {
 				t.Errorf("got a share of %.2f that the node made itself at %d calls a second, want %.2f to %.2f", made, test.rate, test.min, test.most)
 			}
@@ -228,3 +228,54 @@
 		}
 	})
 }
+
+// burst sends as many heartbeats at once and returns how many were not answered.
+func (rt *relayTest) burst(count int) int {
+	answers := make(chan bool, count)
+	for range count {
+		go func() { answers <- rt.heartbeat() }()
+	}
+	failed := 0
+	for range count {
+		if !<-answers {
+			failed++
+		}
+	}
+	return failed
+}
+
+// Guards against a node that takes a busy service over and calls all its hosts itself at first, each
+// over a new connection, because it has not counted calls yet.
+func TestBurstOfCallsIsSpread(t *testing.T) {
+	runRelayTest(t, 6, func(rt *relayTest) {
+		direct := rt.spreadCalls()
+		const calls = 50 * spreadLimit
+		if failed := rt.burst(calls); failed > 0 {
+			t.Errorf("got %d of %d calls without an answer, want none", failed, calls)
+		}
+		if got := direct.calls.Load(); got > calls/20 {
+			t.Errorf("got %d of %d calls at once that the node made itself, want at most a twentieth", got, calls)
+		}
+	})
+}
+
+// Guards against hosts that count as silent because nodes that have just gone are chosen as delegates, as
+// after a loss of many nodes.
+func TestSessionsThatDoNotBeginFailNoCall(t *testing.T) {
+	runRelayTest(t, 6, func(rt *relayTest) {
+		rt.spreadCalls()
+		rt.client.SetNodes(unreachableNodes{rt.nodes})
+		if failed := rt.burst(50 * spreadLimit); failed > 0 {
+			t.Errorf("got %d calls without an answer while no delegate answers, want none", failed)
+		}
+	})
+}
+
+// unreachableNodes are nodes that don't answer batches.
+type unreachableNodes struct{ Nodes }
+
+// Exchange implements Nodes.
+func (unreachableNodes) Exchange(ctx context.Context, _ string, _ *Batch, _ *Results) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
