--- a/sched/chaos_test.go
+++ b/sched/chaos_test.go
@@ -41,7 +41,7 @@
 				if *chaosLog {
 					tc.logOutput = os.Stdout
 				}
-				(&chaos{testCluster: tc, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), capacities: rand.New(rand.NewPCG(seed, math.MaxUint64))}).run()
+				newChaos(tc, seed).run()
 			})
 		})
 	}
@@ -84,6 +84,10 @@
 	chaosNodes = 3
 )
 
+func newChaos(tc *testCluster, seed uint64) *chaos {
+	return &chaos{testCluster: tc, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), capacities: rand.New(rand.NewPCG(seed, math.MaxUint64))}
+}
+
 func (c *chaos) run() {
 	c.profileOf = func(taskID tasks.ID, run int) fake.RunProfile {
 		c.started.Store(taskID.Job, true)
--- a/sched/spreadchaos_test.go
+++ b/sched/spreadchaos_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"os"
 	"sync"
@@ -175,7 +174,7 @@
 				if *chaosLog {
 					tc.logOutput = os.Stdout
 				}
-				c := &chaos{testCluster: tc, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), capacities: rand.New(rand.NewPCG(seed, math.MaxUint64))}
+				c := newChaos(tc, seed)
 				var mu sync.Mutex
 				draw := c.latency(rand.New(rand.NewPCG(seed, 7)))
 				nodes := tc.useFaultyNodes(4, func(host string, command any) fake.Latency {
