--- a/relay/spread.go
+++ b/relay/spread.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -70,13 +71,13 @@
 func (c *Client) updateSpread(now time.Time) {
 	s := &c.spread
 	elapsed := now.Sub(s.begun)
-	tooMany := s.limit > 0 && float64(s.calls) > s.limit*loadInterval.Seconds()
+	tooMany := float64(s.calls) > s.limit*loadInterval.Seconds()
 	if elapsed < loadInterval && (s.active || !tooMany) {
 		return
 	}
 	rate := float64(s.calls) / max(elapsed, loadInterval).Seconds()
 	s.calls, s.begun = 0, now
-	if rate > s.limit && s.limit > 0 {
+	if rate > s.limit {
 		s.highAt = now
 	}
 	active := !s.highAt.IsZero() && now.Sub(s.highAt) < minSpreadTime
@@ -99,7 +100,7 @@
 		return
 	}
 	nodes := slices.DeleteFunc(c.nodes.Others(), func(address string) bool { return now.Before(s.avoided[address]) })
-	slices.SortFunc(nodes, func(a, b string) int { return compareRank(s.rank(a), s.rank(b)) })
+	slices.SortFunc(nodes, func(a, b string) int { return cmp.Compare(s.rank(a), s.rank(b)) })
 	count := max(minDelegates, len(s.delegates), int(rate/s.limit)+1)
 	nodes = nodes[:min(count, len(nodes))]
 	known := make(map[string]*delegate)
@@ -120,13 +121,6 @@
 // rank returns the place of a node in the order in which this one chooses delegates.
 func (s *spread) rank(address string) uint64 { return xxhash.Sum64String(address) ^ s.seed }
 
-func compareRank(a, b uint64) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 // delegateFor returns the delegate that calls a host with a path, which may be nil, or nil if this
 // node calls it. c.mu must be held.
 func (c *Client) delegateFor(host string, p *path) *delegate {
