--- a/relay/session.go
+++ b/relay/session.go
@@ -64,10 +64,7 @@
 
 // begin begins a call, unless this node has too many.
 func (s *session) begin(call *Call, deadline time.Duration, busy bool) {
-	if busy || s.service.calls.Add(1) > maxCalls {
-		if !busy {
-			s.service.calls.Add(-1)
-		}
+	if busy || !s.service.reserveCall() {
 		s.add(Result{call.Number, Response{Err: "the node has too much work of its own", NotSent: true}})
 		return
 	}
@@ -75,6 +72,15 @@
 	go (&sessionCall{session: s, call: call}).run()
 }
 
+// reserveCall counts a call in progress, and returns false if there are as many as there may be.
+func (s *Service) reserveCall() bool {
+	if s.calls.Add(1) <= maxCalls {
+		return true
+	}
+	s.calls.Add(-1)
+	return false
+}
+
 // sessionCall is a call in progress.
 type sessionCall struct {
 	session *session
