relay: heartbeats and stops go before the start commands in a batch

Found by reading the change: calls waited for a delegate in the order in which they were made, so that with long specs heartbeats, which renew leases, and stops could wait behind a peak's start commands for several batches. Failing before: TestHeartbeatsGoBeforeStarts (a start command first).

--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,9 +43,10 @@
 	// open is set once the node has answered, and sentAt while a batch of calls is on its way.
 	open   bool
 	sentAt time.Time
-	// queue holds the calls that are not sent yet, pending the calls without a result by number,
-	// and last the highest number.
-	queue   []Call
+	// starts holds the start commands that are not sent yet, and urgent the other calls, which go
+	// first. pending holds the calls without a result by number, and last is the highest number.
+	starts  []Call
+	urgent  []Call
 	pending map[uint64]chan outcome
 	last    uint64
 	// usedAt is when the last call was queued or got its result. ended is set once the session
@@ -108,7 +110,12 @@
 	d.last++
 	done := make(chan outcome, 1)
 	d.pending[d.last] = done
-	d.queue = append(d.queue, Call{Number: d.last, Request: *request})
+	call := Call{Number: d.last, Request: *request}
+	if request.Start != nil {
+		d.starts = append(d.starts, call)
+	} else {
+		d.urgent = append(d.urgent, call)
+	}
 	d.usedAt = time.Now()
 	signal(d.wake)
 	return d.last, done
@@ -190,29 +197,34 @@
 	return d.ended
 }
 
-// nextBatch removes the next calls from the queue.
+// nextBatch removes the next calls from the queues.
 func (d *delegate) nextBatch() *Batch {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	batch := &Batch{Session: d.session}
-	var size int64
-	for len(d.queue) > 0 && size < maxBatchBytes {
-		call := d.queue[0]
-		d.queue = d.queue[1:]
-		if d.pending[call.Number] == nil {
-			continue
-		}
-		batch.Calls = append(batch.Calls, call)
-		size += call.Request.HeldBytes()
-	}
-	if len(d.queue) == 0 {
-		d.queue = nil
-	} else {
+	d.urgent = d.addCalls(batch, d.urgent)
+	d.starts = d.addCalls(batch, d.starts)
+	if len(d.urgent)+len(d.starts) > 0 {
 		signal(d.wake)
 	}
 	return batch
 }
 
+// addCalls adds calls of a queue to a batch while it is small, and returns the rest. d.mu must be held.
+func (d *delegate) addCalls(batch *Batch, queue []Call) []Call {
+	size := batch.HeldBytes()
+	for i, call := range queue {
+		if size >= maxBatchBytes {
+			return queue[i:]
+		}
+		if d.pending[call.Number] != nil {
+			batch.Calls = append(batch.Calls, call)
+			size += call.Request.HeldBytes()
+		}
+	}
+	return nil
+}
+
 // exchange sends a batch and handles the results, for which the node has some time in addition to the
 // wait in the batch. It returns false once the session has ended.
 func (d *delegate) exchange(batch *Batch, timeout time.Duration) bool {
@@ -270,7 +282,7 @@
 	defer d.mu.Unlock()
 	d.ended = true
 	signal(d.wake)
-	for _, call := range d.queue {
+	for _, call := range slices.Concat(d.urgent, d.starts) {
 		d.end(call.Number, outcome{err: errors.WithMessage(lease.ErrNotSent, err.Error())})
 	}
 	for _, call := range batch.Calls {
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -279,3 +280,29 @@
 	<-ctx.Done()
 	return ctx.Err()
 }
+
+// Guards against leases that aren't renewed because heartbeats wait behind the start commands of a peak.
+func TestHeartbeatsGoBeforeStarts(t *testing.T) {
+	d := newDelegate(nil, nil, "", 1)
+	const starts = 100
+	for run := range starts {
+		d.enqueue(&Request{Start: &lease.StartCommand{Run: run, Spec: strings.Repeat("x", 4000)}})
+	}
+	d.enqueue(&Request{Stop: &lease.StopCommand{}})
+	d.enqueue(&Request{Heartbeat: &lease.Heartbeat{}})
+	first := d.nextBatch().Calls
+	if first[0].Request.Stop == nil || first[1].Request.Heartbeat == nil {
+		t.Errorf("got %+v and %+v first, want the stop command and the heartbeat", first[0].Request, first[1].Request)
+	}
+	sent := len(first) - 2
+	if sent >= starts {
+		t.Errorf("got %d start commands of 4 KB in a batch, want fewer", sent)
+	}
+	for sent < starts {
+		batch := d.nextBatch()
+		if len(batch.Calls) == 0 || batch.Calls[0].Request.Start.Run != sent {
+			t.Fatalf("got a batch of %d calls after %d start commands, want the next ones in their order", len(batch.Calls), sent)
+		}
+		sent += len(batch.Calls)
+	}
+}
