review: a start goes to an idle worker's new life by its former capacity (case 9)

An idle worker isn't called, so its crash isn't noticed, and a start that finds no connection leaves it usable after a second. If it is back by then with less capacity, it gets the task before its new record is read.

--- a/review/standin2/kind.go
+++ b/review/standin2/kind.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return "", err
 	}
-	for i := range 3 {
+	for i := range 7 {
 		if _, err := w.AddWorker(fmt.Sprintf("i-%d", i+1), "svc-a", plain); err != nil {
 			return "", err
 		}
@@ -69,7 +69,7 @@
 	time.Sleep(8 * time.Second)
 	for _, s := range append(w.StartsOf(id), w.StartsOf(first)...) {
 		if !contains(s.kind.Labels, "gold") {
-			return fmt.Sprintf("ROUTE: %s run %d, which requires the label gold, was started on %s, life %d, with the labels %v", s.task, s.run, s.worker.id, s.life, s.kind.Labels), nil
+			return fmt.Sprintf("ROUTE: %s run %d, which requires the label gold, was started on %s, life %d, with the labels %v", s.task, s.run.number, s.worker.id, s.life, s.kind.Labels), nil
 		}
 	}
 	return "", nil
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -66,8 +66,13 @@
 	// length is 0 for a task that lasts.
 	length   time.Duration
 	stopping bool
+	// ended is when the run ended, zero if it is on.
+	ended time.Time
 }
 
+// isOn reports whether the run was on at a time after its start.
+func (r *run) isOn(at time.Time) bool { return r.ended.IsZero() || r.ended.After(at) }
+
 type end struct {
 	n    int64
 	task string
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -42,7 +42,7 @@
 	life   int
 	kind   Kind
 	task   string
-	run    int
+	run    *run
 }
 
 func newWorld(folder string) (*World, error) {
@@ -72,12 +72,13 @@
 
 func (w *World) started(worker *Worker, r *run) {
 	w.mu.Lock()
-	w.starts = append(w.starts, startOf{time.Now(), worker, worker.life, worker.kind, r.task, r.number})
+	w.starts = append(w.starts, startOf{time.Now(), worker, worker.life, worker.kind, r.task, r})
 	w.mu.Unlock()
 	w.log("worker %s life %d starts %s run %d", worker.id, worker.life, r.task, r.number)
 }
 
 func (w *World) ran(worker *Worker, r *run, how string) {
+	r.ended = time.Now()
 	w.log("worker %s life %d: %s run %d ends %s", worker.id, worker.life, r.task, r.number, how)
 }
 
