--- a/review/standin2/cancel.go
+++ b/review/standin2/cancel.go
@@ -51,6 +51,8 @@
 		if victim == client {
 			client = w.nodes[1]
 		}
+		// Just after a renewal of its membership the others take over latest.
+		Await(5*time.Second, func() bool { return w.store.SinceJoin(victim.name+"@") < 40*time.Millisecond })
 		victim.Kill()
 		time.AfterFunc(3500*time.Millisecond, func() { _ = victim.Start() })
 	}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -142,6 +143,21 @@
 	return s.lastWriter[name]
 }
 
+// SinceJoin returns how long ago a machine last renewed its membership of a group.
+func (s *Store) SinceJoin(machine string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := time.Hour
+	for _, g := range s.groups {
+		for name, m := range g.members {
+			if strings.HasPrefix(name, machine) {
+				since = min(since, time.Since(m.seen))
+			}
+		}
+	}
+	return since
+}
+
 // Handler serves the calls of one machine.
 func (s *Store) Handler(machine string) http.Handler {
 	mux := http.NewServeMux()
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -106,6 +106,7 @@
 	w.beats = cancel
 	w.mu.Unlock()
 	w.world.log("worker %s life %d begins: %d cpu, labels %v", w.id, life, kind.CPU, kind.Labels)
+	w.world.cloud.Note(w, true, kind)
 	go func() { _ = server.Serve(listener) }()
 	go w.beat(ctx)
 	go w.tick(ctx)
@@ -123,7 +124,9 @@
 	}
 	w.runs = map[string]*run{}
 	w.mu.Unlock()
+	kind := w.kind
 	_ = server.Close()
+	w.world.cloud.Note(w, false, kind)
 	w.world.log("worker %s crashes", w.id)
 }
 
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -279,6 +279,21 @@
 	c.machines = append(c.machines, &machine{name: name, pool: pool, state: "up", worker: worker, kind: kind})
 }
 
+// Note records that the worker of a machine has crashed or begun a new life.
+func (c *Cloud) Note(worker *Worker, up bool, kind Kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.machines {
+		switch {
+		case m.worker != worker:
+		case up:
+			m.state, m.kind = "up", kind
+		default:
+			m.state = "down"
+		}
+	}
+}
+
 // Handler serves the calls of one machine of the system.
 func (c *Cloud) Handler(string) http.Handler {
 	mux := http.NewServeMux()
@@ -288,7 +303,7 @@
 		list := []map[string]any{}
 		for _, m := range c.machines {
 			id := ""
-			if m.worker != nil {
+			if m.worker != nil && m.state == "up" {
 				id = m.worker.id
 			}
 			list = append(list, map[string]any{
