intake: a cancel is answered with 410 only if no service has the job

A job whose queue had moved to another service, cancelled just after the node had lost power that ran the new service's cell, was answered 410 and ran on for good.

Cause: (*exchange).cancel looked for the job at other services only if the status call to the current one said that it had none. After any other failure it sent the cancel there nevertheless; the next owner recorded it in advance and answered that it knew no such job.

Change: unless the current service has the job, all others are asked first. If some can't be asked, the current service is told to cancel the job only if it has it (MustExist), and the caller gets 503 or 504 in place of 410. The same cause on related paths: a cancellation in advance at one service hid the job of another from GET and DELETE, services on standby that had not listed their queues were not asked, and explain did the same.

--- a/intake/earlier.go
+++ b/intake/earlier.go
@@ -8,12 +8,12 @@
 )
 
 // otherServices returns all services except the queue's current one, and except those on
-// standby that are not known to hold jobs of the queue.
+// standby that can't hold jobs of the queue.
 func (x *exchange) otherServices() []string {
 	var others []string
-	previous := x.history.previous(x.queue.Key())
+	holders := x.jobServices()
 	for _, service := range x.config.Services {
-		if service.Name != x.queue.Policy.Service && (!service.Standby || slices.Contains(previous, service.Name)) {
+		if service.Name != x.queue.Policy.Service && (!service.Standby || slices.Contains(holders, service.Name)) {
 			others = append(others, service.Name)
 		}
 	}
@@ -40,39 +40,80 @@
 	return slices.DeleteFunc(x.otherServices(), func(service string) bool { return slices.Contains(asked, service) })
 }
 
+// search is the result of looking for a job at several services.
+type search struct {
+	// service is the one that has the job, empty if none is known to have it.
+	service string
+	// preCancelled is whether the job was cancelled at one of the services before it was submitted.
+	preCancelled bool
+	// response is that of the service. If there is none, its outcome is UnknownJob, or another
+	// failure if some service could not be queried.
+	response owner.Response
+}
+
+// isComplete reports whether the search needn't go on for a job that is about to be submitted.
+func (s *search) isComplete() bool {
+	return s.service != "" || s.preCancelled || s.response.Outcome != owner.UnknownJob
+}
+
+// merge adds the result of looking at further services, unless the job was found before.
+func (s *search) merge(further search) {
+	s.preCancelled = s.preCancelled || further.preCancelled
+	if s.service == "" && (further.service != "" || s.response.Outcome == owner.UnknownJob) {
+		s.service, s.response = further.service, further.response
+	}
+}
+
 // findEarlier looks for a job that is about to be submitted, or cancelled in advance, at the services
 // that may have accepted it before, and makes them take no more jobs of the queue from nodes that
 // don't know yet that it has moved. Of those that have not listed their queues yet, the first that
 // doesn't answer is enough to refuse the job.
-func (x *exchange) findEarlier() (string, owner.Response) {
+func (x *exchange) findEarlier() search {
 	movedIn := x.history.lastMove(x.queue.Key())
-	service, response := x.findJob(x.history.previous(x.queue.Key()), movedIn)
+	found := x.findJob(x.history.previous(x.queue.Key()), movedIn)
 	for _, other := range x.history.unsettledServices(x.queue.Policy.Service) {
-		if service != "" || response.Outcome != owner.UnknownJob {
+		if found.isComplete() {
 			break
 		}
-		service, response = x.findJob([]string{other}, movedIn)
+		found.merge(x.findJob([]string{other}, movedIn))
+	}
+	return found
+}
+
+// findElsewhere looks for a job that is about to be cancelled at all services but the queue's current
+// one. Services that may have accepted it take no more jobs of the queue, as with findEarlier.
+func (x *exchange) findElsewhere() search {
+	movedIn := x.history.lastMove(x.queue.Key())
+	current := x.queue.Policy.Service
+	holders := slices.DeleteFunc(x.jobServices(), func(service string) bool { return service == current })
+	for _, service := range x.history.previous(x.queue.Key()) {
+		if !slices.Contains(holders, service) {
+			holders = append(holders, service)
+		}
+	}
+	found := x.findJob(holders, movedIn)
+	if found.service == "" {
+		found.merge(x.findJob(x.servicesWithoutJobs(), 0))
 	}
-	return service, response
+	return found
 }
 
-// findJob looks for the job at the given services and returns the one that has it, or
-// where it was cancelled before it was submitted, with outcome UnknownJob. If none has, the
-// outcome is UnknownJob, or another failure if some service could not be queried. For movedIn see
-// owner.Request.
-func (x *exchange) findJob(services []string, movedIn int64) (string, owner.Response) {
-	last := owner.Response{Outcome: owner.UnknownJob}
+// findJob looks for the job at the given services, until one has it. For movedIn see owner.Request.
+func (x *exchange) findJob(services []string, movedIn int64) search {
+	found := search{response: owner.Response{Outcome: owner.UnknownJob}}
 	for _, service := range services {
 		request := x.ownerRequest(service, tasks.Plan{})
 		request.MovedIn = movedIn
 		response := x.call(owner.MethodStatus, request)
 		switch {
-		case response.Outcome == owner.Done, response.Status.PreCancelled:
-			return service, response
+		case response.Outcome == owner.Done:
+			found.service, found.response = service, response
+			return found
 		case response.Outcome == owner.UnknownJob:
+			found.preCancelled = found.preCancelled || response.Status.PreCancelled
 		default:
-			last = response
+			found.response = response
 		}
 	}
-	return "", last
+	return found
 }
--- a/intake/explain.go
+++ b/intake/explain.go
@@ -108,13 +108,27 @@
 		x.view.Asked = x.jobServices()
 		x.respond(http.StatusOK, "the sum of what these services hold")
 	default:
-		for _, services := range [][]string{{x.queue.Policy.Service}, x.otherServices()} {
-			if found, ok := x.findPreview(ctx, services); found || !ok {
-				return
-			}
-		}
-		x.respond(failure(owner.UnknownJob, x.request.Method))
+		x.explainQuery(ctx, requested)
+	}
+}
+
+// explainQuery follows the steps of exchange.getStatus and exchange.cancel.
+func (x *explainer) explainQuery(ctx context.Context, requested operation) {
+	found, ok := x.findPreview(ctx, []string{x.queue.Policy.Service})
+	undecided := x.view.Status == http.StatusServiceUnavailable || x.view.Status == http.StatusGatewayTimeout
+	if found || !ok && !(undecided && requested == cancelOperation) {
+		return
+	}
+	current := x.view
+	if found, others := x.findPreview(ctx, x.otherServices()); found || !others {
+		return
+	}
+	if !ok {
+		x.respond(current.Status, current.Reason)
+		x.view.RetryAfter, x.view.Placement = current.RetryAfter, current.Placement
+		return
 	}
+	x.respond(failure(owner.UnknownJob, x.request.Method))
 }
 
 // explainSubmit follows the steps of exchange.submit.
@@ -192,8 +206,9 @@
 			ok = false
 		case response.Outcome == owner.Done, preCancelled && x.request.Method == http.MethodPost:
 			x.respond(http.StatusOK, describeSubmitted(response.Preview))
+			x.view.RetryAfter = 0
 			return true, true
-		case response.Outcome == owner.UnknownJob && !preCancelled:
+		case response.Outcome == owner.UnknownJob:
 			x.view.Placement = nil
 		default:
 			x.respondTo(response)
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -241,13 +241,13 @@
 	if !ok {
 		return
 	}
-	switch service, response := x.findEarlier(); {
-	case service != "":
+	switch earlier := x.findEarlier(); {
+	case earlier.service != "", earlier.preCancelled:
 		// The job exists, or must not start because it was cancelled in advance.
 		x.writeAck(owner.Response{Outcome: owner.Done})
 		return
-	case response.Outcome != owner.UnknownJob:
-		x.writeAck(response)
+	case earlier.response.Outcome != owner.UnknownJob:
+		x.writeAck(earlier.response)
 		return
 	}
 	x.writeAck(x.submitPlan(plan))
@@ -265,7 +265,7 @@
 func (x *exchange) getStatus() {
 	response := x.callOwner(owner.MethodStatus, tasks.Plan{})
 	if response.Outcome == owner.UnknownJob {
-		_, response = x.findJob(x.otherServices(), 0)
+		response = x.findJob(x.otherServices(), 0).response
 	}
 	if response.Outcome != owner.Done {
 		x.writeFailure(response.Outcome)
@@ -275,27 +275,49 @@
 	x.writeEncoded(body, err)
 }
 
+// cancel cancels the job where it is. That no such job exists is final for the caller, so it is
+// answered only if no service has the job.
 func (x *exchange) cancel() {
-	service := x.queue.Policy.Service
-	if x.callOwner(owner.MethodStatus, tasks.Plan{}).Outcome == owner.UnknownJob {
-		other, response := x.findEarlier()
-		if other == "" && response.Outcome == owner.UnknownJob {
-			other, response = x.findJob(x.servicesWithoutJobs(), 0)
-		}
-		switch {
-		case other != "":
-			service = other
-		case response.Outcome != owner.UnknownJob:
-			x.writeFailure(response.Outcome)
-			return
-		}
-	}
-	response := x.callService(service, owner.MethodCancel, tasks.Plan{})
-	if response.Outcome == owner.Done {
-		x.writeJSON(http.StatusOK, []byte("{}"))
+	current := x.queue.Policy.Service
+	status := x.callOwner(owner.MethodStatus, tasks.Plan{})
+	if isDecided(status.Outcome) {
+		x.writeAck(x.callService(current, owner.MethodCancel, tasks.Plan{}))
 		return
 	}
-	x.writeFailure(response.Outcome)
+	elsewhere := x.findElsewhere()
+	switch {
+	case elsewhere.service != "":
+		x.writeAck(x.callService(elsewhere.service, owner.MethodCancel, tasks.Plan{}))
+	case elsewhere.response.Outcome == owner.UnknownJob:
+		x.writeAck(x.callService(current, owner.MethodCancel, tasks.Plan{}))
+	case status.Outcome == owner.UnknownJob:
+		x.writeAck(elsewhere.response)
+	default:
+		x.writeAck(x.cancelExisting(current, elsewhere.response))
+	}
+}
+
+// isDecided reports whether the outcome of a status call to the queue's current service means that no
+// other service has to be asked.
+func isDecided(outcome owner.Outcome) bool {
+	switch outcome {
+	case owner.Done, owner.IDConflict, owner.Unauthorised, owner.Forbidden:
+		return true
+	default:
+		return false
+	}
+}
+
+// cancelExisting cancels the job at a service if that has it. If it doesn't, the response is that
+// of another service which may have it.
+func (x *exchange) cancelExisting(service string, other owner.Response) owner.Response {
+	request := x.ownerRequest(service, tasks.Plan{})
+	request.MustExist = true
+	response := x.call(owner.MethodCancel, request)
+	if response.Outcome == owner.UnknownJob {
+		return other
+	}
+	return response
 }
 
 func (x *exchange) getPending() {
--- a/owner/rpc.go
+++ b/owner/rpc.go
@@ -80,6 +80,9 @@
 	// another service: the version of the configuration in which the queue was assigned to that
 	// one. The owner then takes no new jobs of the queue from nodes that act on an older one.
 	MovedIn int64
+	// MustExist means that Cancel records no cancellation of a job in advance: another service may
+	// have the job.
+	MustExist bool
 	// Operator means that the call is an operator's, which needs no key.
 	Operator bool
 	// Timeout limits the call at the owner.
--- a/owner/service.go
+++ b/owner/service.go
@@ -103,6 +103,9 @@
 // Cancel cancels a job.
 func (s *Service) Cancel(request *Request, response *Response) error {
 	return s.withCaller(request, response, func(ctx context.Context, c *sched.Cell, caller sched.Caller) error {
+		if request.MustExist {
+			return c.CancelExisting(ctx, caller, request.Key)
+		}
 		return c.Cancel(ctx, caller, request.Key)
 	})
 }
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -160,6 +160,20 @@
 // confirmPollInterval is the time between two checks for a confirmed write.
 const confirmPollInterval = 5 * time.Millisecond
 
+// CancelExisting ends a job like Cancel, but doesn't persist that a job which was never submitted is
+// cancelled. The error is ErrUnknownJob if there was no such job while this node owned the cell.
+func (c *Cell) CancelExisting(ctx context.Context, caller Caller, key tasks.Key) error {
+	c.mu.Lock()
+	known := c.jobs[key] != nil
+	c.mu.Unlock()
+	if !known {
+		if _, err := c.Status(ctx, caller, key); err != nil {
+			return err
+		}
+	}
+	return c.Cancel(ctx, caller, key)
+}
+
 // Cancel ends a job and returns once that is persisted. A job that was never
 // submitted is persisted as cancelled, so that a delayed request can't start
 // it; the error is then ErrUnknownJob. It belongs to the caller's organisation.
--- a/sched/reassigned_test.go
+++ b/sched/reassigned_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"rattanpath/fake"
 	"rattanpath/queue"
 	"rattanpath/tasks"
 )
@@ -163,3 +164,27 @@
 		}
 	})
 }
+
+// Guards against a cancellation in advance at a service that doesn't know the job, while another may
+// run it.
+func TestCancelExisting(t *testing.T) {
+	movedCluster(t, func(tc *testCluster, _ *atomic.Pointer[queue.Config], submit, _ func(*node, string, int64) error) {
+		n := tc.claim("a")
+		cancel := func(id string) error {
+			return n.cell.CancelExisting(tc.ctx, Caller{ConfigVersion: 1}, tasks.Key{Queue: testQueue, ID: id})
+		}
+		wantError(t, "a cancel of no job", cancel("none"), ErrUnknownJob)
+		if got, err := tc.status(n, "none"); !errors.Is(err, ErrUnknownJob) || got.PreCancelled {
+			t.Errorf("got status %+v and error %v, want no job, and none cancelled in advance", got, err)
+		}
+		wantError(t, "a submission after it", submit(n, "none", 1), nil)
+		wantError(t, "a cancel of the job", cancel("none"), nil)
+		if got, err := tc.status(n, "none"); err != nil || got.Phase != tasks.Cancelled {
+			t.Errorf("got status %+v and error %v, want the job cancelled", got, err)
+		}
+		tc.store.SetFailure("a", fake.Rejecting)
+		if err := cancel("other"); err == nil || errors.Is(err, ErrUnknownJob) {
+			t.Errorf("got error %v while the store is unavailable, want another than that there is no such job", err)
+		}
+	})
+}
