sched: the next owner reckons with leases of a host's former life

Cause: a call that was meant for a host's former life reaches the next one before any call with a higher token does, and gives it a lease of the longest length, for everything that runs there from then on. The owner that notices the restart knows that, a next one didn't: it reckoned with the granted length from its first reading of the host's clock (clock.Inherit), from its claim (9.1 s, or 5.1 s after a release), and the record that a releasing owner writes left out hosts that it reached.

Change: a host that was known to an earlier owner, or that the cell had forgotten, counts as holding the longest lease at the first reading. A releasing owner records all leases that are longer than the next one assumes. None of this is waited for at hosts that answer.

Evidence: the further scenes of TestCallsToFormerLife replace the owner by a kill or a release before or after it knows of the restart, and let the next one reach the host or not.

--- a/sched/claim.go
+++ b/sched/claim.go
@@ -185,7 +185,6 @@
 		e.job.ForEachActive(func(taskID tasks.ID, task *tasks.Task) {
 			task.AssignedAt = time.Now()
 			h := c.host(task.Host)
-			h.clock.Inherit(c.leaseLength())
 			h.runs[runKey{taskID, task.Run}] = &run{
 				entry: e, id: taskID, number: task.Run, state: runInherited,
 				resources: e.job.Step(taskID).RequiredResources(), inherited: true, share: unknownShare,
--- a/sched/formerlife_test.go
+++ b/sched/formerlife_test.go
@@ -193,6 +193,15 @@
 	time.Sleep(50 * time.Millisecond)
 }
 
+// holdLease holds a heartbeat with a lease, of the host with the job's run.
+func (s *formerScene) holdLease() {
+	s.submitJob("job")
+	time.Sleep(3 * time.Second)
+	s.network.hold(formerHost)
+	// The heartbeat under way is answered before.
+	time.Sleep(heartbeatWait + 50*time.Millisecond)
+}
+
 // restart gives the host a new life, which gets the calls that were held.
 func (s *formerScene) restart() {
 	s.runners[formerHost].Crash()
@@ -208,6 +217,17 @@
 	s.owner.hosts.SetUnlisted(spareHost, false)
 }
 
+// replaceOwner kills or stops the owner, and claims the cell at once.
+func (s *formerScene) replaceOwner(kill bool) {
+	if kill {
+		s.kill(s.owner)
+	} else {
+		s.owner.stop()
+		<-s.owner.done
+	}
+	s.claim()
+}
+
 // awaitRun submits a job and waits until its task has a run on the host.
 func (s *formerScene) awaitRun(id string) {
 	s.t.Helper()
@@ -234,6 +254,68 @@
 		s.restart()
 		s.cut()
 	}},
+	{"start, owner killed", 2, func(s *formerScene) {
+		s.holdStart()
+		s.network.mute(formerHost)
+		s.restart()
+		s.replaceOwner(true)
+		s.cut()
+	}},
+	{"start, owner stopped", 2, func(s *formerScene) {
+		s.holdStart()
+		s.network.mute(formerHost)
+		s.restart()
+		s.network.setCut(formerHost, true)
+		s.replaceOwner(false)
+		s.cut()
+	}},
+	{"lease", 2, func(s *formerScene) {
+		s.holdLease()
+		s.restart()
+		s.awaitRun("next")
+		s.cut()
+	}},
+	{"lease, owner killed before it knows", 2, func(s *formerScene) {
+		s.holdLease()
+		s.restart()
+		s.replaceOwner(true)
+		s.awaitRun("next")
+		s.cut()
+	}},
+	{"lease, owner stopped before it knows", 2, func(s *formerScene) {
+		s.holdLease()
+		s.restart()
+		s.replaceOwner(false)
+		s.awaitRun("next")
+		s.cut()
+	}},
+	{"lease, owner killed", 2, func(s *formerScene) {
+		s.holdLease()
+		s.restart()
+		s.awaitRun("next")
+		s.replaceOwner(true)
+		s.cut()
+	}},
+	{"lease, owner stopped", 2, func(s *formerScene) {
+		s.holdLease()
+		s.restart()
+		s.awaitRun("next")
+		time.Sleep(100 * time.Millisecond)
+		s.network.setCut(formerHost, true)
+		s.replaceOwner(false)
+		s.cut()
+	}},
+	{"lease, owner stopped while it reaches the host", 2, func(s *formerScene) {
+		s.holdLease()
+		s.restart()
+		s.awaitRun("next")
+		time.Sleep(100 * time.Millisecond)
+		s.owner.stop()
+		<-s.owner.done
+		s.network.setCut(formerHost, true)
+		s.claim()
+		s.cut()
+	}},
 	{"start, and the host has left the list", 2, func(s *formerScene) {
 		s.holdStart()
 		s.network.mute(formerHost)
--- a/sched/host.go
+++ b/sched/host.go
@@ -92,6 +92,8 @@
 	h := c.hosts[id]
 	if h == nil {
 		h = &host{id: id, runs: make(map[runKey]*run), wake: make(chan struct{}, 1), share: pace.FullShare}
+		_, forgotten := c.forgotten[id]
+		c.inheritLease(h, forgotten)
 		h.restarts = c.recallRestarts(id)
 		c.hosts[id] = h
 	}
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -24,22 +24,50 @@
 	return min(maxLease, time.Duration(float64(longest)*leaseFraction))
 }
 
-// inheritedLeaseEnd returns when all leases that previous owners granted to a
-// host have expired.
-func (c *Cell) inheritedLeaseEnd(h *host) time.Duration {
+// inheritedLeaseEnd returns when all leases that previous owners granted to the host of a run
+// have expired.
+func (c *Cell) inheritedLeaseEnd(h *host, r *run) time.Duration {
 	if remaining, known := c.unexpiredLeases[h.id]; known {
 		return c.claimedAt + remaining
 	}
-	if c.claim.PreviousNode != "" && !c.claim.PreviousReleased {
+	switch {
+	case c.claim.PreviousNode == "" || c.claim.PreviousReleased:
+		return c.claimedAt + releasedLease(c.options.MaxLease)
+	case r.isRunning():
+		return c.claimedAt + takeoverWait(c.options.MaxLease)
+	default:
 		return c.claimedAt + MaxTakeoverWait(c.options.MaxLease)
 	}
-	return c.claimedAt + MaxTakeoverWait(c.options.MaxLease) - ownershipTimeout
+}
+
+// releasedLease returns how long after its release of the cell an owner's leases last on hosts for
+// which it has recorded nothing else.
+func releasedLease(longestLease time.Duration) time.Duration {
+	return lease.LongestTime(leaseLength(longestLease)) + takeoverMargin
+}
+
+// takeoverWait returns how long after its claim an owner waits for the leases of hosts that have
+// confirmed their runs to the previous one. If they had restarted before, their leases may be longer
+// than those that were granted since.
+func takeoverWait(longestLease time.Duration) time.Duration {
+	return max(releasedLease(longestLease)+ownershipTimeout, lease.LongestTime(longestLease)+takeoverMargin)
 }
 
 // MaxTakeoverWait returns how long after its claim an owner waits at most for the leases of
-// hosts that it can't reach, given the longest lease that a host grants.
+// hosts that it can't reach, given the longest lease that a host grants. A start command of the
+// previous owner may have reached a later incarnation of the host than it was meant for.
 func MaxTakeoverWait(longestLease time.Duration) time.Duration {
-	return time.Duration(float64(leaseLength(longestLease))/lease.MinClockRate) + takeoverMargin + ownershipTimeout
+	return max(takeoverWait(longestLease), maxStartDelay+lease.MaxDelivery+lease.LongestTime(longestLease))
+}
+
+// inheritLease records that a host which this cell knows from now on may hold a lease for a command
+// that was made before: by a previous owner, or before the cell forgot the host.
+func (c *Cell) inheritLease(h *host, forgotten bool) {
+	now := c.options.Clock()
+	isRecent := c.claimedAt == 0 || now < c.claimedAt+ownershipTimeout+lease.MaxDelivery+lease.LongestTime(c.options.MaxLease)
+	if forgotten || c.claim != nil && c.claim.PreviousNode != "" && isRecent {
+		h.clock.Inherit(c.options.MaxLease)
+	}
 }
 
 // resetClock records that the readings of a host's clock no longer hold. Commands on their way
@@ -62,16 +90,17 @@
 func (c *Cell) expireLeases() {
 	now := c.options.Clock()
 	for _, h := range c.hosts {
-		inheritedUntil := c.inheritedLeaseEnd(h)
 		expired := h.clock.Expired(now)
 		anyLifeExpired := h.clock.RemainingInAnyLife(now, c.options.MaxLease) == 0
 		for _, r := range h.runs {
 			switch {
 			case r.hasLeft(h) && c.isUnresponsive(h):
 				c.loseRun(h, r, h.retiredFor)
-			case r.state == runInherited && now > inheritedUntil && c.isUnresponsive(h):
-				c.loseRun(h, r, r.inheritedLoss(h))
-			case r.state == runInherited || r.state == runPlanned || h.missedHeartbeats == 0:
+			case r.state == runInherited:
+				if now > c.inheritedLeaseEnd(h, r) && c.isUnresponsive(h) {
+					c.loseRun(h, r, r.inheritedLoss(h))
+				}
+			case r.state == runPlanned || h.missedHeartbeats == 0:
 			case expired && (anyLifeExpired || r.isAnswered()):
 				c.loseRun(h, r, lossLease)
 			}
@@ -94,18 +123,19 @@
 }
 
 // remainingLease returns how long leases may still be valid on a host with runs that
-// this owner can't reach. It is unknown for others.
+// this owner can't reach, or whose leases are longer than the next owner assumes. It is unknown for
+// others.
 func (c *Cell) remainingLease(h *host, now time.Duration) (remaining time.Duration, known bool) {
-	switch {
-	case len(h.runs) == 0:
-		return 0, false
-	case h.onlyInheritedRuns():
-		return max(0, c.inheritedLeaseEnd(h)-now), true
-	case h.missedHeartbeats > 0:
-		return h.clock.Remaining(now)
-	default:
-		return 0, false
+	onlyInherited := h.onlyInheritedRuns()
+	for _, r := range h.runs {
+		if r.state == runInherited && !onlyInherited {
+			continue
+		}
+		left, leftKnown := c.runLease(h, r, now)
+		remaining, known = max(remaining, left), known || leftKnown
 	}
+	unusual := onlyInherited || h.missedHeartbeats > 0 || remaining > releasedLease(c.options.MaxLease)
+	return remaining, known && unusual
 }
 
 // runLease returns how long until all leases of a run have certainly expired, and whether that is
@@ -115,7 +145,7 @@
 	case r.state == runPlanned:
 		return 0, true
 	case r.state == runInherited:
-		return max(0, c.inheritedLeaseEnd(h)-now), true
+		return max(0, c.inheritedLeaseEnd(h, r)-now), true
 	case r.isAnswered():
 		return h.clock.Remaining(now)
 	default:
--- a/sched/run.go
+++ b/sched/run.go
@@ -134,6 +134,12 @@
 // then the start command may have reached a later incarnation than it was meant for.
 func (r *run) isAnswered() bool { return r.startedBy != 0 || r.state == runSettled }
 
+// isRunning reports whether a host had confirmed an inherited run to its previous owner.
+func (r *run) isRunning() bool {
+	task := r.entry.job.Task(r.id)
+	return task != nil && task.Run == r.number && task.State == tasks.Running
+}
+
 // mayHaveCrashed reports whether the loss of a run may mean that its host has crashed under it.
 // A host that is silent has not crashed for certain, and may not have got a command that it
 // didn't answer.
