sched: a host that the cloud lacks may be back and have got a start

What callers would see: TWICE. A host crashes with a start command under way, the machine controller tells the owner that it is on no machine, and the owner's three calls get no answer, so that the run counts as over. The host starts again under its id, takes the start, and is cut off.

Cause: that a host is gone proves that what it ran is over, not that a command under way will find nobody (retireProbe.loseRuns).

Change: a run whose start command has no answer is then kept until the command must have arrived (lease.MaxDelivery), and is given up if the host is still silent and no record of a later incarnation is there. All other runs of the host are given up at once, as before.

--- a/sched/formerlife_test.go
+++ b/sched/formerlife_test.go
@@ -316,6 +316,14 @@
 		s.claim()
 		s.cut()
 	}},
+	{"start, and the machine controller finds no host", 2, func(s *formerScene) {
+		s.holdStart()
+		s.network.mute(formerHost)
+		gone := RetiredHost{ID: formerHost, Incarnation: s.runners[formerHost].Info().Incarnation, Unordered: true}
+		time.AfterFunc(50*time.Millisecond, func() { _ = s.owner.cell.Retire([]RetiredHost{gone}) })
+		s.restart()
+		s.cut()
+	}},
 	{"start, and the host has left the list", 2, func(s *formerScene) {
 		s.holdStart()
 		s.network.mute(formerHost)
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -94,7 +94,7 @@
 		anyLifeExpired := h.clock.RemainingInAnyLife(now, c.options.MaxLease) == 0
 		for _, r := range h.runs {
 			switch {
-			case r.hasLeft(h) && c.isUnresponsive(h):
+			case r.hasLeft(h) && c.isUnresponsive(h), h.hasMissedStart(r, now):
 				c.loseRun(h, r, h.retiredFor)
 			case r.state == runInherited:
 				if now > c.inheritedLeaseEnd(h, r) && c.isUnresponsive(h) {
--- a/sched/retire.go
+++ b/sched/retire.go
@@ -138,7 +138,27 @@
 func (p *retireProbe) loseRuns() {
 	p.cell.mu.Lock()
 	defer p.cell.mu.Unlock()
-	if !p.host.synced && p.host.restarts == p.restarts {
-		p.cell.loseAllRuns(p.host, p.host.retiredFor)
+	h := p.host
+	if h.synced || h.restarts != p.restarts {
+		return
+	}
+	for _, r := range h.runs {
+		if h.retiredFor != lossHostGone || r.isOver() {
+			p.cell.loseRun(h, r, h.retiredFor)
+		}
 	}
 }
+
+// isOver reports whether a run ends with the incarnation of its host. One whose start command has got
+// no answer may begin on a later incarnation, see hasMissedStart.
+func (r *run) isOver() bool {
+	return r.state == runPlanned || r.state == runInherited || r.isAnswered()
+}
+
+// hasMissedStart reports whether a host that is gone without an order has missed the start command of
+// a run: nothing of a later incarnation is known by the time until which one could have got it.
+func (h *host) hasMissedStart(r *run, now time.Duration) bool {
+	isGone := h.isRetired() && h.retiredFor == lossHostGone && !h.synced && h.missedHeartbeats > 0
+	isBack := h.info != nil && h.info.Incarnation > h.retiredIncarnation
+	return isGone && !isBack && r.awaitsStart() && now > r.sentAt+lease.MaxDelivery
+}
