--- a/fake/runner.go
+++ b/fake/runner.go
@@ -92,6 +92,8 @@
 	silent  bool
 	// longestLease is the longest lease that the host grants.
 	longestLease time.Duration
+	// forgetsOnce means that a heartbeat that waits acknowledges no ends that come later.
+	forgetsOnce bool
 }
 
 // runKey identifies a run. A task's next run may start while the previous one
@@ -411,6 +413,9 @@
 			return lease.HeartbeatReply{}, errNoResponse
 		}
 		reply, changed := r.heartbeat(heartbeat)
+		if !r.forgetsWhileWaiting() {
+			heartbeat.Acknowledged = 0
+		}
 		remaining := time.Until(deadline)
 		if len(reply.Finished) > 0 || remaining <= 0 || reply.Reason != lease.Accepted {
 			return reply, r.receiveCall(ctx)
--- a/fake/runner_faults.go
+++ b/fake/runner_faults.go
@@ -37,6 +37,21 @@
 	r.longestLease = longest
 }
 
+// SetForgetsOnce sets whether a heartbeat acknowledges only ends from before its arrival, and none that
+// come while it waits. That makes a difference for one that was meant for a former incarnation.
+func (r *Runner) SetForgetsOnce(once bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forgetsOnce = once
+}
+
+// forgetsWhileWaiting is the opposite of what SetForgetsOnce sets.
+func (r *Runner) forgetsWhileWaiting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.forgetsOnce
+}
+
 // SetStopTime sets the time that a run takes to end after a stop command.
 func (r *Runner) SetStopTime(duration time.Duration) {
 	r.mu.Lock()
