sched: a planned start isn't sent to another life of its host

A start that waited for the store was sent to the next life of its host, which lacks the label that the task requires; LIMIT in the same way where it is smaller.

Cause: a planned run survived the restart of its host, and maySendStart asked neither whether the host was still the life that the run was assigned to, nor whether it had answered since its record showed a new one. hasRoom took the record by which the run was assigned as recent, though of the former life.

Change: a planned start is given up, and its task placed anew, if the host has restarted since the assignment, has yet to answer, or its record is of another life than the one that answered. That holds for labels, capacity and the advisor's tickets alike, since placement checks them all.

--- a/sched/capacity.go
+++ b/sched/capacity.go
@@ -20,7 +20,7 @@
 // read, and the host's, whose estimate drifts while the host isn't called. The record of a
 // former incarnation tells nothing of this one.
 func (h *host) recordTime() time.Duration {
-	if h.info.Incarnation != 0 && h.incarnation != 0 && h.info.Incarnation != h.incarnation {
+	if !h.hasOwnRecord() {
 		return unknownTime
 	}
 	written := unknownTime
@@ -33,6 +33,12 @@
 	return written
 }
 
+// hasOwnRecord reports whether the record of the host is of the incarnation that has answered, as far
+// as that is known. Another one may be of a different kind.
+func (h *host) hasOwnRecord() bool {
+	return h.info.Incarnation == 0 || h.incarnation == 0 || h.info.Incarnation == h.incarnation
+}
+
 // isRecent reports whether a record written at a local time still shows the capacity of
 // its host.
 func (c *Cell) isRecent(written, now time.Duration) bool {
@@ -42,7 +48,7 @@
 // hasRecentRecord reports whether runs may be assigned by the record of a host at a local
 // time.
 func (c *Cell) hasRecentRecord(h *host, now time.Duration) bool {
-	return c.isRecent(h.recordTime(), now)
+	return h.hasOwnRecord() && c.isRecent(h.recordTime(), now)
 }
 
 // hasRoom reports whether a planned run may still be started on its host. It may while
--- /dev/null
+++ b/sched/otherkind_test.go
@@ -0,0 +1,69 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rattanpath/fake"
+	"rattanpath/tasks"
+)
+
+// labelledPlan returns a plan whose tasks require a label.
+func labelledPlan(count int, cpu int64, label string) tasks.Plan {
+	plan := simplePlan(count, cpu)
+	plan.Steps[0].Label = label
+	return plan
+}
+
+// otherKinds are what the host of these tests may be after its restart: it can't run the tasks then.
+var otherKinds = map[string]struct {
+	labels   []string
+	capacity tasks.Resources
+}{
+	"without the label": {[]string{"b", "r1-h0"}, cpu(hostCPU)},
+	"too small":         {[]string{"a", "r1-h0"}, cpu(500)},
+}
+
+// Guards against a start on a host that lacks the label or the capacity: the run was assigned to its
+// former life, and waited for the store while the host started again as another kind.
+func TestPlannedStartIsNotForNextLife(t *testing.T) {
+	for name, kind := range otherKinds {
+		for downFor := 50 * time.Millisecond; downFor <= 800*time.Millisecond; downFor *= 2 {
+			t.Run(fmt.Sprint(name, " after ", downFor), func(t *testing.T) {
+				runCluster(t, 1, func(tc *testCluster) {
+					n := tc.claim("a")
+					time.Sleep(5 * time.Second)
+					// The owner calls the host because of this one.
+					tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: time.Minute} }
+					tc.mustSubmit(n, "other", simplePlan(1, 100))
+					time.Sleep(time.Second)
+					starts := tc.checker.Starts()
+					tc.store.SetFailure("a", fake.Unresponsive)
+					accepted := make(chan error, 1)
+					go func() { accepted <- tc.submit(n, "job", labelledPlan(2, 1000, "a")) }()
+					time.Sleep(100 * time.Millisecond)
+					tc.runners["h0"].Crash()
+					time.Sleep(downFor)
+					tc.runners["h0"].RestartAs(kind.labels, kind.capacity)
+					time.Sleep(600 * time.Millisecond)
+					tc.store.SetFailure("a", fake.NoFailure)
+					time.Sleep(2500 * time.Millisecond)
+					// The job of one task of 100 may start again.
+					if got := tc.checker.Starts() - starts; got > 1 {
+						t.Errorf("got %d starts on the next life of the host, want at most that of the other job", got)
+					}
+					tc.runners["h0"].Crash()
+					tc.runners["h0"].RestartAs([]string{"a", "r1-h0"}, cpu(hostCPU))
+					if <-accepted != nil {
+						tc.mustSubmit(n, "job", labelledPlan(2, 1000, "a"))
+					}
+					time.Sleep(15 * time.Second)
+					if got := tc.checker.ActiveRuns(tasks.ID{Job: "job"}); got != 1 {
+						t.Errorf("got %d runs once the host can run the task, want 1", got)
+					}
+				})
+			})
+		}
+	}
+}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -234,7 +234,7 @@
 	e.job.Assign(taskID, h.id, h.incarnation, now)
 	task := e.job.Task(taskID)
 	r := &run{entry: e, id: taskID, number: task.Run, resources: step.RequiredResources(), share: pace.FullShare, resumed: task.Checkpoint != ""}
-	r.recordTime, r.assignedAt = h.recordTime(), now
+	r.recordTime, r.hostRestarts, r.assignedAt = h.recordTime(), h.restarts, now
 	c.countPlaced(e, taskID.Round, now)
 	h.runs[r.key()] = r
 	c.plannedBytes += e.startSize()
--- a/sched/run.go
+++ b/sched/run.go
@@ -44,8 +44,10 @@
 	number    int
 	resources tasks.Resources
 	state     runState
-	// recordTime is that of the host's record when the run was assigned.
-	recordTime time.Duration
+	// recordTime is that of the host's record when the run was assigned, and hostRestarts the value of
+	// host.restarts.
+	recordTime   time.Duration
+	hostRestarts int64
 	// settledAt is a reading of the host's clock, see runSettled.
 	settledAt time.Duration
 	// startedBy is a local time by which the run had started: when its start was
--- a/sched/startqueue.go
+++ b/sched/startqueue.go
@@ -196,12 +196,15 @@
 }
 
 // maySendStart reports whether the start command of a run whose record was persisted at a
-// local time may still be sent now.
+// local time may still be sent now. A host that has restarted since the run was assigned may be of
+// another kind, with other labels and for another ticket.
 func (c *Cell) maySendStart(h *host, r *run, persistedAt, now time.Duration) bool {
 	switch {
 	case r.entry.job.Phase != tasks.Open || now-persistedAt > r.maxStartDelay():
 		return false
-	case !c.ownershipValidAt(now) || !h.clock.Synced():
+	case !c.ownershipValidAt(now) || !h.synced || !h.clock.Synced():
+		return false
+	case h.restarts != r.hostRestarts || !h.hasOwnRecord():
 		return false
 	default:
 		return c.hasRoom(h, r, now)
