sched: a host that took no connection answers before its next start

An idle host crashed, a start found no connection, and the next one, a second later, went to the host's next life by the capacity of the former one.

Cause: a start that isn't sent for want of a connection only held the host back for a second. An idle host isn't called, so that neither its crash nor its restart was noticed before the record of the new life was read.

Change: such a host has to answer before it gets another start. Its answer shows the restart, and no run is assigned by the record of another life.

TestStartWithoutConnectionIsNotForNextLife got a start on the next life before.

--- a/sched/command.go
+++ b/sched/command.go
@@ -85,6 +85,8 @@
 	switch {
 	case errors.Is(err, lease.ErrNotSent):
 		h.backoffUntil = time.Now().Add(refusalBackoff)
+		// It may have crashed, and must answer before it gets another start.
+		h.synced = false
 		c.dropRun(h, r, "no connection to the host")
 	case err != nil:
 		r.startBroke = !isTimeout(err)
--- a/sched/otherkind_test.go
+++ b/sched/otherkind_test.go
@@ -67,3 +67,34 @@
 		}
 	}
 }
+
+// Guards against the same where an idle host, which the owner doesn't call, has refused a connection: it
+// must answer before it gets another start.
+func TestStartWithoutConnectionIsNotForNextLife(t *testing.T) {
+	for name, kind := range otherKinds {
+		for downFor := 300 * time.Millisecond; downFor <= 2*time.Second; downFor += 10 * time.Millisecond {
+			t.Run(fmt.Sprint(name, " after ", downFor), func(t *testing.T) {
+				runCluster(t, 1, func(tc *testCluster) {
+					n := tc.claim("a")
+					// Between two looks whether a heartbeat is due.
+					time.Sleep(5*time.Second + heartbeatWait/2)
+					tc.runners["h0"].Crash()
+					// Its next life writes its first record later.
+					tc.runners["h0"].SetSilent(true)
+					time.AfterFunc(downFor+time.Second, func() { tc.runners["h0"].SetSilent(false) })
+					tc.mustSubmit(n, "job", labelledPlan(1, 1000, "a"))
+					time.Sleep(downFor)
+					tc.runners["h0"].RestartAs(kind.labels, kind.capacity)
+					time.Sleep(4 * time.Second)
+					if got := tc.checker.Starts(); got > 0 {
+						t.Errorf("got %d starts on the next life of the host, want none", got)
+					}
+					tc.runners["h0"].Crash()
+					tc.runners["h0"].RestartAs([]string{"a", "r1-h0"}, cpu(hostCPU))
+					time.Sleep(8 * time.Second)
+					tc.wantPhase(n, "job", tasks.Completed)
+				})
+			})
+		}
+	}
+}
