relay: a start command that has waited a second for a batch isn't sent

While a delegate answers slowly, start commands wait behind other batches without limit, and are sent with the lease and the token of when they were made. By then the host may have started again under its id, and nothing tells it that the command is old.

Cause: the deadline of a batch begins with its sending; how long a command had waited before wasn't asked (delegate.addCalls).

Change: a start command that has waited for a second is given up as not sent, and its task is placed anew. Heartbeats and stop commands, which go first, are sent as before. lease.MaxDelivery, by which owners reckon when a command must have arrived, is 2.5 s in place of 2 s: a second for the wait, half a second on the way to the other node, and its call of a second.

--- a/lease/command.go
+++ b/lease/command.go
@@ -133,7 +133,7 @@
 
 // MaxDelivery is how long after it was made a command may reach its host: one that another node is to
 // send waits for a message to that node, is on its way there, and waits for the host.
-const MaxDelivery = 2 * time.Second
+const MaxDelivery = 2500 * time.Millisecond
 
 // ErrNotSent means that no connection to the host could be made, so the command was
 // not sent.
--- a/relay/delegate.go
+++ b/relay/delegate.go
@@ -24,6 +24,9 @@
 	// openTimeout is how long a session may take to begin. Calls wait for it meanwhile, and are made
 	// directly if it fails.
 	openTimeout = 300 * time.Millisecond
+	// maxStartWait is how long a start command may wait for a batch: it is meant for its host as that
+	// was known when the command was made.
+	maxStartWait = time.Second
 	// maxBatchBytes is the size from which on further calls go into the next batch.
 	maxBatchBytes = 128 << 10
 	// maxDelegateIdle is how long a session is kept without calls.
@@ -45,8 +48,8 @@
 	sentAt time.Time
 	// starts holds the start commands that are not sent yet, and urgent the other calls, which go
 	// first. pending holds the calls without a result by number, and last is the highest number.
-	starts  []Call
-	urgent  []Call
+	starts  []queuedCall
+	urgent  []queuedCall
 	pending map[uint64]chan outcome
 	last    uint64
 	// usedAt is when the last call was queued or got its result. ended is set once the session
@@ -55,6 +58,12 @@
 	ended  bool
 }
 
+// queuedCall is a call that is not sent yet, and the local time at which it was made.
+type queuedCall struct {
+	Call
+	madeAt time.Duration
+}
+
 func newDelegate(client *Client, nodes Nodes, address string, session uint64) *delegate {
 	return &delegate{
 		client: client, nodes: nodes, address: address, session: session,
@@ -110,7 +119,7 @@
 	d.last++
 	done := make(chan outcome, 1)
 	d.pending[d.last] = done
-	call := Call{Number: d.last, Request: *request}
+	call := queuedCall{Call{Number: d.last, Request: *request}, d.client.clock()}
 	if request.Start != nil {
 		d.starts = append(d.starts, call)
 	} else {
@@ -211,14 +220,16 @@
 }
 
 // addCalls adds calls of a queue to a batch while it is small, and returns the rest. d.mu must be held.
-func (d *delegate) addCalls(batch *Batch, queue []Call) []Call {
-	size := batch.HeldBytes()
+func (d *delegate) addCalls(batch *Batch, queue []queuedCall) []queuedCall {
+	size, now := batch.HeldBytes(), d.client.clock()
 	for i, call := range queue {
-		if size >= maxBatchBytes {
+		switch {
+		case size >= maxBatchBytes:
 			return queue[i:]
-		}
-		if d.pending[call.Number] != nil {
-			batch.Calls = append(batch.Calls, call)
+		case call.Request.Start != nil && now-call.madeAt > maxStartWait:
+			d.end(call.Number, outcome{err: errors.WithMessage(lease.ErrNotSent, "the command has waited too long for a batch")})
+		case d.pending[call.Number] != nil:
+			batch.Calls = append(batch.Calls, call.Call)
 			size += call.Request.HeldBytes()
 		}
 	}
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"rattanpath/core"
 	"rattanpath/lease"
 	"rattanpath/pool"
 	"rattanpath/tasks"
@@ -284,7 +285,7 @@
 
 // Guards against leases that aren't renewed because heartbeats wait behind the start commands of a peak.
 func TestHeartbeatsGoBeforeStarts(t *testing.T) {
-	d := newDelegate(nil, nil, "", 1)
+	d := newDelegate(&Client{clock: core.BootClock}, nil, "", 1)
 	const starts = 100
 	for run := range starts {
 		d.enqueue(&Request{Start: &lease.StartCommand{Run: run, Spec: strings.Repeat("x", 4000)}})
