sched: log lines name the host's life that a run was assigned to

Two runs of a task on hosts that start again under their ids couldn't be told apart in the logs by the life that each was meant for. "run assigned" and "start command not confirmed" name the start time of the life that the owner knew, and "run lost" that of the life that it knows then and whether a host had confirmed the run.

--- a/sched/command.go
+++ b/sched/command.go
@@ -48,7 +48,7 @@
 	r.unconfirmedSince = c.options.Clock()
 	c.lastLostReplyAt = r.unconfirmedSince
 	c.options.Metrics.UnconfirmedStarts.Inc()
-	c.logger.Info("start command not confirmed", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "why", reason)
+	c.logger.Info("start command not confirmed", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "born", h.incarnation, "why", reason)
 	c.requestReport(h)
 }
 
--- a/sched/end.go
+++ b/sched/end.go
@@ -63,7 +63,7 @@
 		}
 		c.options.Metrics.recordLoss(why)
 		now := c.options.Clock()
-		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "how", reason.String(), "why", string(why), "took", c.sinceStart(r), "answered", r.answeredFor(h),
+		c.logger.Info("run lost", "job", r.id.Job, "round", r.id.Round, "step", r.id.Step, "index", r.id.Index, "run", r.number, "host", h.id, "born", h.incarnation, "confirmed", r.isAnswered(), "how", reason.String(), "why", string(why), "took", c.sinceStart(r), "answered", r.answeredFor(h),
 			"replied", orUnknown(h.sinceReply(now)), "recordAge", orUnknown(h.recordAge(now)), "serving", r.serves())
 		c.logGivenUp(r, reason)
 		c.runOver(h, r, reason, string(why))
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -239,7 +239,7 @@
 	h.runs[r.key()] = r
 	c.plannedBytes += e.startSize()
 	c.options.Metrics.TaskWaitSeconds.Update(now.Sub(e.job.DueTime(taskID.Round)).Seconds())
-	c.logger.Info("run assigned", "job", taskID.Job, "round", taskID.Round, "step", taskID.Step, "index", taskID.Index, "run", r.number, "host", h.id, "failed", task.Failures, "crashes", task.Crashes, "suspicion", target.RecentFailures, "slow", target.Slow, "serving", step.Serves())
+	c.logger.Info("run assigned", "job", taskID.Job, "round", taskID.Round, "step", taskID.Step, "index", taskID.Index, "run", r.number, "host", h.id, "born", task.HostIncarnation, "failed", task.Failures, "crashes", task.Crashes, "suspicion", target.RecentFailures, "slow", target.Slow, "serving", step.Serves())
 	c.gapAssigned(e, taskID)
 	c.markDirty(e, func() { c.queueStart(h, r) })
 }
