sched: a host's incarnations are called so everywhere

Nothing but names and comments changes: RemainingInAnyIncarnation, TestCallsToFormerIncarnation, TestFormerIncarnationChaos, TestPlannedStartIsNotForNextIncarnation and their like.

--- a/lease/clock.go
+++ b/lease/clock.go
@@ -124,10 +124,10 @@
 	return max(0, remaining), true
 }
 
-// RemainingInAnyLife returns how long until all leases have certainly expired although the host may
+// RemainingInAnyIncarnation returns how long until all leases have certainly expired although the host may
 // have restarted unnoticed, given the longest lease that it grants. A command that was meant for its
 // former incarnation may have reached the new one, on whose clock the expiry in it is far ahead.
-func (c *Clock) RemainingInAnyLife(now, maxLease time.Duration) time.Duration {
+func (c *Clock) RemainingInAnyIncarnation(now, maxLease time.Duration) time.Duration {
 	return max(0, c.grantedAt+MaxDelivery+LongestTime(maxLease)-now)
 }
 
--- a/sched/formerlife_test.go
+++ b/sched/formerincarnation_test.go
@@ -24,16 +24,16 @@
 )
 
 var (
-	formerSeeds = flag.Int("former.seeds", 40, "seeds of the test of calls to former lives")
-	formerFirst = flag.Uint64("former.first", 1, "first seed of the test of calls to former lives")
-	formerLog   = flag.Bool("former.log", false, "print the log of the test of calls to former lives")
+	formerSeeds = flag.Int("former.seeds", 40, "seeds of the test of calls to former incarnations")
+	formerFirst = flag.Uint64("former.first", 1, "first seed of the test of calls to former incarnations")
+	formerLog   = flag.Bool("former.log", false, "print the log of the test of calls to former incarnations")
 )
 
 // formerLease is the longest lease of a host in these tests, much longer than what is granted.
 const formerLease = 10 * time.Second
 
 // lateNetwork is the network between nodes and hosts. Calls to a host that is down wait for it, and
-// reach its next life under the same ID even if their caller has given up.
+// reach its next incarnation under the same ID even if their caller has given up.
 type lateNetwork struct {
 	mu    sync.Mutex
 	paths map[string]*latePath
@@ -170,7 +170,7 @@
 	return network
 }
 
-// formerChaos is one run of TestFormerLifeChaos.
+// formerChaos is one run of TestFormerIncarnationChaos.
 type formerChaos struct {
 	*testCluster
 	random  *rand.Rand
@@ -180,17 +180,17 @@
 	jobs    []string
 }
 
-// TestFormerLifeChaos guards against calls that were meant for a host's former life and lead to two
+// TestFormerIncarnationChaos guards against calls that were meant for a host's former incarnation and lead to two
 // runs of a task: hosts start again under their IDs, take the calls that were under way, and are cut
 // off soon after, while long tasks run and the cell changes its owner.
-func TestFormerLifeChaos(t *testing.T) { playFormerLives(t, true) }
+func TestFormerIncarnationChaos(t *testing.T) { playFormerIncarnations(t, true) }
 
-// TestFormerLifeChaosForgets guards against the same where a heartbeat that was meant for a host's
-// former life acknowledges ends that come while it waits: nobody has read them.
-func TestFormerLifeChaosForgets(t *testing.T) { playFormerLives(t, false) }
+// TestFormerIncarnationChaosForgets guards against the same where a heartbeat that was meant for a host's
+// former incarnation acknowledges ends that come while it waits: nobody has read them.
+func TestFormerIncarnationChaosForgets(t *testing.T) { playFormerIncarnations(t, false) }
 
-// playFormerLives plays all seeds. forgetsOnce is as in fake.Runner.
-func playFormerLives(t *testing.T, forgetsOnce bool) {
+// playFormerIncarnations plays all seeds. forgetsOnce is as in fake.Runner.
+func playFormerIncarnations(t *testing.T, forgetsOnce bool) {
 	for i := range *formerSeeds {
 		seed := *formerFirst + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -298,7 +298,7 @@
 	c.claim()
 }
 
-// formerScene is a host that takes calls which were meant for its former life, and is cut off. Another
+// formerScene is a host that takes calls which were meant for its former incarnation, and is cut off. Another
 // host is listed only after that.
 type formerScene struct {
 	*testCluster
@@ -341,7 +341,7 @@
 	time.Sleep(heartbeatWait + 50*time.Millisecond)
 }
 
-// restart gives the host a new life, which gets the calls that were held.
+// restart gives the host a new incarnation, which gets the calls that were held.
 func (s *formerScene) restart() {
 	s.runners[formerHost].Crash()
 	time.Sleep(500 * time.Millisecond)
@@ -380,7 +380,7 @@
 	s.t.Errorf("got no run of job %s on the host, want one", id)
 }
 
-// formerScenes are the calls to a host's former life that its next life takes, and what follows.
+// formerScenes are the calls to a host's former incarnation that its next incarnation takes, and what follows.
 var formerScenes = []struct {
 	name string
 	// starts is the least number of starts, so that what the scene is about has taken place.
@@ -481,10 +481,10 @@
 	}},
 }
 
-// TestCallsToFormerLife guards against two runs of a task at once: a host starts again under its ID
+// TestCallsToFormerIncarnation guards against two runs of a task at once: a host starts again under its ID
 // between the sending of a call and its arrival, takes it with the expiry of a lease that is far ahead
 // of its new clock, and is cut off before the owner of the cell, or the next one, knows.
-func TestCallsToFormerLife(t *testing.T) {
+func TestCallsToFormerIncarnation(t *testing.T) {
 	for _, way := range []string{"direct", "delegate", "relay"} {
 		for _, scene := range formerScenes {
 			t.Run(way+"/"+scene.name, func(t *testing.T) {
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -91,7 +91,7 @@
 	now := c.options.Clock()
 	for _, h := range c.hosts {
 		expired := h.clock.Expired(now)
-		anyLifeExpired := h.clock.RemainingInAnyLife(now, c.options.MaxLease) == 0
+		anyExpired := h.clock.RemainingInAnyIncarnation(now, c.options.MaxLease) == 0
 		for _, r := range h.runs {
 			switch {
 			case r.hasLeft(h) && c.isUnresponsive(h), h.hasMissedStart(r, now):
@@ -101,7 +101,7 @@
 					c.loseRun(h, r, r.inheritedLoss(h))
 				}
 			case r.state == runPlanned || h.missedHeartbeats == 0:
-			case expired && (anyLifeExpired || r.isAnswered()):
+			case expired && (anyExpired || r.isAnswered()):
 				c.loseRun(h, r, lossLease)
 			}
 		}
@@ -150,7 +150,7 @@
 		return h.clock.Remaining(now)
 	default:
 		remaining, _ = h.clock.Remaining(now)
-		return max(remaining, h.clock.RemainingInAnyLife(now, c.options.MaxLease)), true
+		return max(remaining, h.clock.RemainingInAnyIncarnation(now, c.options.MaxLease)), true
 	}
 }
 
--- a/sched/otherkind_test.go
+++ b/sched/otherkind_test.go
@@ -26,8 +26,8 @@
 }
 
 // Guards against a start on a host that lacks the label or the capacity: the run was assigned to its
-// former life, and waited for the store while the host started again as another kind.
-func TestPlannedStartIsNotForNextLife(t *testing.T) {
+// former incarnation, and waited for the store while the host started again as another kind.
+func TestPlannedStartIsNotForNextIncarnation(t *testing.T) {
 	for name, kind := range otherKinds {
 		for downFor := 50 * time.Millisecond; downFor <= 800*time.Millisecond; downFor *= 2 {
 			t.Run(fmt.Sprint(name, " after ", downFor), func(t *testing.T) {
@@ -51,7 +51,7 @@
 					time.Sleep(2500 * time.Millisecond)
 					// The job of one task of 100 may start again.
 					if got := tc.checker.Starts() - starts; got > 1 {
-						t.Errorf("got %d starts on the next life of the host, want at most that of the other job", got)
+						t.Errorf("got %d starts on the next incarnation of the host, want at most that of the other job", got)
 					}
 					tc.runners["h0"].Crash()
 					tc.runners["h0"].RestartAs([]string{"a", "r1-h0"}, cpu(hostCPU))
@@ -70,7 +70,7 @@
 
 // Guards against the same where an idle host, which the owner doesn't call, has refused a connection: it
 // must answer before it gets another start.
-func TestStartWithoutConnectionIsNotForNextLife(t *testing.T) {
+func TestStartWithoutConnectionIsNotForNextIncarnation(t *testing.T) {
 	for name, kind := range otherKinds {
 		for downFor := 300 * time.Millisecond; downFor <= 2*time.Second; downFor += 10 * time.Millisecond {
 			t.Run(fmt.Sprint(name, " after ", downFor), func(t *testing.T) {
@@ -79,7 +79,7 @@
 					// Between two looks whether a heartbeat is due.
 					time.Sleep(5*time.Second + heartbeatWait/2)
 					tc.runners["h0"].Crash()
-					// Its next life writes its first record later.
+					// Its next incarnation writes its first record later.
 					tc.runners["h0"].SetSilent(true)
 					time.AfterFunc(downFor+time.Second, func() { tc.runners["h0"].SetSilent(false) })
 					tc.mustSubmit(n, "job", labelledPlan(1, 1000, "a"))
@@ -87,7 +87,7 @@
 					tc.runners["h0"].RestartAs(kind.labels, kind.capacity)
 					time.Sleep(4 * time.Second)
 					if got := tc.checker.Starts(); got > 0 {
-						t.Errorf("got %d starts on the next life of the host, want none", got)
+						t.Errorf("got %d starts on the next incarnation of the host, want none", got)
 					}
 					tc.runners["h0"].Crash()
 					tc.runners["h0"].RestartAs([]string{"a", "r1-h0"}, cpu(hostCPU))
