--- a/fake/stub/command.go
+++ b/fake/stub/command.go
@@ -67,6 +67,9 @@
 // node can't reach.
 func (h *Host) readCommand(r *http.Request) (body commandBody, valid bool) {
 	data, err := io.ReadAll(r.Body)
+	if !h.awaitRestart(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	if !h.isOpenTo(callerOf(r)) {
 		hang(r)
 	}
--- a/fake/stub/host.go
+++ b/fake/stub/host.go
@@ -19,6 +19,8 @@
 	hostHeartbeat = 1500 * time.Millisecond
 	// recordTTL is how long a host's record stays without another one.
 	recordTTL = 3 * hostHeartbeat
+	// longestLease is the longest lease that a host grants.
+	longestLease = 10 * time.Second
 	// recordCheckInterval is the time between two looks at whether a record is due.
 	recordCheckInterval = 50 * time.Millisecond
 )
@@ -34,6 +36,8 @@
 	hostSilent
 	// hostRefusing means that the host has crashed and connections are refused.
 	hostRefusing
+	// hostHolding means that the host has crashed and calls wait for its next incarnation.
+	hostHolding
 )
 
 // Host is a host that is called over HTTP, on a machine of its own.
@@ -49,6 +53,8 @@
 	state    hostState
 	// writtenAt is when the host last wrote its record, zero if that has expired.
 	writtenAt time.Time
+	// held is closed once calls wait no more.
+	held chan struct{}
 }
 
 // AddHost starts a host, which writes its record until ctx ends. Its clock runs clockRate
@@ -65,6 +71,7 @@
 	}
 	info := pool.Host{ID: id, Service: service, Address: h.endpoint.address, DataCentre: "a", Capacity: capacity}
 	h.Runner = fake.NewRunner(info, clockRate, p.Checker, p.profile)
+	h.Runner.SetLongestLease(longestLease)
 	h.writeRecord()
 	go h.Runner.Run(ctx)
 	go h.loop(ctx)
@@ -146,7 +153,7 @@
 func (h *Host) HasCrashed() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.state == hostSilent || h.state == hostRefusing
+	return h.state == hostSilent || h.state == hostRefusing || h.state == hostHolding
 }
 
 // machineState returns the state in which the cloud lists the host's machine.
@@ -196,6 +203,54 @@
 	return true
 }
 
+// CrashHolding loses all runs of the host, and reports whether it was up. Calls wait until RestartHeld,
+// and reach the next incarnation unless their callers have given up.
+func (h *Host) CrashHolding() bool {
+	h.commands.Lock()
+	defer h.commands.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state != hostUp {
+		return false
+	}
+	h.state, h.held = hostHolding, make(chan struct{})
+	h.Runner.Crash()
+	return true
+}
+
+// RestartHeld starts a new incarnation of a host after CrashHolding, which gets the calls that wait.
+func (h *Host) RestartHeld() {
+	h.mu.Lock()
+	held := h.held
+	if h.state != hostHolding {
+		h.mu.Unlock()
+		return
+	}
+	h.state = hostUp
+	h.Runner.Restart()
+	h.mu.Unlock()
+	close(held)
+	if !h.platform.isStoreDown() {
+		h.writeRecord()
+	}
+}
+
+// awaitRestart waits while calls are held. It returns false if the caller gives up.
+func (h *Host) awaitRestart(ctx context.Context) bool {
+	h.mu.Lock()
+	held, holds := h.held, h.state == hostHolding
+	h.mu.Unlock()
+	if !holds {
+		return true
+	}
+	select {
+	case <-held:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // refuse changes whether the host refuses connections.
 func (h *Host) refuse(refusing bool) error {
 	return h.endpoint.set(func() { h.endpoint.refusing = refusing })
--- a/fake/stub/process.go
+++ b/fake/stub/process.go
@@ -101,10 +101,10 @@
 internalPorts: [%d, %d]
 heartbeatMs: %d
 limits: {cpuShare: %g, cores: 1, memoryMb: %d, maxFds: %d}
-bounds: {contactMs: 3000, graceS: 1, holdMaxMs: 10000, status_s: 120, leaseMs: 3000, moveS: 1.5, maintenanceS: 2}
+bounds: {contactMs: 3000, graceS: 1, holdMaxMs: %d, status_s: 120, leaseMs: 3000, moveS: 1.5, maintenanceS: 2}
 platform: {address: %q, form: "log", parts: 32, recordBytes: 262144, callBytes: 2097152, ttlMinMs: 1000}
 cloud: {address: %q, dutyPerS: 64.0}
-`, p.Name, p.Callers(), p.Health(), p.basePort+2, p.basePort+3, hostHeartbeat.Milliseconds(), p.limits.CPUShare, p.limits.MemoryMB, p.limits.MaxFDs, server, server)
+`, p.Name, p.Callers(), p.Health(), p.basePort+2, p.basePort+3, hostHeartbeat.Milliseconds(), p.limits.CPUShare, p.limits.MemoryMB, p.limits.MaxFDs, longestLease.Milliseconds(), server, server)
 }
 
 // Start starts the process, which must not be running.
