sched: a host that confirmed none of its runs gets no further lease

What was seen: TestRunOfLostHostIsGivenUp failed in 3 of 100 passes beside load ("planned/start refused as late, then cut off: got 0 runs 9.622s after the host was lost, want 1"), since starts without an answer are waited for.

Cause: an idle host gets its first heartbeat up to a second after its first runs. Their start commands had had no reply by then, and the heartbeat granted a lease once more, from which the wait for the commands began anew.

Change: while start commands to a host got no reply in time and it has no other runs, heartbeats to it grant nothing. The commands have granted a lease, and the next heartbeat after an answer does.

Evidence: 150 passes of the test beside load are clean; the bound is as it was.

--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -204,13 +204,30 @@
 		heartbeat.Wait = 0
 	}
 	// The lease of a host that doesn't respond is not renewed: otherwise it would
-	// never be certain to have expired.
-	if len(h.runs) > 0 && h.missedHeartbeats == 0 && c.ownershipValidAt(now) {
+	// never be certain to have expired. Neither is that of one which hasn't confirmed any of its
+	// runs: the start commands have granted one.
+	if len(h.runs) > 0 && h.missedHeartbeats == 0 && !h.isUnconfirmed() && c.ownershipValidAt(now) {
 		heartbeat.LeaseExpiry = h.clock.Grant(now, c.leaseLength())
 	}
 	return heartbeat, h.info, true
 }
 
+// isUnconfirmed reports whether start commands to the host got no reply in time, and it has no other runs
+// than theirs.
+func (h *host) isUnconfirmed() bool {
+	unconfirmed := false
+	for _, r := range h.runs {
+		switch r.state {
+		case runUnconfirmed:
+			unconfirmed = true
+		case runPlanned:
+		default:
+			return false
+		}
+	}
+	return unconfirmed
+}
+
 // acknowledgement returns the highest sequence number of a finished run that the host may
 // forget, or 0 if it may have restarted since its last report: a new incarnation would forget
 // its own runs.
