--- a/sched/formerincarnation_test.go
+++ b/sched/formerincarnation_test.go
@@ -552,3 +552,30 @@
 		return client
 	}
 }
+
+// Guards against a member of a gang that is given up too early by the next owner: its start command may be
+// sent later than those of single tasks.
+func TestStartOfGangMayComeLater(t *testing.T) {
+	runCluster(t, 2, func(tc *testCluster) {
+		tc.useLateNetwork()
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Duration: time.Minute} }
+		a := tc.claim("a")
+		time.Sleep(time.Second)
+		gang := simplePlan(2, 1000)
+		gang.Steps[0].Gang = true
+		tc.mustSubmit(a, "gang", gang)
+		tc.mustSubmit(a, "job", simplePlan(1, 1000))
+		tc.kill(a)
+		b := tc.claim("b")
+		b.cell.mu.Lock()
+		defer b.cell.mu.Unlock()
+		for _, h := range b.cell.hosts {
+			for _, r := range h.runs {
+				want := r.maxStartDelay() + lease.MaxDelivery + lease.LongestTime(formerLease)
+				if got := b.cell.inheritedLeaseEnd(h, r) - b.cell.claimedAt; got < want {
+					t.Errorf("got a wait of %v for a run of job %s, want %v or more", got, r.id.Job, want)
+				}
+			}
+		}
+	})
+}
--- a/sched/leases.go
+++ b/sched/leases.go
@@ -36,7 +36,7 @@
 	case r.isRunning():
 		return c.claimedAt + takeoverWait(c.options.MaxLease)
 	default:
-		return c.claimedAt + MaxTakeoverWait(c.options.MaxLease)
+		return c.claimedAt + startTakeoverWait(c.options.MaxLease, r.maxStartDelay())
 	}
 }
 
@@ -54,10 +54,16 @@
 }
 
 // MaxTakeoverWait returns how long after its claim an owner waits at most for the leases of
-// hosts that it can't reach, given the longest lease that a host grants. A start command of the
-// previous owner may have reached a later incarnation of the host than it was meant for.
+// hosts that it can't reach, given the longest lease that a host grants. Only for members of gangs, whose
+// start commands are sent for longer, it waits longer.
 func MaxTakeoverWait(longestLease time.Duration) time.Duration {
-	return max(takeoverWait(longestLease), maxStartDelay+lease.MaxDelivery+lease.LongestTime(longestLease))
+	return startTakeoverWait(longestLease, maxStartDelay)
+}
+
+// startTakeoverWait returns the same for runs whose start commands are sent for up to a delay. A command
+// of the previous owner may have reached a later incarnation of the host than it was meant for.
+func startTakeoverWait(longestLease, startDelay time.Duration) time.Duration {
+	return max(takeoverWait(longestLease), startDelay+lease.MaxDelivery+lease.LongestTime(longestLease))
 }
 
 // inheritLease records that a host which this cell knows from now on may hold a lease for a command
@@ -91,7 +97,7 @@
 	now := c.options.Clock()
 	for _, h := range c.hosts {
 		expired := h.clock.Expired(now)
-		anyExpired := h.clock.RemainingInAnyIncarnation(now, c.options.MaxLease) == 0
+		expiredInAny := h.clock.RemainingInAnyIncarnation(now, c.options.MaxLease) == 0
 		for _, r := range h.runs {
 			switch {
 			case r.hasLeft(h) && c.isUnresponsive(h), h.hasMissedStart(r, now):
@@ -101,7 +107,7 @@
 					c.loseRun(h, r, r.inheritedLoss(h))
 				}
 			case r.state == runPlanned || h.missedHeartbeats == 0:
-			case expired && (anyExpired || r.isAnswered()):
+			case expired && (expiredInAny || r.isAnswered()):
 				c.loseRun(h, r, lossLease)
 			}
 		}
