--- a/intake/earlier.go
+++ b/intake/earlier.go
@@ -84,9 +84,8 @@
 // one. Services that may have accepted it take no more jobs of the queue, as with findEarlier.
 func (x *exchange) findElsewhere() search {
 	movedIn := x.history.lastMove(x.queue.Key())
-	current := x.queue.Policy.Service
-	holders := slices.DeleteFunc(x.jobServices(), func(service string) bool { return service == current })
-	for _, service := range x.history.previous(x.queue.Key()) {
+	holders := x.history.previous(x.queue.Key())
+	for _, service := range x.history.unsettledServices(x.queue.Policy.Service) {
 		if !slices.Contains(holders, service) {
 			holders = append(holders, service)
 		}
