--- a/relay/startwait_test.go
+++ b/relay/startwait_test.go
@@ -10,7 +10,7 @@
 	"rattanpath/lease"
 )
 
-// Guards against a start command that waits for a batch until its host may be another life under the
+// Guards against a start command that waits for a batch until its host may be another incarnation under the
 // same ID. Heartbeats and stop commands are sent all the same.
 func TestStartThatHasWaitedIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
