--- a/soak/recut_test.go
+++ b/soak/restartcut_test.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// recutRounds is how often the hosts of a group restart and are cut off with one seed.
-	recutRounds = 2
-	// recutDark is how long they are down, and recutCut how long they are cut off after that.
-	recutDark = 600 * time.Millisecond
-	recutCut  = 9 * time.Second
+	// restartRounds is how often the hosts of a group restart and are cut off with one seed.
+	restartRounds = 2
+	// hostDownTime is how long they are down, and hostCutTime how long they are cut off after that.
+	hostDownTime = 600 * time.Millisecond
+	hostCutTime  = 9 * time.Second
 	// longJobs is the number of jobs of long tasks in a round, submitted longJobInterval apart.
 	longJobs        = 24
 	longJobInterval = 100 * time.Millisecond
@@ -31,9 +31,9 @@
 			c := newCluster(t, seed)
 			random := rand.New(rand.NewPCG(seed, 2))
 			time.Sleep(steadyTime)
-			for round := range recutRounds {
+			for round := range restartRounds {
 				c.submitLongJobs(fmt.Sprint("long", round))
-				c.recut(random)
+				c.restartAndCutHalf(random)
 			}
 			c.awaitServing(sceneTimeout)
 			c.finish(t.Name())
@@ -55,8 +55,8 @@
 	})
 }
 
-// recut restarts a half of the hosts and cuts them off. Meanwhile the owner of the cell may end.
-func (c *cluster) recut(random *rand.Rand) {
+// restartAndCutHalf restarts half of the hosts and cuts them off. Meanwhile the owner of the cell may end.
+func (c *cluster) restartAndCutHalf(random *rand.Rand) {
 	time.Sleep(longJobs * longJobInterval / 2)
 	hosts := c.platform.Hosts()
 	random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
@@ -79,10 +79,10 @@
 		return
 	}
 	c.faults.record("%s crashed, and calls wait for it", h.Runner.Info().ID)
-	time.Sleep(recutDark)
+	time.Sleep(hostDownTime)
 	h.RestartHeld()
 	time.Sleep(cutAfter)
-	c.cutHost(h, recutCut, false)
+	c.cutHost(h, hostCutTime, false)
 }
 
 // endOwner kills the owner of the cell or asks it to end, after a time, and starts it again.
