sched: a heartbeat that acknowledges ends doesn't wait for others

A task that had ended done was started again (TWICE).

Cause: one heartbeat acknowledged ends and waited at the host for further ones, up to a second. Held up while the host restarted, it waited at the next incarnation, whose ends have the same low numbers.

Now the acknowledgement is a heartbeat of its own that is answered at once, and the one that waits acknowledges nothing. Whether a host has forgotten what was acknowledged is read from the ends that it lists, so that a relay may leave an acknowledgement out.

What remains: an acknowledgement that is carried out late, after an incarnation that nobody has called has ended a run.

--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 	h.ackValid = true
 	h.ackUntil = h.ackDeadline(reply.HostTime, sent, now)
 	h.answeredAt = max(h.answeredAt, reply.HostTime)
+	h.oldestListed = oldestEnd(reply.Finished)
 	c.countReported(h, reply, now)
 	persisted := c.processFinished(h, reply.Finished)
 	if reply.HostTime > h.reportedAt {
@@ -97,7 +99,15 @@
 	c.resetClock(h)
 	h.synced, h.ackValid = false, false
 	h.reportedAt, h.answeredAt = 0, 0
-	h.acknowledgedSequence, h.reportedSequence = 0, 0
+	h.acknowledgedSequence, h.reportedSequence, h.oldestListed = 0, 0, 0
+}
+
+// oldestEnd returns the lowest sequence number of finished runs, 0 if there are none.
+func oldestEnd(finished []lease.FinishedRun) int64 {
+	if len(finished) == 0 {
+		return 0
+	}
+	return slices.MinFunc(finished, func(a, b lease.FinishedRun) int { return cmp.Compare(a.Sequence, b.Sequence) }).Sequence
 }
 
 // processFinished processes the finished runs that a host reports. It returns nil if all of
--- a/sched/host.go
+++ b/sched/host.go
@@ -55,6 +55,9 @@
 	// persisted, and reportedSequence that of the last one that the host reported.
 	acknowledgedSequence int64
 	reportedSequence     int64
+	// oldestListed is the sequence number of the oldest end that the last report of the current
+	// incarnation listed, 0 if the host has forgotten all that had come by then.
+	oldestListed int64
 	// backoffUntil is when runs may be assigned again after the host refused a
 	// command.
 	backoffUntil time.Time
--- a/sched/hostloop.go
+++ b/sched/hostloop.go
@@ -65,20 +65,20 @@
 			continue
 		}
 		persisted := l.cell.handleHeartbeat(l.host, result.reply, result.sent)
-		if !l.hasAcknowledgement(heartbeat.Acknowledged) {
+		if !l.hasAcknowledgement() {
 			l.waitPersisted(ctx, persisted)
 			l.waitStartReply(ctx)
 		}
 	}
 }
 
-// hasAcknowledgement reports whether more ends are persisted than the last heartbeat
-// acknowledged. These are acknowledged before others are waited for, so that a host that
-// always has new ends isn't left with the old ones.
-func (l *hostLoop) hasAcknowledgement(acknowledged int64) bool {
+// hasAcknowledgement reports whether the host still lists ends that are persisted. These are
+// acknowledged before others are waited for, so that a host that always has new ends isn't left
+// with the old ones.
+func (l *hostLoop) hasAcknowledgement() bool {
 	l.cell.mu.Lock()
 	defer l.cell.mu.Unlock()
-	return l.host.ackValid && l.host.acknowledgedSequence > acknowledged
+	return l.host.ackValid && l.host.listsPersisted()
 }
 
 // heartbeatResult is the outcome of a heartbeat.
@@ -160,7 +160,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isStale := h.ackValid && c.options.Clock() > h.ackUntil
-	return isStale && h.startSenders > 0 && h.acknowledgedSequence == h.reportedSequence
+	return isStale && h.startSenders > 0 && h.listsPersisted() && h.acknowledgedSequence == h.reportedSequence
 }
 
 // isUpToDate reports whether the host has answered and has no end to acknowledge. A host
@@ -188,7 +188,7 @@
 	now := c.options.Clock()
 	heartbeat := lease.Heartbeat{Token: c.token(h), Acknowledged: h.acknowledgement(now)}
 	c.activity.heartbeats++
-	if h.ackValid && heartbeat.Acknowledged < h.acknowledgedSequence {
+	if h.ackValid && h.listsPersisted() && heartbeat.Acknowledged == 0 {
 		c.activity.unackedHeartbeats++
 	}
 	if h.synced && h.missedHeartbeats == 0 {
@@ -200,7 +200,9 @@
 			heartbeat.Wait = min(heartbeat.Wait, lossyHeartbeatWait)
 		}
 	}
-	if heartbeat.Acknowledged < h.reportedSequence {
+	if h.oldestListed != 0 {
+		// A heartbeat that acknowledges ends doesn't wait for others: held up on its way, it may
+		// reach the host's next incarnation, and would make that one forget its own as they come.
 		heartbeat.Wait = 0
 	}
 	// The lease of a host that doesn't respond is not renewed: otherwise it would
@@ -229,15 +231,20 @@
 }
 
 // acknowledgement returns the highest sequence number of a finished run that the host may
-// forget, or 0 if it may have restarted since its last report: a new incarnation would forget
-// its own runs.
+// forget, or 0 if there is none that it hasn't forgotten, or if it may have restarted since its
+// last report: a new incarnation would forget its own runs.
 func (h *host) acknowledgement(now time.Duration) int64 {
-	if !h.ackValid || now > h.ackUntil {
+	if !h.ackValid || now > h.ackUntil || !h.listsPersisted() {
 		return 0
 	}
 	return h.acknowledgedSequence
 }
 
+// listsPersisted reports whether the host's last report listed ends that are persisted by now.
+func (h *host) listsPersisted() bool {
+	return h.oldestListed != 0 && h.oldestListed <= h.acknowledgedSequence
+}
+
 // handleHeartbeatFailure handles a heartbeat to the host at the address in info
 // that was refused or failed.
 func (c *Cell) handleHeartbeatFailure(h *host, info *pool.Host, token int64, result heartbeatResult) {
