fake/stub: one socket of a caller is asked for, not all listed

Cause: for each connection the stand-in of a host looks for the process that has its other end, and read the system's tables of all sockets for that, several times. Beside other runs there are tens of thousands, most of them closed lately, and the calls of these tests wait 0.3 s.

The system is asked through vishvananda/netlink; where it can't be, the tables are still read, and a test has both name the same socket. TestCallerIsFoundWithoutSocketTables can't pass by the tables. No bound has changed.

--- a/fake/stub/caller.go
+++ b/fake/stub/caller.go
@@ -1,14 +1,18 @@
 package stub
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/vishvananda/netlink"
 )
 
 const (
@@ -20,6 +24,9 @@
 	closedInode                         = "0"
 )
 
+// socketTables are the system's tables of sockets.
+var socketTables = []string{"/proc/net/tcp", "/proc/net/tcp6"}
+
 // callerKey is the key of the calling node's name in the context of a connection.
 type callerKey struct{}
 
@@ -60,10 +67,32 @@
 	return "", false
 }
 
-// clientInode returns the inode of the client's socket of a connection on this machine, or "".
+// clientInode returns the inode of the client's socket of a connection on this machine, or "" if it
+// is closed. It asks for this socket: the tables take long to read where there are many. They are
+// read if the system can't be asked.
 func clientInode(conn net.Conn) string {
+	socket, err := netlink.SocketGet(conn.RemoteAddr(), conn.LocalAddr())
+	switch {
+	case errors.Is(err, syscall.ENOENT):
+		return ""
+	case err != nil:
+		return listedInode(conn)
+	case socket.INode == 0:
+		return ""
+	default:
+		return strconv.FormatUint(uint64(socket.INode), 10)
+	}
+}
+
+// listedInode is clientInode by the tables.
+func listedInode(conn net.Conn) string {
 	local, remote := portSuffix(conn.RemoteAddr()), portSuffix(conn.LocalAddr())
-	return cmp.Or(inodeIn("/proc/net/tcp", local, remote), inodeIn("/proc/net/tcp6", local, remote))
+	for _, table := range socketTables {
+		if inode := inodeIn(table, local, remote); inode != "" {
+			return inode
+		}
+	}
+	return ""
 }
 
 // portSuffix returns the end of an address in the system's table of sockets.
--- a/fake/stub/path_test.go
+++ b/fake/stub/path_test.go
@@ -241,6 +241,46 @@
 	}
 }
 
+// TestCallerIsFoundWithoutSocketTables guards against calls that get no answer in time on a machine with thousands
+// of sockets: reading its tables of them for each connection takes too long.
+func TestCallerIsFoundWithoutSocketTables(t *testing.T) {
+	tables := socketTables
+	socketTables = nil
+	t.Cleanup(func() { socketTables = tables })
+	h, a, b := newHost(t)
+	setCut(t, h.CutOffFrom, "a")
+	for _, connection := range connections {
+		a.check(h, connection, "while it is cut off", silence)
+		b.check(h, connection, "while the other node is cut off", answer)
+	}
+}
+
+// TestSocketTablesNameSameSocket guards against a stand-in that knows its callers only where the system can be
+// asked for one socket.
+func TestSocketTablesNameSameSocket(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if got, want := listedInode(conn), clientInode(conn); got != want || want == "" {
+		t.Errorf("got socket %q in the tables, want %q", got, want)
+	}
+	_ = client.Close()
+	if got := clientInode(conn); got != "" {
+		t.Errorf("got socket %q of a client that has closed it, want none", got)
+	}
+}
+
 func TestUnknownCallerIsNotCutOff(t *testing.T) {
 	h, _, _ := newHost(t)
 	setCut(t, h.CutOffFrom, "a")
