load: a GET that the client has repeated by itself may have run

Cause: Go's HTTP client repeats a GET by itself if a connection that was used before breaks, as when a node is killed. The generator saw only the last attempt: its NotRun, after an earlier one that a worker had started, counted as a contradiction. So did a dial that failed after such an attempt, as if nothing had been sent. That a verdict is about the last attempt was already the rule for the generator's own retries.

The generator now counts what was sent of each request. The check stays for all requests that were sent once; other requests than GETs are never repeated.

--- a/load/caller.go
+++ b/load/caller.go
@@ -6,10 +6,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -136,18 +138,24 @@
 // causeDial is the recorded cause if no connection could be opened.
 const causeDial = "Dial"
 
-func causeOfError(err error) string {
+// causeOfError returns the recorded cause of an error. If an attempt was sent, its connection broke, and
+// a dial that failed was that of a repeated one.
+func causeOfError(err error, sent bool) string {
 	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
+	if !sent && errors.As(err, &opErr) && opErr.Op == "dial" {
 		return causeDial
 	}
 	return "Connection"
 }
 
 func (c *Caller) sendOnce(id, address string, spec RequestSpec) outcome {
-	response, err := c.Client.Do(newRequest(id, address, spec))
+	// The client may repeat an idempotent request by itself.
+	var sent atomic.Int32
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Add(1) }}
+	request := newRequest(id, address, spec)
+	response, err := c.Client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
-		return outcome{result: TransportError, cause: causeOfError(err)}
+		return outcome{result: TransportError, cause: causeOfError(err, sent.Load() > 0)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
@@ -157,6 +165,10 @@
 	cause := response.Header.Get(core.CauseHeader)
 	switch response.Header.Get(core.VerdictHeader) {
 	case core.NotRun.String():
+		if sent.Load() > 1 {
+			// The verdict is only about the last attempt.
+			return outcome{result: MayHaveRun, cause: cause}
+		}
 		return outcome{result: NotRun, cause: cause}
 	case core.MayHaveRun.String():
 		return outcome{result: MayHaveRun, cause: cause}
