--- a/review/standin3/flap.go
+++ b/review/standin3/flap.go
@@ -16,16 +16,24 @@
 	// for which it may lack a run.
 	lastingTime = 9 * time.Second
 	job1        = "5c0e7a21d94b36f8"
+	// lastingTasks leave one worker with one task and room for another one, if there are two on each
+	// of the others.
+	flapWorkers, lastingTasks, tasksPerWorker = 8, 15, 2
 )
 
-// playFlap lets one of eight workers go down and up by turns, and checks that each of the eight tasks
-// of a job that lasts, at most one a worker, runs again afterwards.
+// playFlap lets one of eight workers go down and up by turns, and checks that each task of a job that
+// lasts, at most two a worker, runs again afterwards.
 func playFlap(log *record, trouble bool) (bool, error) {
 	active := make(map[string]int)
 	lastEnd := make(map[string]time.Time)
 	began := make(map[string]int)
-	log.onBegan = func(_ string, r *run) { active[r.task]++; began[r.task]++ }
-	log.onEnded = func(_ string, r *run, _ string) { active[r.task]--; lastEnd[r.task] = time.Now() }
+	runs := make(map[string]int)
+	log.onBegan = func(worker string, r *run) { active[r.task]++; began[r.task]++; runs[worker]++ }
+	log.onEnded = func(worker string, r *run, _ string) {
+		active[r.task]--
+		runs[worker]--
+		lastEnd[r.task] = time.Now()
+	}
 	w, err := newWorld(log)
 	if err != nil {
 		return false, err
@@ -36,7 +44,7 @@
 		"routes":   []any{route("serve", "/serve/", "desk", 0)},
 		"services": []any{service("desk", false)},
 	})
-	for i := range 8 {
+	for i := range flapWorkers {
 		w.addMachine("desk", 16000, "a", fmt.Sprintf("r1-%d", i/4))
 	}
 	if err := w.addNodes(4, smallBounds); err != nil {
@@ -46,15 +54,15 @@
 		return false, err
 	}
 	c := &client{w: w}
-	step := map[string]any{"count": 8, "cpu": 4000, "memMb": 1000, "estRuntimeMs": 1000, "longRunning": true, "antiAffinity": 1, "mayMiss": 1}
-	if err := c.submit("/serve/", job1, map[string]any{"spec": spec{CPU: 4000}.text(), "steps": []any{step}}); err != nil {
+	step := map[string]any{"count": lastingTasks, "cpu": 2000, "memMb": 1000, "estRuntimeMs": 1000, "longRunning": true, "antiAffinity": tasksPerWorker, "mayMiss": 2}
+	if err := c.submit("/serve/", job1, map[string]any{"spec": spec{CPU: 2000}.text(), "steps": []any{step}}); err != nil {
 		return false, err
 	}
 	missing := func() []string {
 		log.mu.Lock()
 		defer log.mu.Unlock()
 		var tasks []string
-		for i := range 8 {
+		for i := range lastingTasks {
 			if task := fmt.Sprintf("%s.0.0.%d", job1, i); active[task] == 0 {
 				tasks = append(tasks, task)
 			}
@@ -71,8 +79,18 @@
 		return false, errors.New("the tasks don't run before the disruption")
 	}
 	time.Sleep(5 * time.Second)
+	flapped := ""
 	if trouble {
-		m := w.machines[len(w.machines)-1]
+		// That with one task: no other may take it.
+		m := w.machines[0]
+		log.mu.Lock()
+		for _, other := range w.machines {
+			if runs[other.worker.id] < tasksPerWorker {
+				m = other
+			}
+		}
+		log.mu.Unlock()
+		flapped = m.name
 		log.printf("disruption: %s goes down and up by turns, period %s, for %s", m.name, flapPeriod, flapTime)
 		for begun := time.Now(); time.Since(begun) < flapTime; {
 			m.down("flap")
@@ -90,7 +108,7 @@
 			log.mu.Unlock()
 			if since := time.Since(last); since > lastingTime && !broken {
 				broken = true
-				log.printf("LOST: %s has had no run for %.1f s, %d runs before; all 8 workers are up, with 12 of 16 cores free or more", task, since.Seconds(), began[task])
+				log.printf("LOST: %s has had no run for %.1f s, %d runs before; all workers are up, %s has room for it twice over", task, since.Seconds(), began[task], flapped)
 			}
 		}
 	}
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -229,7 +229,6 @@
 
 // leader returns the node that has the last partition of the nodes' group, and with it the machines.
 
-
 // ownerOf returns the node that has a partition of the nodes' group, as the store lists it, or nil.
 func (w *world) ownerOf(partition int) *node {
 	owners, _ := w.store.Client("review").PartitionOwners(context.Background(), "cells")
