--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -10,7 +10,7 @@
 // play is a case. It reports whether its rule was broken.
 type play func(log *record, trouble bool) (broken bool, err error)
 
-var plays = map[string]play{"flap": playFlap, "quota": playQuota, "pending": playPending}
+var plays = map[string]play{"flap": playFlap, "quota": playQuota, "pending": playPending, "memory": playMemory, "moved": playMoved}
 
 func main() { os.Exit(run1(os.Args[1:])) }
 
--- /dev/null
+++ b/review/standin3/moved.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	jobsPerService = 40
+	repeaters      = 16
+)
+
+// playMoved moves a queue from one service to the next, then stops and starts each node in turn, and
+// lets requests that hand in the jobs arrive once more at the node that has just started. It checks that
+// no task is started twice.
+func playMoved(log *record, trouble bool) (bool, error) {
+	active, done, broken := make(map[string]int), make(map[string]bool), 0
+	log.onBegan = func(worker string, r *run) {
+		if active[r.task] > 0 || done[r.task] {
+			broken++
+			log.line("TWICE: %s begins on %s, %d other runs of it are at work, done before: %t", r.task, worker, active[r.task], done[r.task])
+		}
+		active[r.task]++
+	}
+	log.onEnded = func(_ string, r *run, how string) {
+		active[r.task]--
+		done[r.task] = done[r.task] || how == "done"
+	}
+	w, err := newWorld(log)
+	if err != nil {
+		return false, err
+	}
+	defer w.close()
+	services := []string{"alfa", "bravo", "charlie", "delta"}
+	publish := func(version int, name string) {
+		var list []any
+		for _, name := range services {
+			list = append(list, service(name, false))
+		}
+		w.put("config", map[string]any{"version": version, "limits": limits, "routes": []any{route("queue", "/queue/", name, 0)}, "services": list})
+	}
+	publish(1, services[0])
+	for _, name := range services {
+		for i := range 2 {
+			w.addMachine(name, 16000, "a", fmt.Sprintf("r1-%d", i))
+		}
+	}
+	if err := w.addNodes(4, smallBounds); err != nil {
+		return false, err
+	}
+	if err := w.awaitReady(10 * time.Second); err != nil {
+		return false, err
+	}
+	step := map[string]any{"count": 1, "cpu": 100, "memMb": 100, "estRuntimeMs": 90_000}
+	job := map[string]any{"spec": spec{Ms: 90_000, CPU: 100}.text(), "steps": []any{step}}
+	var ids []string
+	for i, name := range services[:3] {
+		if i > 0 {
+			publish(i+1, name)
+			// configApplyMs and half as much again.
+			time.Sleep(3 * time.Second)
+		}
+		c := &client{w: w}
+		for k := range jobsPerService {
+			id := fmt.Sprintf("%014x%02x", i+1, k)
+			if err := c.submit("/queue/", id, job); err != nil {
+				return false, err
+			}
+			ids = append(ids, id)
+		}
+	}
+	publish(4, services[3])
+	time.Sleep(5 * time.Second)
+	for i, n := range w.nodes {
+		if trouble {
+			log.printf("disruption: SIGTERM to %s", n.name)
+			<-n.signal(syscall.SIGTERM)
+		}
+		n.awaitReady()
+		w.repeat(i, ids, job)
+		time.Sleep(2 * time.Second)
+	}
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.line("%d starts too many", broken)
+	return broken > 0, nil
+}
+
+// awaitReady waits until the node is ready, for some seconds at most.
+func (n *node) awaitReady() {
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if resp, err := http.Get("http://" + n.address(readyPort) + "/ready"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+	}
+}
+
+// repeat sends the requests that have handed jobs in once more, to one node.
+func (w *world) repeat(node int, ids []string, job map[string]any) {
+	body, err := json.Marshal(job)
+	if err != nil {
+		panic(err)
+	}
+	queue := make(chan string, len(ids))
+	for _, id := range ids {
+		queue <- id
+	}
+	close(queue)
+	var wg sync.WaitGroup
+	for range repeaters {
+		wg.Go(func() {
+			c := &client{w: w, next: node}
+			for id := range queue {
+				c.next = node
+				c.call(http.MethodPost, "/queue/"+id, body)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -16,6 +16,9 @@
 	"rattanpath/store"
 )
 
+// pageBytes is the largest size of a page of a list, and of the records that a read returns.
+const pageBytes = 1 << 20
+
 // storeHandler serves the calls of one node to the platform's store, which is the project's stand-in
 // behind the messages of the users' pages.
 type storeHandler struct{ client *fake.StoreClient }
@@ -92,7 +95,14 @@
 	}
 	out := binary.BigEndian.AppendUint64(nil, uint64(batch.End))
 	out = binary.BigEndian.AppendUint64(out, 0)
-	for _, record := range batch.Records {
+	limit := int(number(r, "maxKb")) << 10
+	if limit == 0 {
+		limit = pageBytes
+	}
+	for i, record := range batch.Records {
+		if i > 0 && len(out)+len(record.Key)+len(record.Value) > limit {
+			break
+		}
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(record.Key)+len(record.Value)))
 		out = append(append(out, byte(len(record.Key))), record.Key...)
 		out = append(out, record.Value...)
@@ -106,11 +116,19 @@
 		fail(w, err)
 		return
 	}
+	after, size, more := r.URL.Query().Get("dependsOn"), 0, false
 	items := []map[string]any{}
 	for _, record := range snapshot.Records {
+		if record.Key <= after {
+			continue
+		}
+		if size += len(record.Key) + len(record.Value); len(items) == 500 || size > pageBytes && len(items) > 0 {
+			more = true
+			break
+		}
 		items = append(items, map[string]any{"key": record.Key, "value": base64.StdEncoding.EncodeToString(record.Value), "offset": record.Offset})
 	}
-	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "endOffset": snapshot.Next})
+	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "endOffset": snapshot.Next})
 }
 
 func (s *storeHandler) trim(w http.ResponseWriter, r *http.Request) {
