--- a/review/standin3/moved.go
+++ b/review/standin3/moved.go
@@ -10,13 +10,15 @@
 )
 
 const (
-	jobsPerService = 40
-	repeaters      = 16
+	jobsPerService = 120
+	// repeatInterval is the time between two requests that arrive once more, and trafficInterval that
+	// between two short jobs for one service.
+	repeatInterval, trafficInterval = time.Millisecond, 100 * time.Millisecond
 )
 
-// playMoved moves a queue from one service to the next, then stops and starts each node in turn, and
-// lets requests that hand in the jobs arrive once more at the node that has just started. It checks that
-// no task is started twice.
+// playMoved moves a queue from one service to the next, stops and starts the nodes in turn, and lets
+// each of the requests that have handed jobs in arrive once more, at a node that has just started. It
+// checks that no task is started twice.
 func playMoved(log *record, trouble bool) (bool, error) {
 	active, done, broken := make(map[string]int), make(map[string]bool), 0
 	log.onBegan = func(worker string, r *run) {
@@ -38,10 +40,12 @@
 	services := []string{"alfa", "bravo", "charlie", "delta"}
 	publish := func(version int, name string) {
 		var list []any
+		routes := []any{route("queue", "/queue/", name, 0)}
 		for _, name := range services {
 			list = append(list, service(name, false))
+			routes = append(routes, route(name, "/"+name+"/", name, 0))
 		}
-		w.put("config", map[string]any{"version": version, "limits": limits, "routes": []any{route("queue", "/queue/", name, 0)}, "services": list})
+		w.put("config", map[string]any{"version": version, "limits": limits, "routes": routes, "services": list})
 	}
 	publish(1, services[0])
 	for _, name := range services {
@@ -74,14 +78,23 @@
 		}
 	}
 	publish(4, services[3])
-	time.Sleep(5 * time.Second)
+	stop := make(chan struct{})
+	defer close(stop)
+	for i, name := range services {
+		go w.traffic(i, name, stop)
+	}
+	time.Sleep(3 * time.Second)
 	for i, n := range w.nodes {
 		if trouble {
 			log.printf("disruption: SIGTERM to %s", n.name)
 			<-n.signal(syscall.SIGTERM)
 		}
 		n.awaitReady()
-		w.repeat(i, ids, job)
+		var repeated []string
+		for k := i; k < len(ids); k += len(w.nodes) {
+			repeated = append(repeated, ids[k])
+		}
+		w.repeat(i, repeated, job)
 		time.Sleep(2 * time.Second)
 	}
 	log.mu.Lock()
@@ -102,26 +115,40 @@
 	}
 }
 
-// repeat sends the requests that have handed jobs in once more, to one node.
+// repeat sends requests that have handed jobs in once more to one node, one after the other, each from a
+// client of its own.
 func (w *world) repeat(node int, ids []string, job map[string]any) {
 	body, err := json.Marshal(job)
 	if err != nil {
 		panic(err)
 	}
-	queue := make(chan string, len(ids))
-	for _, id := range ids {
-		queue <- id
-	}
-	close(queue)
 	var wg sync.WaitGroup
-	for range repeaters {
+	for _, id := range ids {
 		wg.Go(func() {
 			c := &client{w: w, next: node}
-			for id := range queue {
-				c.next = node
-				c.call(http.MethodPost, "/queue/"+id, body)
-			}
+			c.call(http.MethodPost, "/queue/"+id, body)
 		})
+		time.Sleep(repeatInterval)
 	}
 	wg.Wait()
 }
+
+// traffic hands in short jobs for a service until stop is closed.
+func (w *world) traffic(number int, name string, stop <-chan struct{}) {
+	short := spec{Ms: 300, CPU: 100}
+	step := map[string]any{"count": 6, "cpu": 100, "memMb": 100, "estRuntimeMs": 300}
+	job := map[string]any{"spec": short.text(), "steps": []any{step}}
+	body, err := json.Marshal(job)
+	if err != nil {
+		panic(err)
+	}
+	c := &client{w: w, next: number}
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(trafficInterval):
+			c.call(http.MethodPost, fmt.Sprintf("/%s/%04x%012x", name, 0xf000+number, i), body)
+		}
+	}
+}
