intake: the services that may hold a job are read at one moment

Cause: findEarlier read which services the queue has used, asked them, and read only then which services have not listed their queues yet. A service whose list arrives between the two is in neither. findElsewhere, the count of pending jobs, GET and the explanation read the history two or three times as well, and the current service was left out by the newest configuration of the node, while the request goes by the one with which it began.

Now serviceHistory.holders gives both lists and the version of the move under one lock, against the service of the request's own configuration, and each decision is made from one such value.

The services are copied for each configuration, which sorts them.

--- a/intake/discovery.go
+++ b/intake/discovery.go
@@ -22,7 +22,7 @@
 	delay := minAskDelay
 	for ctx.Err() == nil {
 		changed := h.history.changed.Changed()
-		services := h.history.unsettledServices("")
+		services := h.history.unsettledServices()
 		if len(services) == 0 {
 			delay = minAskDelay
 			select {
@@ -34,7 +34,7 @@
 		if err := h.askForQueues(ctx, services); err != nil && delay == maxAskDelay {
 			h.logger.Info("services have not listed their queues; submissions need a call to each", "services", services, "err", err.Error())
 		}
-		if len(h.history.unsettledServices("")) > 0 && core.Sleep(ctx, delay) == nil {
+		if len(h.history.unsettledServices()) > 0 && core.Sleep(ctx, delay) == nil {
 			delay = min(2*delay, maxAskDelay)
 		}
 	}
--- a/intake/earlier.go
+++ b/intake/earlier.go
@@ -7,13 +7,18 @@
 	"rattanpath/tasks"
 )
 
+// holders returns the services that may hold jobs of the exchange's queue. One decision must be made
+// from one such value: services list their queues at any time.
+func (x *exchange) holders() holders {
+	return x.history.holders(x.queue.Key(), x.queue.Policy.Service)
+}
+
 // otherServices returns all services except the queue's current one, and except those on
 // standby that can't hold jobs of the queue.
-func (x *exchange) otherServices() []string {
+func (x *exchange) otherServices(known holders) []string {
 	var others []string
-	holders := x.jobServices()
 	for _, service := range x.config.Services {
-		if service.Name != x.queue.Policy.Service && (!service.Standby || slices.Contains(holders, service.Name)) {
+		if service.Name != x.queue.Policy.Service && (!service.Standby || known.include(service.Name)) {
 			others = append(others, service.Name)
 		}
 	}
@@ -22,11 +27,10 @@
 
 // jobServices returns the services of the configuration that may hold jobs of the queue,
 // its current one first. Those that were removed run nothing and have no owner to ask.
-func (x *exchange) jobServices() []string {
-	current := x.queue.Policy.Service
-	services := []string{current}
-	for _, service := range append(x.history.previous(x.queue.Key()), x.history.unsettledServices(current)...) {
-		if _, exists := x.config.Service(service); exists && !slices.Contains(services, service) {
+func (x *exchange) jobServices(known holders) []string {
+	services := []string{x.queue.Policy.Service}
+	for _, service := range known.all() {
+		if _, exists := x.config.Service(service); exists {
 			services = append(services, service)
 		}
 	}
@@ -35,9 +39,8 @@
 
 // servicesWithoutJobs returns the services that findEarlier doesn't ask since they are not known to
 // hold jobs of the queue, except those on standby.
-func (x *exchange) servicesWithoutJobs() []string {
-	asked := x.jobServices()
-	return slices.DeleteFunc(x.otherServices(), func(service string) bool { return slices.Contains(asked, service) })
+func (x *exchange) servicesWithoutJobs(known holders) []string {
+	return slices.DeleteFunc(x.otherServices(known), known.include)
 }
 
 // search is the result of looking for a job at several services.
@@ -69,13 +72,13 @@
 // don't know yet that it has moved. Of those that have not listed their queues yet, the first that
 // doesn't answer is enough to refuse the job.
 func (x *exchange) findEarlier() search {
-	movedIn := x.history.lastMove(x.queue.Key())
-	found := x.findJob(x.history.previous(x.queue.Key()), movedIn)
-	for _, other := range x.history.unsettledServices(x.queue.Policy.Service) {
+	known := x.holders()
+	found := x.findJob(known.previous, known.movedIn)
+	for _, other := range known.unsettled {
 		if found.isComplete() {
 			break
 		}
-		found.merge(x.findJob([]string{other}, movedIn))
+		found.merge(x.findJob([]string{other}, known.movedIn))
 	}
 	return found
 }
@@ -83,16 +86,10 @@
 // findElsewhere looks for a job that is about to be cancelled at all services but the queue's current
 // one. Services that may have accepted it take no more jobs of the queue, as with findEarlier.
 func (x *exchange) findElsewhere() search {
-	movedIn := x.history.lastMove(x.queue.Key())
-	holders := x.history.previous(x.queue.Key())
-	for _, service := range x.history.unsettledServices(x.queue.Policy.Service) {
-		if !slices.Contains(holders, service) {
-			holders = append(holders, service)
-		}
-	}
-	found := x.findJob(holders, movedIn)
+	known := x.holders()
+	found := x.findJob(known.all(), known.movedIn)
 	if found.service == "" {
-		found.merge(x.findJob(x.servicesWithoutJobs(), 0))
+		found.merge(x.findJob(x.servicesWithoutJobs(known), 0))
 	}
 	return found
 }
--- a/intake/explain.go
+++ b/intake/explain.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"net/url"
-	"slices"
 	"strings"
 
 	"rattanpath/owner"
@@ -105,7 +104,7 @@
 	case submitOperation:
 		x.explainSubmit(ctx)
 	case pendingOperation:
-		x.view.Asked = x.jobServices()
+		x.view.Asked = x.jobServices(x.holders())
 		x.respond(http.StatusOK, "the sum of what these services hold")
 	default:
 		x.explainQuery(ctx, requested)
@@ -120,7 +119,7 @@
 		return
 	}
 	current := x.view
-	if found, others := x.findPreview(ctx, x.otherServices()); found || !others {
+	if found, others := x.findPreview(ctx, x.otherServices(x.holders())); found || !others {
 		return
 	}
 	if !ok {
@@ -185,11 +184,10 @@
 
 // earlierServices returns the groups of services that findEarlier asks one after the other.
 func (x *explainer) earlierServices() [][]string {
-	groups := [][]string{x.history.previous(x.queue.Key())}
-	for _, service := range x.history.unsettledServices(x.queue.Policy.Service) {
-		if !slices.Contains(groups[0], service) {
-			groups = append(groups, []string{service})
-		}
+	known := x.holders()
+	groups := [][]string{known.previous}
+	for _, service := range known.unsettled {
+		groups = append(groups, []string{service})
 	}
 	return groups
 }
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -265,7 +265,7 @@
 func (x *exchange) getStatus() {
 	response := x.callOwner(owner.MethodStatus, tasks.Plan{})
 	if response.Outcome == owner.UnknownJob {
-		response = x.findJob(x.otherServices(), 0).response
+		response = x.findJob(x.otherServices(x.holders()), 0).response
 	}
 	if response.Outcome != owner.Done {
 		x.writeFailure(response.Outcome)
@@ -322,7 +322,7 @@
 
 func (x *exchange) getPending() {
 	pending := 0
-	for _, service := range x.jobServices() {
+	for _, service := range x.jobServices(x.holders()) {
 		response := x.callService(service, owner.MethodPending, tasks.Plan{})
 		if response.Outcome != owner.Done {
 			x.writeFailure(response.Outcome)
--- a/intake/history.go
+++ b/intake/history.go
@@ -102,14 +102,6 @@
 	return removed && time.Since(at) > removedTime
 }
 
-// lastMove returns the version of the configuration in which a queue was assigned to its service,
-// at the latest.
-func (h *serviceHistory) lastMove(key string) int64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.movedIn[key]
-}
-
 // addService records that a queue has used a service. h.mu must be held.
 func (h *serviceHistory) addService(key, service string) {
 	if h.services == nil {
@@ -154,28 +146,48 @@
 	}
 }
 
-// unsettledServices returns the services other than a given one that have not listed their
-// queues yet.
-func (h *serviceHistory) unsettledServices(current string) []string {
+// unsettledServices returns the services that have not listed their queues yet.
+func (h *serviceHistory) unsettledServices() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.unsettled) == 0 {
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(h.unsettled), func(service string) bool { return service == current })
+	return slices.Clone(h.unsettled)
+}
+
+// holders is which services other than a queue's current one may hold jobs of it, at one moment.
+type holders struct {
+	// previous holds those that the queue has used, except those that are gone, and unsettled the
+	// others that have not listed their queues yet.
+	previous  []string
+	unsettled []string
+	// movedIn is the version of the configuration in which the queue was assigned to its newest
+	// service, at the latest.
+	movedIn int64
 }
 
-// previous returns the services that a queue used before its current one, except those that are gone.
-func (h *serviceHistory) previous(key string) []string {
+// all returns all services.
+func (h *holders) all() []string { return slices.Concat(h.previous, h.unsettled) }
+
+// include reports whether a service is one of them.
+func (h *holders) include(service string) bool {
+	return slices.Contains(h.previous, service) || slices.Contains(h.unsettled, service)
+}
+
+// holders returns the services that may hold jobs of a queue beside a current one, which is that of
+// the caller's configuration. A service that lists its queues passes from unsettled to previous,
+// or to neither, and the newest version may change with any call, so all is read at once.
+func (h *serviceHistory) holders(key, current string) holders {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	services := h.services[key]
-	if len(services) < 2 {
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(services), func(service string) bool {
-		return h.isGone(service) || slices.ContainsFunc(h.config.Queues, func(q *queue.Queue) bool {
-			return q.Key() == key && q.Policy.Service == service
-		})
-	})
+	known := holders{movedIn: h.movedIn[key]}
+	for _, service := range h.services[key] {
+		if service != current && !h.isGone(service) {
+			known.previous = append(known.previous, service)
+		}
+	}
+	for _, service := range h.unsettled {
+		if service != current && !slices.Contains(known.previous, service) {
+			known.unsettled = append(known.unsettled, service)
+		}
+	}
+	return known
 }
--- a/intake/moves_test.go
+++ b/intake/moves_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,7 +24,10 @@
 	"rattanpath/tasks"
 )
 
-var moveSeeds = flag.Uint64("move.seeds", 20, "seeds of the chaos test of moved queues")
+var (
+	moveSeeds = flag.Uint64("move.seeds", 240, "seeds of the chaos test of moved queues")
+	moveFirst = flag.Uint64("move.first", 0, "first seed of the chaos test of moved queues")
+)
 
 const (
 	// moveNodes is the number of nodes, and moveTime how long queues are moved and jobs
@@ -185,7 +189,7 @@
 	}
 	service := moveServices[c.random.IntN(len(moveServices))].Name
 	q := &queue.Queue{Name: "q", Host: "a.example", Prefix: "/x/", Policy: tasks.Policy{Service: service}}
-	config, previous := queue.NewConfig(version, []*queue.Queue{q}, moveServices, queue.Limits{BodyBytes: 64}), c.newest
+	config, previous := queue.NewConfig(version, []*queue.Queue{q}, slices.Clone(moveServices), queue.Limits{BodyBytes: 64}), c.newest
 	c.newest = config
 	for _, n := range c.nodes {
 		if n != nil && c.random.IntN(4) > 0 {
@@ -251,8 +255,9 @@
 // TestMovedQueueChaos guards against a job that two services accept while its queue moves between
 // them, nodes and owners read the configuration late or miss versions, and are replaced.
 func TestMovedQueueChaos(t *testing.T) {
-	for seed := range *moveSeeds {
+	for seed := *moveFirst; seed < *moveFirst+*moveSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				c := &moveCluster{
