sched: a list of queues closes the cell for good, at the moment it is made

Cause: Queues read the configuration and the jobs under one lock and recorded under another that older nodes are refused. Even once recorded, isReassigned let older nodes pass as soon as the owner's newest configuration had the queue again, so the promise of the list ended with the next version, while nodes that had the list went on relying on it. And a list that is newer than the asker's configuration settles a service that takes jobs of the queue by that version.

Now the list and the version that closes the cell are one step. Nodes of versions before the newest list are refused (503, nothing was done), but for queues that all lists of this owner gave as open; the list names those, and who gets it asks the service. An owner that has inherited the version of a list refuses all older nodes.

TestListBindsLaterOwners wanted the opposite for its last call: a node of version 1 was to be accepted once the queue had come back in version 3, after a list of version 2. That is the fault. It wants the refusal now, and that nodes of versions 2 and 3 are accepted. TestQueuesOfCell cancels a job of a queue that isn't configured; its caller is of the cell's version now in place of version 0.

--- a/intake/history.go
+++ b/intake/history.go
@@ -112,12 +112,12 @@
 	}
 }
 
-// addList records which queues the owner of a service holds jobs of, and reports whether the
+// addList records which queues the owner of a service holds jobs of or takes from older nodes, and reports whether the
 // list is final: an owner of an older configuration may still accept jobs of other queues.
 func (h *serviceHistory) addList(service string, list sched.QueueList) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, key := range list.Queues {
+	for _, key := range slices.Concat(list.Queues, list.Open) {
 		h.addService(key, service)
 	}
 	if list.ConfigVersion < h.config.Version {
--- a/intake/holders_test.go
+++ b/intake/holders_test.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// TestOpenQueueOfListIsAsked guards against a job that runs twice: a service that takes jobs of a queue
+// from nodes that lag, since a newer version assigns the queue to it, must be asked before the node
+// knows that version.
+func TestOpenQueueOfListIsAsked(t *testing.T) {
+	runHandler(t, newTestConfig(2, "two"), func(h *Handler, source *testConfigSource, client *fakeClient) {
+		h.LearnConfig(source.config, true)
+		h.history.addList("one", sched.QueueList{ConfigVersion: 5, Open: []string{source.config.Queues[0].Key()}})
+		client.jobs["one"] = map[string]bool{testID: true}
+		if got := send(h, "POST", "/x/"+testID, "job").Code; got != 200 || len(client.jobs["two"]) != 0 {
+			t.Errorf("got status %d and jobs %v at the node's service, want 200 and none", got, client.jobs["two"])
+		}
+	})
+}
+
 // TestNewerServiceIsAsked guards against a job that runs twice: a request that began with an older
 // version of the configuration must look for the job at the service of the newest one too.
 func TestNewerServiceIsAsked(t *testing.T) {
--- a/sched/reassigned.go
+++ b/sched/reassigned.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"rattanpath/queue"
 	"rattanpath/store"
 )
 
@@ -26,6 +27,9 @@
 // on an older one don't know which jobs the other service may have accepted.
 type movedQueues struct {
 	versions map[string]int64
+	// open holds the queues that each list of this owner has given as open to nodes of older
+	// versions, nil before the first. An owner that inherits a version doesn't know them.
+	open map[string]bool
 	// stored holds the versions that are persisted, and unwritten what to call once those of
 	// other queues are.
 	stored    map[string]int64
@@ -43,9 +47,11 @@
 type QueueList struct {
 	Queues []string
 	// ConfigVersion is the version of the node's configuration when the list was made. From
-	// then on no owner of the cell accepts new jobs of queues which that version assigns to
-	// another service, unless the caller's node acts on a newer one.
+	// then on no owner of the cell accepts new jobs from callers' nodes that act on an older one,
+	// except those of queues in Open.
 	ConfigVersion int64
+	// Open holds queues that this version assigns to the service, as did those of earlier lists.
+	Open []string
 }
 
 // isReassigned reports whether a queue was assigned to another service in a version of the
@@ -55,45 +61,59 @@
 	if caller.ConfigVersion < c.moved.versions[key] {
 		return true
 	}
-	if c.options.Config == nil {
-		return false
-	}
-	config := c.options.Config()
-	if config == nil || config.Version < c.moved.versions[allQueues] {
-		return caller.ConfigVersion < c.moved.versions[allQueues]
+	if caller.ConfigVersion < c.moved.versions[allQueues] && !c.moved.open[key] {
+		// The queue may come back, as in a version after that of a list. Jobs that were submitted
+		// elsewhere by nodes which relied on the list are then unknown here.
+		return true
 	}
-	if config.Version <= caller.ConfigVersion {
+	config := c.config()
+	if config == nil || config.Version <= caller.ConfigVersion {
 		return false
 	}
 	q := config.Queue(key)
 	return q != nil && q.Policy.Service != c.options.Service
 }
 
+// config returns the configuration of this node, or nil if it has none.
+func (c *Cell) config() *queue.Config {
+	if c.options.Config == nil {
+		return nil
+	}
+	return c.options.Config()
+}
+
 // RecordMove makes this owner and all after it refuse new jobs of a queue from nodes that act on a
 // configuration older than the given version, in which the queue was assigned to another service.
 // It returns once that is persisted.
 func (c *Cell) RecordMove(ctx context.Context, queue string, version int64) error {
 	c.mu.Lock()
+	persisted, err := c.recordMove(queue, version)
+	c.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return c.awaitPersisted(ctx, persisted)
+}
+
+// recordMove does the same, but returns a channel that is closed once that is persisted. c.mu must be held.
+func (c *Cell) recordMove(key string, version int64) (persisted chan struct{}, err error) {
+	persisted = make(chan struct{})
 	switch {
 	case c.isLost() || c.stopped:
-		c.mu.Unlock()
-		return ErrNotOwner
-	case version <= c.moved.stored[queue]:
-		c.mu.Unlock()
-		return nil
+		return nil, ErrNotOwner
+	case version <= c.moved.stored[key]:
+		close(persisted)
+		return persisted, nil
 	case c.storeUnavailable():
-		c.mu.Unlock()
-		return ErrStoreUnavailable
+		return nil, ErrStoreUnavailable
 	}
-	if version > c.moved.versions[queue] {
-		c.moved.versions[queue] = version
-		c.logger.Info("queue moved", "queue", queue, "version", version, "epoch", c.epoch)
+	if version > c.moved.versions[key] {
+		c.moved.versions[key] = version
+		c.logger.Info("queue moved", "queue", key, "version", version, "epoch", c.epoch)
 	}
-	persisted := make(chan struct{})
-	c.moved.unwritten[queue] = append(c.moved.unwritten[queue], func() { close(persisted) })
+	c.moved.unwritten[key] = append(c.moved.unwritten[key], func() { close(persisted) })
 	wake(c.writeWake)
-	c.mu.Unlock()
-	return c.awaitPersisted(ctx, persisted)
+	return persisted, nil
 }
 
 func newMovedQueues() movedQueues {
@@ -131,24 +151,46 @@
 }
 
 // Queues returns the queues that the cell holds jobs of, ended ones included. It confirms that this
-// node owned the cell meanwhile, and that no later owner takes new jobs from nodes of older versions
-// before it knows the version of the list itself.
+// node owned the cell meanwhile, and that no later owner takes new jobs from nodes of older versions.
+// Nothing may be accepted between the list and the version that closes the cell to such nodes.
 func (c *Cell) Queues(ctx context.Context) (QueueList, error) {
 	c.mu.Lock()
-	var list QueueList
-	if c.options.Config != nil {
-		if config := c.options.Config(); config != nil {
-			list.ConfigVersion = config.Version
-		}
+	list := c.listQueues()
+	persisted, err := c.recordMove(allQueues, list.ConfigVersion)
+	c.mu.Unlock()
+	if err != nil {
+		return list, err
 	}
+	if err := c.awaitPersisted(ctx, persisted); err != nil {
+		return list, err
+	}
+	return list, c.ConfirmOwnership(ctx)
+}
+
+// listQueues returns the list of Queues, and records which queues it gives as open. c.mu must be held.
+func (c *Cell) listQueues() QueueList {
 	held := make(map[string]bool)
 	for key := range c.jobs {
 		held[key.Queue] = true
 	}
-	c.mu.Unlock()
-	list.Queues = slices.Sorted(maps.Keys(held))
-	if err := c.RecordMove(ctx, allQueues, list.ConfigVersion); err != nil {
-		return list, err
+	list := QueueList{Queues: slices.Sorted(maps.Keys(held))}
+	if config := c.config(); config != nil {
+		list.ConfigVersion = config.Version
+		c.moved.keepOpen(config, c.options.Service)
 	}
-	return list, c.ConfirmOwnership(ctx)
+	list.Open = slices.Sorted(maps.Keys(c.moved.open))
+	return list
+}
+
+// keepOpen leaves those queues open to nodes of older versions that a configuration assigns to a
+// service, unless an earlier list didn't. The version of the list must not have been recorded yet.
+func (m *movedQueues) keepOpen(config *queue.Config, service string) {
+	isFirst := m.open == nil && m.versions[allQueues] == 0
+	open := make(map[string]bool)
+	for _, q := range config.Queues {
+		if key := q.Key(); q.Policy.Service == service && (isFirst || m.open[key]) {
+			open[key] = true
+		}
+	}
+	m.open = open
 }
--- a/sched/reassigned_test.go
+++ b/sched/reassigned_test.go
@@ -111,9 +111,38 @@
 			}
 		}
 		config.Store(configOf(3, testService))
-		if err := submit(n, "later", 1); err != nil {
-			t.Errorf("got error %v of a submission once the owner knows that the queue is its own, want none", err)
+		for version, want := range map[int64]error{1: ErrReassigned, 2: nil, 3: nil} {
+			if err := submit(n, fmt.Sprint("later", version), version); !errors.Is(err, want) {
+				t.Errorf("got error %v of a submission of version %d once the owner knows that the queue is its own, want %v", err, version, want)
+			}
+		}
+	})
+}
+
+// TestListClosesQueueThatComesBack guards against a job that runs at two services: a node that relies
+// on a list has had it accepted elsewhere, and one that lags behind submits it here once the queue
+// has come back. Queues that no list has closed stay open to nodes that lag.
+func TestListClosesQueueThatComesBack(t *testing.T) {
+	movedCluster(t, func(tc *testCluster, config *atomic.Pointer[queue.Config], submit, _ func(*node, string, int64) error) {
+		n := tc.claim("a")
+		wantList := func(version int64, open ...string) {
+			t.Helper()
+			if list, err := n.cell.Queues(tc.ctx); err != nil || list.ConfigVersion != version || !slices.Equal(list.Open, open) {
+				t.Errorf("got %+v and error %v, want version %d and open queues %v", list, err, version, open)
+			}
 		}
+		wantList(1, testQueue)
+		wantError(t, "a submission of an older version before the queue has moved", submit(n, "before", 0), nil)
+		config.Store(configOf(2, "other"))
+		wantList(2)
+		config.Store(configOf(3, testService))
+		wantError(t, "a submission of the version before the list", submit(n, "older", 1), ErrReassigned)
+		wantError(t, "a submission of the version of the list", submit(n, "same", 2), nil)
+		wantList(3)
+		n = tc.claim("b")
+		wantList(3)
+		wantError(t, "a submission of an older version at the next owner", submit(n, "next", 2), ErrReassigned)
+		wantError(t, "a submission of the newest version at the next owner", submit(n, "newest", 3), nil)
 	})
 }
 
@@ -134,7 +163,7 @@
 		if err := tc.submit(n, "job", simplePlan(1, 1000)); err != nil {
 			t.Fatal(err)
 		}
-		if err := n.cell.Cancel(tc.ctx, Caller{}, tasks.Key{Queue: "another", ID: "unknown"}); !errors.Is(err, ErrUnknownJob) {
+		if err := n.cell.Cancel(tc.ctx, Caller{ConfigVersion: 4}, tasks.Key{Queue: "another", ID: "unknown"}); !errors.Is(err, ErrUnknownJob) {
 			t.Fatal(err)
 		}
 		time.Sleep(5 * time.Second)
