sched: a cell uses its base only under caps that a leader has confirmed, and stores that

Cause: the bases of all cells need no leader only as long as no cell runs more than the others' bases leave of the cap. A lowered cap breaks that until enough has ended. What kept cells below their bases meanwhile, the limits of an allotment, stood in memory and for 2.5 s alone. A new owner had none, a new leader sent an empty allotment, without a leader they expired, and the hold after a lowered cap ended after 2 s. A service that came back from standby used its base at once, though all had been lent.

Now each cell stores the version of the configuration whose caps a leader has confirmed and the organisations that are held. It uses its base only if that version is as new as the one since which its node knows that the cap was not higher and that the service had a base (queue.Config.CapsSince, ActiveSince), which needs all versions in between. A held organisation starts only what an unexpired allotment restricts it to. An allotment that confirms nothing changes no hold. The leader takes the base of a cell as given until the cell reports that its hold is stored. One record a cell and version; none a second.

TestUnloweredCapWaitsForNoLeader: where no cap was lowered, new owners start within their bases without a leader, on nodes that have read one version alone.

--- a/infra/quota.go
+++ b/infra/quota.go
@@ -102,7 +102,7 @@
 	}
 	d := &distribution{
 		now: t.options.Clock(), version: config.Version, amounts: make(map[*borrower]map[string]tasks.Resources),
-		limits: make(map[*borrower]map[string]tasks.Resources), short: make(map[string]bool),
+		limits: make(map[*borrower]map[string]tasks.Resources), kept: make(map[*borrower]int64), short: make(map[string]bool),
 	}
 	if slices.ContainsFunc(cells, func(b *borrower) bool { return !b.adopted }) {
 		// An older leader may have lent to a cell that has not reported since. The others
@@ -126,6 +126,8 @@
 	// amounts and limits are those of sched.Allotment, by cell.
 	amounts map[*borrower]map[string]tasks.Resources
 	limits  map[*borrower]map[string]tasks.Resources
+	// kept holds the versions by which the caps were divided before, by cell.
+	kept map[*borrower]int64
 	// short holds the organisations of which any cell lacks what it wants.
 	short map[string]bool
 }
@@ -133,7 +135,7 @@
 // keepLast allots a cell the same as last time.
 func (d *distribution) keepLast(b *borrower) {
 	if b.last != nil {
-		d.amounts[b], d.limits[b] = b.last.Amounts, b.last.Limits
+		d.amounts[b], d.limits[b], d.kept[b] = b.last.Amounts, b.last.Limits, b.last.Version
 	}
 }
 
@@ -217,6 +219,14 @@
 	return lent
 }
 
+// mayBeReleased reports whether an allotment that the cell may still get ends its hold of an organisation.
+func (b *borrower) mayBeReleased(name string) bool {
+	return slices.ContainsFunc(b.granted, func(a sched.Allotment) bool {
+		_, restricted := a.Limits[name]
+		return a.Version != 0 && !restricted
+	})
+}
+
 // demand returns what the cell would have running of an organisation if it were allowed to.
 func (s *borrowed) demand() tasks.Resources {
 	demand := s.report.Used.Add(s.report.Wanted)
@@ -235,8 +245,13 @@
 	for _, b := range cells {
 		s := b.share(name)
 		lent := b.lent(name)
+		charged := quota.Max(lent, quota.Max(base, s.report.Base))
+		if !s.report.Held || b.mayBeReleased(name) {
+			// Its owner, or the next one, may start within the base.
+			lent = charged
+		}
 		state := quota.Cell{
-			Charged: quota.Max(lent, quota.Max(base, s.report.Base)), Lent: lent, Used: s.report.Used, Demand: s.demand(),
+			Charged: charged, Lent: lent, Used: s.report.Used, Demand: s.demand(),
 			Unit: s.report.Unit, Gang: s.report.Gang, Silent: !b.reported,
 		}
 		if s.shortSince != 0 {
@@ -287,7 +302,7 @@
 		t.lender.sequence++
 		a := sched.Allotment{
 			Leader: t.claim.Epoch, Sequence: t.lender.sequence, Epoch: b.epoch, Until: b.at + allotmentTime,
-			Amounts: d.amounts[b], Limits: d.limits[b], Version: d.version,
+			Amounts: d.amounts[b], Limits: d.limits[b], Version: max(d.version, d.kept[b]),
 		}
 		b.granted = append(b.granted, a)
 		wg.Go(func() { t.sendAllotment(ctx, b, a) })
--- a/infra/quotaharness_test.go
+++ b/infra/quotaharness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -127,6 +128,18 @@
 	})
 }
 
+// publish replaces the configuration by one that nodes know the versions before of.
+func (q *quotaCluster) publish(config *queue.Config) {
+	config.Follow(q.config.Load(), true)
+	q.config.Store(config)
+}
+
+// forget makes all nodes forget the versions before the configuration, as if they had started again.
+func (q *quotaCluster) forget() {
+	config := q.config.Load()
+	q.config.Store(queue.NewConfig(config.Version, nil, slices.Clone(config.Services), config.Limits).WithOrganisations(config.Organisations, nil))
+}
+
 func (q *quotaCluster) addHost(service, id string) {
 	info := pool.Host{ID: id, Service: service, Address: id, Capacity: tasks.Resources{CPU: quotaHostCPU, MemMB: 1 << 16}}
 	q.runners[id] = fake.NewRunner(info, 1, q.checker, func(task tasks.ID, _ int) fake.RunProfile {
--- a/queue/config.go
+++ b/queue/config.go
@@ -57,6 +57,9 @@
 	queues map[string]*Queue
 	byName map[string]*Organisation
 	byKey  map[KeyHash]*Organisation
+	// capsSince and activeSince hold the versions of CapsSince and ActiveSince that are older than
+	// this one, by organisation and service.
+	capsSince, activeSince map[string]int64
 }
 
 // NewConfig returns a configuration whose services are sorted by name.
--- a/queue/watch.go
+++ b/queue/watch.go
@@ -151,8 +151,11 @@
 }
 
 func (w *Watcher) applyUpdate(update Update, complete bool) {
-	if update.Config != nil && w.OnConfig != nil {
-		w.OnConfig(update.Config, complete)
+	if update.Config != nil {
+		update.Config.Follow(w.Config(), complete)
+		if w.OnConfig != nil {
+			w.OnConfig(update.Config, complete)
+		}
 	}
 	if config, current := update.Config, w.Config(); config != nil && (current == nil || config.Version > current.Version) {
 		w.config.Store(config)
--- a/quota/divide.go
+++ b/quota/divide.go
@@ -53,7 +53,7 @@
 	// Charged is the most that the cell may have running by what it was last told and last
 	// reported: at least its base, its use and its unexpired allotments.
 	Charged tasks.Resources
-	// Lent is the same without its base, which a restriction sets aside.
+	// Lent is the same without its base if a restriction has set that aside.
 	Lent tasks.Resources
 	// Used is what it has running, and Demand what it would have if it were allowed to.
 	Used   tasks.Resources
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -285,6 +285,7 @@
 		kindTimes:    make(map[runKind]time.Duration),
 		speeds:       speed.New(),
 		moved:        newMovedQueues(),
+		quotas:       quotas{service: options.Service},
 		writeWake:    make(chan struct{}, 1),
 		scheduleWake: make(chan struct{}, 1),
 		releasing:    make(chan struct{}),
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -63,6 +63,10 @@
 			definitions[record.Key[len(definitionPrefix):]] = record.Value
 		case record.Key == leasesKey:
 			c.loadLeases(record.Value)
+		case record.Key == capsKey:
+			if err := c.quotas.caps.load(record.Value); err != nil {
+				c.logger.Error(err, "cannot decode the confirmed caps, waiting for a leader to confirm them")
+			}
 		case strings.HasPrefix(record.Key, movedPrefix):
 			if err := c.moved.load(record.Value); err != nil {
 				c.logger.Error(err, "cannot decode the record of a moved queue", "key", record.Key)
--- a/sched/organisations.go
+++ b/sched/organisations.go
@@ -109,10 +109,10 @@
 	now := c.options.Clock()
 	q := &c.quotas
 	view := views.CellOrganisations{
-		Service: c.options.Service, Node: c.options.Node, Epoch: c.epoch, Confirmed: now - c.confirmedAt, Pending: q.pending != 0,
+		Service: c.options.Service, Node: c.options.Node, Epoch: c.epoch, Confirmed: now - c.confirmedAt,
 	}
 	if q.config != nil {
-		view.Version = q.config.Version
+		view.Version, view.Pending = q.config.Version, c.unconfirmed(now) != 0
 	}
 	if q.allotment.Leader != 0 {
 		view.Leader, view.AllottedAge, view.AllottedFor = q.allotment.Leader, now-q.allottedAt, max(0, q.allotment.Until-now)
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -18,10 +18,6 @@
 	wantedTime = 500 * time.Millisecond
 	// maxWantedSteps limits the steps of an organisation for which a pass counts the room.
 	maxWantedSteps = 16
-	// maxHoldTime is how long nothing of an organisation is started after its cap was lowered,
-	// or in the first cell of a service, unless the leader confirms the configuration before:
-	// the bases and what runs may exceed the cap.
-	maxHoldTime = 2 * time.Second
 	// serviceRemovalTime is how long the bases stay as they are after the number of services
 	// has dropped: tasks of the removed service run on until their leases have expired.
 	serviceRemovalTime = 7 * time.Second
@@ -36,11 +32,12 @@
 	Epoch int64
 	Until time.Duration
 	// Amounts holds what the cell may have running by organisation, if that is more than
-	// its base. Limits takes precedence and may be less.
+	// its base. Limits takes precedence and may be less: the cell then doesn't start within its
+	// base before a leader has confirmed the cap again.
 	Amounts map[string]tasks.Resources
 	Limits  map[string]tasks.Resources
-	// Version is that of the configuration by which the leader has divided the caps, 0 if it
-	// could not.
+	// Version is that of the configuration by which the leader has divided the caps, and confirms
+	// those that Limits doesn't hold, 0 if it could not.
 	Version int64
 }
 
@@ -57,6 +54,9 @@
 	Base     tasks.Resources
 	Allotted tasks.Resources
 	Used     tasks.Resources
+	// Held means that neither this owner nor any after it starts within the base before a leader
+	// has confirmed the cap.
+	Held bool
 	// Waiting is what the ready tasks without a host need, and Wanted the part of it that the
 	// cap has kept from being started a moment ago.
 	Waiting tasks.Resources
@@ -82,16 +82,14 @@
 
 // quotas is what a cell knows of organisations. Cell.mu guards it.
 type quotas struct {
-	config *queue.Config
+	service string
+	config  *queue.Config
 	// services is the number of cells among which the bases are divided, 0 for a cell that
 	// has none. From reducedAt on it is reducedTo, unless reducedAt is 0.
 	services  int
 	reducedTo int
 	reducedAt time.Duration
-	// holdUntil holds the local time until which nothing of an organisation is started, unless
-	// the leader confirms version pending of the configuration before.
-	holdUntil map[string]time.Duration
-	pending   int64
+	caps      confirmedCaps
 	// limited is set if any organisation has a cap.
 	limited   bool
 	allotment Allotment
@@ -117,7 +115,6 @@
 		return
 	}
 	now := c.options.Clock()
-	c.holdLowered(config, now)
 	services := 0
 	if service, ok := config.Service(c.options.Service); ok && !service.Standby {
 		services = config.ActiveServices()
@@ -125,27 +122,10 @@
 	c.quotas.setServices(services, now)
 	c.quotas.config = config
 	c.quotas.limited = slices.ContainsFunc(config.Organisations, func(o queue.Organisation) bool { return quota.IsLimited(o.Cap) })
+	c.holdUnconfirmed()
 	wake(c.scheduleWake)
 }
 
-// holdLowered holds the organisations whose cap a configuration lowers. The cell of a service
-// that never had one holds all: the leader may have lent all of the caps to the others.
-func (c *Cell) holdLowered(config *queue.Config, now time.Duration) {
-	q := &c.quotas
-	isFirst := q.config == nil && c.epoch == 1
-	if q.config == nil && !isFirst {
-		return
-	}
-	for _, organisation := range config.Organisations {
-		if quota.IsLimited(organisation.Cap) && (isFirst || quota.IsLower(organisation.Cap, q.capOf(organisation.Name))) {
-			if q.holdUntil == nil {
-				q.holdUntil = make(map[string]time.Duration)
-			}
-			q.holdUntil[organisation.Name], q.pending = now+maxHoldTime, config.Version
-		}
-	}
-}
-
 // setServices sets the number of services at a local time. Bases shrink at once and grow after
 // serviceRemovalTime.
 func (q *quotas) setServices(services int, now time.Duration) {
@@ -166,15 +146,23 @@
 
 // allowance returns what an organisation with a cap may have running at a local time.
 func (q *quotas) allowance(name string, limit tasks.Resources, now time.Duration) tasks.Resources {
-	if now < q.holdUntil[name] {
-		return tasks.Resources{}
-	}
-	if restricted, ok := q.allotment.Limits[name]; ok && now < q.allotment.Until {
+	if q.caps.held[name] {
+		restricted, _ := q.restriction(name, now)
 		return restricted
 	}
 	return quota.Allowance(limit, q.allotted(name, now), q.cellCount(now))
 }
 
+// restriction returns what the leader restricts an organisation to at a local time, and whether it does
+// so by a configuration that isn't outdated.
+func (q *quotas) restriction(name string, now time.Duration) (tasks.Resources, bool) {
+	restricted, ok := q.allotment.Limits[name]
+	if !ok || now >= q.allotment.Until || q.allotment.Version < q.unconfirmedSince(name) {
+		return tasks.Resources{}, false
+	}
+	return restricted, true
+}
+
 // capOf returns the cap of an organisation. One that isn't configured has none.
 func (q *quotas) capOf(name string) tasks.Resources {
 	if !q.limited || name == "" {
@@ -206,9 +194,7 @@
 	}
 	now, before := c.options.Clock(), c.quotas.allotment
 	c.quotas.allotment, c.quotas.allottedAt = a, now
-	if a.Version >= c.quotas.pending {
-		c.quotas.holdUntil, c.quotas.pending = nil, 0
-	}
+	c.confirmCaps(&a, now)
 	c.logAllotment(&before, now)
 	wake(c.scheduleWake)
 	return nil
@@ -427,7 +413,7 @@
 	}
 	now := c.options.Clock()
 	a := &c.quotas.allotment
-	report := &QuotaReport{At: now, Leader: a.Leader, Sequence: a.Sequence, Remaining: max(0, a.Until-now), Pending: c.quotas.pending}
+	report := &QuotaReport{At: now, Leader: a.Leader, Sequence: a.Sequence, Remaining: max(0, a.Until-now), Pending: c.unconfirmed(now)}
 	used, waiting := c.usedByOrganisation(), c.waitingByOrganisation()
 	for _, organisation := range c.quotas.organisations() {
 		if !quota.IsLimited(organisation.Cap) {
@@ -436,7 +422,7 @@
 		name := organisation.Name
 		r := OrganisationReport{
 			Name: name, Base: quota.Base(organisation.Cap, c.quotas.cellCount(now)), Allotted: c.quotas.allotted(name, now),
-			Used: used[name], Waiting: waiting[name],
+			Used: used[name], Held: c.quotas.caps.isStored(name), Waiting: waiting[name],
 		}
 		if w := c.quotas.wanted[name]; now-w.at <= wantedTime && r.Waiting != (tasks.Resources{}) {
 			r.Wanted, r.Unit, r.Gang = w.amount, w.unit, w.gang
--- a/sched/write.go
+++ b/sched/write.go
@@ -85,7 +85,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	confirmRequested := c.confirmRequestedAt > c.confirmedAt
-	return len(c.dirtyJobs) > 0 || len(c.onAllPersisted) > 0 || len(c.moved.unwritten) > 0 || confirmRequested || c.options.Clock()-c.confirmedAt >= maxWriteInterval/2
+	return len(c.dirtyJobs) > 0 || len(c.onAllPersisted) > 0 || len(c.moved.unwritten) > 0 || c.quotas.caps.dirty || confirmRequested || c.options.Clock()-c.confirmedAt >= maxWriteInterval/2
 }
 
 // isReleasing reports whether the cell is stopping and writes only once more.
@@ -115,6 +115,9 @@
 		}
 		b.jobs = append(b.jobs, moved)
 	}
+	if c.quotas.caps.dirty {
+		b.jobs = append(b.jobs, c.takeCaps())
+	}
 	for len(c.dirtyJobs) > 0 && size < limit {
 		e := c.dirtyJobs[0]
 		c.dirtyJobs = c.dirtyJobs[1:]
