sched: a hold ends with its organisation, and a restriction that comes before the version holds

What the operator would have seen: with an organisation that is held as the configuration drops it, the leader calls each cell every 250 ms for good, to confirm what no division covers any more. The same as a restart: the record names it. And a restriction for an organisation that the cell's configuration doesn't have yet was forgotten, while its version counted as confirmed.

Cause: holds were released, and restrictions recorded, by the organisations of the cell's configuration alone. Besides, a hold that returned while the write of its release was under way counted as stored.

Now each hold without a cap is released, unless the confirmed version is newer than the cell's, and each limit of an allotment holds. What is being written decides what counts as stored.

--- a/sched/confirm.go
+++ b/sched/confirm.go
@@ -57,6 +57,7 @@
 		return jobWrite{}, errors.Wrap(err, "encoding the confirmed caps")
 	}
 	written := maps.Clone(k.held)
+	maps.DeleteFunc(k.stored, func(name string, _ bool) bool { return !written[name] })
 	return jobWrite{
 		writes:      [][]store.Record{{{Key: capsKey, Value: value}}},
 		onPersisted: []func(){func() { k.stored = written }},
@@ -80,7 +81,6 @@
 		return false
 	}
 	delete(k.held, name)
-	delete(k.stored, name)
 	k.dirty = true
 	return true
 }
@@ -105,12 +105,12 @@
 // lowered, since the one that was confirmed, and all of them in a cell that had no base then.
 func (c *Cell) holdUnconfirmed() {
 	q := &c.quotas
+	if q.config.Version >= q.caps.version {
+		q.releaseUnlimited()
+	}
 	for _, organisation := range q.organisations() {
 		name := organisation.Name
-		switch {
-		case !quota.IsLimited(organisation.Cap):
-			q.caps.release(name)
-		case q.caps.version < q.unconfirmedSince(name) && !q.caps.held[name]:
+		if quota.IsLimited(organisation.Cap) && q.caps.version < q.unconfirmedSince(name) && !q.caps.held[name] {
 			q.caps.hold(name)
 			c.logger.Info("organisation held until its cap is confirmed", "organisation", name, "version", q.config.Version, "confirmed", q.caps.version, "epoch", c.epoch)
 		}
@@ -118,17 +118,30 @@
 	c.writeCaps()
 }
 
+// releaseUnlimited releases the organisations that have no cap any more.
+func (q *quotas) releaseUnlimited() {
+	for name := range q.caps.held {
+		if organisation := q.config.Organisation(name); organisation == nil || !quota.IsLimited(organisation.Cap) {
+			q.caps.release(name)
+		}
+	}
+}
+
 // confirmCaps processes what an allotment that is received at a local time says of the caps.
 func (c *Cell) confirmCaps(a *Allotment, now time.Duration) {
 	q := &c.quotas
 	if a.Version == 0 || now >= a.Until {
 		return
 	}
+	for name := range a.Limits {
+		q.caps.hold(name)
+	}
 	for _, organisation := range q.organisations() {
 		name := organisation.Name
 		if _, restricted := a.Limits[name]; restricted {
-			q.caps.hold(name)
-		} else if a.Version >= q.unconfirmedSince(name) && q.caps.release(name) {
+			continue
+		}
+		if a.Version >= q.unconfirmedSince(name) && q.caps.release(name) {
 			c.logger.Info("organisation released", "organisation", name, "version", a.Version, "leader", a.Leader, "epoch", c.epoch)
 		}
 	}
