sched: the bases shrink to the services that are left only 7 s after a removal, for new owners too

An organisation exceeded its cap after a service was removed and the cell of another got a new owner: 20,000 running of at most 18,600. The tasks of the removed service run on until their leases expire, so the bases of the others stay divided by the former number of services for 7 s.

A new owner divided by the services of its configuration. It is stored with the confirmed caps now, and a new owner that finds fewer services configured keeps to the stored number for 7 s.

--- a/infra/quotalowered_test.go
+++ b/infra/quotalowered_test.go
@@ -86,6 +86,68 @@
 	}
 }
 
+// TestRemovedServiceOutlastsOwner guards against the part of a removed service that a new owner uses while
+// its tasks still run: the bases are divided by the services that are left.
+func TestRemovedServiceOutlastsOwner(t *testing.T) {
+	testRemovedService(t, map[string]func(q *quotaCluster){
+		"a new owner":            func(q *quotaCluster) { q.replaceOwners([]string{"b"}) },
+		"a new owner, restart":   func(q *quotaCluster) { q.replaceOwners([]string{"b"}); q.forget() },
+		"two new owners":         func(q *quotaCluster) { q.replaceOwners([]string{"b"}); time.Sleep(time.Second); q.claim("b") },
+		"a new owner later":      func(q *quotaCluster) { time.Sleep(2 * time.Second); q.replaceOwners([]string{"b"}) },
+		"a new owner, no leader": func(q *quotaCluster) { q.replaceOwners([]string{"b"}); q.leaders[0].stop() },
+	})
+}
+
+// TestRemovedServiceOutlastsLeader guards against the part of a removed service that a new leader lends
+// while its tasks still run, since it doesn't know the service that has gone.
+func TestRemovedServiceOutlastsLeader(t *testing.T) {
+	testRemovedService(t, map[string]func(q *quotaCluster){
+		"a new leader":           func(q *quotaCluster) { q.lead() },
+		"a new owner and leader": func(q *quotaCluster) { q.replaceOwners([]string{"b"}); q.lead() },
+	})
+}
+
+// testRemovedService checks that an organisation keeps to its cap around a loss that follows the removal
+// of a service which has used most of it.
+func testRemovedService(t *testing.T, losses map[string]func(q *quotaCluster)) {
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runQuotas(t, []string{"a", "b"}, func(q *quotaCluster) {
+				q.duration = func(tasks.ID) time.Duration { return time.Minute }
+				q.submit("a", "acme", stepOf(40, quotaTask))
+				q.watch(2*time.Second, quotaCap, quotaTask)
+				q.submit("b", "acme", stepOf(40, smallTask))
+				q.watch(2*time.Second, quotaCap, quotaTask)
+				q.removeService("a", []string{"b"})
+				time.Sleep(400 * time.Millisecond)
+				removed := time.Now()
+				lose(q)
+				for range 3 {
+					q.submit("b", "acme", stepOf(40, quotaTask))
+				}
+				for ; time.Since(removed) < serviceRemoval; time.Sleep(quotaCheckInterval) {
+					q.check(quotaCap, quotaTask)
+				}
+				q.lead()
+				time.Sleep(serviceRemoval)
+				if got := q.running("b", "acme"); got < quotaCap*3/4 {
+					t.Errorf("got %d running at the only service that is left, want at least three quarters of the cap of %d", got, quotaCap)
+				}
+			})
+		})
+	}
+}
+
+// removeService publishes a configuration of the services that are left, and ends the cell of another.
+func (q *quotaCluster) removeService(name string, left []string) {
+	q.publishCap(left, quotaCap)
+	q.owners[name].stop()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.owners, name)
+}
+
 // replaceOwners gives all cells a new owner.
 func (q *quotaCluster) replaceOwners(services []string) {
 	for _, service := range services {
--- a/sched/confirm.go
+++ b/sched/confirm.go
@@ -26,13 +26,16 @@
 	// those of them that any later owner of the cell knows of.
 	held   map[string]bool
 	stored map[string]bool
-	dirty  bool
+	// services is the number of cells among which the bases were divided last, 0 for none.
+	services int
+	dirty    bool
 }
 
 // capRecord is the stored form of the confirmed caps.
 type capRecord struct {
-	Version int64
-	Held    []string `json:",omitempty"`
+	Version  int64
+	Held     []string `json:",omitempty"`
+	Services int      `json:",omitempty"`
 }
 
 // load restores the confirmed caps from their record.
@@ -41,7 +44,7 @@
 	if err := json.Unmarshal(value, &record); err != nil {
 		return errors.Wrap(err, "decoding the confirmed caps")
 	}
-	k.version = record.Version
+	k.version, k.services = record.Version, record.Services
 	for _, name := range record.Held {
 		k.hold(name)
 	}
@@ -52,7 +55,7 @@
 // take returns the write of the confirmed caps.
 func (k *confirmedCaps) take() (jobWrite, error) {
 	k.dirty = false
-	value, err := json.Marshal(capRecord{Version: k.version, Held: slices.Sorted(maps.Keys(k.held))})
+	value, err := json.Marshal(capRecord{Version: k.version, Held: slices.Sorted(maps.Keys(k.held)), Services: k.services})
 	if err != nil {
 		return jobWrite{}, errors.Wrap(err, "encoding the confirmed caps")
 	}
@@ -92,6 +95,13 @@
 	}
 }
 
+// divideBy records among how many cells the bases are divided.
+func (k *confirmedCaps) divideBy(services int) {
+	if services > 0 && services != k.services {
+		k.services, k.dirty = services, true
+	}
+}
+
 // isStored reports whether an organisation is held by this owner and by any after it.
 func (k *confirmedCaps) isStored(name string) bool { return k.held[name] && k.stored[name] }
 
@@ -103,7 +113,7 @@
 
 // holdUnconfirmed holds the organisations whose caps a configuration has lowered, or may have
 // lowered, since the one that was confirmed, and all of them in a cell that had no base then.
-func (c *Cell) holdUnconfirmed() {
+func (c *Cell) holdUnconfirmed(now time.Duration) {
 	q := &c.quotas
 	if q.config.Version >= q.caps.version {
 		q.releaseUnlimited()
@@ -115,6 +125,9 @@
 			c.logger.Info("organisation held until its cap is confirmed", "organisation", name, "version", q.config.Version, "confirmed", q.caps.version, "epoch", c.epoch)
 		}
 	}
+	if q.limited {
+		q.caps.divideBy(q.cellCount(now))
+	}
 	c.writeCaps()
 }
 
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -119,10 +119,14 @@
 	if service, ok := config.Service(c.options.Service); ok && !service.Standby {
 		services = config.ActiveServices()
 	}
+	if c.quotas.config == nil {
+		// The previous owner may have divided the bases by more services until a moment ago.
+		c.quotas.services = c.quotas.caps.services
+	}
 	c.quotas.setServices(services, now)
 	c.quotas.config = config
 	c.quotas.limited = slices.ContainsFunc(config.Organisations, func(o queue.Organisation) bool { return quota.IsLimited(o.Cap) })
-	c.holdUnconfirmed()
+	c.holdUnconfirmed(now)
 	wake(c.scheduleWake)
 }
 
@@ -412,6 +416,8 @@
 		return nil
 	}
 	now := c.options.Clock()
+	c.quotas.caps.divideBy(c.quotas.cellCount(now))
+	c.writeCaps()
 	a := &c.quotas.allotment
 	report := &QuotaReport{At: now, Leader: a.Leader, Sequence: a.Sequence, Remaining: max(0, a.Until-now), Pending: c.unconfirmed(now)}
 	used, waiting := c.usedByOrganisation(), c.waitingByOrganisation()
