--- a/sched/spreadchaos_test.go
+++ b/sched/spreadchaos_test.go
@@ -170,6 +170,7 @@
 	for i := range *chaosSeeds {
 		seed := *chaosFirst + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			runCluster(t, 6, func(tc *testCluster) {
 				if *chaosLog {
 					tc.logOutput = os.Stdout
--- a/sched/takeovers_test.go
+++ b/sched/takeovers_test.go
@@ -18,6 +18,7 @@
 	for i := range *chaosSeeds {
 		seed := *chaosFirst + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			runCluster(t, 5, func(tc *testCluster) {
 				(&takeovers{testCluster: tc, random: rand.New(rand.NewPCG(seed, 0))}).run()
 			})
