sched: without caps, no version waits for a leader's confirmation

Operators of organisations that have shares and no cap would have seen in `rattanpath organisations` that the leader has not confirmed the version, for good: cells compared the version of the confirmed caps, of which there is none. Found in reading the change; TestNothingToConfirmWithoutCaps failed before. Besides, three comments.

--- a/infra/quota.go
+++ b/infra/quota.go
@@ -126,7 +126,8 @@
 	// amounts and limits are those of sched.Allotment, by cell.
 	amounts map[*borrower]map[string]tasks.Resources
 	limits  map[*borrower]map[string]tasks.Resources
-	// kept holds the versions by which the caps were divided before, by cell.
+	// kept holds the versions by which the caps were divided for the cells that get the same as
+	// last time, by cell.
 	kept map[*borrower]int64
 	// short holds the organisations of which any cell lacks what it wants.
 	short map[string]bool
--- a/intake/history.go
+++ b/intake/history.go
@@ -112,8 +112,9 @@
 	}
 }
 
-// addList records which queues the owner of a service holds jobs of or takes from older nodes, and reports whether the
-// list is final: an owner of an older configuration may still accept jobs of other queues.
+// addList records which queues the owner of a service holds jobs of, or takes jobs of from older nodes,
+// and reports whether the list is final: an owner of an older configuration may still accept jobs of
+// other queues.
 func (h *serviceHistory) addList(service string, list sched.QueueList) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/sched/confirm.go
+++ b/sched/confirm.go
@@ -15,9 +15,9 @@
 // capsKey is the key of the record of the confirmed caps, see capRecord.
 const capsKey = "caps"
 
-// confirmedCaps holds which caps a leader has confirmed: that the bases of all cells and what runs beyond
-// them keep to the cap. Without that a cell doesn't start within its base, whoever owns it, since the
-// others may run more than their share of a lowered cap.
+// confirmedCaps is which caps a leader has confirmed: the bases of all cells and what runs beyond
+// them keep to them. Without that, no owner of a cell starts within the base, since the other cells
+// may run more than their share of a lowered cap.
 type confirmedCaps struct {
 	// version is that of the newest configuration for which the caps of all organisations but
 	// those of held are confirmed, 0 for none.
@@ -179,9 +179,12 @@
 }
 
 // unconfirmed returns the version that the leader is to confirm, or 0 if it has confirmed this one
-// and restricts all organisations that are held.
+// and restricts all organisations that are held, or none has a cap.
 func (c *Cell) unconfirmed(now time.Duration) int64 {
 	q := &c.quotas
+	if !q.limited {
+		return 0
+	}
 	pending := int64(0)
 	if q.caps.version < q.config.Version {
 		pending = q.config.Version
--- a/sched/confirm_test.go
+++ b/sched/confirm_test.go
@@ -21,6 +21,19 @@
 	}
 }
 
+// TestNothingToConfirmWithoutCaps guards against operators who see a version as unconfirmed for ever
+// since no organisation has a cap.
+func TestNothingToConfirmWithoutCaps(t *testing.T) {
+	runCluster(t, 1, func(tc *testCluster) {
+		n := tc.claim("a")
+		organisations := []queue.Organisation{{Name: "acme", Weight: 1}}
+		n.cell.SetOrganisations(configOf(1, testService).WithOrganisations(organisations, nil))
+		if view, err := n.cell.Organisations(); err != nil || view.Pending {
+			t.Errorf("got version %d pending: %t and error %v, want none", view.Version, view.Pending, err)
+		}
+	})
+}
+
 // TestHoldOutlastsOwner guards against a hold that ends with the owner, or lasts when the leader has
 // confirmed the cap or the organisation is gone: the leader would be asked for ever.
 func TestHoldOutlastsOwner(t *testing.T) {
