infra: the test of an added service changes no map that the cells read

The case has a test of its own now, with three services and the hosts that are there; before the mend it fails with a new owner and leader, as it did.

Eight more tests in paused time and the seeds of the former incarnations run in parallel.

--- a/infra/quotalowered_test.go
+++ b/infra/quotalowered_test.go
@@ -61,7 +61,7 @@
 // allotment: cells then start within their bases while others run more than the lowered cap leaves.
 func TestLoweredCapOutlastsLoss(t *testing.T) {
 	services := []string{"a", "b", "c", "d"}
-	losses := map[string]func(q *quotaCluster){
+	testLoweredCap(t, services, map[string]func(q *quotaCluster){
 		"an owner stops":             func(q *quotaCluster) { q.owners["b"].stop(); q.claim("b") },
 		"an owner is replaced":       func(q *quotaCluster) { q.claim("b") },
 		"all nodes start again":      func(q *quotaCluster) { q.replaceOwners(services); q.forget(); q.lead() },
@@ -71,9 +71,22 @@
 		"allotments are lost":        func(q *quotaCluster) { q.setAllotFault(func(string, sched.Allotment) bool { return true }) },
 		"a cell doesn't answer":      func(q *quotaCluster) { q.setUnreachable("c", true); q.lead() },
 		"the store turns all away":   func(q *quotaCluster) { q.failStore(4 * time.Second) },
-		"a service is added":         func(q *quotaCluster) { q.addService(services); q.claim("b"); q.lead() },
 		"a service on standby comes": func(q *quotaCluster) { q.standby("d", true); time.Sleep(8 * time.Second); q.standby("d", false) },
-	}
+	})
+}
+
+// TestLoweredCapOutlastsAddedService guards against the same where the bases of a service that was added
+// come on top.
+func TestLoweredCapOutlastsAddedService(t *testing.T) {
+	services := []string{"a", "b", "c"}
+	testLoweredCap(t, services, map[string]func(q *quotaCluster){
+		"alone":                  func(q *quotaCluster) { q.addService(services) },
+		"a new owner and leader": func(q *quotaCluster) { q.addService(services); q.claim("b"); q.lead() },
+	})
+}
+
+// testLoweredCap checks that nothing is started around a loss that follows a lowered cap.
+func testLoweredCap(t *testing.T, services []string, losses map[string]func(q *quotaCluster)) {
 	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -173,10 +186,7 @@
 
 // addService publishes a configuration with one more service than the given ones, which has work.
 func (q *quotaCluster) addService(services []string) {
-	const added = "e"
-	for i := range quotaHosts {
-		q.addHost(added, fmt.Sprintf("%s-h%d", added, i))
-	}
+	const added = "d"
 	q.publishCap(append(slices.Clone(services), added), loweredCap)
 	q.claim(added)
 	q.submit(added, "acme", stepOf(40, smallTask))
--- a/sched/cell_test.go
+++ b/sched/cell_test.go
@@ -380,6 +380,7 @@
 // which the owner, without a reply, sends a stop. The task must not restart
 // elsewhere before the host has reported the end.
 func TestStopRacesWithLateStart(t *testing.T) {
+	t.Parallel()
 	stopped := 0
 	for delay := 240 * time.Millisecond; delay < 290*time.Millisecond; delay += 50 * time.Microsecond {
 		runCluster(t, 1, func(tc *testCluster) {
--- a/sched/formerchaos_test.go
+++ b/sched/formerchaos_test.go
@@ -45,6 +45,7 @@
 	for i := range *formerSeeds {
 		seed := *formerFirst + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			runCluster(t, 6, func(tc *testCluster) {
 				if *formerLog {
 					tc.logOutput = os.Stdout
--- a/sched/large_test.go
+++ b/sched/large_test.go
@@ -43,6 +43,7 @@
 // TestLargeJobDoesNotStallItsService guards against a job whose progress outgrows a record of
 // the store: its write was repeated for ever, and nothing else of the service was written.
 func TestLargeJobDoesNotStallItsService(t *testing.T) {
+	t.Parallel()
 	runCluster(t, 8, func(tc *testCluster) {
 		var oversized atomic.Int64
 		tc.wrapJournal = func(journal claim.Journal) claim.Journal { return oversizedJournal{journal, &oversized} }
@@ -78,6 +79,7 @@
 // checker reports a task that is done twice, and the job must be completed. Nothing may be left of
 // it in the store once it is no longer needed.
 func TestLargeJobSurvivesItsOwners(t *testing.T) {
+	t.Parallel()
 	runCluster(t, 8, func(tc *testCluster) {
 		tc.store.SetLimits(testLimits)
 		tc.profileOf = func(taskID tasks.ID, _ int) fake.RunProfile {
@@ -169,6 +171,7 @@
 // task of a large job may cost no more than a few times what one of an ordinary job does.
 // docs/CAPACITY.md has the figures that it logs.
 func TestBytesPerTask(t *testing.T) {
+	t.Parallel()
 	ordinary := bytesPerTask(t, 160, 25)
 	t.Logf("25 tasks a job: %d bytes a task", ordinary)
 	for _, count := range []int{250, 1000, 4000} {
@@ -204,6 +207,7 @@
 // the job's changes was not written, and against a next owner that takes tasks that are done for
 // waiting ones.
 func TestOwnerDiesBetweenWritesOfOneJob(t *testing.T) {
+	t.Parallel()
 	runCluster(t, 8, func(tc *testCluster) {
 		var armed atomic.Bool
 		tc.wrapJournal = func(journal claim.Journal) claim.Journal {
--- a/sched/overdue_test.go
+++ b/sched/overdue_test.go
@@ -163,6 +163,7 @@
 // TestOverdueLinesAreBounded guards against a burst of lines when a host with many serving tasks
 // goes silent, and against runs that never get one.
 func TestOverdueLinesAreBounded(t *testing.T) {
+	t.Parallel()
 	const count = 3 * maxOverdueLines
 	runCluster(t, 1, func(tc *testCluster) {
 		log, set := tc.useServingTasks(), tc.useMetrics()
--- a/sched/report_test.go
+++ b/sched/report_test.go
@@ -224,6 +224,7 @@
 // TestBusyHostIsAcknowledged guards against a host whose runs end all the time and whose ends
 // are never acknowledged because each report has new ones to wait for.
 func TestBusyHostIsAcknowledged(t *testing.T) {
+	t.Parallel()
 	for _, latency := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond} {
 		t.Run(latency.String(), func(t *testing.T) {
 			runCluster(t, 1, func(tc *testCluster) {
@@ -265,6 +266,7 @@
 // Guards against an owner that asks each host for one more report per end when its writes get
 // slow: in a peak this took processor time that the writes then lacked.
 func TestSlowWritesCostNoMoreHeartbeats(t *testing.T) {
+	t.Parallel()
 	perEnd := make(map[time.Duration]float64)
 	for _, latency := range []time.Duration{0, 150 * time.Millisecond} {
 		runCluster(t, 20, func(tc *testCluster) {
