fake: what is due at once starts no timer

The race detector crashed once in ./sched ("SIGSEGV" at __tsan::SlotLock, after 97 s), with no race reported and the tests' results unknown. Cause: in paused time the runtime runs a timer of no length on the caller's goroutine, and all timers of one bubble share one state of the detector; two goroutines that start such timers at the same time corrupt it. The hosts' fake started one for each serving run whose startup takes no time, on the sender's goroutine, and senders run side by side.

--- a/fake/runner.go
+++ b/fake/runner.go
@@ -300,7 +300,7 @@
 	}
 	if profile.Serving {
 		duration = time.Hour
-		time.AfterFunc(profile.StartupTime, func() { r.markServing(run) })
+		After(profile.StartupTime, func() { r.markServing(run) })
 	}
 	run.timer = time.AfterFunc(duration, func() { r.finishRun(run, profile.EndReason) })
 	if profile.CrashesHost {
@@ -374,7 +374,7 @@
 	}
 	r.lastEndedRun[command.Task] = max(r.lastEndedRun[command.Task], command.Run)
 	if run := r.runs[runKey{command.Task, command.Run}]; run != nil {
-		time.AfterFunc(r.stopTime, func() { r.finishRun(run, tasks.EndStopped) })
+		After(r.stopTime, func() { r.finishRun(run, tasks.EndStopped) })
 	}
 	return reply
 }
--- a/fake/runner_faults.go
+++ b/fake/runner_faults.go
@@ -155,7 +155,7 @@
 	}
 	r.commandsToDelay--
 	startedAt := r.startedAt
-	time.AfterFunc(r.commandDelay, func() {
+	After(r.commandDelay, func() {
 		if r.acceptsCommand(startedAt) {
 			command()
 		}
--- a/fake/store.go
+++ b/fake/store.go
@@ -367,7 +367,7 @@
 		return false
 	}
 	s.responsesToLose[node]--
-	time.AfterFunc(s.writeDelay, func() {
+	After(s.writeDelay, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		defer s.appended.Notify()
--- a/infra/lostchaos_test.go
+++ b/infra/lostchaos_test.go
@@ -67,13 +67,13 @@
 	switch way {
 	case 0:
 		f.crash(id)
-		time.AfterFunc(upTo(6*time.Second), func() { f.restart(id, runner) })
+		fake.After(upTo(6*time.Second), func() { f.restart(id, runner) })
 	case 1:
 		runner.SetUnresponsive(true)
-		time.AfterFunc(upTo(9*time.Second), func() { runner.SetUnresponsive(false) })
+		fake.After(upTo(9*time.Second), func() { runner.SetUnresponsive(false) })
 	case 2:
 		f.removeRecord(id)
-		time.AfterFunc(upTo(9*time.Second), func() { f.restoreRecord(id) })
+		fake.After(upTo(9*time.Second), func() { f.restoreRecord(id) })
 	case 3:
 		runner.DropHeartbeats(1)
 	}
--- a/infra/quota_test.go
+++ b/infra/quota_test.go
@@ -126,7 +126,7 @@
 		random := rand.New(rand.NewPCG(5, 6))
 		q.setAllotFault(func(service string, a sched.Allotment) bool {
 			cell := q.owners[service].cell
-			time.AfterFunc(time.Duration(random.IntN(4000))*time.Millisecond, func() { _ = cell.Allot(a) })
+			fake.After(time.Duration(random.IntN(4000))*time.Millisecond, func() { _ = cell.Allot(a) })
 			return random.IntN(3) == 0
 		})
 		for i := range 6 {
@@ -306,7 +306,7 @@
 						return false
 					}
 					cell := q.owners[service].cell
-					time.AfterFunc(time.Duration(calls.IntN(5000))*time.Millisecond, func() { _ = cell.Allot(a) })
+					fake.After(time.Duration(calls.IntN(5000))*time.Millisecond, func() { _ = cell.Allot(a) })
 					return true
 				})
 				for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
--- a/intake/moves_test.go
+++ b/intake/moves_test.go
@@ -193,7 +193,7 @@
 	c.newest = config
 	for _, n := range c.nodes {
 		if n != nil && c.random.IntN(4) > 0 {
-			time.AfterFunc(time.Duration(c.random.Int64N(int64(maxLag))), func() { n.learn(config, previous) })
+			fake.After(time.Duration(c.random.Int64N(int64(maxLag))), func() { n.learn(config, previous) })
 		}
 	}
 }
--- a/sched/spreadchaos_test.go
+++ b/sched/spreadchaos_test.go
@@ -141,13 +141,13 @@
 			n.restart(node)
 		case 1:
 			node.setRefuses(true)
-			time.AfterFunc(lasts, func() { node.setRefuses(false) })
+			fake.After(lasts, func() { node.setRefuses(false) })
 		case 2:
 			node.suspend(lasts)
 		case 3:
 			host := fmt.Sprintf("h%d", random.IntN(len(n.tc.runners)))
 			node.hosts.SetPartitioned(host, true)
-			time.AfterFunc(lasts, func() { node.hosts.SetPartitioned(host, false) })
+			fake.After(lasts, func() { node.hosts.SetPartitioned(host, false) })
 		}
 	}
 }
--- a/sched/takeovers_test.go
+++ b/sched/takeovers_test.go
@@ -100,10 +100,10 @@
 		}
 		hosts.SetPartitioned(id, true)
 		if c.random.IntN(3) > 0 {
-			time.AfterFunc(c.upTo(9*time.Second), func() { hosts.SetPartitioned(id, false) })
+			fake.After(c.upTo(9*time.Second), func() { hosts.SetPartitioned(id, false) })
 		}
 		if c.random.IntN(3) == 0 {
-			time.AfterFunc(c.upTo(9*time.Second), func() { hosts.SetPartitioned(id, true) })
+			fake.After(c.upTo(9*time.Second), func() { hosts.SetPartitioned(id, true) })
 		}
 	}
 }
