sched: a machine that goes down by itself is not put down to a task

Cause: the owner counted against the task what it could have known of the machine. It knew hosts by their IDs, and a worker that is back has a new one: so a host that had just restarted looked like one that never does, and the rule that a task under which a host has crashed waits for a quiet one did not hold there. And that the machine had gone down under a run that had been there for 5 s, so by itself, was forgotten at once.

The cell now knows machines by their addresses. A restart under no run that has just started, and not planned, makes a machine unsteady for 5 s. A run that is sent there within that time and goes down with it ends as "unsteady": the task isn't isolated, avoids the host, and the end counts only together with crashes elsewhere (five in all, two of them on steady machines), so that a task which crashes its hosts is given up as early as before. Restarts under a new ID count as restarts.

Tried and dropped: not to count such ends at all.

--- a/fake/hostclient.go
+++ b/fake/hostclient.go
@@ -70,6 +70,13 @@
 	h.unlisted[id] = unlisted
 }
 
+// AddRunner adds a host.
+func (h *HostClient) AddRunner(id string, runner *Runner) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runners[id] = runner
+}
+
 // SetLatency sets a function that returns the latency of each call to a host, so that
 // calls overtake each other. Without one, calls take no extra time.
 func (h *HostClient) SetLatency(latency func(host string, command any) Latency) {
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -186,6 +186,8 @@
 	hosts          map[string]*host
 	// forgotten holds the hosts that were deleted from hosts a short time ago, by ID.
 	forgotten map[string]forgottenHost
+	// machines holds the machines of the hosts, by address.
+	machines map[string]*machine
 	// claimedAt is when the cell was claimed, and confirmedAt when the last write
 	// that the store has confirmed was sent.
 	claimedAt   time.Duration
@@ -278,6 +280,7 @@
 		open:         make(map[*jobEntry]bool),
 		hosts:        make(map[string]*host),
 		forgotten:    make(map[string]forgottenHost),
+		machines:     make(map[string]*machine),
 		heldJobs:     make(map[*jobEntry]bool),
 		meanRunTimes: make(map[string]time.Duration),
 		stepRatios:   make(map[string]float64),
@@ -401,6 +404,7 @@
 		c.activity.recordTimerLag(c.options.Clock()-sleptAt, tickInterval)
 		c.expireLeases()
 		c.expireForgotten()
+		c.expireMachines()
 		c.updateEvidence(c.options.Clock())
 		c.evictHosts(time.Now())
 		c.removeEnded(time.Now())
--- a/sched/end.go
+++ b/sched/end.go
@@ -55,7 +55,11 @@
 func (c *Cell) loseRun(h *host, r *run, why lossReason) {
 	reason := tasks.EndLost
 	if h.crashedUnder(r, why) {
+		c.suspectRun(h, why)
 		reason = tasks.EndCrashed
+		if c.blamesMachine(h, r) {
+			reason = tasks.EndUnsteady
+		}
 	}
 	if c.removeRun(h, r, reason, "") {
 		if reason == tasks.EndCrashed && why == lossLease {
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -109,7 +109,12 @@
 }
 
 func (tc *testCluster) addHost(id string, drift float64) {
-	info := pool.Host{ID: id, Service: testService, Address: id, Labels: []string{"a", "r1-" + id}, Capacity: tasks.Resources{CPU: hostCPU, MemMB: 1 << 16}}
+	tc.runners[id] = tc.newHost(id, id, drift)
+}
+
+// newHost returns a host at an address that runs until the cluster's context ends.
+func (tc *testCluster) newHost(id, address string, drift float64) *fake.Runner {
+	info := pool.Host{ID: id, Service: testService, Address: address, Labels: []string{"a", "r1-" + id}, Capacity: tasks.Resources{CPU: hostCPU, MemMB: 1 << 16}}
 	runner := fake.NewRunner(info, drift, tc.checker, func(taskID tasks.ID, run int) fake.RunProfile {
 		if id == tc.stallingHost {
 			return fake.RunProfile{Duration: 500 * time.Millisecond, Stalls: true}
@@ -121,8 +126,8 @@
 		return profile
 	})
 	runner.SetAdvisor(tc.advisor)
-	tc.runners[id] = runner
 	go runner.Run(tc.ctx)
+	return runner
 }
 
 // useAdvisor makes the queue use an advisor.
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -89,6 +89,9 @@
 // still reach the new one until that has seen the higher token.
 func (c *Cell) hostRestarted(h *host, incarnation int64) {
 	c.logger.Info("host restarted", "host", h.id, "before", h.incarnation, "born", incarnation, "runs", len(h.runs))
+	if m := c.machineOf(h); m != nil && m.hostID == h.id && !m.planned {
+		c.machineRestarted(m, h)
+	}
 	for _, r := range h.runs {
 		r.restartHost(r.answeredFor(h))
 	}
--- a/sched/host.go
+++ b/sched/host.go
@@ -173,6 +173,7 @@
 		h.synced = false
 		wake(h.wake)
 	}
+	c.observeMachine(h, info)
 	h.info = info
 	h.inPool = true
 	c.startHostLoop(h)
--- a/sched/run.go
+++ b/sched/run.go
@@ -121,8 +121,19 @@
 	if r.entry == nil || !r.entry.job.HasCrashes {
 		return false
 	}
-	task := r.entry.job.Task(r.id)
-	return task != nil && task.Run == r.number && r.entry.job.Step(r.id).Isolates(task)
+	task := r.currentTask()
+	return task != nil && r.entry.job.Step(r.id).Isolates(task)
+}
+
+// currentTask returns the task whose current run this is, or nil.
+func (r *run) currentTask() *tasks.Task {
+	if r.entry == nil {
+		return nil
+	}
+	if task := r.entry.job.Task(r.id); task != nil && task.Run == r.number {
+		return task
+	}
+	return nil
 }
 
 // isVerified reports whether the run belongs to the current incarnation of its
--- a/tasks/record.go
+++ b/tasks/record.go
@@ -29,6 +29,7 @@
 	Checkpoint      string `json:"C,omitempty"`
 	AvoidHost       string `json:"A,omitempty"`
 	Crashes         int    `json:"D,omitempty"`
+	Unsteady        int    `json:"U,omitempty"`
 }
 
 // progressHead is the stored mutable part of a job, without its tasks.
@@ -86,7 +87,7 @@
 	record := taskRecord{
 		Round: round, Step: step, Index: index,
 		State: task.State, Run: task.Run, Failures: task.Failures, Checkpoint: task.Checkpoint, AvoidHost: task.AvoidHost,
-		Crashes: task.Crashes,
+		Crashes: task.Crashes, Unsteady: task.Unsteady,
 	}
 	if task.Active() {
 		record.Host = task.Host
@@ -183,7 +184,7 @@
 	*task = Task{
 		State: record.State, Run: record.Run, Host: record.Host, HostIncarnation: record.HostIncarnation,
 		Failures: record.Failures, Checkpoint: record.Checkpoint, AvoidHost: record.AvoidHost,
-		Crashes: record.Crashes,
+		Crashes: record.Crashes, Unsteady: record.Unsteady,
 	}
 	j.HasCrashes = j.HasCrashes || record.Crashes > 0
 	return nil
--- a/tasks/runs.go
+++ b/tasks/runs.go
@@ -28,11 +28,13 @@
 	// EndCrashed means that the host crashed, or fell silent, right after the start of
 	// the run.
 	EndCrashed
+	// EndUnsteady means the same on a machine that had gone down by itself just before.
+	EndUnsteady
 )
 
 // String returns the reason as it is written to logs.
 func (r EndReason) String() string {
-	names := []string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "crashed"}
+	names := []string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "crashed", "unsteady"}
 	if r < 0 || int(r) >= len(names) {
 		return "unknown"
 	}
@@ -108,6 +110,13 @@
 		task.AvoidHost = task.Host
 	case reason == EndCrashed:
 		j.countCrash(id, now)
+	case reason == EndUnsteady:
+		task.State = Waiting
+		task.Unsteady++
+		if !step.Gang {
+			// If the task is to blame after all, the next host shows it.
+			task.AvoidHost = task.Host
+		}
 	default:
 		task.State = Waiting
 	}
@@ -155,10 +164,10 @@
 // reports whether the state changed: it ignores a run that isn't the task's active one.
 func (j *Job) MarkStable(id ID, run int) bool {
 	task := j.Task(id)
-	if task == nil || task.Run != run || !task.Active() || task.Crashes == 0 {
+	if task == nil || task.Run != run || !task.Active() || task.Crashes+task.Unsteady == 0 {
 		return false
 	}
-	task.Crashes = 0
+	task.Crashes, task.Unsteady = 0, 0
 	return true
 }
 
--- a/tasks/runs_test.go
+++ b/tasks/runs_test.go
@@ -322,3 +322,38 @@
 	}
 	return decoded
 }
+
+// TestUnsteadyMachinesGiveUpNoTask checks that hosts which went away on machines that go down by
+// themselves give up a task only together with others, and that they count until a run is stable.
+func TestUnsteadyMachinesGiveUpNoTask(t *testing.T) {
+	tests := []struct {
+		unsteady, crashes int
+		want              Phase
+	}{
+		{unsteady: 20, crashes: 1, want: Open},
+		{unsteady: 2, crashes: 2, want: Open},
+		{unsteady: 2, crashes: 3, want: Failed},
+		{unsteady: 3, crashes: 2, want: Failed},
+		{unsteady: 0, crashes: 3, want: Open},
+	}
+	for _, test := range tests {
+		job, id := newTestJob(Step{Count: 1}), taskID(0, 0)
+		for range test.unsteady {
+			runTask(job, id, EndUnsteady)
+		}
+		for range test.crashes {
+			runTask(job, id, EndCrashed)
+		}
+		if job.Phase != test.want {
+			t.Errorf("got phase %v after %d unsteady machines and %d crashes, want %v", job.Phase, test.unsteady, test.crashes, test.want)
+		}
+		if job.Phase != Open {
+			continue
+		}
+		job.Assign(id, "h", 1, testTime)
+		job.MarkStable(id, job.Task(id).Run)
+		if got := job.Task(id); got.Unsteady != 0 || got.Crashes != 0 {
+			t.Errorf("got %d unsteady machines and %d crashes after a stable run, want none", got.Unsteady, got.Crashes)
+		}
+	}
+}
--- a/tasks/task.go
+++ b/tasks/task.go
@@ -41,6 +41,9 @@
 	// Crashes counts the hosts that crashed, or fell silent, right after the start of a
 	// run, since a run last went on for a while.
 	Crashes int
+	// Unsteady counts those since then that went away on a machine which had gone down by itself
+	// just before.
+	Unsteady int
 	// Checkpoint is the last checkpoint.
 	Checkpoint string
 	// AssignedAt is when the run was assigned. It isn't persisted, so a node that
@@ -58,6 +61,15 @@
 // it is given up.
 const maxCrashes = 4
 
+const (
+	// minCrashes is how many hosts must have crashed on machines that were steady, and maxHosts how
+	// many in all, before the task is given up for those on unsteady machines.
+	minCrashes = 2
+	maxHosts   = 5
+)
+
 // CrashesHosts reports whether so many hosts have crashed under the task that it is given
 // up.
-func (t *Task) CrashesHosts() bool { return t.Crashes >= maxCrashes }
+func (t *Task) CrashesHosts() bool {
+	return t.Crashes >= maxCrashes || t.Crashes >= minCrashes && t.Crashes+t.Unsteady >= maxHosts
+}
