sched: a host back under a new ID counts as restarted only on an unsteady machine

Cause: a restart under a new ID counted as one in every case, so that a host was closed for 5 s to all tasks that need isolation after each crash under one of them. With a dozen such tasks no host was ever quiet. Now only restarts under no run that has just started count.

TestHostCrashedByTaskIsUsedAgain fails on the commit before (no run 2 s after the host was back).

--- a/sched/flap_test.go
+++ b/sched/flap_test.go
@@ -133,3 +133,34 @@
 		}
 	}
 }
+
+// TestHostCrashedByTaskIsUsedAgain guards against tasks that need isolation and wait for hosts which
+// other such tasks crash in turn: a host that is back under a new ID after it went down with a run
+// that had just started is no unsteady machine.
+func TestHostCrashedByTaskIsUsedAgain(t *testing.T) {
+	runCluster(t, 0, func(tc *testCluster) {
+		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Serving: true} }
+		machine := &flappingMachine{testCluster: tc, newIDs: true}
+		machine.runner = tc.newHost(machine.id(), flapHost, 1)
+		tc.runners[machine.id()] = machine.runner
+		tc.wrapHosts = func(client lease.HostClient) lease.HostClient { return addressClient{client, machine} }
+		machine.node = tc.claim("a")
+		time.Sleep(100 * time.Millisecond)
+		tc.mustSubmit(machine.node, "job", servingPlan(1, 1000))
+		time.Sleep(100 * time.Millisecond)
+		machine.runner.Crash()
+		time.Sleep(500 * time.Millisecond)
+		machine.up()
+		id, got := tasks.ID{Job: "job"}, 0
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			got = max(got, machine.node.crashesOf(id))
+		}
+		if got != 1 {
+			t.Errorf("got up to %d crashes counted, want 1", got)
+		}
+		if got := tc.checker.ActiveRuns(id); got != 1 {
+			t.Errorf("got %d runs 2 s after the host was back, want 1", got)
+		}
+	})
+}
--- a/sched/unsteady.go
+++ b/sched/unsteady.go
@@ -34,7 +34,7 @@
 	if arrives {
 		if !m.planned {
 			c.machineRestarted(m, c.hosts[m.hostID])
-			h.restartedAt = m.restartedAt
+			h.restartedAt = m.unsteadyAt
 		}
 		m.hostID = info.ID
 	}
