fake: a host counts as known once a caller has had its reply

The first reply arrives after that; the owner raises the token to 12001 at 27.049. The same in three of three traces, with 252 and 248 ms between the two heartbeats. A late command that arrives before an owner can know of the restart can't be guarded against, as the fake's own comment says; but it took two accepted heartbeats for proof that the owner knew, and the second was sent before the first was answered.

The fake now delivers a late command to the next incarnation once that has received a heartbeat which was sent after a reply of it had reached a caller. That is the rule as it was meant, no bound is wider.

--- a/fake/hostclient.go
+++ b/fake/hostclient.go
@@ -168,7 +168,28 @@
 	return call(ctx, h, host.ID, command, func(runner *Runner) (lease.Reply, error) { return runner.Pace(ctx, command) })
 }
 
+// knownIncarnation returns the current incarnation of a host, or 0 if no caller has had a reply to
+// a heartbeat of it.
+func (h *HostClient) knownIncarnation(id string) int64 {
+	h.mu.Lock()
+	runner := h.runners[id]
+	h.mu.Unlock()
+	if runner == nil {
+		return 0
+	}
+	return runner.knownIncarnation()
+}
+
 // Heartbeat implements lease.HostClient.
 func (h *HostClient) Heartbeat(ctx context.Context, host *pool.Host, heartbeat lease.Heartbeat) (lease.HeartbeatReply, error) {
-	return call(ctx, h, host.ID, heartbeat, func(runner *Runner) (lease.HeartbeatReply, error) { return runner.Heartbeat(ctx, heartbeat) })
+	var receiver *Runner
+	known := h.knownIncarnation(host.ID)
+	reply, err := call(ctx, h, host.ID, heartbeat, func(runner *Runner) (lease.HeartbeatReply, error) {
+		receiver = runner
+		return runner.receiveHeartbeat(ctx, heartbeat, known)
+	})
+	if err == nil {
+		receiver.recordReply(reply)
+	}
+	return reply, err
 }
--- a/fake/runner.go
+++ b/fake/runner.go
@@ -68,7 +68,9 @@
 	// finished holds the finished runs that the cell hasn't acknowledged.
 	finished     []lease.FinishedRun
 	lastSequence int64
-	// heartbeats counts the accepted heartbeats of the current incarnation.
+	// replied is set once a caller has had a reply to a heartbeat of the current incarnation, and
+	// heartbeats counts the accepted ones that were sent after that.
+	replied    bool
 	heartbeats int
 	// expiredSequence is the sequence number of the last finished run at the time when
 	// the lease last expired. The checker ignores acknowledgements up to it.
@@ -198,7 +200,7 @@
 	r.runs = make(map[runKey]*taskRun)
 	r.lastEndedRun = make(map[tasks.ID]int)
 	r.finished = nil
-	r.heartbeats = 0
+	r.heartbeats, r.replied = 0, false
 }
 
 // Info returns a copy of the host record.
@@ -399,6 +401,34 @@
 // Heartbeat extends the lease and returns the active and finished runs. It waits
 // for at most heartbeat.Wait for a finished run.
 func (r *Runner) Heartbeat(ctx context.Context, heartbeat lease.Heartbeat) (lease.HeartbeatReply, error) {
+	reply, err := r.receiveHeartbeat(ctx, heartbeat, r.knownIncarnation())
+	if err == nil {
+		r.recordReply(reply)
+	}
+	return reply, err
+}
+
+// knownIncarnation returns the current incarnation, or 0 if no caller has had a reply to a heartbeat
+// of it.
+func (r *Runner) knownIncarnation() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.replied {
+		return 0
+	}
+	return r.info.Incarnation
+}
+
+// recordReply records that the reply to a heartbeat has reached its caller.
+func (r *Runner) recordReply(reply lease.HeartbeatReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replied = r.replied || reply.Incarnation == r.info.Incarnation
+}
+
+// receiveHeartbeat handles a heartbeat that was sent when callers knew an incarnation, see
+// knownIncarnation.
+func (r *Runner) receiveHeartbeat(ctx context.Context, heartbeat lease.Heartbeat, known int64) (lease.HeartbeatReply, error) {
 	if err := r.receiveCall(ctx); err != nil {
 		return lease.HeartbeatReply{}, err
 	}
@@ -412,7 +442,7 @@
 			// The connection closed with the incarnation that received the call.
 			return lease.HeartbeatReply{}, errNoResponse
 		}
-		reply, changed := r.heartbeat(heartbeat)
+		reply, changed := r.heartbeat(heartbeat, known)
 		if !r.forgetsWhileWaiting() {
 			heartbeat.Acknowledged = 0
 		}
@@ -429,7 +459,7 @@
 	}
 }
 
-func (r *Runner) heartbeat(heartbeat lease.Heartbeat) (lease.HeartbeatReply, <-chan struct{}) {
+func (r *Runner) heartbeat(heartbeat lease.Heartbeat, known int64) (lease.HeartbeatReply, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expireLease()
@@ -437,7 +467,9 @@
 	if reply.Reason != lease.Accepted {
 		return reply, nil
 	}
-	r.heartbeats++
+	if known == r.info.Incarnation {
+		r.heartbeats++
+	}
 	if heartbeat.LeaseExpiry > 0 {
 		r.leaseExpiry = max(r.leaseExpiry, min(heartbeat.LeaseExpiry, r.clock()+r.longestLease))
 	}
--- a/fake/runner_faults.go
+++ b/fake/runner_faults.go
@@ -164,13 +164,13 @@
 }
 
 // acceptsCommand reports whether a delayed command sent to the incarnation that
-// began at startedAt still takes effect: in that incarnation, or in a later one
-// that has answered two heartbeats. No caller can guard against a command that
-// arrives between a restart and the first heartbeat, so such commands are lost.
+// began at startedAt still takes effect: in that incarnation, or in a later one that has
+// received a heartbeat which was sent after the reply to another had reached its caller. No
+// caller can guard against a command that arrives before, so such commands are lost.
 func (r *Runner) acceptsCommand(startedAt time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.down && (r.startedAt.Equal(startedAt) || r.heartbeats > 1)
+	return !r.down && (r.startedAt.Equal(startedAt) || r.heartbeats > 0)
 }
 
 // dropHeartbeat reports whether DropHeartbeats applies to a heartbeat.
