--- a/tasks/runs_test.go
+++ b/tasks/runs_test.go
@@ -357,3 +357,21 @@
 		}
 	}
 }
+
+// TestUnsteadyMachinesAreStored guards against a new owner that forgets them: with it, a task that
+// crashes its hosts would be started on more of them.
+func TestUnsteadyMachinesAreStored(t *testing.T) {
+	job, id := newTestJob(Step{Count: 1}), taskID(0, 0)
+	runTask(job, id, EndUnsteady)
+	record, ok := newTaskRecord(id.Round, id.Step, id.Index, job.Task(id))
+	if !ok {
+		t.Fatal("got no record of a task that had a run, want one")
+	}
+	restored := newTestJob(Step{Count: 1})
+	if err := restored.restoreTask(record); err != nil {
+		t.Fatal(err)
+	}
+	if got := restored.Task(id).Unsteady; got != 1 {
+		t.Errorf("got %d unsteady machines of the restored task, want 1", got)
+	}
+}
