--- a/sched/flap_test.go
+++ b/sched/flap_test.go
@@ -35,6 +35,17 @@
 	runner *fake.Runner
 }
 
+// newFlappingMachine adds the machine to the cluster, which a node then claims.
+func newFlappingMachine(tc *testCluster, newIDs bool) *flappingMachine {
+	m := &flappingMachine{testCluster: tc, newIDs: newIDs}
+	m.runner = tc.newHost(m.id(), flapHost, 1)
+	tc.runners[m.id()] = m.runner
+	tc.wrapHosts = func(client lease.HostClient) lease.HostClient { return addressClient{client, m} }
+	m.node = tc.claim("a")
+	time.Sleep(100 * time.Millisecond)
+	return m
+}
+
 func (m *flappingMachine) id() string { return fmt.Sprint(flapHost, m.number.Load()) }
 
 func (m *flappingMachine) up() {
@@ -92,12 +103,7 @@
 			t.Run(fmt.Sprintf("new IDs %t, period %s", newIDs, period), func(t *testing.T) {
 				runCluster(t, 3, func(tc *testCluster) {
 					tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Serving: true} }
-					machine := &flappingMachine{testCluster: tc, newIDs: newIDs}
-					machine.runner = tc.newHost(machine.id(), flapHost, 1)
-					tc.runners[machine.id()] = machine.runner
-					tc.wrapHosts = func(client lease.HostClient) lease.HostClient { return addressClient{client, machine} }
-					machine.node = tc.claim("a")
-					time.Sleep(100 * time.Millisecond)
+					machine := newFlappingMachine(tc, newIDs)
 					tc.mustSubmit(machine.node, "job", servingPlan(4, 1000))
 					time.Sleep(5 * time.Second)
 					machine.checkFlap(period)
@@ -140,12 +146,7 @@
 func TestHostCrashedByTaskIsUsedAgain(t *testing.T) {
 	runCluster(t, 0, func(tc *testCluster) {
 		tc.profileOf = func(tasks.ID, int) fake.RunProfile { return fake.RunProfile{Serving: true} }
-		machine := &flappingMachine{testCluster: tc, newIDs: true}
-		machine.runner = tc.newHost(machine.id(), flapHost, 1)
-		tc.runners[machine.id()] = machine.runner
-		tc.wrapHosts = func(client lease.HostClient) lease.HostClient { return addressClient{client, machine} }
-		machine.node = tc.claim("a")
-		time.Sleep(100 * time.Millisecond)
+		machine := newFlappingMachine(tc, true)
 		tc.mustSubmit(machine.node, "job", servingPlan(1, 1000))
 		time.Sleep(100 * time.Millisecond)
 		machine.runner.Crash()
